Lay out the workspace, its checks and the shared interfaces

Cause: an empty repository; parts built side by side need one set of types, one kernel and one page of interfaces before they start. Before: nothing.

--- /dev/null
+++ b/packages/fulmarlever/fulmarlever/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration, messages and policies shared by the processes of fulmarlever."""
--- /dev/null
+++ b/packages/fulmarlever/fulmarlever/config/__init__.py
@@ -0,0 +1,1 @@
+"""Reading and checking of settings and configuration files."""
--- /dev/null
+++ b/packages/fulmarlever/fulmarlever/policies/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions that have more than one implementation, held in registries."""
--- /dev/null
+++ b/packages/fulmarlever/fulmarlever/structure/__init__.py
@@ -0,0 +1,1 @@
+"""The data that processes of fulmarlever hold and exchange."""
--- /dev/null
+++ b/packages/fulmarlever/fulmarlever/structure/configuration.py
@@ -0,0 +1,121 @@
+"""The accepted configuration: services, batch jobs and teams."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import IntEnum, StrEnum
+
+from fulmarlever.structure.size import Size
+
+
+class Urgency(IntEnum):
+    """The urgency classes of services and jobs, most urgent first."""
+
+    CRITICAL = 0
+    HIGH = 1
+    NORMAL = 2
+    LOW = 3
+
+
+class IsolationRule(StrEnum):
+    """What happens to a running task whose zone is cut off from the table."""
+
+    KEEP = "keep"
+    MOVE = "move"
+
+
+@dataclass(slots=True, frozen=True)
+class Team:
+    """A customer's team and the part of the fleet its batch jobs may use."""
+
+    name: str
+    quota: Size | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class IdempotencyRule:
+    """Whether requests of one method below one path prefix are idempotent.
+
+    ``method`` is an upper-case HTTP method or ``*``.
+    """
+
+    method: str
+    path: str
+    idempotent: bool
+
+
+@dataclass(slots=True, frozen=True)
+class ServiceSpec:
+    """A latency-critical service as its operator declared it.
+
+    Times are in seconds and limits in bytes. ``guaranteed_share`` is the fraction of
+    all slots that other services cannot take from this one. ``new_share`` is the
+    fraction of requests served by this setup; the rest goes to the old one.
+    ``retry_budget`` is the number of retries allowed per request, on average.
+    """
+
+    name: str
+    team: str
+    urgency: Urgency = Urgency.NORMAL
+    target_s: float = 0.25
+    instances: int = 1
+    size: Size = field(default_factory=Size)
+    zones: tuple[str, ...] = ()
+    vms: tuple[str, ...] = ()
+    idempotency: tuple[IdempotencyRule, ...] = ()
+    retry_budget: float = 0.1
+    max_request_bytes: int = 1 << 20
+    max_answer_bytes: int = 1 << 22
+    max_run_s: float = 30.0
+    guaranteed_share: float = 0.1
+    new_share: float = 1.0
+    claim_required: bool = True
+    spread_racks: bool = True
+
+    def is_idempotent(self, method: str, path: str) -> bool:
+        """Return whether a request may be run more than once.
+
+        The first matching rule decides. Without one, GET, HEAD, OPTIONS, PUT and
+        DELETE are idempotent, as RFC 9110 defines them.
+        """
+        for rule in self.idempotency:
+            if rule.method in ("*", method) and path.startswith(rule.path):
+                return rule.idempotent
+        return method in ("GET", "HEAD", "OPTIONS", "PUT", "DELETE")
+
+
+@dataclass(slots=True, frozen=True)
+class JobSpec:
+    """A batch job of one or more equal tasks.
+
+    ``deadline_s`` is a Unix time. ``run_s`` is the declared run time of one task.
+    ``kind`` groups jobs whose sizes, run times and interference are learned together.
+    ``work`` is passed to the worker unread.
+    """
+
+    name: str
+    team: str
+    kind: str
+    tasks: int = 1
+    urgency: Urgency = Urgency.NORMAL
+    size: Size = field(default_factory=Size)
+    run_s: float = 60.0
+    deadline_s: float | None = None
+    zones: tuple[str, ...] = ()
+    vms: tuple[str, ...] = ()
+    isolation: IsolationRule = IsolationRule.KEEP
+    checkpoint: bool = True
+    spread_racks: bool = False
+    setup: str = "new"
+    work: dict[str, object] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class Configuration:
+    """One accepted generation. Generation 0 is the empty configuration."""
+
+    generation: int = 0
+    digest: str = ""
+    teams: dict[str, Team] = field(default_factory=dict)
+    services: dict[str, ServiceSpec] = field(default_factory=dict)
+    jobs: dict[str, JobSpec] = field(default_factory=dict)
--- /dev/null
+++ b/packages/fulmarlever/fulmarlever/structure/size.py
@@ -0,0 +1,54 @@
+"""The size of a task and of a worker."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+DIMENSIONS = ("cores", "memory_mib", "accelerators")
+
+
+@dataclass(slots=True, frozen=True)
+class Size:
+    """An amount of each dimension: cores, MiB of memory, and accelerators."""
+
+    cores: float = 0.0
+    memory_mib: float = 0.0
+    accelerators: int = 0
+
+    @classmethod
+    def from_wire(cls, data: dict[str, float]) -> Size:
+        """Build a size from its wire form."""
+        return cls(
+            float(data.get("cores", 0.0)),
+            float(data.get("memory_mib", 0.0)),
+            int(data.get("accelerators", 0)),
+        )
+
+    def to_wire(self) -> dict[str, float]:
+        """Return the wire form."""
+        return {name: getattr(self, name) for name in DIMENSIONS}
+
+    def __add__(self, other: Size) -> Size:
+        return Size(
+            self.cores + other.cores,
+            self.memory_mib + other.memory_mib,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: Size) -> Size:
+        return Size(
+            self.cores - other.cores,
+            self.memory_mib - other.memory_mib,
+            self.accelerators - other.accelerators,
+        )
+
+    def fits_in(self, room: Size) -> bool:
+        """Return whether every dimension is at most that of the room."""
+        return not any(self.exceeding(room))
+
+    def exceeding(self, room: Size) -> Iterator[str]:
+        """Yield the name of each dimension that is larger than the room."""
+        for name in DIMENSIONS:
+            if getattr(self, name) > getattr(room, name) + 1e-9:
+                yield name
--- /dev/null
+++ b/packages/fulmarlever/fulmarlever/tests/base.py
@@ -0,0 +1,49 @@
+"""Helpers shared by the tests of every package."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Callable, Iterable
+
+from hypothesis import HealthCheck, settings
+
+settings.register_profile(
+    "ci",
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
+)
+settings.load_profile("ci")
+
+WAIT_STEP_S = 0.02
+
+
+class TableTestCase(unittest.TestCase):
+    """A test case whose tests run over rows of parameters."""
+
+    def each(self, rows: Iterable[tuple]) -> Iterable[tuple]:
+        """Yield every row inside a sub-test that is named after it."""
+        for row in rows:
+            with self.subTest(row=row[0]):
+                yield row
+
+
+async def wait_until(
+    condition: Callable[[], object], timeout_s: float = 10.0
+) -> object:
+    """Wait until a condition returns something true and return that.
+
+    Raise ``AssertionError`` when the time is over.
+    """
+    loop = asyncio.get_running_loop()
+    end = loop.time() + timeout_s
+    while loop.time() < end:
+        value = condition()
+        if asyncio.iscoroutine(value):
+            value = await value
+        if value:
+            return value
+        await asyncio.sleep(WAIT_STEP_S)
+    raise AssertionError(f"condition not met within {timeout_s} s")
--- /dev/null
+++ b/packages/fulmarlever_cli/fulmarlever_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of operators and callers."""
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that runs on every entry VM."""
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/kernel.py
@@ -0,0 +1,127 @@
+"""The micro-kernel: it builds, starts, finds and stops the daemon's services."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from typing import ClassVar, TypeVar
+
+from loguru import logger as log
+
+from fulmarlever.clock import Clock
+from fulmarlever.exceptions import KernelError
+from fulmarlever.registry import Registry
+from fulmarleverd.settings import Settings
+
+SERVICES: Registry[type[Service]] = Registry("service")
+
+Found = TypeVar("Found", bound="Service")
+
+
+class Service:
+    """A named part of the daemon with a start and a stop of its own.
+
+    Services are built in one order and stopped in the reverse order. They reach each
+    other only through ``kernel.find``, from ``start`` on.
+    """
+
+    name: ClassVar[str] = ""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+        self.settings = kernel.settings
+        self.clock = kernel.clock
+        self._tasks: list[asyncio.Task] = []
+
+    @classmethod
+    def from_config(cls, kernel: Kernel) -> Service:
+        """Build the service from the kernel's settings."""
+        return cls(kernel)
+
+    async def start(self) -> None:
+        """Start the service; every earlier service has been started."""
+
+    async def drain(self) -> None:
+        """Prepare for the stop: take no new work and finish what is in progress."""
+
+    async def stop(self) -> None:
+        """Stop the service and release what it holds."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks.clear()
+
+    def spawn(self, coroutine: object, label: str) -> asyncio.Task:
+        """Run a coroutine until the service stops and log its failure."""
+        task = asyncio.get_running_loop().create_task(coroutine, name=label)
+        self._tasks.append(task)
+        task.add_done_callback(self._forget)
+        return task
+
+    def _forget(self, task: asyncio.Task) -> None:
+        if task in self._tasks:
+            self._tasks.remove(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.opt(exception=task.exception()).error("{} ended", task.get_name())
+
+
+class Kernel:
+    """The services of one daemon, by name."""
+
+    def __init__(self, settings: Settings, clock: Clock | None = None) -> None:
+        self.settings = settings
+        self.clock = clock or Clock()
+        self.is_draining = False
+        self._services: dict[str, Service] = {}
+        self._started: list[Service] = []
+
+    @classmethod
+    def from_settings(
+        cls, settings: Settings, names: Iterable[str], clock: Clock | None = None
+    ) -> Kernel:
+        """Build the named services in the given order."""
+        kernel = cls(settings, clock)
+        for name in names:
+            kernel.add(SERVICES.find(name).from_config(kernel))
+        return kernel
+
+    def add(self, service: Service) -> None:
+        """Add a service, for example a fake one in a test."""
+        self._services[service.name] = service
+
+    def find(self, name: str) -> Service:
+        """Return a service by name.
+
+        Raise ``KernelError`` when the daemon has none of that name.
+        """
+        if name not in self._services:
+            raise KernelError(f"this daemon has no service {name!r}")
+        return self._services[name]
+
+    async def start(self) -> None:
+        """Start every service in order; stop those already started on a failure."""
+        try:
+            for service in self._services.values():
+                await service.start()
+                self._started.append(service)
+        except BaseException:
+            await self._stop_started()
+            raise
+
+    async def stop(self) -> None:
+        """Drain every service, then stop them in reverse order."""
+        self.is_draining = True
+        for service in reversed(self._started):
+            await self._guard(service.drain(), service, "drain")
+        await self._stop_started()
+
+    async def _stop_started(self) -> None:
+        while self._started:
+            service = self._started.pop()
+            await self._guard(service.stop(), service, "stop")
+
+    async def _guard(self, step: object, service: Service, verb: str) -> None:
+        try:
+            await step
+        except Exception:
+            log.exception("{} failed to {}", service.name, verb)
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/base.py
@@ -0,0 +1,108 @@
+"""Fakes at the interfaces of the daemon's services."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from fulmarlever.clock import Clock, ManualClock
+from fulmarlever.outcomes import Conflict, OutcomeUnknown, Unavailable
+from fulmarlever.structure.fleet import VM
+from fulmarlever.structure.table import Applied, Change, Lane, Row
+from fulmarlever_standins.table import MemoryTable
+from fulmarleverd.kernel import Kernel, Service
+from fulmarleverd.settings import Settings
+
+
+class FakePlatform(Service):
+    """The service ``platform`` over a table in memory, with switchable faults.
+
+    ``is_table_up`` set to false makes every call fail. ``lose_answers`` counts how
+    many of the next writes take effect and then report an unknown outcome.
+    """
+
+    name = "platform"
+
+    def __init__(self, kernel: Kernel, table: MemoryTable | None = None) -> None:
+        super().__init__(kernel)
+        self.table = table or MemoryTable(kernel.clock)
+        self.objects: dict[str, bytes] = {}
+        self.vm_list: dict[str, VM] = {}
+        self.is_table_up = True
+        self.lose_answers = 0
+
+    async def read(
+        self, keys: Iterable[str], prefixes: Iterable[str] = ()
+    ) -> dict[str, Row] | Unavailable:
+        """Return rows by key."""
+        if not self.is_table_up:
+            return Unavailable("the table is down")
+        return {row.key: row for row in self.table.read(keys, prefixes)}
+
+    async def write(
+        self, change: Change
+    ) -> Applied | Conflict | Unavailable | OutcomeUnknown:
+        """Apply one change."""
+        if not self.is_table_up:
+            return Unavailable("the table is down")
+        result = self.table.write(change)
+        if isinstance(result, list):
+            return Conflict("condition does not hold", tuple(result))
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            return OutcomeUnknown("the answer was lost")
+        return result
+
+    async def commit(
+        self, change: Change, lane: Lane
+    ) -> Applied | Conflict | Unavailable | OutcomeUnknown:
+        """Apply one change without grouping."""
+        return await self.write(change)
+
+    async def put_object(self, name: str, data: bytes) -> bool | Unavailable:
+        """Store an object."""
+        self.objects[name] = data
+        return True
+
+    async def get_object(self, name: str) -> bytes | None | Unavailable:
+        """Return an object, or ``None`` when there is none of that name."""
+        return self.objects.get(name)
+
+    async def delete_object(self, name: str) -> bool | Unavailable:
+        """Remove an object."""
+        return self.objects.pop(name, None) is not None
+
+    def vms(self) -> dict[str, VM]:
+        """Return the VM list."""
+        return self.vm_list
+
+    def vms_age_s(self) -> float:
+        """Return the age of the VM list in seconds."""
+        return 0.0
+
+
+class FakeTimeline(Service):
+    """The service ``timeline`` that keeps events in a list."""
+
+    name = "timeline"
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self.kinds: list[str] = []
+
+    def record(self, kind: str, **details: str) -> None:
+        """Keep the kind of an event."""
+        self.kinds.append(kind)
+
+
+def make_kernel(clock: Clock | None = None, **changes: object) -> Kernel:
+    """Return a kernel with the fake platform and time line and no other service."""
+    fields = {
+        "vm": "entry-a-1",
+        "zone": "a",
+        "address": "127.0.0.1",
+        "platform": "127.0.0.1:1",
+    }
+    kernel = Kernel(Settings(**{**fields, **changes}), clock or ManualClock())
+    kernel.add(FakePlatform(kernel))
+    kernel.add(FakeTimeline(kernel))
+    return kernel
