--- a/packages/fulmarlever/fulmarlever/structure/fleet.py
+++ b/packages/fulmarlever/fulmarlever/structure/fleet.py
@@ -32,6 +32,21 @@
     rack: str = ""
     size: Size = Size()
 
+    @classmethod
+    def from_wire(cls, data: dict) -> VM:
+        """Build a VM from its entry in the platform's list."""
+        fields = {name: data[name] for name in cls.__slots__ if name in data}
+        fields["state"] = VMState(fields.get("state", VMState.LIVE))
+        fields["size"] = Size.from_wire(fields.get("size", {}))
+        return cls(**fields)
+
+    def to_wire(self) -> dict:
+        """Return the form of the platform's list."""
+        data = {name: getattr(self, name) for name in self.__slots__}
+        data["state"] = str(self.state)
+        data["size"] = self.size.to_wire()
+        return data
+
 
 @dataclass(slots=True, frozen=True)
 class BackendServer:
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/table_tests.py
@@ -0,0 +1,68 @@
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fulmarlever.outcomes import Conflict, OutcomeUnknown, Unavailable
+from fulmarlever.structure.table import ABSENT, Applied, Change
+from fulmarlever.tests.base import TableTestCase
+from fulmarleverd.platform.table import UNKNOWN_VERSION, Table
+from fulmarleverd.tests.platform.base import FakeHTTP, Fault
+
+INSERT = Change(conditions={"k": ABSENT}, writes={"k": "mine"})
+
+LOST = Fault.ANSWER_LOST
+GONE = Fault.REQUEST_LOST
+LATE = Fault.REQUEST_LATE
+
+
+class LostAnswerTests(TableTestCase):
+    def test_outcome_is_found_out(self):
+        rows = (
+            ("no fault", [], Applied, True),
+            ("down", [Fault.DOWN], Unavailable, False),
+            ("answer lost", [LOST], Applied, True),
+            ("request lost", [GONE], Unavailable, False),
+            ("late request is withdrawn", [LATE], Unavailable, False),
+            ("void answer lost too", [GONE, LOST], Unavailable, False),
+            ("both lost", [LOST, GONE, GONE], Applied, True),
+            ("down after the loss", [LOST, Fault.DOWN], OutcomeUnknown, True),
+            ("nothing answers", [GONE] * 4, OutcomeUnknown, False),
+        )
+        for _, faults, expected, is_written in self.each(rows):
+            http = FakeHTTP(faults)
+            result = asyncio.run(Table(http).write(INSERT))
+            http.deliver_late()
+            self.assertIsInstance(result, expected)
+            self.assertEqual(bool(http.table.read(["k"])), is_written)
+
+    @given(st.lists(st.sampled_from(Fault), max_size=8))
+    def test_a_known_outcome_is_true_for_ever(self, faults):
+        http = FakeHTTP(faults)
+        result = asyncio.run(Table(http).write(INSERT))
+        http.deliver_late()
+        is_written = bool(http.table.read(["k"]))
+        if isinstance(result, Applied):
+            self.assertTrue(is_written)
+        elif isinstance(result, Unavailable | Conflict):
+            self.assertFalse(is_written)
+
+
+class ReadBackVersionTests(unittest.TestCase):
+    def test_version_of_a_later_write_is_not_given_out(self):
+        http = FakeHTTP([LOST])
+        table = Table(http)
+        original = http.table.write
+
+        def write_then_overwrite(change):
+            result = original(change)
+            if "k" in change.writes:
+                original(Change(writes={"k": "other"}))
+            return result
+
+        http.table.write = write_then_overwrite
+        result = asyncio.run(table.write(INSERT))
+        self.assertEqual(result.versions, {"k": UNKNOWN_VERSION})
