Add the platform stand-in with switchable faults

Cause: daemons need a table service, object store and VM list that can be down, slow, cut off, lagging or lose the answers of writes. The table keeps its keys sorted and its expiries in a heap, so that a prefix read and an expiry don't scan all rows (marker rows alone are some 10^5 at 200 writes a second with a life time of 600 s).

--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/arguments.py
@@ -0,0 +1,64 @@
+"""The commands and arguments of ``python -m fulmarlever_standins``."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Annotated
+
+import cappa
+
+COMMANDS = "fulmarlever_standins.commands"
+Long = cappa.Arg(long=True)
+
+
+@cappa.command(name="platform", invoke=f"{COMMANDS}.platform.serve_platform")
+@dataclass(slots=True)
+class PlatformArguments:
+    """Serve the table service, the object store and the VM list."""
+
+    listen: Annotated[str, Long]
+
+
+@cappa.command(name="worker", invoke=f"{COMMANDS}.worker.serve_worker")
+@dataclass(slots=True)
+class WorkerArguments:
+    """Serve one worker that runs tasks under leases."""
+
+    listen: Annotated[str, Long]
+    name: Annotated[str, Long]
+    zone: Annotated[str, Long]
+    platform: Annotated[str, Long]
+    cores: Annotated[float, Long] = 32.0
+    memory_mib: Annotated[float, Long] = 128000.0
+    accelerators: Annotated[int, Long] = 0
+
+
+@cappa.command(name="old-setup", invoke=f"{COMMANDS}.old_setup.serve_old_setup")
+@dataclass(slots=True)
+class OldSetupArguments:
+    """Serve the old setup, with the same interface for callers."""
+
+    listen: Annotated[str, Long]
+    control: Annotated[str, Long]
+
+
+@cappa.command(name="relay", invoke=f"{COMMANDS}.relay.serve_relay")
+@dataclass(slots=True)
+class RelayArguments:
+    """Forward TCP connections over links that can be cut.
+
+    Each link is ``NAME=ADDRESS:PORT=TARGET:PORT``.
+    """
+
+    control: Annotated[str, Long]
+    link: Annotated[list[str], Long] = field(default_factory=list)
+
+
+@cappa.command(name="fulmarlever_standins")
+@dataclass(slots=True)
+class Arguments:
+    """Run stand-ins of the platform, workers and the old setup."""
+
+    command: cappa.Subcommands[
+        PlatformArguments | WorkerArguments | OldSetupArguments | RelayArguments
+    ]
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of ``python -m fulmarlever_standins``, one module each."""
--- a/packages/fulmarlever_standins/fulmarlever_standins/table.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/table.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Iterable, Iterator
 
+from sortedcontainers import SortedDict
+
 from fulmarlever.clock import Clock
 from fulmarlever.structure.table import ABSENT, Applied, Change, Row
 
@@ -16,10 +19,13 @@
         self.reads = 0
         self.writes = 0
         self.rows_written = 0
-        self._rows: dict[str, Row] = {}
-        self._expiry: dict[str, float] = {}
+        self._rows: SortedDict[str, Row] = SortedDict()
+        self._expiries: list[tuple[float, str, int]] = []
         self._next_version = 1
 
+    def __len__(self) -> int:
+        return len(self._rows)
+
     def read(self, keys: Iterable[str] = (), prefixes: Iterable[str] = ()) -> list[Row]:
         """Return the rows of the given keys and below the given prefixes."""
         self.reads += 1
@@ -42,7 +48,6 @@
             return conflicts
         for key in change.deletes:
             self._rows.pop(key, None)
-            self._expiry.pop(key, None)
         return Applied({key: self._put(key, change) for key in change.writes})
 
     def _put(self, key: str, change: Change) -> int:
@@ -50,9 +55,9 @@
         self._next_version += 1
         self.rows_written += 1
         self._rows[key] = Row(key, change.writes[key], version)
-        self._expiry.pop(key, None)
         if key in change.ttl_s:
-            self._expiry[key] = self.clock.monotonic() + change.ttl_s[key]
+            end = self.clock.monotonic() + change.ttl_s[key]
+            heapq.heappush(self._expiries, (end, key, version))
         return version
 
     def _version(self, key: str) -> int:
@@ -60,12 +65,14 @@
         return row.version if row else ABSENT
 
     def _below(self, prefix: str) -> Iterator[tuple[str, Row]]:
-        for key, row in self._rows.items():
-            if key.startswith(prefix):
-                yield key, row
+        for key in self._rows.irange(prefix):
+            if not key.startswith(prefix):
+                return
+            yield key, self._rows[key]
 
     def _expire(self) -> None:
         now = self.clock.monotonic()
-        for key in [key for key, end in self._expiry.items() if end <= now]:
-            del self._expiry[key]
-            self._rows.pop(key, None)
+        while self._expiries and self._expiries[0][0] <= now:
+            _, key, version = heapq.heappop(self._expiries)
+            if self._version(key) == version:
+                del self._rows[key]
