Add the worker, old setup and relay stand-ins

Cause: daemons need workers that fence orders by attempt and epoch, stop tasks whose lease is over, keep their limits and record every run; a caller interface to compare with; and links that can be cut. In progress ends before the answer is written: otherwise a daemon that reuses a slot on receipt of the answer would be counted as a ninth request.

--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/backend.py
@@ -0,0 +1,135 @@
+"""The application behind a backend server: it answers requests and records them."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+from fulmarlever.clock import Clock
+from fulmarlever_standins.http import drop, hold
+
+SLOTS = 8
+CONNECTIONS = 64
+JSON_TYPE = "application/json"
+
+
+@dataclass(slots=True)
+class BackendRecord:
+    """Everything that one backend server ran and each excess over its limits.
+
+    ``last_start_leaving_s`` is the age of the leave, in seconds, when the last
+    request was started.
+    """
+
+    runs: Counter[str] = field(default_factory=Counter)
+    keys: Counter[str] = field(default_factory=Counter)
+    overruns: int = 0
+    max_in_progress: int = 0
+    max_connections: int = 0
+    last_start_leaving_s: float = 0.0
+
+    def to_wire(self) -> dict:
+        """Return the record as JSON values."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+
+class Backend:
+    """Requests in progress, the record of runs and the answers of one server.
+
+    ``slow_factor`` returns the factor by which every answer takes longer.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        slots: int = SLOTS,
+        slow_factor: Callable[[], float] = lambda: 1.0,
+    ) -> None:
+        self.clock = clock
+        self.slots = slots
+        self.slow_factor = slow_factor
+        self.record = BackendRecord()
+        self.in_progress = 0
+        self.leaving_since: float | None = None
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Run one request and return its answer."""
+        if self.in_progress >= self.slots:
+            return self.refuse()
+        self.in_progress += 1
+        self.record.max_in_progress = max(self.record.max_in_progress, self.in_progress)
+        try:
+            return await self._run(request)
+        finally:
+            self.in_progress -= 1
+
+    def refuse(self) -> web.Response:
+        """Count an excess over the limits and return the answer to it."""
+        self.record.overruns += 1
+        return web.Response(status=503, headers={"X-Backend-State": "full"})
+
+    async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
+        body = await request.read()
+        self._record_run(request)
+        work_s = float(request.headers.get("X-Work-Ms", "0")) / 1000.0
+        if work_s > 0:
+            await asyncio.sleep(work_s * self.slow_factor())
+        fault = request.headers.get("X-Fault", "")
+        if fault:
+            return await self._fail(request, body, fault)
+        answer = make_answer(request, body)
+        if self.leaving_since is not None:
+            answer.headers["X-Backend-State"] = "leaving"
+            answer.force_close()
+        return answer
+
+    def _record_run(self, request: web.BaseRequest) -> None:
+        self.record.runs[request.headers.get("X-Request-Id", "")] += 1
+        key = request.headers.get("Idempotency-Key")
+        if key:
+            self.record.keys[key] += 1
+        if self.leaving_since is not None:
+            age_s = self.clock.monotonic() - self.leaving_since
+            self.record.last_start_leaving_s = age_s
+
+    async def _fail(
+        self, request: web.BaseRequest, body: bytes, fault: str
+    ) -> web.StreamResponse:
+        if fault == "hang":
+            return await hold(request)
+        if fault == "close":
+            return drop(request)
+        if fault == "truncate":
+            return await self._truncate(request, body)
+        return web.Response(status=500, text="fault on request")
+
+    async def _truncate(
+        self, request: web.BaseRequest, body: bytes
+    ) -> web.StreamResponse:
+        whole = make_answer(request, body).body
+        answer = web.StreamResponse()
+        answer.content_type = JSON_TYPE
+        answer.content_length = len(whole)
+        await answer.prepare(request)
+        await answer.write(whole[: len(whole) // 2])
+        drop(request)
+        return answer
+
+
+def make_answer(request: web.BaseRequest, body: bytes) -> web.Response:
+    """Return the answer to a request: its id and body digest, with padding."""
+    fields = {
+        "request": request.headers.get("X-Request-Id", ""),
+        "method": request.method,
+        "body_bytes": len(body),
+        "body_sha256": hashlib.sha256(body).hexdigest(),
+    }
+    text = json.dumps(fields)
+    size = int(request.headers.get("X-Answer-Bytes", "0"))
+    return web.Response(body=text.ljust(size).encode(), content_type=JSON_TYPE)
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/worker_api.py
@@ -0,0 +1,171 @@
+"""The HTTP calls of the worker stand-in."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from fulmarlever.structure.size import Size
+from fulmarlever_standins.http import MAX_BODY_BYTES, read_json
+from fulmarlever_standins.orders import StartOrder, StopOrder
+from fulmarlever_standins.runs import Run, ServiceRun
+from fulmarlever_standins.worker import Refusal, Worker
+
+
+class WorkerApi:
+    """The handlers of one worker's calls."""
+
+    def __init__(self, worker: Worker) -> None:
+        self.worker = worker
+
+    def build_app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app.router.add_post("/v1/start", self.start)
+        app.router.add_post("/v1/stop", self.stop)
+        app.router.add_post("/v1/sync", self.sync)
+        app.router.add_post("/v1/throttle", self.throttle)
+        app.router.add_post("/faults", self.set_faults)
+        app.router.add_get("/record", self.get_record)
+        app.router.add_get("/record/{task:.+}", self.get_backend_record)
+        return app
+
+    async def start(self, request: web.Request) -> web.Response:
+        """Start a task under a lease that counts from the receipt of the request."""
+        received = self.worker.clock.monotonic()
+        try:
+            order = StartOrder.from_wire(await read_json(request))
+        except (KeyError, TypeError, ValueError) as exc:
+            raise web.HTTPBadRequest(text=f"malformed order: {exc!r}") from exc
+        result = await self.worker.start(order, received)
+        if isinstance(result, Refusal):
+            return _answer_refusal(result)
+        answer = {"state": result.state}
+        if isinstance(result, ServiceRun):
+            answer["address"] = result.server.address
+            answer["port"] = result.server.port
+        return web.json_response(answer)
+
+    async def stop(self, request: web.Request) -> web.Response:
+        """Stop a task and answer after it has ended."""
+        try:
+            order = StopOrder.from_wire(await read_json(request))
+        except (KeyError, TypeError, ValueError) as exc:
+            raise web.HTTPBadRequest(text=f"malformed order: {exc!r}") from exc
+        result = await self.worker.stop(order)
+        if isinstance(result, Refusal):
+            return _answer_refusal(result)
+        if result is None:
+            return web.json_response(
+                {"state": "stopped", "checkpoint": "", "progress": 0.0}
+            )
+        return web.json_response(
+            {
+                "state": result.state,
+                "checkpoint": result.checkpoint,
+                "progress": result.progress,
+            }
+        )
+
+    async def sync(self, request: web.Request) -> web.Response:
+        """Renew leases, forget acknowledged ends and report every task."""
+        data = await read_json(request)
+        worker = self.worker
+        refusal = await worker.renew(int(data["epoch"]), data.get("renew", []))
+        if refusal is not None:
+            return _answer_refusal(refusal)
+        worker.acknowledge(data.get("acknowledge", []))
+        tasks = [self._report(run) for run in worker.runs.values()]
+        return web.json_response(
+            {"worker": worker.name, "size": worker.size.to_wire(), "tasks": tasks}
+        )
+
+    async def throttle(self, request: web.Request) -> web.Response:
+        """Limit a task to a share of its speed."""
+        data = await read_json(request)
+        refusal = self.worker.throttle(
+            data["task"],
+            int(data["attempt"]),
+            int(data["epoch"]),
+            float(data["share"]),
+        )
+        if refusal is not None:
+            return _answer_refusal(refusal)
+        return web.json_response({})
+
+    async def set_faults(self, request: web.Request) -> web.Response:
+        """Change the faults in force."""
+        try:
+            self.worker.faults.update(await read_json(request))
+        except ValueError as exc:
+            raise web.HTTPBadRequest(text=str(exc)) from exc
+        return web.json_response({})
+
+    async def get_record(self, request: web.Request) -> web.Response:
+        """Return every run of this worker and its highest reservation."""
+        worker = self.worker
+        return web.json_response(
+            {
+                "runs": [run.to_record() for run in worker.history],
+                "overruns": worker.overruns,
+                "max_reserved": worker.max_reserved.to_wire(),
+            }
+        )
+
+    async def get_backend_record(self, request: web.Request) -> web.Response:
+        """Return what the backend servers of one task ran, over all attempts."""
+        task = request.match_info["task"]
+        records = [
+            run.backend.record.to_wire()
+            for run in self.worker.history
+            if isinstance(run, ServiceRun) and run.order.task == task
+        ]
+        if not records:
+            raise web.HTTPNotFound
+        return web.json_response(merge_records(records))
+
+    def _report(self, run: Run) -> dict:
+        used, age_s = run.reported_usage(self.worker.faults.usage_lag_s)
+        return {
+            "task": run.order.task,
+            "attempt": run.order.attempt,
+            "state": run.state,
+            "reason": run.reason,
+            "result": run.result,
+            "checkpoint": run.checkpoint,
+            "progress": run.progress,
+            "usage": _usage_to_wire(used),
+            "usage_age_s": age_s,
+            "in_progress": run.in_progress,
+        }
+
+
+def merge_records(records: list[dict]) -> dict:
+    """Return one record for several: counts are added, maxima are kept."""
+    merged: dict = {"runs": {}, "keys": {}}
+    for record in records:
+        for name, value in record.items():
+            if isinstance(value, dict):
+                _add_counts(merged[name], value)
+            elif name == "overruns":
+                merged[name] = merged.get(name, 0) + value
+            else:
+                merged[name] = max(merged.get(name, 0), value)
+    return merged
+
+
+def _add_counts(total: dict[str, int], counts: dict[str, int]) -> None:
+    for key, count in counts.items():
+        total[key] = total.get(key, 0) + count
+
+
+def _usage_to_wire(size: Size) -> dict:
+    return {"cores": size.cores, "memory_mib": size.memory_mib}
+
+
+def _answer_refusal(refusal: Refusal) -> web.Response:
+    fields = {
+        "reason": refusal.reason,
+        "attempt": refusal.attempt,
+        "epoch": refusal.epoch,
+    }
+    return web.json_response(fields, status=refusal.status)
