--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/cluster_tests.py
@@ -0,0 +1,37 @@
+from __future__ import annotations
+
+import unittest
+
+from fulmarlever_standins.cluster import Cluster
+from fulmarlever_standins.topology import Topology
+
+
+class TopologyTests(unittest.TestCase):
+    def test_addresses_are_distinct_and_links_join_zones_only(self):
+        topology = Topology.build(("a", "b", "c"), 2, 4, 9)
+        vms = (*topology.entries, *topology.workers)
+        addresses = [vm.address for vm in vms]
+        addresses += [link.address for link in topology.links()]
+        self.assertEqual(len(set(addresses)), 3 * 2 + 3 * 4 + 3 * 4)
+        self.assertFalse([x for x in topology.links() if x.source == x.target.zone])
+
+
+class ClusterTests(unittest.IsolatedAsyncioTestCase):
+    async def test_standins_start_and_end(self):
+        cluster = Cluster.from_zones(("a", "b"), entries=1, workers=1)
+        try:
+            await cluster.start_platform()
+            await cluster.start_workers()
+            await cluster.register_vms()
+            await cluster.faults(table="down")
+            await cluster.cut("a", "b")
+            records = await cluster.records()
+            names = ("worker-a-1", "worker-b-1")
+            cluster.freeze(names[0])
+            await cluster.kill(names[1])
+        finally:
+            codes = await cluster.close()
+        self.assertEqual(records.runs, {})
+        expected = {"platform": 0, "relay": 0, names[0]: 0, names[1]: -9}
+        self.assertEqual(codes, expected)
+        self.assertFalse(cluster.directory.exists())
--- a/packages/fulmarlever_standins/fulmarlever_standins/worker_api.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/worker_api.py
@@ -106,6 +106,9 @@
         return web.json_response(
             {
                 "runs": [run.to_record() for run in worker.history],
+                "services": sorted(
+                    {run.order.task for run in worker.history if run.is_service}
+                ),
                 "overruns": worker.overruns,
                 "max_reserved": worker.max_reserved.to_wire(),
             }
