--- a/packages/fulmarlever_standins/fulmarlever_standins/backend.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/backend.py
@@ -123,13 +123,22 @@
 
 
 def make_answer(request: web.BaseRequest, body: bytes) -> web.Response:
-    """Return the answer to a request: its id and body digest, with padding."""
+    """Return the answer to a request."""
+    text = answer_text(
+        request.headers.get("X-Request-Id", ""),
+        request.method,
+        body,
+        int(request.headers.get("X-Answer-Bytes", "0")),
+    )
+    return web.Response(body=text, content_type=JSON_TYPE)
+
+
+def answer_text(request_id: str, method: str, body: bytes, size: int) -> bytes:
+    """Return the body of an answer: request id and body digest, padded to a size."""
     fields = {
-        "request": request.headers.get("X-Request-Id", ""),
-        "method": request.method,
+        "request": request_id,
+        "method": method,
         "body_bytes": len(body),
         "body_sha256": hashlib.sha256(body).hexdigest(),
     }
-    text = json.dumps(fields)
-    size = int(request.headers.get("X-Answer-Bytes", "0"))
-    return web.Response(body=text.ljust(size).encode(), content_type=JSON_TYPE)
+    return json.dumps(fields).ljust(size).encode()
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/load.py
@@ -0,0 +1,91 @@
+"""Open-loop load: requests arrive at their times, whatever became of earlier ones."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from fulmarlever_standins.balancer import Balancer
+from fulmarlever_standins.caller import Caller, CallerRequest, CallerResult, Reply
+
+
+@dataclass(slots=True, frozen=True)
+class LoadSpec:
+    """One stream of requests to a service, at a mean rate of Poisson arrivals."""
+
+    service: str
+    rate_per_s: float
+    work_ms: int = 10
+    post_part: float = 0.5
+    answer_bytes: int = 512
+    body_bytes: int = 256
+    deadline_ms: int = 0
+    seed: int = 1
+    name: str = "load"
+    post_path: str = "orders"
+    work: Callable[[random.Random], int] | None = None
+
+    def requests(self) -> Iterator[tuple[float, CallerRequest]]:
+        """Yield requests without end, each with the pause before it in seconds."""
+        dice = random.Random(self.seed)
+        number = 0
+        while True:
+            number += 1
+            yield dice.expovariate(self.rate_per_s), self._request(dice, number)
+
+    def _request(self, dice: random.Random, number: int) -> CallerRequest:
+        request_id = f"{self.name}-{self.seed}-{number}"
+        is_post = dice.random() < self.post_part
+        return CallerRequest(
+            request_id=request_id,
+            service=self.service,
+            method="POST" if is_post else "GET",
+            path=self.post_path if is_post else "items",
+            body=dice.randbytes(self.body_bytes) if is_post else b"",
+            key=f"key-{request_id}" if is_post else "",
+            work_ms=self.work(dice) if self.work else self.work_ms,
+            answer_bytes=self.answer_bytes,
+            deadline_ms=self.deadline_ms,
+        )
+
+
+@dataclass(slots=True)
+class Load:
+    """The results of a load while it runs and after."""
+
+    spec: LoadSpec
+    balancer: Balancer
+    caller: Caller
+    results: list[CallerResult] = field(default_factory=list)
+    unfinished: set[asyncio.Task] = field(default_factory=set)
+
+    async def run(self, duration_s: float) -> list[CallerResult]:
+        """Send requests for a time and return the results of all of them."""
+        start = time.monotonic()
+        due = start
+        for pause_s, request in self.spec.requests():
+            due += pause_s
+            if due > start + duration_s:
+                break
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            self._send(request)
+        if self.unfinished:
+            await asyncio.wait(self.unfinished)
+        return self.results
+
+    def counts(self) -> Counter[Reply]:
+        """Return how often each reply was given."""
+        return Counter(result.reply for result in self.results)
+
+    def _send(self, request: CallerRequest) -> None:
+        task = asyncio.create_task(self._send_one(request))
+        self.unfinished.add(task)
+        task.add_done_callback(self.unfinished.discard)
+
+    async def _send_one(self, request: CallerRequest) -> None:
+        vm = self.balancer.choose()
+        self.results.append(await self.caller.send(request, vm.name, vm.callers))
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/promises.py
@@ -0,0 +1,55 @@
+"""The promises about requests, checked on what callers got and what servers ran."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from fulmarlever_standins.backend import CONNECTIONS, SLOTS
+from fulmarlever_standins.caller import CallerResult, Reply
+from fulmarlever_standins.cluster import BackendTotals
+
+LEAVING_LIMIT_S = 3.0
+DENIALS = (Reply.NOT_RUN, Reply.REFUSED)
+
+
+def find_violations(
+    results: Iterable[CallerResult], totals: BackendTotals
+) -> list[str]:
+    """Return one line for each broken promise."""
+    return [
+        *_find_overruns(totals),
+        *_find_repeated_keys(totals),
+        *(line for result in results for line in _find_false_reply(result, totals)),
+    ]
+
+
+def _find_overruns(totals: BackendTotals) -> Iterator[str]:
+    rows = (
+        ("overruns", totals.overruns, 0),
+        ("requests in progress", totals.max_in_progress, SLOTS),
+        ("connections", totals.max_connections, CONNECTIONS),
+        ("seconds after the leave", totals.last_start_leaving_s, LEAVING_LIMIT_S),
+    )
+    for name, value, limit in rows:
+        if value > limit:
+            yield f"{name}: {value}, limit {limit}"
+
+
+def _find_repeated_keys(totals: BackendTotals) -> Iterator[str]:
+    for key, count in totals.keys.items():
+        if count > 1:
+            yield f"idempotency key {key} ran {count} times"
+
+
+def _find_false_reply(result: CallerResult, totals: BackendTotals) -> Iterator[str]:
+    request = result.request
+    runs = totals.runs.get(request.request_id, 0)
+    name = f"{request.method} {request.request_id} through {result.entry}"
+    if result.reply is Reply.WRONG:
+        yield f"{name}: {result.detail}"
+    if result.reply in DENIALS and runs:
+        yield f"{name}: said not run and ran {runs} times ({result.detail})"
+    if result.reply is Reply.SERVED and not runs:
+        yield f"{name}: was answered and never ran"
+    if not request.is_idempotent and runs > 1:
+        yield f"{name}: ran {runs} times"
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/load_tests.py
@@ -0,0 +1,99 @@
+from __future__ import annotations
+
+from aiohttp import web
+
+from fulmarlever_standins.caller import Caller, CallerRequest, Reply
+from fulmarlever_standins.cluster import BackendTotals
+from fulmarlever_standins.load import LoadSpec
+from fulmarlever_standins.old_setup import OldSetup
+from fulmarlever_standins.promises import find_violations
+from fulmarlever_standins.tests.base import ServerTestCase
+
+PROBLEM = {
+    "content_type": "application/problem+json",
+    "headers": {"Retry-After": "1"},
+    "text": '{"title": "Not run", "detail": "full", "outcome": "not-run"}',
+}
+UNKNOWN = PROBLEM | {"text": PROBLEM["text"].replace("not-run", "unknown")}
+
+
+class CallerTestCase(ServerTestCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.setup = OldSetup()
+        self.address = await self.serve(self.setup.build_callers_app())
+        self.caller = await self.enterAsyncContext(Caller(patience_s=1.0))
+
+    async def send(self, address: str = "", **fields) -> Reply:
+        request = CallerRequest("r-1", "filling", **fields)
+        result = await self.caller.send(request, "entry", address or self.address)
+        return result.reply
+
+
+class CallerTests(CallerTestCase):
+    async def test_answers_of_a_backend(self):
+        rows = (
+            ("plain", {}, Reply.SERVED),
+            ("with body", {"method": "POST", "body": b"order"}, Reply.SERVED),
+            ("large", {"answer_bytes": 100_000}, Reply.SERVED),
+            ("truncated", {"fault": "truncate", "answer_bytes": 9_000}, Reply.LOST),
+            ("closed", {"fault": "close"}, Reply.LOST),
+            ("failed", {"fault": "error"}, Reply.FAULT),
+        )
+        for name, fields, expected in rows:
+            with self.subTest(name):
+                self.assertEqual(await self.send(**fields), expected)
+
+    async def test_answers_that_no_backend_gave(self):
+        rows = (
+            ("not run", 503, PROBLEM, Reply.NOT_RUN),
+            ("refused", 404, PROBLEM, Reply.REFUSED),
+            ("unknown", 502, UNKNOWN, Reply.UNKNOWN),
+            ("no Retry-After", 503, PROBLEM | {"headers": {}}, Reply.WRONG),
+            ("no problem", 503, {"text": "full"}, Reply.WRONG),
+            ("not its own", 200, {"text": '{"request": "r-2"}'}, Reply.WRONG),
+        )
+        for name, status, options, expected in rows:
+            with self.subTest(name):
+                address = await self.serve(make_app(status, options))
+                self.assertEqual(await self.send(address), expected)
+
+
+def make_app(status: int, options: dict) -> web.Application:
+    async def answer(request: web.Request) -> web.Response:
+        return web.Response(status=status, **options)
+
+    app = web.Application()
+    app.router.add_get("/{path:.*}", answer)
+    return app
+
+
+class PromiseTests(CallerTestCase):
+    async def test_each_violation_is_found(self):
+        request = CallerRequest("r-1", "filling", method="POST", key="k")
+        served = await self.caller.send(request, "entry", self.address)
+        url = await self.serve(make_app(503, PROBLEM))
+        get = CallerRequest("r-2", "filling")
+        denied = await self.caller.send(get, "entry", url)
+        rows = (
+            ("kept", {"runs": {"r-1": 1}, "keys": {"k": 1}}, ""),
+            ("ran twice", {"runs": {"r-1": 2}}, "ran 2 times"),
+            ("key ran twice", {"runs": {"r-1": 1}, "keys": {"k": 2}}, "key k ran 2"),
+            ("never ran", {"runs": {}}, "never ran"),
+            ("false denial", {"runs": {"r-1": 1, "r-2": 1}}, "said not run"),
+            ("overrun", {"runs": {"r-1": 1}, "max_in_progress": 9}, "in progress: 9"),
+        )
+        for name, fields, expected in rows:
+            with self.subTest(name):
+                found = find_violations([served, denied], BackendTotals(**fields))
+                self.assertEqual(bool(found), bool(expected), found)
+                self.assertIn(expected, " ".join(found))
+
+    def test_load_is_the_same_for_one_seed(self):
+        first, second = (
+            [next(stream) for _ in range(50)]
+            for stream in (LoadSpec("s", 10.0).requests(),) * 2
+        )
+        self.assertNotEqual(first, second)
+        repeated = LoadSpec("s", 10.0).requests()
+        self.assertEqual(first, [next(repeated) for _ in range(50)])
