Refuse late orders on the worker's own clock

Cause: the placer's orders carry not_after_s, so that a delayed start cannot begin an attempt that was given up meanwhile; sync reports the worker's clock for it.

--- a/packages/fulmarlever_standins/fulmarlever_standins/orders.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/orders.py
@@ -28,7 +28,10 @@
 
 @dataclass(slots=True, frozen=True)
 class StartOrder:
-    """One ``POST /v1/start``. ``service`` holds the slots and connections limits."""
+    """One ``POST /v1/start``. ``service`` holds the slots and connections limits.
+
+    ``not_after_s`` is a time on the worker's clock after which the order is refused.
+    """
 
     task: str
     attempt: int
@@ -39,6 +42,7 @@
     checkpoint: str = ""
     work: BatchWork = field(default_factory=BatchWork)
     service: dict | None = None
+    not_after_s: float | None = None
 
     @classmethod
     def from_wire(cls, data: dict) -> StartOrder:
@@ -56,6 +60,7 @@
             str(data.get("checkpoint") or ""),
             BatchWork.from_wire(data.get("work") or {}),
             data.get("service"),
+            data.get("not_after_s"),
         )
 
 
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/worker_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/worker_tests.py
@@ -51,6 +51,8 @@
             ("the same start", "start", {}, 200),
             ("an older attempt", "start", {"attempt": 0}, 409),
             ("an older epoch", "start", {"attempt": 2, "epoch": 0}, 409),
+            ("a late order", "start", {"task": "labels/1", "not_after_s": 1.0}, 409),
+            ("a late renewal", "sync", {"not_after_s": 1.0}, 409),
             ("a later attempt", "start", {"attempt": 2, "epoch": 2}, 200),
             ("another task that fits", "start", {"task": "labels/1", "epoch": 2}, 200),
             ("one that does not", "start", {"task": "labels/2", "epoch": 2}, 507),
--- a/packages/fulmarlever_standins/fulmarlever_standins/worker.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/worker.py
@@ -24,6 +24,9 @@
     epoch: int = 0
 
 
+LATE = Refusal(409, "the order came too late")
+
+
 class Worker:
     """The tasks of one worker and the rules by which it takes orders."""
 
@@ -91,10 +94,14 @@
                 return None
             return await self._stop_run(run, order)
 
-    async def renew(self, epoch: int, leases: list[dict]) -> Refusal | None:
-        """Renew leases from the time of the call, unless the epoch is an older one."""
+    async def renew(
+        self, epoch: int, leases: list[dict], not_after_s: float | None = None
+    ) -> Refusal | None:
+        """Renew leases from the time of the call, unless the order is outdated."""
         received = self.clock.monotonic()
         await self.expire()
+        if self._is_late(not_after_s):
+            return LATE
         if epoch < self._epoch:
             return Refusal(409, "the epoch is over", epoch=self._epoch)
         self._epoch = epoch
@@ -163,6 +170,8 @@
         progress = await self.checkpoints.load(order.checkpoint)
         if progress is None:
             return Refusal(503, "the checkpoint could not be read")
+        if self._is_late(order.not_after_s):
+            return LATE
         reserved = self.reserved() + order.size
         excess = ", ".join(reserved.exceeding(self.size))
         if excess:
@@ -208,6 +217,9 @@
         run.end(state, reason)
         await run.close()
 
+    def _is_late(self, not_after_s: float | None) -> bool:
+        return not_after_s is not None and self.clock.monotonic() > not_after_s
+
     def _check_token(self, task: str, attempt: int, epoch: int) -> Refusal | None:
         known = self._attempts[task]
         if epoch < self._epoch:
--- a/packages/fulmarlever_standins/fulmarlever_standins/worker_api.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/worker_api.py
@@ -61,6 +61,8 @@
         return web.json_response(
             {
                 "state": result.state,
+                "reason": result.reason,
+                "result": result.result,
                 "checkpoint": result.checkpoint,
                 "progress": result.progress,
             }
@@ -70,13 +72,20 @@
         """Renew leases, forget acknowledged ends and report every task."""
         data = await read_json(request)
         worker = self.worker
-        refusal = await worker.renew(int(data["epoch"]), data.get("renew", []))
+        refusal = await worker.renew(
+            int(data["epoch"]), data.get("renew", []), data.get("not_after_s")
+        )
         if refusal is not None:
             return _answer_refusal(refusal)
         worker.acknowledge(data.get("acknowledge", []))
         tasks = [self._report(run) for run in worker.runs.values()]
         return web.json_response(
-            {"worker": worker.name, "size": worker.size.to_wire(), "tasks": tasks}
+            {
+                "worker": worker.name,
+                "size": worker.size.to_wire(),
+                "clock_s": worker.clock.monotonic(),
+                "tasks": tasks,
+            }
         )
 
     async def throttle(self, request: web.Request) -> web.Response:
