--- a/packages/fulmarlever/fulmarlever/structure/configuration.py
+++ b/packages/fulmarlever/fulmarlever/structure/configuration.py
@@ -24,6 +24,19 @@
     MOVE = "move"
 
 
+@dataclass(slots=True, frozen=True)
+class WorkerGroup:
+    """Worker VMs of one size. ``vms`` may be empty when their names are not declared.
+
+    ``zones`` lists the availability zones that have workers of the group.
+    """
+
+    name: str
+    size: Size
+    zones: tuple[str, ...] = ()
+    vms: tuple[str, ...] = ()
+
+
 @dataclass(slots=True, frozen=True)
 class Team:
     """A customer's team and the part of the fleet its batch jobs may use."""
@@ -52,6 +65,7 @@
     all slots that other services cannot take from this one. ``new_share`` is the
     fraction of requests served by this setup; the rest goes to the old one.
     ``retry_budget`` is the number of retries allowed per request, on average.
+    ``slots`` and ``connections`` limit each instance over all entry VMs together.
     """
 
     name: str
@@ -60,6 +74,8 @@
     target_s: float = 0.25
     instances: int = 1
     size: Size = field(default_factory=Size)
+    slots: int = 8
+    connections: int = 64
     zones: tuple[str, ...] = ()
     vms: tuple[str, ...] = ()
     idempotency: tuple[IdempotencyRule, ...] = ()
@@ -116,6 +132,8 @@
 
     generation: int = 0
     digest: str = ""
+    zones: tuple[str, ...] = ()
+    workers: dict[str, WorkerGroup] = field(default_factory=dict)
     teams: dict[str, Team] = field(default_factory=dict)
     services: dict[str, ServiceSpec] = field(default_factory=dict)
     jobs: dict[str, JobSpec] = field(default_factory=dict)
