Read daemon settings over the same findings machinery

Cause: a daemon learns its place only from its settings file, so a mistake must stop it with its line and column. The fields of Settings carry their own typed options; pydantic validates the slotted class itself, so no second list of options exists. Secrets stay out of repr and of findings. Ruled out: a separate model copied into Settings (two lists of 30 options drift).

--- a/packages/fulmarleverd/fulmarleverd/settings.py
+++ b/packages/fulmarleverd/fulmarleverd/settings.py
@@ -2,17 +2,86 @@
 
 from __future__ import annotations
 
+import ipaddress
+import re
+from collections.abc import Iterator
 from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated, Any, ClassVar
+
+from pydantic import BeforeValidator, ConfigDict, Field
+
+from fulmarlever.config.document import Document
+from fulmarlever.config.schema import Name
+from fulmarlever.config.units import (
+    ByteCount,
+    PositiveSeconds,
+    Seconds,
+    unit_error,
+)
+from fulmarlever.config.validation import validate
+from fulmarlever.findings import Finding, Findings
+
+MIN_SECRET_LENGTH = 16
+LOG_LEVELS = ("TRACE", "DEBUG", "INFO", "WARNING", "ERROR")
+HOST_AND_PORT = re.compile(r"^[\w.:\[\]-]+:\d{1,5}$")
+
+
+def parse_address(value: Any) -> str:
+    """Return an IP number as text."""
+    try:
+        return str(ipaddress.ip_address(value))
+    except ValueError:
+        raise unit_error(f"expected an IP number, not {value!r}") from None
+
+
+def parse_host_and_port(value: Any) -> str:
+    """Return a text of the form ``HOST:PORT``."""
+    if not isinstance(value, str) or not HOST_AND_PORT.match(value):
+        raise unit_error(f"expected HOST:PORT, not {value!r}")
+    return value
+
+
+def parse_optional_host_and_port(value: Any) -> str:
+    """Return a text of the form ``HOST:PORT``, or an empty text for none."""
+    return "" if value in ("", None) else parse_host_and_port(value)
+
+
+def parse_secret(value: Any) -> str:
+    """Return a secret; a finding about it does not repeat it."""
+    if not isinstance(value, str) or len(value) < MIN_SECRET_LENGTH:
+        raise unit_error(f"a secret has at least {MIN_SECRET_LENGTH} characters")
+    return value
+
+
+def parse_log_level(value: Any) -> str:
+    """Return a log level in upper case."""
+    level = value.upper() if isinstance(value, str) else value
+    if level not in LOG_LEVELS:
+        raise unit_error(f"expected one of {', '.join(LOG_LEVELS)}, not {value!r}")
+    return level
+
+
+Address = Annotated[str, BeforeValidator(parse_address)]
+HostAndPort = Annotated[str, BeforeValidator(parse_host_and_port)]
+OptionalHostAndPort = Annotated[str, BeforeValidator(parse_optional_host_and_port)]
+Secret = Annotated[str, BeforeValidator(parse_secret)]
+LogLevel = Annotated[str, BeforeValidator(parse_log_level)]
+Port = Annotated[int, Field(ge=1, le=65535)]
+Count = Annotated[int, Field(ge=1)]
+Rate = Annotated[float, Field(gt=0)]
 
 
 @dataclass(slots=True, frozen=True)
 class PeerSettings:
     """The fixed address of another entry VM; it goes before the VM list."""
 
-    vm: str
-    zone: str
-    address: str
-    port: int
+    __pydantic_config__: ClassVar[ConfigDict] = ConfigDict(extra="forbid")
+
+    vm: Name
+    zone: Name
+    address: Address
+    port: Port
 
 
 @dataclass(slots=True, frozen=True)
@@ -22,31 +91,77 @@
     Names ending in ``_s`` are seconds, ``_bytes`` bytes and ``_per_s`` a rate.
     """
 
-    vm: str
-    zone: str
-    address: str
-    platform: str
-    caller_port: int = 7100
-    admin_port: int = 7101
-    peer_port: int = 7102
+    __pydantic_config__: ClassVar[ConfigDict] = ConfigDict(extra="forbid")
+
+    vm: Name
+    zone: Name
+    address: Address
+    platform: HostAndPort
+    caller_port: Port = 7100
+    admin_port: Port = 7101
+    peer_port: Port = 7102
     peers: tuple[PeerSettings, ...] = ()
-    peer_secret: str = ""
-    operator_tokens: dict[str, str] = field(default_factory=dict)
-    old_setup: str = ""
-    log_level: str = "INFO"
+    peer_secret: Secret = field(default="", repr=False)
+    operator_tokens: dict[Name, Secret] = field(default_factory=dict, repr=False)
+    old_setup: OptionalHostAndPort = ""
+    log_level: LogLevel = "INFO"
     log_json: bool = False
-    drain_limit_s: float = 30.0
-    unready_before_drain_s: float = 0.5
-    vm_list_poll_s: float = 1.0
-    config_poll_s: float = 1.0
-    heartbeat_s: float = 0.5
-    suspect_after_s: float = 2.0
-    placer_lease_s: float = 6.0
-    task_lease_s: float = 10.0
-    worker_sync_s: float = 1.0
-    table_timeout_s: float = 2.0
-    table_writes_per_s: float = 40.0
-    group_commit_s: float = 0.005
-    default_deadline_s: float = 10.0
-    max_queue_per_class: int = 256
-    timeline_events: int = 10000
+    drain_limit_s: PositiveSeconds = 30.0
+    unready_before_drain_s: Seconds = 0.5
+    vm_list_poll_s: PositiveSeconds = 1.0
+    config_poll_s: PositiveSeconds = 1.0
+    heartbeat_s: PositiveSeconds = 0.5
+    suspect_after_s: PositiveSeconds = 2.0
+    placer_lease_s: PositiveSeconds = 6.0
+    task_lease_s: PositiveSeconds = 10.0
+    worker_sync_s: PositiveSeconds = 1.0
+    table_timeout_s: PositiveSeconds = 2.0
+    table_writes_per_s: Rate = 40.0
+    group_commit_s: Seconds = 0.005
+    default_deadline_s: PositiveSeconds = 10.0
+    max_queue_per_class: Count = 256
+    timeline_events: Count = 10000
+    admin_max_body_bytes: ByteCount = 1 << 20
+    admin_requests_per_s: Rate = 50.0
+
+    @classmethod
+    def from_file(cls, path: str | Path) -> Settings | Findings:
+        """Read a settings file, or return every finding in it."""
+        try:
+            text = Path(path).read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as exc:
+            message = f"cannot be read: {getattr(exc, 'strerror', None) or exc}"
+            return Findings([Finding(str(path), 1, 1, message)])
+        return cls.from_text(text, str(path))
+
+    @classmethod
+    def from_text(cls, text: str, file_name: str) -> Settings | Findings:
+        """Read the text of a settings file, or return every finding in it."""
+        document = Document.from_text(text, file_name)
+        if document.findings and document.value is None:
+            return Findings(document.findings)
+        settings = validate(cls, document.value, document, ())
+        if settings is not None:
+            for option, message in settings.contradictions():
+                document.add((option,), message)
+        return Findings(document.findings) if document.findings else settings
+
+    def contradictions(self) -> Iterator[tuple[str, str]]:
+        """Yield the name of each option that contradicts another, and a message."""
+        yield from self._port_contradictions()
+        if self.suspect_after_s < 2 * self.heartbeat_s:
+            yield "suspect_after_s", "must be at least twice heartbeat_s"
+        if self.task_lease_s < 3 * self.worker_sync_s:
+            yield "task_lease_s", "must be at least three times worker_sync_s"
+        if self.placer_lease_s < 2 * self.table_timeout_s:
+            yield "placer_lease_s", "must be at least twice table_timeout_s"
+        if self.drain_limit_s <= self.unready_before_drain_s:
+            yield "drain_limit_s", "must be over unready_before_drain_s"
+        if any(peer.vm == self.vm for peer in self.peers):
+            yield "peers", f"names this VM {self.vm!r}"
+
+    def _port_contradictions(self) -> Iterator[tuple[str, str]]:
+        if self.admin_port == self.caller_port:
+            yield "admin_port", "is the same as caller_port"
+        if self.peer_port in (self.caller_port, self.admin_port):
+            yield "peer_port", "is the same as another port"
