Accept generations by compare-and-swap and never go back

Cause: operators race, answers are lost after the write, and daemons see old heads; an accepted generation has to stay in force. Mechanism: head, body and a mark under the apply id in one change conditional on the head; an unknown outcome is read back through the mark and the same change sent again, since its condition lets one copy take effect; a daemon adopts only newer numbers. Ruled out: reading the head alone back (a later winner hides the effect), a new id for each repeat (would be applied twice).

--- a/packages/fulmarlever/fulmarlever/findings.py
+++ b/packages/fulmarlever/fulmarlever/findings.py
@@ -39,7 +39,7 @@
 
     def __init__(self, items: Iterable[Finding]) -> None:
         self.items = tuple(sorted(items))
-        super().__init__(f"{len(self.items)} findings")
+        super().__init__("\n".join(str(item) for item in self.items))
 
     @classmethod
     def from_wire(cls, data: Iterable[dict]) -> Findings:
@@ -57,4 +57,4 @@
         return len(self.items)
 
     def __str__(self) -> str:
-        return "\n".join(str(item) for item in self.items)
+        return self.reason
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/services/config.py
@@ -0,0 +1,141 @@
+"""The service ``config``: the configuration in force on this daemon."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from loguru import logger as log
+from prometheus_client import Counter, Gauge
+from reactivex.subject import BehaviorSubject
+
+from fulmarlever.config.reader import MAX_TEXT_BYTES, parse_configuration
+from fulmarlever.findings import Findings
+from fulmarlever.outcomes import (
+    Conflict,
+    OutcomeUnknown,
+    Refused,
+    Unavailable,
+    failed,
+)
+from fulmarlever.structure.configuration import Configuration
+from fulmarleverd.generations.accepted import Accepted
+from fulmarleverd.generations.store import GenerationStore
+from fulmarleverd.kernel import SERVICES, Kernel, Service
+
+POLL_JITTER = 0.2
+MAX_APPLY_ID_LENGTH = 100
+
+GENERATION = Gauge(
+    "fulmarlever_config_generation", "Generation of the configuration in force."
+)
+READ_FAILURES = Counter(
+    "fulmarlever_config_read_failures", "Polls of the configuration that failed."
+)
+
+
+@SERVICES.register("config")
+class ConfigService(Service):
+    """Keeps the newest accepted generation that this daemon has seen.
+
+    ``in_force`` emits the present configuration on subscription and each newer one.
+    """
+
+    name = "config"
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self.in_force: BehaviorSubject[Configuration] = BehaviorSubject(Configuration())
+        self.is_loaded = False
+        self._accepted: Accepted | None = None
+        self._store: GenerationStore | None = None
+
+    async def start(self) -> None:
+        """Read the configuration once and keep polling it."""
+        self._store = GenerationStore(self.kernel.find("platform"), self.clock)
+        await self.refresh()
+        self.spawn(self._poll(), "configuration poll")
+
+    def current(self) -> Configuration:
+        """Return the configuration in force."""
+        return self.in_force.value
+
+    def accepted(self) -> Accepted | None:
+        """Return the generation in force with its text, or ``None`` without one."""
+        return self._accepted
+
+    async def apply(
+        self, text: str, expected: int | None, apply_id: str
+    ) -> int | Findings | Conflict | Refused | Unavailable | OutcomeUnknown:
+        """Make a text the next generation and return its number.
+
+        ``expected`` is the generation that the operator's change is based on. An
+        apply with an id that took effect before returns the earlier number.
+        """
+        refusal = _refuse(text, apply_id)
+        if refusal is not None:
+            return refusal
+        cfg = await asyncio.to_thread(parse_configuration, text, "configuration")
+        if isinstance(cfg, Findings):
+            return cfg
+        known = self.current().generation
+        result = await self._store.apply(
+            text, list(cfg.jobs), expected, apply_id, known
+        )
+        if not isinstance(result, Accepted):
+            return result
+        await self.adopt(result)
+        return result.generation
+
+    async def refresh(self) -> None:
+        """Take a newer generation from the table if there is one."""
+        newer = await self._store.read_newer(self.current().generation)
+        if failed(newer):
+            READ_FAILURES.inc()
+            return
+        self.is_loaded = True
+        if newer is not None:
+            await self.adopt(newer)
+
+    async def adopt(self, accepted: Accepted) -> bool:
+        """Bring a generation into force unless one as new is; return whether it is."""
+        if accepted.generation <= self.current().generation:
+            return False
+        if not accepted.is_whole:
+            log.error("text of generation {} is damaged", accepted.generation)
+            return False
+        cfg = await asyncio.to_thread(accepted.to_configuration)
+        if isinstance(cfg, Findings):
+            log.error("generation {} cannot be read: {}", accepted.generation, cfg)
+            return False
+        # Another generation may have arrived during the parsing.
+        if cfg.generation <= self.current().generation:
+            return False
+        self._bring_into_force(cfg, accepted)
+        return True
+
+    def _bring_into_force(self, cfg: Configuration, accepted: Accepted) -> None:
+        self._accepted = accepted
+        self.is_loaded = True
+        GENERATION.set(cfg.generation)
+        detail = f"generation {cfg.generation} digest {cfg.digest[:12]}"
+        self.kernel.find("timeline").record("config-in-force", detail=detail)
+        log.info("configuration in force: {}", detail)
+        self.in_force.on_next(cfg)
+
+    async def _poll(self) -> None:
+        period = self.settings.config_poll_s
+        while True:
+            # Jitter spreads the reads of many daemons over the period.
+            await asyncio.sleep(
+                period * random.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
+            )
+            await self.refresh()
+
+
+def _refuse(text: str, apply_id: str) -> Refused | None:
+    if len(text.encode()) > MAX_TEXT_BYTES:
+        return Refused(f"the file is over {MAX_TEXT_BYTES} bytes")
+    if not 0 < len(apply_id) <= MAX_APPLY_ID_LENGTH:
+        return Refused(f"an apply id has 1 to {MAX_APPLY_ID_LENGTH} characters")
+    return None
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/services/config_tests.py
@@ -0,0 +1,169 @@
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fulmarlever.clock import ManualClock
+from fulmarlever.config.reader import MAX_TEXT_BYTES
+from fulmarlever.findings import Findings
+from fulmarlever.outcomes import Conflict, Refused, Unavailable
+from fulmarlever.tests.base import wait_until
+from fulmarlever_standins.table import MemoryTable
+from fulmarleverd.kernel import Kernel
+from fulmarleverd.services.config import ConfigService
+from fulmarleverd.tests.base import make_kernel
+
+
+def text_of(team: str) -> str:
+    return f"teams:\n  {team}: {{}}\n"
+
+
+def make_daemon(table: MemoryTable, vm: str) -> Kernel:
+    kernel = make_kernel(ManualClock(), vm=vm, config_poll_s=0.02)
+    kernel.find("platform").table = table
+    kernel.add(ConfigService(kernel))
+    return kernel
+
+
+class NaiveConfigService(ConfigService):
+    """Takes whatever generation it is given, also an older one."""
+
+    async def adopt(self, accepted):
+        self._bring_into_force(accepted.to_configuration(), accepted)
+        return True
+
+
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("apply"), st.integers(0, 2), st.integers(0, 5)),
+        st.tuples(st.just("repeat"), st.integers(0, 2), st.integers(0, 5)),
+        st.tuples(st.just("refresh"), st.integers(0, 2), st.just(0)),
+        st.tuples(st.just("table"), st.integers(0, 2), st.integers(0, 1)),
+        st.tuples(st.just("lose"), st.integers(0, 2), st.integers(1, 3)),
+        st.tuples(st.just("offer"), st.integers(0, 2), st.integers(0, 2)),
+    ),
+    max_size=25,
+)
+
+
+class Fleet:
+    """Three daemons over one table, driven step by step with faults."""
+
+    def __init__(self, kind: type[ConfigService]) -> None:
+        rows = MemoryTable(ManualClock())
+        self.kernels = [make_daemon(rows, f"entry-{n}") for n in range(3)]
+        self.configs = [kind(kernel) for kernel in self.kernels]
+        self.seen = [0, 0, 0]
+        self.digests: dict[int, str] = {}
+        self.applied: dict[str, int] = {}
+
+    async def run(self, steps: list[tuple]) -> None:
+        for config in self.configs:
+            await config.start()
+        try:
+            for number, (verb, who, value) in enumerate(steps):
+                await getattr(self, verb)(who, value, number)
+                self.check()
+        finally:
+            for config in self.configs:
+                await config.stop()
+
+    async def apply(self, who, value, number):
+        expected = None if value == 0 else self.seen[value % 3]
+        await self.send(who, f"apply-{number}", text_of(f"t{number}"), expected)
+
+    async def repeat(self, who, value, number):
+        for apply_id in list(self.applied)[value : value + 1]:
+            text = text_of(f"t{apply_id.split('-')[1]}")
+            await self.send(who, apply_id, text, None)
+
+    async def send(self, who, apply_id, text, expected):
+        result = await self.configs[who].apply(text, expected, apply_id)
+        if isinstance(result, int):
+            assert self.applied.setdefault(apply_id, result) == result
+
+    async def refresh(self, who, value, number):
+        await self.configs[who].refresh()
+
+    async def table(self, who, value, number):
+        self.kernels[who].find("platform").is_table_up = bool(value)
+
+    async def lose(self, who, value, number):
+        self.kernels[who].find("platform").lose_answers = value
+
+    async def offer(self, who, value, number):
+        accepted = self.configs[value].accepted()
+        if accepted:
+            await self.configs[who].adopt(accepted)
+
+    def check(self) -> None:
+        for index, config in enumerate(self.configs):
+            cfg = config.current()
+            assert cfg.generation >= self.seen[index], "went back"
+            self.seen[index] = cfg.generation
+            known = self.digests.setdefault(cfg.generation, cfg.digest)
+            assert known == cfg.digest, "one generation with two texts"
+
+
+class ConfigPropertyTests(unittest.TestCase):
+    @given(STEPS)
+    def test_generations_never_go_back(self, steps):
+        asyncio.run(Fleet(ConfigService).run(steps))
+
+    def test_naive_version_goes_back(self):
+        steps = [("apply", 0, 0), ("refresh", 1, 0), ("apply", 0, 0), ("offer", 0, 1)]
+        asyncio.run(Fleet(ConfigService).run(steps))
+        with self.assertRaisesRegex(AssertionError, "went back"):
+            asyncio.run(Fleet(NaiveConfigService).run(steps))
+
+
+class ConfigTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.table = MemoryTable(ManualClock())
+        self.kernels = [make_daemon(self.table, f"entry-{n}") for n in range(2)]
+        for kernel in self.kernels:
+            await kernel.start()
+        self.configs = [kernel.find("config") for kernel in self.kernels]
+
+    async def asyncTearDown(self):
+        for kernel in self.kernels:
+            await kernel.stop()
+
+    async def test_other_daemon_takes_it_by_polling(self):
+        seen = []
+        self.configs[1].in_force.subscribe(lambda cfg: seen.append(cfg.generation))
+        self.assertEqual(await self.configs[0].apply(text_of("a"), 0, "id-1"), 1)
+        await wait_until(lambda: self.configs[1].current().generation == 1)
+        self.assertEqual(seen, [0, 1])
+        self.assertIn("a", self.configs[1].current().teams)
+
+    async def test_refusals(self):
+        rows = [
+            ("findings", "zoens: []", None, "id-1", Findings),
+            ("too large", "#" * (MAX_TEXT_BYTES + 1), None, "id-2", Refused),
+            ("no apply id", text_of("a"), None, "", Refused),
+            ("other generation", text_of("a"), 3, "id-3", Conflict),
+        ]
+        for name, text, expected, apply_id, kind in rows:
+            with self.subTest(name):
+                result = await self.configs[0].apply(text, expected, apply_id)
+                self.assertIsInstance(result, kind)
+        self.assertEqual(self.configs[0].current().generation, 0)
+
+    async def test_outage(self):
+        platform = self.kernels[0].find("platform")
+        platform.is_table_up = False
+        result = await self.configs[0].apply(text_of("a"), 0, "id-1")
+        self.assertIsInstance(result, Unavailable)
+        platform.is_table_up = True
+        platform.lose_answers = 1
+        self.assertEqual(await self.configs[0].apply(text_of("a"), 0, "id-1"), 1)
+
+    async def test_damaged_text_is_not_taken(self):
+        await self.configs[0].apply(text_of("a"), 0, "id-1")
+        accepted = self.configs[0].accepted()
+        damaged = type(accepted)(2, accepted.digest, "teams: {}", {})
+        self.assertFalse(await self.configs[1].adopt(damaged))
