--- a/packages/fulmarlever/fulmarlever/config/reader.py
+++ b/packages/fulmarlever/fulmarlever/config/reader.py
@@ -30,7 +30,7 @@
     "jobs": JobOptions,
 }
 
-MAX_TEXT_BYTES = 4 << 20
+MAX_TEXT_BYTES = 1 << 20
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/api/views.py
@@ -0,0 +1,106 @@
+"""Routes that show the state of the daemon and of the fleet."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from aiohttp import web
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from fulmarlever.exceptions import KernelError
+from fulmarleverd.api.problems import problem
+from fulmarleverd.api.routes import answer, route
+from fulmarleverd.kernel import Kernel
+
+
+@route("GET", "/healthz")
+async def healthz(kernel: Kernel, request: web.Request) -> web.Response:
+    """Answer as long as the process works."""
+    return answer({"status": "alive"})
+
+
+@route("GET", "/readyz")
+async def readyz(kernel: Kernel, request: web.Request) -> web.Response:
+    """Answer 200 when the balancer may send callers to this daemon."""
+    if kernel.is_draining:
+        return problem(503, "not ready", "the daemon is draining")
+    if not kernel.find("config").is_loaded:
+        return problem(503, "not ready", "no configuration has been read yet")
+    return answer({"status": "ready"})
+
+
+@route("GET", "/metrics")
+async def metrics(kernel: Kernel, request: web.Request) -> web.Response:
+    """Return the metrics of this process for Prometheus."""
+    headers = {"Content-Type": CONTENT_TYPE_LATEST}
+    return web.Response(body=generate_latest(), headers=headers)
+
+
+@route("GET", "/v1/status")
+async def status(kernel: Kernel, request: web.Request) -> web.Response:
+    """Return the state of this daemon and its view of the others."""
+    config = kernel.find("config")
+    platform = kernel.find("platform")
+    age_s = platform.vms_age_s()
+    return answer(
+        {
+            "vm": kernel.settings.vm,
+            "zone": kernel.settings.zone,
+            "generation": config.current().generation,
+            "digest": config.current().digest,
+            "is_loaded": config.is_loaded,
+            "is_draining": kernel.is_draining,
+            "is_table_up": platform.is_table_up,
+            "vm_list_age_s": age_s if age_s != float("inf") else None,
+            "is_placer": _is_placer(kernel),
+            "peers": _peers(kernel),
+        }
+    )
+
+
+def _is_placer(kernel: Kernel) -> bool:
+    try:
+        return bool(kernel.find("placer").is_holder)
+    except KernelError:
+        return False
+
+
+def _peers(kernel: Kernel) -> list[dict[str, Any]]:
+    try:
+        peers = kernel.find("membership").peers()
+    except KernelError:
+        return []
+    return [
+        {
+            "vm": peer.vm,
+            "zone": peer.zone,
+            "state": str(peer.state),
+            "incarnation": peer.incarnation,
+            "admin": f"{peer.address}:{peer.admin_port}",
+        }
+        for peer in peers
+    ]
+
+
+@route("GET", "/v1/services")
+async def services(kernel: Kernel, request: web.Request) -> web.Response:
+    """Return the services in force with their backend servers."""
+    specs = kernel.find("config").current().services.values()
+    slots = kernel.find("slots")
+    return answer(
+        {
+            "services": [
+                {
+                    "name": spec.name,
+                    "team": spec.team,
+                    "urgency": spec.urgency.name.lower(),
+                    "target_s": spec.target_s,
+                    "instances": spec.instances,
+                    "new_share": spec.new_share,
+                    "free_slots": slots.free(spec.name),
+                    "servers": [s.to_wire() for s in slots.servers(spec.name)],
+                }
+                for spec in specs
+            ]
+        }
+    )
--- a/packages/fulmarleverd/fulmarleverd/services/config.py
+++ b/packages/fulmarleverd/fulmarleverd/services/config.py
@@ -119,7 +119,7 @@
         self.is_loaded = True
         GENERATION.set(cfg.generation)
         detail = f"generation {cfg.generation} digest {cfg.digest[:12]}"
-        self.kernel.find("timeline").record("config-in-force", detail=detail)
+        self.kernel.find("timeline").record("config.in-force", detail=detail)
         log.info("configuration in force: {}", detail)
         self.in_force.on_next(cfg)
 
--- a/packages/fulmarleverd/fulmarleverd/settings.py
+++ b/packages/fulmarleverd/fulmarleverd/settings.py
@@ -121,7 +121,7 @@
     default_deadline_s: PositiveSeconds = 10.0
     max_queue_per_class: Count = 256
     timeline_events: Count = 10000
-    admin_max_body_bytes: ByteCount = 1 << 20
+    admin_max_body_bytes: ByteCount = 4 << 20
     admin_requests_per_s: Rate = 50.0
 
     @classmethod
