Add the command line of operators

Cause: operators need one tool with tables, JSON and stable exit codes. Mechanism: cappa classes, one function per command; every operation of the API is safe to repeat, so a lost answer is asked for again at the next daemon under the same apply id, and exit code 3 names the command that finds out. Ruled out: exit 1 for a lost answer (says 'not done' without knowing).

--- /dev/null
+++ b/packages/fulmarlever_cli/fulmarlever_cli/commands/status.py
@@ -0,0 +1,102 @@
+"""The command ``status``."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any
+
+from fulmarlever.outcomes import Failure, Refused, Unavailable, failed
+from fulmarlever_cli.arguments import Status
+from fulmarlever_cli.context import Context
+from fulmarlever_cli.display import table
+
+POLL_S = 0.1
+ENDED_STATES = ("ended", "left")
+HEAD = ("VM", "ZONE", "GENERATION", "TABLE", "PLACER", "STATE")
+
+
+async def status(args: Status, context: Context) -> int:
+    """Show every daemon, or wait until all have a generation in force."""
+    end = time.monotonic() + args.wait_limit
+    while True:
+        daemons, missing = await _ask_all(context)
+        if not daemons:
+            reason = next(iter(missing.values()), "no admin address is given")
+            return context.display.fail(Unavailable(reason))
+        behind = _behind(args.wait_generation, daemons, missing)
+        if not behind:
+            break
+        if time.monotonic() >= end:
+            reason = f"generation {args.wait_generation} is not in force on: "
+            return context.display.fail(Refused(reason + ", ".join(behind)))
+        await asyncio.sleep(POLL_S)
+    data = {"daemons": daemons, "unreachable": missing}
+    return context.display.show(data, _as_text(daemons, missing))
+
+
+async def _ask_all(
+    context: Context,
+) -> tuple[list[dict[str, Any]], dict[str, str]]:
+    """Ask the named daemons, then the peers that these know."""
+    found: dict[str, dict[str, Any]] = {}
+    missing: dict[str, str] = {}
+    asked: set[str] = set()
+    waiting = set(context.client.addresses)
+    while waiting:
+        asked |= waiting
+        addresses = sorted(waiting)
+        answers = await asyncio.gather(
+            *(context.client.ask(address, "/v1/status") for address in addresses)
+        )
+        for address, answer in zip(addresses, answers, strict=True):
+            _note(address, answer, found, missing)
+        waiting = set(_known_admins(found)) - asked
+    return [found[vm] for vm in sorted(found)], missing
+
+
+def _note(
+    address: str,
+    answer: dict[str, Any] | Failure,
+    found: dict[str, dict[str, Any]],
+    missing: dict[str, str],
+) -> None:
+    if failed(answer):
+        missing[address] = answer.reason
+    else:
+        found[answer["vm"]] = answer
+
+
+def _known_admins(found: dict[str, dict[str, Any]]) -> list[str]:
+    return [
+        peer["admin"]
+        for daemon in found.values()
+        for peer in daemon["peers"]
+        if peer["state"] not in ENDED_STATES and not peer["admin"].endswith(":0")
+    ]
+
+
+def _behind(
+    generation: int | None, daemons: list[dict[str, Any]], missing: dict[str, str]
+) -> list[str]:
+    if generation is None:
+        return []
+    late = [d["vm"] for d in daemons if d["generation"] < generation]
+    return [*late, *missing]
+
+
+def _as_text(daemons: list[dict[str, Any]], missing: dict[str, str]) -> str:
+    rows = [
+        (
+            daemon["vm"],
+            daemon["zone"],
+            daemon["generation"],
+            "up" if daemon["is_table_up"] else "away",
+            "yes" if daemon["is_placer"] else "",
+            "draining" if daemon["is_draining"] else "serving",
+        )
+        for daemon in daemons
+    ]
+    lines = [table(HEAD, rows)]
+    lines += [f"not reached: {address}: {why}" for address, why in missing.items()]
+    return "\n".join(lines)
--- /dev/null
+++ b/packages/fulmarlever_cli/fulmarlever_cli/tests/commands_tests.py
@@ -0,0 +1,122 @@
+from __future__ import annotations
+
+import json
+import unittest
+from pathlib import Path
+from unittest import mock
+
+import cappa
+
+from fulmarlever.outcomes import OutcomeUnknown
+from fulmarlever_cli import client as client_module
+from fulmarlever_cli.arguments import Arguments
+from fulmarlever_cli.context import DEFAULT_ADMIN, Context
+from fulmarlever_cli.display import table
+from fulmarlever_cli.tests.base import TOKEN, CommandTestCase
+
+EXAMPLES = Path(__file__).parents[4] / "examples"
+GOOD = "teams: {a: {}}\n"
+BROKEN = "teams: {a: {}, a: {}}\nserviecs: {}\n"
+
+
+class CommandTests(CommandTestCase):
+    async def test_check_of_the_examples(self):
+        for path in sorted(EXAMPLES.glob("*.yaml")):
+            with self.subTest(path.name):
+                code, out, _ = await self.command("check", str(path))
+                self.assertEqual(code, 0)
+                self.assertIn("no mistakes", out)
+
+    async def test_apply_then_status(self):
+        path = self.write(GOOD)
+        code, out, _ = await self.command("apply", path, "--if-generation", "0")
+        self.assertEqual((code, out), (0, "generation 1 accepted\n"))
+        code, out, _ = await self.command("status", "--wait-generation", "1")
+        self.assertEqual(code, 0)
+        self.assertIn("entry-a-1  a     1", out)
+
+    async def test_findings_are_printed_together_and_nothing_is_applied(self):
+        path = self.write(BROKEN)
+        for name in ("check", "apply"):
+            with self.subTest(name):
+                code, _, err = await self.command(name, path)
+                self.assertEqual(code, 1)
+                lines = err.splitlines()
+                self.assertTrue(lines[0].startswith(f"{path}:1:16: duplicate key"))
+                self.assertTrue(lines[1].startswith(f"{path}:2:1: unknown section"))
+        self.assertEqual(self.kernel.find("config").current().generation, 0)
+
+    async def test_refusals(self):
+        path = self.write(GOOD)
+        rows = [
+            ("race", ("apply", path, "--if-generation", "7"), TOKEN, "generation 0 is"),
+            ("wrong token", ("status",), "x" * 20, "an operator's token"),
+            ("missing file", ("apply", "none.yaml"), TOKEN, "none.yaml:1:1: cannot"),
+            ("no service", ("jobs",), TOKEN, "no service 'jobs'"),
+            ("planned", ("drain", "w-1"), TOKEN, "not implemented"),
+            (
+                "late",
+                ("status", "--wait-generation", "9", "--wait-limit", "0"),
+                TOKEN,
+                "not in force on: entry-a-1",
+            ),
+        ]
+        for name, words, token, message in rows:
+            with self.subTest(name):
+                code, out, err = await self.command(*words, token=token)
+                self.assertEqual((code, out), (1, ""))
+                self.assertIn(message, err)
+
+    async def test_json_output(self):
+        path = self.write(GOOD)
+        _, out, _ = await self.command("apply", path, "--output", "json")
+        self.assertEqual(json.loads(out)["generation"], 1)
+        code, out, _ = await self.command("check", "none.yaml", "--output", "json")
+        self.assertEqual(json.loads(out)["findings"][0]["file"], "none.yaml")
+        self.assertEqual(code, 1)
+
+    async def test_unknown_outcome_names_the_way_to_find_out(self):
+        unknown = mock.AsyncMock(return_value=OutcomeUnknown("answer lost"))
+        with (
+            mock.patch.object(client_module.AdminClient, "_send_once", unknown),
+            mock.patch.object(client_module, "PAUSE_S", 0),
+        ):
+            code, _, err = await self.command("apply", self.write(GOOD))
+        self.assertEqual(code, 3)
+        apply_id = err.split("--apply-id ")[1].strip()
+        words = ("apply", self.write(GOOD), "--apply-id", apply_id)
+        self.assertEqual((await self.command(*words))[0], 0)
+        code, out, _ = await self.command(*words)
+        self.assertEqual(out, "generation 1 accepted\n")
+
+    async def test_next_daemon_is_asked_when_one_is_gone(self):
+        self.address = f"127.0.0.1:1,{self.address}"
+        with mock.patch.dict("os.environ", FULMARLEVER_ADMIN=self.address):
+            args = cappa.parse(Arguments, argv=["status", "--token", TOKEN])
+            context = Context.from_arguments(args)
+            async with context.client as client:
+                self.assertEqual((await client.get("/v1/status"))["vm"], "entry-a-1")
+
+
+class ArgumentTests(unittest.TestCase):
+    def test_usage_errors(self):
+        for argv in (["apply"], ["nothing"], ["status", "--wait-generation", "x"]):
+            with self.subTest(argv=argv), self.assertRaises(cappa.Exit) as caught:
+                cappa.parse(Arguments, argv=argv)
+            self.assertEqual(caught.exception.code, 2)
+
+    def test_addresses(self):
+        rows = [
+            (["jobs", "--admin", "a:1", "--admin", "b:2"], {}, ["a:1", "b:2"]),
+            (["--admin", "a:1", "jobs"], {"FULMARLEVER_ADMIN": "c:3"}, ["a:1"]),
+            (["jobs"], {"FULMARLEVER_ADMIN": "c:3,d:4"}, ["c:3", "d:4"]),
+            (["jobs"], {}, [DEFAULT_ADMIN]),
+        ]
+        for argv, environ, addresses in rows:
+            with self.subTest(argv=argv):
+                args = cappa.parse(Arguments, argv=argv)
+                context = Context.from_arguments(args, environ)
+                self.assertEqual(context.client.addresses, addresses)
+
+    def test_table(self):
+        self.assertEqual(table(("A", "B"), [("long", 1)]), "A     B\nlong  1")
