--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The parts of the service ``membership``."""
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/peers/acceptor.py
@@ -0,0 +1,166 @@
+"""The listening side of the peer layer: one task for each incoming connection."""
+
+from __future__ import annotations
+
+import asyncio
+
+from loguru import logger as log
+
+from fulmarlever.wire import (
+    Fault,
+    FrameStream,
+    Hello,
+    WireError,
+    accept,
+    read_hello,
+    refuse,
+)
+from fulmarleverd.peers.frames import (
+    Beat,
+    Call,
+    Frame,
+    frame_from_wire,
+    frame_to_wire,
+)
+from fulmarleverd.peers.metrics import REFUSED_FRAMES
+from fulmarleverd.peers.node import Node
+from fulmarleverd.peers.sockets import tune
+
+HANDSHAKE_TIMEOUT_S = 3.0
+MAX_STRANGERS = 64
+MAX_CONNECTIONS_PER_PEER = 4
+MAX_CALLS_PER_CONNECTION = 256
+READ_BUFFER_BYTES = 64 << 10
+
+
+class Acceptor:
+    """The peer port, its connections and the calls that run on them."""
+
+    __slots__ = ("_node", "_server", "_strangers", "_connections", "_tasks")
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._server: asyncio.Server | None = None
+        self._strangers = 0
+        self._connections: dict[str, int] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    async def start(self) -> None:
+        """Listen on the peer port."""
+        cfg = self._node.settings
+        self._server = await asyncio.start_server(
+            self._serve, cfg.address, cfg.peer_port, limit=READ_BUFFER_BYTES
+        )
+
+    async def stop(self) -> None:
+        """Close the port and every connection."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._keep(asyncio.current_task())
+        try:
+            await self._serve_peer(reader, writer)
+        except WireError as exc:
+            REFUSED_FRAMES.labels(exc.fault).inc()
+            log.debug("incoming connection refused: {}", exc)
+        except (OSError, EOFError, TimeoutError) as exc:
+            log.debug("incoming connection ended: {!r}", exc)
+        finally:
+            writer.close()
+
+    async def _serve_peer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._strangers >= MAX_STRANGERS:
+            raise WireError(Fault.BUSY, "too many connections without a hello")
+        self._strangers += 1
+        try:
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+                stream, hello = await self._shake_hands(reader, writer)
+                first = frame_from_wire(await stream.receive())
+        finally:
+            self._strangers -= 1
+        if self._node.is_stale(hello):
+            raise WireError(Fault.STALE, f"a higher incarnation of {hello.vm} is known")
+        await self._admit(stream, hello, first)
+
+    async def _shake_hands(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> tuple[FrameStream, Hello]:
+        node = self._node
+        secret = node.settings.peer_secret
+        tune(writer)
+        try:
+            hello = await read_hello(reader, secret)
+            if hello.target != node.vm:
+                raise WireError(Fault.STALE, f"this is {node.vm}, not {hello.target}")
+        except WireError as exc:
+            refuse(writer, exc)
+            raise
+        welcome = node.hello(hello.vm)
+        welcome.digests = node.topics.digests()
+        return accept(reader, writer, secret, hello, welcome), hello
+
+    async def _admit(self, stream: FrameStream, hello: Hello, first: Frame) -> None:
+        count = self._connections.get(hello.vm, 0)
+        if count >= MAX_CONNECTIONS_PER_PEER:
+            raise WireError(Fault.BUSY, f"too many connections of {hello.vm}")
+        self._connections[hello.vm] = count + 1
+        self._node.roster.learn(hello.vm, hello.zone, hello.address, hello.port)
+        try:
+            await self._read(stream, hello, first)
+        finally:
+            self._leave(hello)
+
+    def _leave(self, hello: Hello) -> None:
+        self._connections[hello.vm] -= 1
+        if not self._connections[hello.vm]:
+            del self._connections[hello.vm]
+            self._node.roster.suspect(hello.vm)
+
+    async def _read(self, stream: FrameStream, hello: Hello, frame: Frame) -> None:
+        running: set[asyncio.Task] = set()
+        try:
+            while True:
+                self._node.hybrid_clock.observe(frame.stamp)
+                self._node.heard(hello)
+                self._take(stream, frame, running)
+                frame = frame_from_wire(await stream.receive())
+        finally:
+            # Handlers run to their end: their effects must not stay half done.
+            stream.close()
+
+    def _take(
+        self, stream: FrameStream, frame: Frame, running: set[asyncio.Task]
+    ) -> None:
+        if isinstance(frame, Beat):
+            self._node.merge(frame.entries)
+        elif not isinstance(frame, Call):
+            raise WireError(Fault.MALFORMED, "an answer without a call")
+        elif len(running) >= MAX_CALLS_PER_CONNECTION:
+            answer = self._node.refuse(frame, "too many calls in progress")
+            stream.send(frame_to_wire(answer))
+        else:
+            task = asyncio.create_task(self._run(stream, frame))
+            running.add(task)
+            task.add_done_callback(running.discard)
+            self._keep(task)
+
+    async def _run(self, stream: FrameStream, call: Call) -> None:
+        answer = await self._node.answer(call)
+        try:
+            stream.send(frame_to_wire(answer))
+        except (WireError, TypeError, ValueError, OverflowError) as exc:
+            log.error("the answer of {} cannot be sent: {}", call.name, exc)
+            answer = self._node.unknown(call, "the answer cannot be sent")
+            stream.send(frame_to_wire(answer))
+
+    def _keep(self, task: asyncio.Task) -> None:
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/peers/calls.py
@@ -0,0 +1,67 @@
+"""Calls in flight over one stream, matched with their answers by number."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from fulmarlever.exceptions import KernelError
+from fulmarlever.outcomes import OutcomeUnknown, Unavailable
+from fulmarlever.structure.messages import decode
+from fulmarleverd.peers.frames import Answer, Verdict
+from fulmarleverd.peers.metrics import LATE_ANSWERS
+
+BAD_DATA = (KernelError, TypeError, ValueError, KeyError, AttributeError)
+
+
+class PendingCalls:
+    """The futures of the calls on one stream. Numbers are never used twice."""
+
+    __slots__ = ("_futures", "_next")
+
+    def __init__(self) -> None:
+        self._futures: dict[int, asyncio.Future] = {}
+        self._next = 1
+
+    def __len__(self) -> int:
+        return len(self._futures)
+
+    def open(self) -> tuple[int, asyncio.Future]:
+        """Return the number and the future of a new call."""
+        number = self._next
+        self._next += 1
+        fut = asyncio.get_running_loop().create_future()
+        self._futures[number] = fut
+        return number, fut
+
+    def close(self, number: int) -> None:
+        """Forget a call; a later answer to it is dropped."""
+        self._futures.pop(number, None)
+
+    def resolve(self, answer: Answer) -> bool:
+        """Hand an answer to its own call and return whether that one still waits."""
+        fut = self._futures.pop(answer.number, None)
+        if fut is None or fut.done():
+            LATE_ANSWERS.inc()
+            return False
+        fut.set_result(read_answer(answer))
+        return True
+
+    def fail(self, reason: str) -> None:
+        """End every call whose stream is lost."""
+        for fut in self._futures.values():
+            if not fut.done():
+                fut.set_result(OutcomeUnknown(reason))
+        self._futures.clear()
+
+
+def read_answer(answer: Answer) -> Any:
+    """Return the message or the failure that an answer carries."""
+    if answer.verdict == Verdict.NOT_STARTED:
+        return Unavailable(str(answer.data))
+    if answer.verdict != Verdict.ANSWERED:
+        return OutcomeUnknown(str(answer.data))
+    try:
+        return decode(answer.name, answer.data)
+    except BAD_DATA as exc:
+        return OutcomeUnknown(f"the answer cannot be read: {exc}")
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/peers/frames.py
@@ -0,0 +1,70 @@
+"""The frames that daemons exchange once a connection is open."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import Any
+
+from fulmarlever.wire import Fault, WireError
+
+
+class Verdict(IntEnum):
+    """How a call ended at the peer that handled it."""
+
+    ANSWERED = 0
+    NOT_STARTED = 1
+    UNKNOWN = 2
+
+
+@dataclass(slots=True)
+class Beat:
+    """A heartbeat with the topic entries that the receiver does not have yet."""
+
+    stamp: int
+    entries: list
+
+
+@dataclass(slots=True)
+class Call:
+    """A request to the handler of a message; ``number`` is unique on the stream."""
+
+    stamp: int
+    number: int
+    name: str
+    data: Any
+
+
+@dataclass(slots=True)
+class Answer:
+    """The result of a call: a message, or a reason in ``data``."""
+
+    stamp: int
+    number: int
+    verdict: int
+    name: str
+    data: Any
+
+
+Frame = Beat | Call | Answer
+KINDS: tuple[type, ...] = (Beat, Call, Answer)
+
+
+def frame_to_wire(frame: Frame) -> list:
+    """Return the wire form of a frame."""
+    return [KINDS.index(type(frame)), *(getattr(frame, n) for n in frame.__slots__)]
+
+
+def frame_from_wire(data: Any) -> Frame:
+    """Build a frame or raise ``WireError``."""
+    try:
+        kind, *values = data
+        frame = KINDS[kind](*values)
+    except (TypeError, ValueError, IndexError) as exc:
+        raise WireError(Fault.MALFORMED, "a frame of unknown form") from exc
+    numbers = (frame.stamp, getattr(frame, "number", 0), getattr(frame, "verdict", 0))
+    if not all(type(number) is int for number in numbers):
+        raise WireError(Fault.MALFORMED, "a frame with a wrong number")
+    if not isinstance(getattr(frame, "name", ""), str):
+        raise WireError(Fault.MALFORMED, "a frame with a wrong name")
+    return frame
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/peers/link.py
@@ -0,0 +1,223 @@
+"""The outgoing connection to one peer: heartbeats and this daemon's calls."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import Any
+
+from loguru import logger as log
+
+from fulmarlever.outcomes import OutcomeUnknown, Unavailable
+from fulmarlever.structure.messages import encode
+from fulmarlever.wire import Fault, FrameStream, Hello, WireError, dial
+from fulmarleverd.peers.calls import PendingCalls
+from fulmarleverd.peers.frames import (
+    Answer,
+    Beat,
+    Call,
+    frame_from_wire,
+    frame_to_wire,
+)
+from fulmarleverd.peers.metrics import CALLS, REFUSED_FRAMES
+from fulmarleverd.peers.node import Node
+from fulmarleverd.peers.sockets import tune
+from fulmarleverd.peers.topics import newer_than
+
+CONNECT_TIMEOUT_S = 2.0
+FIRST_PAUSE_S = 0.3
+LONGEST_PAUSE_S = 2.0
+PAUSE_FACTOR = 1.5
+MAX_BEAT_BACKLOG_BYTES = 1 << 20
+SILENCE_FACTOR = 3
+
+
+class Link:
+    """One task that dials a peer and keeps the connection for as long as it lasts.
+
+    ``tried`` is set after the first attempt.
+    """
+
+    __slots__ = (
+        "vm",
+        "tried",
+        "_node",
+        "_stream",
+        "_pending",
+        "_position",
+        "_up",
+        "_welcome",
+    )
+
+    def __init__(self, node: Node, vm: str) -> None:
+        self.vm = vm
+        self.tried = asyncio.Event()
+        self._node = node
+        self._stream: FrameStream | None = None
+        self._pending = PendingCalls()
+        self._position = 0
+        self._up = asyncio.Event()
+        self._welcome: Hello | None = None
+
+    @property
+    def is_up(self) -> bool:
+        """Return whether the connection is open."""
+        return self._up.is_set()
+
+    async def run(self) -> None:
+        """Dial, serve the connection and dial again, until cancelled."""
+        pause_s = FIRST_PAUSE_S
+        while True:
+            is_connected = await self._connect()
+            self.tried.set()
+            if is_connected:
+                pause_s = FIRST_PAUSE_S
+                await self._serve()
+            await asyncio.sleep(pause_s)
+            pause_s = min(pause_s * PAUSE_FACTOR, LONGEST_PAUSE_S)
+
+    async def _connect(self) -> bool:
+        peer = self._node.roster.get(self.vm)
+        if peer is None:
+            return False
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await self._open(peer.address, peer.port)
+        except ConnectionRefusedError:
+            self._node.proofs.refused(self.vm)
+        except WireError as exc:
+            REFUSED_FRAMES.labels(exc.fault).inc()
+            log.warning("no connection to {}: {}", self.vm, exc)
+        except (OSError, EOFError, TimeoutError) as exc:
+            log.debug("no connection to {}: {!r}", self.vm, exc)
+        return self.is_up
+
+    async def _open(self, address: str, port: int) -> None:
+        reader, writer = await asyncio.open_connection(
+            address, port, local_addr=(self._node.settings.address, 0)
+        )
+        try:
+            tune(writer)
+            self._node.proofs.reached(self.vm)
+            secret = self._node.settings.peer_secret
+            hello = self._node.hello(self.vm)
+            stream, welcome = await dial(reader, writer, secret, hello)
+            self._check(welcome)
+        except BaseException:
+            writer.transport.abort()
+            raise
+        self._take_over(stream, welcome)
+
+    def _check(self, welcome: Hello) -> None:
+        if welcome.vm != self.vm:
+            raise WireError(Fault.STALE, f"{welcome.vm} answers in its place")
+        if self._node.is_stale(welcome):
+            raise WireError(Fault.STALE, "a higher incarnation of the peer is known")
+        if welcome.seen > self._node.incarnation:
+            self._node.outbid(welcome.seen)
+            raise WireError(Fault.STALE, "a higher incarnation of this VM is known")
+
+    def _take_over(self, stream: FrameStream, welcome: Hello) -> None:
+        self._stream = stream
+        self._welcome = welcome
+        self._pending = PendingCalls()
+        self._node.heard(welcome)
+        self._position = 0
+        self._up.set()
+
+    async def _serve(self) -> None:
+        beats = asyncio.create_task(self._send_beats())
+        try:
+            await self._read_answers(self._stream)
+        except WireError as exc:
+            REFUSED_FRAMES.labels(exc.fault).inc()
+            log.warning("connection to {} closed: {}", self.vm, exc)
+        except (OSError, EOFError) as exc:
+            log.debug("connection to {} lost: {!r}", self.vm, exc)
+        finally:
+            self._drop()
+            beats.cancel()
+            await asyncio.gather(beats, return_exceptions=True)
+
+    def _drop(self) -> None:
+        self._up.clear()
+        self._stream.close()
+        self._pending.fail(f"the connection to {self.vm} was lost")
+
+    async def _read_answers(self, stream: FrameStream) -> None:
+        while True:
+            frame = frame_from_wire(await stream.receive())
+            if not isinstance(frame, Answer):
+                raise WireError(Fault.MALFORMED, "only answers come back on a link")
+            self._node.hybrid_clock.observe(frame.stamp)
+            self._node.heard(self._welcome)
+            self._pending.resolve(frame)
+
+    async def _send_beats(self) -> None:
+        digests = self._welcome.digests
+        cfg = self._node.settings
+        while self._stream.can_send():
+            if self._stream.unsent_bytes < MAX_BEAT_BACKLOG_BYTES:
+                self._send_beat(digests)
+                digests = None
+            await asyncio.sleep(cfg.heartbeat_s)
+            silence_s = self._node.roster.heard_age_s(self.vm)
+            if silence_s > SILENCE_FACTOR * cfg.suspect_after_s:
+                break
+        # Closing wakes the reader, which ends the connection.
+        self._stream.close()
+
+    def _send_beat(self, digests: Any) -> None:
+        node = self._node
+        peer = node.roster.get(self.vm)
+        if peer is None:
+            return
+        position = node.topics.position
+        entries = node.entries_for(peer, self._position)
+        if digests is not None:
+            entries = newer_than(entries, digests)
+        wire = [entry.to_wire() for entry in entries]
+        beat = Beat(node.hybrid_clock.now(), wire)
+        if self._stream.send(frame_to_wire(beat)):
+            self._position = position
+
+    async def call(self, message: Any, timeout_s: float) -> Any:
+        """Send a message and return the answer, ``Unavailable`` or ``OutcomeUnknown``.
+
+        Raise ``KernelError`` for a value that is not a message.
+        """
+        result = await self._call(message, timeout_s)
+        CALLS.labels(type(result).__name__ if _is_failure(result) else "answered").inc()
+        return result
+
+    async def _call(self, message: Any, timeout_s: float) -> Any:
+        name, data = encode(message)
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout_s
+        try:
+            async with asyncio.timeout_at(end):
+                await self._up.wait()
+        except TimeoutError:
+            return Unavailable(f"no connection to {self.vm}")
+        pending = self._pending
+        number, fut = pending.open()
+        frame = Call(self._node.hybrid_clock.now(), number, name, data)
+        try:
+            return await self._exchange(frame, fut, end)
+        finally:
+            pending.close(number)
+
+    async def _exchange(self, frame: Call, fut: asyncio.Future, end: float) -> Any:
+        try:
+            if not self._stream.send(frame_to_wire(frame)):
+                return Unavailable(f"the connection to {self.vm} takes no more")
+        except WireError as exc:
+            return Unavailable(f"the message cannot be sent: {exc}")
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(end):
+                return await fut
+        return OutcomeUnknown(f"no answer from {self.vm} in time")
+
+
+def _is_failure(result: Any) -> bool:
+    return isinstance(result, Unavailable | OutcomeUnknown)
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/peers/node.py
@@ -0,0 +1,142 @@
+"""What the connections of one daemon share."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from loguru import logger as log
+
+from fulmarlever.clock import Clock
+from fulmarlever.hybrid_clock import HybridClock
+from fulmarlever.outcomes import Unavailable, failed
+from fulmarlever.structure.messages import decode, encode
+from fulmarlever.wire import Hello
+from fulmarleverd.peers.calls import BAD_DATA
+from fulmarleverd.peers.frames import Answer, Call, Verdict
+from fulmarleverd.peers.proofs import EndProofs
+from fulmarleverd.peers.roster import Peer, Roster
+from fulmarleverd.peers.topics import Entry, Topics
+from fulmarleverd.settings import Settings
+
+Handler = Callable[[Any], Awaitable[Any]]
+
+
+class Node:
+    """The daemon as its peers see it: identity, topics, handlers and peers."""
+
+    __slots__ = (
+        "settings",
+        "clock",
+        "hybrid_clock",
+        "incarnation",
+        "is_settled",
+        "roster",
+        "proofs",
+        "topics",
+        "handlers",
+    )
+
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.hybrid_clock = HybridClock(clock)
+        self.incarnation = int(clock.wall() * 1000)
+        self.is_settled = False
+        self.roster = Roster(clock)
+        self.proofs = EndProofs(clock)
+        self.topics = Topics()
+        self.handlers: dict[str, Handler] = {}
+
+    @property
+    def vm(self) -> str:
+        """Return the name of this daemon's VM."""
+        return self.settings.vm
+
+    def hello(self, target: str) -> Hello:
+        """Return the hello or welcome for a peer."""
+        cfg = self.settings
+        return Hello(
+            vm=cfg.vm,
+            zone=cfg.zone,
+            incarnation=self.incarnation,
+            address=cfg.address,
+            port=cfg.peer_port,
+            admin_port=cfg.admin_port,
+            target=target,
+            seen=self.proofs.highest(target),
+        )
+
+    def heard(self, hello: Hello) -> None:
+        """Note a frame from the peer that introduced itself with a hello."""
+        self.proofs.alive(hello.vm, hello.incarnation)
+        self.roster.heard(hello.vm, hello.incarnation, hello.admin_port)
+
+    def is_stale(self, hello: Hello) -> bool:
+        """Return whether a higher incarnation of the same VM is known."""
+        return hello.incarnation < self.proofs.highest(hello.vm)
+
+    def outbid(self, incarnation: int) -> None:
+        """Take a higher incarnation than a peer has seen, while starting only.
+
+        Later, the identity is in use, and another process of the same VM name or a
+        wall clock that was set back is reported instead.
+        """
+        if self.is_settled:
+            log.error("a peer knows incarnation {} of this VM", incarnation)
+            return
+        self.incarnation = max(self.incarnation, incarnation + 1)
+
+    def publish(self, topic: str, value: Any) -> None:
+        """Set this daemon's value of a topic; an equal value changes nothing."""
+        held = self.topics.get(self.vm, topic)
+        if held is not None and held.value == value:
+            return
+        version = held.version + 1 if held else 1
+        self.topics.put(Entry(self.vm, topic, self.incarnation, version, value))
+
+    def merge(self, entries: list) -> None:
+        """Take over entries that a peer has sent."""
+        for data in entries:
+            entry = Entry.from_wire(data)
+            if entry.vm != self.vm:
+                self.topics.put(entry)
+
+    def entries_for(self, peer: Peer, position: int) -> list[Entry]:
+        """Return the entries to send to a peer that has all up to a position."""
+        return [e for e in self.topics.since(position) if e.vm == self.vm]
+
+    async def answer(self, call: Call) -> Answer:
+        """Run the handler of a call and return its answer."""
+        handler = self.handlers.get(call.name)
+        if handler is None:
+            return self.refuse(call, f"no handler of {call.name!r}")
+        try:
+            request = decode(call.name, call.data)
+        except BAD_DATA as exc:
+            return self.refuse(call, f"the request cannot be read: {exc}")
+        verdict, name, data = await self._run(handler, request)
+        return Answer(self.hybrid_clock.now(), call.number, verdict, name, data)
+
+    async def _run(self, handler: Handler, request: Any) -> tuple[Verdict, str, Any]:
+        try:
+            result = await handler(request)
+            if isinstance(result, Unavailable):
+                return Verdict.NOT_STARTED, "", result.reason
+            if failed(result):
+                return Verdict.UNKNOWN, "", result.reason
+            name, data = encode(result)
+        except Exception as exc:
+            log.exception("the handler of {} failed", type(request).__name__)
+            return Verdict.UNKNOWN, "", f"the handler failed: {type(exc).__name__}"
+        return Verdict.ANSWERED, name, data
+
+    def refuse(self, call: Call, reason: str) -> Answer:
+        """Return the answer to a call that is certainly not run."""
+        stamp = self.hybrid_clock.now()
+        return Answer(stamp, call.number, Verdict.NOT_STARTED, "", reason)
+
+    def unknown(self, call: Call, reason: str) -> Answer:
+        """Return the answer to a call that may have run."""
+        stamp = self.hybrid_clock.now()
+        return Answer(stamp, call.number, Verdict.UNKNOWN, "", reason)
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/peers/roster.py
@@ -0,0 +1,120 @@
+"""The peers of a daemon and their states."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from enum import StrEnum
+
+from reactivex.subject import Subject
+
+from fulmarlever.clock import Clock
+
+
+class PeerState(StrEnum):
+    """The states of a peer. Only ``ENDED`` needs proof."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    ENDED = "ended"
+
+
+@dataclass(slots=True, frozen=True)
+class Peer:
+    """Another entry VM. Incarnation 0 has not been heard yet."""
+
+    vm: str
+    zone: str
+    address: str
+    port: int
+    admin_port: int = 0
+    incarnation: int = 0
+    state: PeerState = PeerState.SUSPECT
+
+
+class Roster:
+    """The known peers by VM. ``changes`` emits a peer at each change of it."""
+
+    __slots__ = ("changes", "_clock", "_peers", "_heard", "_fixed")
+
+    def __init__(self, clock: Clock) -> None:
+        self.changes: Subject[Peer] = Subject()
+        self._clock = clock
+        self._peers: dict[str, Peer] = {}
+        self._heard: dict[str, float] = {}
+        self._fixed: set[str] = set()
+
+    def __iter__(self) -> Iterator[Peer]:
+        return iter(list(self._peers.values()))
+
+    def get(self, vm: str) -> Peer | None:
+        """Return a peer by VM."""
+        return self._peers.get(vm)
+
+    def fix(self, peer: Peer) -> None:
+        """Add a peer whose address comes from the settings and stays."""
+        self._fixed.add(peer.vm)
+        self._put(peer)
+
+    def learn(self, vm: str, zone: str, address: str, port: int) -> None:
+        """Take over a peer's place from the VM list or from itself."""
+        held = self._peers.get(vm)
+        if held is None:
+            self._put(Peer(vm, zone, address, port))
+        elif vm not in self._fixed:
+            self._put(replace(held, zone=zone, address=address, port=port))
+
+    def is_fixed(self, vm: str) -> bool:
+        """Return whether the settings name the peer."""
+        return vm in self._fixed
+
+    def heard(self, vm: str, incarnation: int, admin_port: int) -> None:
+        """Note that a peer has sent something."""
+        self._heard[vm] = self._clock.monotonic()
+        held = self._peers.get(vm)
+        if held is None or held.incarnation > incarnation:
+            return
+        self._put(
+            replace(
+                held,
+                incarnation=incarnation,
+                admin_port=admin_port,
+                state=PeerState.ALIVE,
+            )
+        )
+
+    def heard_age_s(self, vm: str) -> float:
+        """Return the time since a peer was heard; infinite for never."""
+        if vm not in self._heard:
+            return float("inf")
+        return self._clock.monotonic() - self._heard[vm]
+
+    def suspect(self, vm: str) -> None:
+        """Mark a peer that cannot be heard; it may still be serving."""
+        self._set_state(vm, PeerState.ALIVE, PeerState.SUSPECT)
+
+    def suspect_silent(self, limit_s: float) -> None:
+        """Mark every peer that was not heard for the time."""
+        for peer in self:
+            if self.heard_age_s(peer.vm) > limit_s:
+                self.suspect(peer.vm)
+
+    def end(self, vm: str) -> None:
+        """Mark a peer whose end is proved."""
+        self._set_state(vm, PeerState.ALIVE, PeerState.ENDED)
+        self._set_state(vm, PeerState.SUSPECT, PeerState.ENDED)
+
+    def remove(self, vm: str) -> None:
+        """Forget a peer that has left the VM list for good."""
+        self._peers.pop(vm, None)
+        self._heard.pop(vm, None)
+
+    def _set_state(self, vm: str, old: PeerState, new: PeerState) -> None:
+        held = self._peers.get(vm)
+        if held is not None and held.state == old:
+            self._put(replace(held, state=new))
+
+    def _put(self, peer: Peer) -> None:
+        if self._peers.get(peer.vm) != peer:
+            self._peers[peer.vm] = peer
+            self.changes.on_next(peer)
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/peers/sockets.py
@@ -0,0 +1,24 @@
+"""Options of the sockets between daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+UNACKNOWLEDGED_LIMIT_MS = 6000
+
+
+def tune(writer: asyncio.StreamWriter) -> None:
+    """Send small frames at once and give up a connection whose packets are lost.
+
+    A frozen process still acknowledges packets, so the limit ends connections over
+    a cut only.
+    """
+    sock = writer.get_extra_info("socket")
+    if sock is None:
+        return
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    if hasattr(socket, "TCP_USER_TIMEOUT"):
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS
+        )
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/peers/cluster.py
@@ -0,0 +1,77 @@
+"""Several membership services in one process, on loopback addresses."""
+
+from __future__ import annotations
+
+import itertools
+import socket
+import unittest
+from dataclasses import dataclass
+
+from fulmarlever.clock import Clock
+from fulmarlever.structure.messages import message
+from fulmarlever.tests.base import wait_until
+from fulmarleverd.kernel import Kernel
+from fulmarleverd.services.membership import Membership
+from fulmarleverd.services.timeline import Timeline
+from fulmarleverd.settings import PeerSettings
+from fulmarleverd.tests.base import make_kernel
+
+SECRET = "a secret for tests"
+
+
+@message("test-echo")
+@dataclass(slots=True)
+class Echo:
+    text: str
+    delay_s: float = 0.0
+
+
+def free_port(address: str = "127.0.0.1") -> int:
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((address, 0))
+        return sock.getsockname()[1]
+
+
+class ClusterTestCase(unittest.IsolatedAsyncioTestCase):
+    """A test case with daemons that have membership and time line only."""
+
+    def setUp(self) -> None:
+        self.kernels: dict[str, Kernel] = {}
+        self.places: dict[str, PeerSettings] = {}
+        self.numbers = itertools.count(1)
+
+    async def asyncTearDown(self) -> None:
+        for kernel in self.kernels.values():
+            await kernel.stop()
+
+    def place(self, *vms: str) -> None:
+        for vm in vms:
+            self.places[vm] = PeerSettings(vm, vm[0], "127.0.0.1", free_port())
+
+    async def start(self, vm: str, **changes: object) -> Membership:
+        place = self.places[vm]
+        fields = {
+            "vm": vm,
+            "zone": place.zone,
+            "peer_port": place.port,
+            "peers": tuple(p for p in self.places.values() if p.vm != vm),
+            "peer_secret": SECRET,
+            "heartbeat_s": 0.05,
+            "suspect_after_s": 0.5,
+        }
+        kernel = make_kernel(Clock(), **{**fields, **changes})
+        kernel.add(Membership(kernel))
+        kernel.add(Timeline(kernel))
+        await kernel.start()
+        self.kernels[vm] = kernel
+        return kernel.find("membership")
+
+    async def end(self, vm: str) -> None:
+        await self.kernels.pop(vm).stop()
+
+    async def start_all(self, *vms: str) -> list[Membership]:
+        self.place(*vms)
+        services = [await self.start(vm) for vm in vms]
+        await wait_until(lambda: all(len(s.live()) == len(vms) - 1 for s in services))
+        return services
