Bound the peers' buffers and keep one connection per peer

Unsent data was bounded at 16 MiB per connection, a dead connection stayed counted until four of them refused the peer, a caller waited its whole timeout for a peer known to be away, a changed value that the caller mutated in place was never sent, and one flapping reading of the VM list could have proved an end while the platform was away. Ruled out: a count of connections per peer (it refuses the peer after cuts).

--- a/packages/fulmarlever/fulmarlever/wire.py
+++ b/packages/fulmarlever/fulmarlever/wire.py
@@ -29,7 +29,8 @@
 NONCE_BYTES = 16
 MAX_HELLO_BYTES = 1 << 10
 MAX_FRAME_BYTES = 8 << 20
-MAX_UNSENT_BYTES = 16 << 20
+MAX_UNSENT_BYTES = 2 << 20
+SMALL_RESERVE_BYTES = 256 << 10
 
 
 class Fault(StrEnum):
@@ -190,6 +191,7 @@
         self._incoming = incoming
         self.bytes_in = 0
         self.bytes_out = 0
+        writer.transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
 
     @property
     def unsent_bytes(self) -> int:
@@ -200,18 +202,32 @@
         """Return whether the stream is open and its send buffer has room."""
         return not self.writer.is_closing() and self.unsent_bytes < MAX_UNSENT_BYTES
 
-    def send(self, value: Any) -> bool:
+    def send(self, value: Any, *, is_small: bool = False) -> bool:
         """Queue a frame; return false, with no byte sent, when it cannot be queued.
 
-        Raise ``WireError`` for a value above the size limit.
+        A small frame may also use ``SMALL_RESERVE_BYTES`` beyond the limit. Raise
+        ``WireError`` for a value above the size limit.
         """
-        if not self.can_send():
+        limit = MAX_UNSENT_BYTES + (SMALL_RESERVE_BYTES if is_small else 0)
+        if self.writer.is_closing() or self.unsent_bytes >= limit:
             return False
         frame = pack(value, self._outgoing)
         self.writer.write(frame)
         self.bytes_out += len(frame)
         return True
 
+    async def send_when_drained(self, value: Any) -> bool:
+        """Queue a frame once the send buffer has room; false when the stream closed.
+
+        Raise ``WireError`` for a value above the size limit and ``OSError`` for a
+        lost connection.
+        """
+        while not self.writer.is_closing():
+            if self.send(value):
+                return True
+            await self.writer.drain()
+        return False
+
     async def receive(self) -> Any:
         """Return the value of the next frame.
 
--- a/packages/fulmarleverd/fulmarleverd/peers/acceptor.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/acceptor.py
@@ -28,7 +28,6 @@
 
 HANDSHAKE_TIMEOUT_S = 3.0
 MAX_STRANGERS = 64
-MAX_CONNECTIONS_PER_PEER = 4
 MAX_CALLS_PER_CONNECTION = 256
 READ_BUFFER_BYTES = 64 << 10
 
@@ -42,7 +41,7 @@
         self._node = node
         self._server: asyncio.Server | None = None
         self._strangers = 0
-        self._connections: dict[str, int] = {}
+        self._connections: dict[str, FrameStream] = {}
         self._tasks: set[asyncio.Task] = set()
 
     async def start(self) -> None:
@@ -71,6 +70,8 @@
             log.debug("incoming connection refused: {}", exc)
         except (OSError, EOFError, TimeoutError) as exc:
             log.debug("incoming connection ended: {!r}", exc)
+        except asyncio.CancelledError:
+            log.debug("incoming connection closed by the stop of the peer port")
         finally:
             writer.close()
 
@@ -108,21 +109,18 @@
         return accept(reader, writer, secret, hello, welcome), hello
 
     async def _admit(self, stream: FrameStream, hello: Hello, first: Frame) -> None:
-        count = self._connections.get(hello.vm, 0)
-        if count >= MAX_CONNECTIONS_PER_PEER:
-            raise WireError(Fault.BUSY, f"too many connections of {hello.vm}")
-        self._connections[hello.vm] = count + 1
+        # A peer keeps one connection, so an older one is a remainder of a cut.
+        old = self._connections.get(hello.vm)
+        if old is not None:
+            old.close()
+        self._connections[hello.vm] = stream
         self._node.roster.learn(hello.vm, hello.zone, hello.address, hello.port)
         try:
             await self._read(stream, hello, first)
         finally:
-            self._leave(hello)
-
-    def _leave(self, hello: Hello) -> None:
-        self._connections[hello.vm] -= 1
-        if not self._connections[hello.vm]:
-            del self._connections[hello.vm]
-            self._node.roster.suspect(hello.vm)
+            if self._connections.get(hello.vm) is stream:
+                del self._connections[hello.vm]
+                self._node.roster.suspect(hello.vm)
 
     async def _read(self, stream: FrameStream, hello: Hello, frame: Frame) -> None:
         running: set[asyncio.Task] = set()
@@ -143,9 +141,9 @@
             self._node.merge(frame.entries)
         elif not isinstance(frame, Call):
             raise WireError(Fault.MALFORMED, "an answer without a call")
-        elif len(running) >= MAX_CALLS_PER_CONNECTION:
+        elif len(running) >= MAX_CALLS_PER_CONNECTION or not stream.can_send():
             answer = self._node.refuse(frame, "too many calls in progress")
-            stream.send(frame_to_wire(answer))
+            stream.send(frame_to_wire(answer), is_small=True)
         else:
             task = asyncio.create_task(self._run(stream, frame))
             running.add(task)
@@ -155,11 +153,13 @@
     async def _run(self, stream: FrameStream, call: Call) -> None:
         answer = await self._node.answer(call)
         try:
-            stream.send(frame_to_wire(answer))
+            await stream.send_when_drained(frame_to_wire(answer))
         except (WireError, TypeError, ValueError, OverflowError) as exc:
             log.error("the answer of {} cannot be sent: {}", call.name, exc)
             answer = self._node.unknown(call, "the answer cannot be sent")
-            stream.send(frame_to_wire(answer))
+            stream.send(frame_to_wire(answer), is_small=True)
+        except OSError as exc:
+            log.debug("the answer of {} was lost: {!r}", call.name, exc)
 
     def _keep(self, task: asyncio.Task) -> None:
         self._tasks.add(task)
--- a/packages/fulmarleverd/fulmarleverd/peers/link.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/link.py
@@ -21,6 +21,7 @@
 )
 from fulmarleverd.peers.metrics import CALLS, REFUSED_FRAMES
 from fulmarleverd.peers.node import Node
+from fulmarleverd.peers.roster import PeerState
 from fulmarleverd.peers.sockets import tune
 from fulmarleverd.peers.topics import newer_than
 
@@ -41,6 +42,7 @@
     __slots__ = (
         "vm",
         "tried",
+        "_wake",
         "_node",
         "_stream",
         "_pending",
@@ -52,6 +54,7 @@
     def __init__(self, node: Node, vm: str) -> None:
         self.vm = vm
         self.tried = asyncio.Event()
+        self._wake = asyncio.Event()
         self._node = node
         self._stream: FrameStream | None = None
         self._pending = PendingCalls()
@@ -73,9 +76,15 @@
             if is_connected:
                 pause_s = FIRST_PAUSE_S
                 await self._serve()
-            await asyncio.sleep(pause_s)
+            await self._pause(pause_s)
             pause_s = min(pause_s * PAUSE_FACTOR, LONGEST_PAUSE_S)
 
+    async def _pause(self, pause_s: float) -> None:
+        self._wake.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_s):
+                await self._wake.wait()
+
     async def _connect(self) -> bool:
         peer = self._node.roster.get(self.vm)
         if peer is None:
@@ -154,7 +163,15 @@
             self._pending.resolve(frame)
 
     async def _send_beats(self) -> None:
-        digests = self._welcome.digests
+        try:
+            await self._keep_beating(self._welcome.digests)
+        except (WireError, TypeError, ValueError) as exc:
+            log.error("heartbeats to {} failed: {}", self.vm, exc)
+        finally:
+            # Closing wakes the reader, which ends the connection.
+            self._stream.close()
+
+    async def _keep_beating(self, digests: Any) -> None:
         cfg = self._node.settings
         while self._stream.can_send():
             if self._stream.unsent_bytes < MAX_BEAT_BACKLOG_BYTES:
@@ -164,8 +181,6 @@
             silence_s = self._node.roster.heard_age_s(self.vm)
             if silence_s > SILENCE_FACTOR * cfg.suspect_after_s:
                 break
-        # Closing wakes the reader, which ends the connection.
-        self._stream.close()
 
     def _send_beat(self, digests: Any) -> None:
         node = self._node
@@ -194,10 +209,7 @@
         name, data = encode(message)
         loop = asyncio.get_running_loop()
         end = loop.time() + timeout_s
-        try:
-            async with asyncio.timeout_at(end):
-                await self._up.wait()
-        except TimeoutError:
+        if not await self._is_ready(end):
             return Unavailable(f"no connection to {self.vm}")
         pending = self._pending
         number, fut = pending.open()
@@ -207,6 +219,23 @@
         finally:
             pending.close(number)
 
+    async def _is_ready(self, end: float) -> bool:
+        # The first attempt and a peer that was heard are worth waiting for; with any
+        # other the caller has better use for the time.
+        event = self._up if self._is_heard() else self.tried
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(end):
+                await event.wait()
+        return self.is_up
+
+    def _is_heard(self) -> bool:
+        peer = self._node.roster.get(self.vm)
+        return peer is not None and peer.state == PeerState.ALIVE
+
+    def wake(self) -> None:
+        """Dial at once, because the peer was heard."""
+        self._wake.set()
+
     async def _exchange(self, frame: Call, fut: asyncio.Future, end: float) -> Any:
         try:
             if not self._stream.send(frame_to_wire(frame)):
--- a/packages/fulmarleverd/fulmarleverd/peers/node.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/node.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import msgpack
 from loguru import logger as log
 
 from fulmarlever.clock import Clock
@@ -19,6 +20,8 @@
 from fulmarleverd.peers.topics import Entry, Topics
 from fulmarleverd.settings import Settings
 
+MAX_VALUE_BYTES = 1 << 16
+
 Handler = Callable[[Any], Awaitable[Any]]
 
 
@@ -69,12 +72,13 @@
 
     def heard(self, hello: Hello) -> None:
         """Note a frame from the peer that introduced itself with a hello."""
-        self.proofs.alive(hello.vm, hello.incarnation)
+        if not self.proofs.alive(hello.vm, hello.incarnation):
+            log.error("{}#{} was proved ended", hello.vm, hello.incarnation)
         self.roster.heard(hello.vm, hello.incarnation, hello.admin_port)
 
     def is_stale(self, hello: Hello) -> bool:
         """Return whether a higher incarnation of the same VM is known."""
-        return hello.incarnation < self.proofs.highest(hello.vm)
+        return hello.incarnation < self.proofs.heard(hello.vm)
 
     def outbid(self, incarnation: int) -> None:
         """Take a higher incarnation than a peer has seen, while starting only.
@@ -89,6 +93,11 @@
 
     def publish(self, topic: str, value: Any) -> None:
         """Set this daemon's value of a topic; an equal value changes nothing."""
+        packed = msgpack.packb(value)
+        if len(packed) > MAX_VALUE_BYTES:
+            raise ValueError(f"a value of {topic!r} with {len(packed)} bytes")
+        # The copy keeps later changes of the caller's value out of the comparison.
+        value = msgpack.unpackb(packed, strict_map_key=False)
         held = self.topics.get(self.vm, topic)
         if held is not None and held.value == value:
             return
--- a/packages/fulmarleverd/fulmarleverd/peers/proofs.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/proofs.py
@@ -26,11 +26,20 @@
     sign of life between. Proofs are kept: incarnations never come back.
     """
 
-    __slots__ = ("_clock", "_ended", "_noticed", "_refusals", "_absent", "_listed")
+    __slots__ = (
+        "_clock",
+        "_ended",
+        "_heard",
+        "_noticed",
+        "_refusals",
+        "_absent",
+        "_listed",
+    )
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._ended: dict[str, int] = {}
+        self._heard: dict[str, int] = {}
         self._noticed: dict[str, dict[int, float]] = {}
         self._refusals: dict[str, list[float]] = {}
         self._absent: dict[str, float] = {}
@@ -47,12 +56,22 @@
         """Return the highest incarnation noticed or ended, or 0."""
         return max(self._ended.get(vm, 0), *self._noticed.get(vm, {}), 0)
 
-    def alive(self, vm: str, incarnation: int) -> None:
-        """Note a sign of life: lower incarnations have ended, refusals are void."""
+    def heard(self, vm: str) -> int:
+        """Return the highest incarnation that was heard itself, or 0."""
+        return self._heard.get(vm, 0)
+
+    def alive(self, vm: str, incarnation: int) -> bool:
+        """Note a sign of life: lower incarnations have ended, refusals are void.
+
+        Return false when it contradicts an earlier proof.
+        """
         self.notice(vm, incarnation)
+        self._heard[vm] = max(self._heard.get(vm, 0), incarnation)
         self._refusals.pop(vm, None)
         self._absent.pop(vm, None)
+        is_new = self._ended.get(vm, -1) < incarnation
         self._end(vm, incarnation - 1)
+        return is_new
 
     def reached(self, vm: str) -> None:
         """Note that the VM's peer port took a connection."""
@@ -75,20 +94,20 @@
         if not vms or age_s > LIST_FRESH_S:
             self._absent.clear()
             return
-        now = self._clock.monotonic()
+        read_at = self._clock.monotonic() - age_s
         self._listed.update(vms)
         for vm in self._noticed:
             if vm in vms:
                 self._absent.pop(vm, None)
             else:
-                self._check_absence(vm, now)
+                self._check_absence(vm, read_at)
 
-    def _check_absence(self, vm: str, now: float) -> None:
+    def _check_absence(self, vm: str, read_at: float) -> None:
         # A list that lags does not show a new VM yet, so a VM that was never on it
         # has to be absent for longer.
         needed = LIST_ABSENCE_S if vm in self._listed else LIST_NEVER_SEEN_S
-        since = self._absent.setdefault(vm, now)
-        if now - since >= needed:
+        since = self._absent.setdefault(vm, read_at)
+        if read_at - since >= needed:
             self._end(vm, self.highest(vm))
 
     def is_ended(self, vm: str, incarnation: int) -> bool:
--- a/packages/fulmarleverd/fulmarleverd/peers/sockets.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/sockets.py
@@ -6,6 +6,7 @@
 import socket
 
 UNACKNOWLEDGED_LIMIT_MS = 6000
+KEEPALIVE = {"TCP_KEEPIDLE": 15, "TCP_KEEPINTVL": 5, "TCP_KEEPCNT": 3}
 
 
 def tune(writer: asyncio.StreamWriter) -> None:
@@ -18,7 +19,9 @@
     if sock is None:
         return
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    if hasattr(socket, "TCP_USER_TIMEOUT"):
-        sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS
-        )
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for name, value in (
+        KEEPALIVE | {"TCP_USER_TIMEOUT": UNACKNOWLEDGED_LIMIT_MS}
+    ).items():
+        if hasattr(socket, name):
+            sock.setsockopt(socket.IPPROTO_TCP, getattr(socket, name), value)
--- a/packages/fulmarleverd/fulmarleverd/services/membership.py
+++ b/packages/fulmarleverd/fulmarleverd/services/membership.py
@@ -40,10 +40,12 @@
         self._acceptor = Acceptor(self._node)
         self._links: dict[str, Link] = {}
         self._dialers: dict[str, asyncio.Task] = {}
+        self._states: dict[str, PeerState] = {}
 
     async def start(self) -> None:
         """Open the peer port, dial the known peers and fix the incarnation."""
         await self._acceptor.start()
+        self.changes.subscribe(self._note_change)
         for fixed in self.settings.peers:
             if fixed.vm != self.settings.vm:
                 peer = Peer(fixed.vm, fixed.zone, fixed.address, fixed.port)
@@ -104,12 +106,15 @@
         return self._node.proofs.is_ended(vm, incarnation)
 
     def publish(self, topic: str, value: Any) -> None:
-        """Set this daemon's value of a topic, which msgpack has to know."""
+        """Set this daemon's value of a topic, which msgpack has to know.
+
+        Raise ``ValueError`` for a value above ``MAX_VALUE_BYTES``.
+        """
         self._node.publish(topic, value)
 
     def view(self, topic: str) -> dict[str, Any]:
-        """Return the values of a topic by VM, of this daemon and of alive peers."""
-        alive = {peer.vm for peer in self.live()} | {self.settings.vm}
+        """Return the values of a topic by VM, of alive peers only."""
+        alive = {peer.vm for peer in self.live()}
         entries = self._node.topics.of_topic(topic)
         return {entry.vm: entry.value for entry in entries if entry.vm in alive}
 
@@ -131,6 +136,15 @@
             return Unavailable(f"{vm} is not a peer")
         return await link.call(message, timeout_s)
 
+    def _note_change(self, peer: Peer) -> None:
+        if self._states.get(peer.vm) == peer.state:
+            return
+        self._states[peer.vm] = peer.state
+        if peer.state == PeerState.ALIVE and peer.vm in self._links:
+            self._links[peer.vm].wake()
+        detail = f"{peer.vm}#{peer.incarnation}"
+        self.kernel.find("timeline").record(f"peer.{peer.state}", detail=detail)
+
     async def _keep_sweeping(self) -> None:
         while True:
             await asyncio.sleep(self.settings.heartbeat_s)
@@ -180,6 +194,7 @@
         self._node.roster.remove(vm)
         self._node.topics.forget(lambda entry: entry.vm == vm)
         self._links.pop(vm, None)
+        self._states.pop(vm, None)
         dialer = self._dialers.pop(vm, None)
         if dialer is not None:
             dialer.cancel()
--- a/packages/fulmarleverd/fulmarleverd/tests/services/membership_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/services/membership_tests.py
@@ -4,6 +4,7 @@
 
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable
 from fulmarlever.tests.base import wait_until
+from fulmarlever.timeline import TimelineQuery
 from fulmarleverd.peers.roster import PeerState
 from fulmarleverd.tests.peers.cluster import ClusterTestCase, Echo
 
@@ -67,6 +68,7 @@
         await wait_until(lambda: len(first.live()) == 1)
         for vm in ("a1", "a2"):
             self.kernels[vm].find("timeline").record("test.event", detail=vm)
-        merged = await self.kernels["a1"].find("timeline").merged(timeout_s=0.5)
+        query = TimelineQuery(kind="test.")
+        merged = await self.kernels["a1"].find("timeline").merged(query, 0.5)
         self.assertEqual([event.vm for event in merged.events], ["a1", "a2"])
         self.assertEqual(list(merged.unreachable), ["a3"])
