Place services and batch jobs by one leased placer per zone

Cause: tasks need one writer per zone, fenced after a freeze, and leases whose end both sides agree on. The placer row changes only at takeover, so its version conditions every write of the holder; takeover is also conditional on the beat row, because a renewal between the read and the takeover must win. Orders carry a time on the worker's own clock after which it refuses them: an order that waited in a frozen worker's socket began a lease that the placer had already counted out. Ruled out: one write per state change (two group commits a round instead), reading all job rows (an inbox row per zone), leases for services as short as for batch (a table outage would stop them). task_lease_s 10 -> 20: a takeover takes up to 9.2 s, in which nobody renews.

--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/placement/intake.py
@@ -0,0 +1,181 @@
+"""Takes up what workers said, as new states of tasks."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from fulmarlever.exceptions import KernelError
+from fulmarlever.outcomes import Refused
+from fulmarlever.structure.configuration import IsolationRule
+from fulmarlever.structure.task import Task, TaskState
+from fulmarleverd.placement.backends import server_name
+from fulmarleverd.placement.book import HOLDING
+from fulmarleverd.placement.calls import CallResult
+from fulmarleverd.placement.orders import (
+    AttemptId,
+    Ended,
+    Started,
+    StopOrder,
+    TaskReport,
+    WorkerReport,
+)
+from fulmarleverd.placement.settle import (
+    DONE,
+    FAILED,
+    RUNNING,
+    confirmed,
+    ended,
+    reported,
+    requeued,
+    stopping,
+)
+from fulmarleverd.placement.state import ZoneState
+from fulmarleverd.placement.writer import Draft
+from fulmarleverd.services.workers import DRIFT, ORDER_WINDOW_S, WorkerView
+
+MISSING = "its worker no longer has it"
+LOST = "its worker is lost"
+
+
+class Intake:
+    """Reports and answers of workers since the last round."""
+
+    def __init__(self, state: ZoneState) -> None:
+        self.state = state
+        self._reports: dict[str, WorkerReport] = {}
+
+    def take_report(self, report: WorkerReport) -> bool:
+        """Keep a worker's report for the next round; return whether it is urgent."""
+        worker = report.answer.worker
+        self._reports[worker] = report
+        self.state.acknowledge.pop(worker, None)
+        return any(task.state != RUNNING for task in report.answer.tasks)
+
+    def fill(self, draft: Draft) -> None:
+        """Add the new states of all tasks about which something was heard."""
+        for result in self.state.calls.take_results():
+            self._take_result(result, draft)
+        reports, self._reports = self._reports, {}
+        for worker, report in reports.items():
+            self._take_worker(worker, report, draft)
+        for task in self._lost():
+            draft.add(requeued(task, LOST))
+
+    def _take_result(self, result: CallResult, draft: Draft) -> None:
+        task = self.state.book.get(result.key)
+        if task is None or task.attempt != result.attempt:
+            return
+        answer = result.answer
+        if isinstance(answer, Started):
+            self._note_started(task, answer)
+            draft.add(confirmed(task))
+        elif isinstance(answer, Ended):
+            # The report of a task that ended by itself also carries its result.
+            if answer.state != DONE or task.is_service:
+                draft.add(ended(task, answer))
+        elif result.is_start:
+            self._note_refused(task, answer, draft)
+
+    def _note_started(self, task: Task, answer: Started) -> None:
+        self.state.confirmed_s[task.key] = self.state.clock.monotonic()
+        if task.is_service and answer.port:
+            self.state.backends.addresses[server_name(task)] = answer
+
+    def _note_refused(self, task: Task, answer: Refused, draft: Draft) -> None:
+        now_s = self.state.clock.monotonic()
+        self.state.health.note_failure(task.worker, task.owner, now_s)
+        # An earlier order of the same attempt may have been carried out, so a stop
+        # must confirm that it does not run.
+        draft.add(stopping(task, f"start refused: {answer.reason}"))
+
+    def _take_worker(self, worker: str, report: WorkerReport, draft: Draft) -> None:
+        present = set()
+        for item in report.answer.tasks:
+            present.add(f"task/{self.state.name}/{item.task}")
+            self._take_task(worker, item, draft)
+        for task in self.state.book.of_worker(worker):
+            if task.key not in present and self._is_missing(task, report):
+                draft.add(requeued(task, MISSING))
+
+    def _take_task(self, worker: str, report: TaskReport, draft: Draft) -> None:
+        key = f"task/{self.state.name}/{report.task}"
+        if key in draft.tasks:
+            return
+        task = self.state.book.get(key)
+        if task is not None and report.attempt > task.attempt:
+            return
+        new = reported(task, report) if task is not None else None
+        if new is not None:
+            self._note_end(task, report)
+            draft.add(new)
+        elif report.state != RUNNING:
+            attempt = AttemptId(report.task, report.attempt)
+            self.state.acknowledge.setdefault(worker, set()).add(attempt)
+        elif not self._is_current(task, report):
+            self._stop_stray(worker, report)
+
+    def _note_end(self, task: Task, report: TaskReport) -> None:
+        if task.is_service or not task.worker:
+            return
+        if report.state == FAILED:
+            now_s = self.state.clock.monotonic()
+            self.state.health.note_failure(task.worker, task.owner, now_s)
+        elif report.state == DONE:
+            self.state.health.note_success(task.worker)
+
+    def _is_current(self, task: Task | None, report: TaskReport) -> bool:
+        return (
+            task is not None
+            and task.attempt == report.attempt
+            and task.state in HOLDING
+        )
+
+    def _stop_stray(self, worker: str, report: TaskReport) -> None:
+        owner, _, index = report.task.rpartition("/")
+        stray = Task(self.state.name, owner, int(index), worker=worker)
+        stray.attempt = report.attempt
+        order = StopOrder(report.task, report.attempt, self.state.epoch, False)
+        self.state.calls.stop(stray, order)
+
+    def _is_missing(self, task: Task, report: WorkerReport) -> bool:
+        if task.state is not TaskState.RUNNING:
+            return False
+        known_s = self.state.confirmed_s.get(task.key, self.state.loaded_s)
+        return report.sent_s > known_s
+
+    def _lost(self) -> Iterator[Task]:
+        fleet = self.state.workers.fleet()
+        for worker in list(self.state.book.on_worker):
+            view = fleet.get(worker)
+            if view is not None and self.state.workers.is_reachable(view):
+                continue
+            if self._is_lease_over(view):
+                yield from (
+                    task
+                    for task in self.state.book.of_worker(worker)
+                    if self._may_move(task, view)
+                )
+
+    def _is_lease_over(self, view: WorkerView | None) -> bool:
+        lease_s = self.state.settings.task_lease_s * (1 + DRIFT)
+        end_s = self.state.loaded_s + ORDER_WINDOW_S + lease_s
+        if view is not None:
+            end_s = max(end_s, view.grant_end_s)
+        return self.state.clock.monotonic() > end_s
+
+    def _may_move(self, task: Task, view: WorkerView | None) -> bool:
+        """Return whether no former placer can still be renewing a task."""
+        if view is None or not view.is_listed or view.answered_s:
+            return True
+        job = self.state.job(task)
+        if task.is_service or (job and job.isolation is IsolationRule.MOVE):
+            return True
+        return all(self._is_ended(name) for name in self.state.lease.row.former)
+
+    def _is_ended(self, identity: str) -> bool:
+        vm, _, incarnation = identity.partition("#")
+        try:
+            membership = self.state.kernel.find("membership")
+        except KernelError:
+            return False
+        return membership.is_ended(vm, int(incarnation))
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/placement/job_rows.py
@@ -0,0 +1,188 @@
+"""The row of a batch job and its parts by zone."""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass, field, replace
+from enum import StrEnum
+from functools import lru_cache
+
+import xxhash
+
+from fulmarlever.structure.configuration import IsolationRule, JobSpec, Urgency
+from fulmarlever.structure.size import Size
+from fulmarlever.structure.table import ABSENT, Change
+
+FINAL_ROW_TTL_S = 7 * 24 * 3600.0
+"""How long the row of an ended, submitted job is kept."""
+
+SPLITS_KEPT = 1024
+"""The number of jobs whose split over the zones is remembered."""
+
+
+class JobState(StrEnum):
+    """The states of a job. ``ACTIVE`` is the only one that is not final."""
+
+    ACTIVE = "active"
+    DONE = "done"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+    @property
+    def is_final(self) -> bool:
+        """Return whether the state never changes again."""
+        return self is not JobState.ACTIVE
+
+
+@dataclass(slots=True, frozen=True)
+class Part:
+    """How the tasks of one zone ended."""
+
+    done: int = 0
+    failed: int = 0
+    cancelled: int = 0
+    reason: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class JobRow:
+    """The row ``job/{name}``.
+
+    ``zones`` are the zones among which the tasks are split, fixed when the row is
+    written first. ``generation`` is that of the configuration that declared the job,
+    0 for a submitted one. ``submitted`` is a Unix time.
+    """
+
+    spec: JobSpec
+    submitted: float
+    zones: tuple[str, ...]
+    setup: str = "new"
+    state: JobState = JobState.ACTIVE
+    reason: str = ""
+    generation: int = 0
+    cancel: bool = False
+    parts: dict[str, Part] = field(default_factory=dict)
+
+    @property
+    def key(self) -> str:
+        """Return the key of the row."""
+        return f"job/{self.spec.name}"
+
+    @property
+    def is_to_run(self) -> bool:
+        """Return whether tasks of the job may start in this setup."""
+        is_new = self.setup == "new"
+        return is_new and not self.state.is_final and not self.cancel
+
+    @classmethod
+    def from_spec(
+        cls, spec: JobSpec, zones: tuple[str, ...], now_s: float, generation: int = 0
+    ) -> JobRow:
+        """Build the first row of a job; ``zones`` are those with workers."""
+        allowed = tuple(sorted(spec.zones or zones))
+        return cls(spec, now_s, allowed, spec.setup, generation=generation)
+
+    @classmethod
+    def from_wire(cls, data: dict) -> JobRow:
+        """Build the row from its stored form."""
+        fields = {name: data[name] for name in cls.__slots__ if name in data}
+        fields["spec"] = spec_from_wire(data["spec"])
+        fields["zones"] = tuple(data["zones"])
+        fields["state"] = JobState(data["state"])
+        fields["parts"] = {zone: Part(**part) for zone, part in data["parts"].items()}
+        return cls(**fields)
+
+    def to_wire(self) -> dict:
+        """Return the stored form."""
+        data = {name: getattr(self, name) for name in self.__slots__}
+        data["spec"] = spec_to_wire(self.spec)
+        data["zones"] = list(self.zones)
+        data["state"] = str(self.state)
+        data["parts"] = {zone: asdict(part) for zone, part in self.parts.items()}
+        return data
+
+    def indices(self, zone: str) -> tuple[int, ...]:
+        """Return the indices of the tasks that a zone places."""
+        return _split(self.spec.name, self.spec.tasks, self.zones).get(zone, ())
+
+    def zones_in_use(self) -> set[str]:
+        """Return the zones that place at least one task."""
+        return set(_split(self.spec.name, self.spec.tasks, self.zones))
+
+    def with_part(self, zone: str, part: Part) -> JobRow:
+        """Return the row with the end of one zone's tasks, and of the job if last."""
+        parts = {**self.parts, zone: part}
+        row = replace(self, parts=parts)
+        if not self.zones_in_use() <= parts.keys():
+            return row
+        reasons = "; ".join(sorted({p.reason for p in parts.values() if p.reason}))
+        return replace(row, state=_final_state(parts), reason=reasons)
+
+
+def inbox_key(zone: str, job: str) -> str:
+    """Return the key of the row that tells a zone's placer to look at a job."""
+    return f"queue/{zone}/{job}"
+
+
+def insertion(row: JobRow) -> Change:
+    """Return the change that adds a job and tells the placers of its zones."""
+    return _announced(row, ABSENT)
+
+
+def cancellation(row: JobRow, version: int) -> Change:
+    """Return the change that cancels a job and tells the placers of its zones."""
+    return _announced(replace(row, cancel=True), version)
+
+
+def _announced(row: JobRow, version: int) -> Change:
+    change = Change({row.key: version}, {row.key: row.to_wire()})
+    for zone in sorted(row.zones_in_use()):
+        change.writes[inbox_key(zone, row.spec.name)] = {}
+    return change
+
+
+def _final_state(parts: dict[str, Part]) -> JobState:
+    if any(part.failed for part in parts.values()):
+        return JobState.FAILED
+    if any(part.cancelled for part in parts.values()):
+        return JobState.CANCELLED
+    return JobState.DONE
+
+
+def rendezvous(key: str, nodes: tuple[str, ...]) -> str:
+    """Return the node with the highest hash for a key, an empty string for none."""
+    if not nodes:
+        return ""
+    return max(nodes, key=lambda node: _digest(key, node))
+
+
+def _digest(key: str, node: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{key}|{node}".encode())
+
+
+@lru_cache(maxsize=SPLITS_KEPT)
+def _split(name: str, tasks: int, zones: tuple[str, ...]) -> dict[str, tuple[int, ...]]:
+    """Return the indices of a job's tasks by zone, by rendezvous hashing."""
+    parts: dict[str, list[int]] = {}
+    for index in range(tasks):
+        parts.setdefault(rendezvous(f"{name}/{index}", zones), []).append(index)
+    return {zone: tuple(indices) for zone, indices in parts.items()}
+
+
+def spec_to_wire(spec: JobSpec) -> dict:
+    """Return the stored form of a job's declaration."""
+    data = {name: getattr(spec, name) for name in spec.__slots__}
+    data["urgency"] = int(spec.urgency)
+    data["isolation"] = str(spec.isolation)
+    data["size"] = spec.size.to_wire()
+    data["zones"], data["vms"] = list(spec.zones), list(spec.vms)
+    return data
+
+
+def spec_from_wire(data: dict) -> JobSpec:
+    """Build a job's declaration from its stored form."""
+    fields = {name: data[name] for name in JobSpec.__slots__ if name in data}
+    fields["urgency"] = Urgency(data["urgency"])
+    fields["isolation"] = IsolationRule(data["isolation"])
+    fields["size"] = Size.from_wire(data["size"])
+    fields["zones"], fields["vms"] = tuple(data["zones"]), tuple(data["vms"])
+    return JobSpec(**fields)
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/placement/outbox.py
@@ -0,0 +1,101 @@
+"""Calls to workers that the recorded states of tasks ask for."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from fulmarlever.structure.task import Task, TaskState
+from fulmarleverd.placement.backends import server_name
+from fulmarleverd.placement.orders import StartOrder, StopOrder
+from fulmarleverd.placement.state import ZoneState
+
+SERVICE_LEASE_S = 24 * 3600.0
+"""The lease of a service instance; a second run of one does no harm, a stop does."""
+
+SERVICE_SLOTS = 8
+SERVICE_CONNECTIONS = 64
+SERVICE_DRAIN_S = 30.0
+
+
+class Outbox:
+    """Orders for tasks that are recorded as starting or stopping.
+
+    The recorded state alone decides, so an order whose answer was lost is repeated,
+    also by the next placer.
+    """
+
+    def __init__(self, state: ZoneState) -> None:
+        self.state = state
+
+    def send(self) -> None:
+        """Begin every call that is due."""
+        state = self.state
+        for task in self._to_start():
+            order = self._start_order(task)
+            # The lease is looked at last, just before the order leaves.
+            if order is not None and state.lease.is_valid and self._is_reachable(task):
+                state.calls.start(task, order, state.lease.valid_until)
+        now_s = state.clock.monotonic()
+        for task in state.book.tasks(TaskState.STOPPING):
+            is_noticed = state.backends.may_stop(task, now_s)
+            if self._is_reachable(task) and (not task.is_service or is_noticed):
+                state.calls.stop(task, self._stop_order(task))
+
+    def _to_start(self) -> Iterator[Task]:
+        yield from self.state.book.tasks(TaskState.STARTING)
+        for key in list(self.state.book.services):
+            task = self.state.book.entries[key].task
+            is_unknown = server_name(task) not in self.state.backends.addresses
+            if task.state is TaskState.RUNNING and is_unknown:
+                yield task
+
+    def _is_reachable(self, task: Task) -> bool:
+        view = self.state.workers.fleet().get(task.worker)
+        return view is not None and self.state.workers.is_reachable(view)
+
+    def _start_order(self, task: Task) -> StartOrder | None:
+        if task.is_service:
+            return self._service_order(task)
+        job = self.state.job(task)
+        if job is None:
+            return None
+        return StartOrder(
+            task.name,
+            task.attempt,
+            self.state.epoch,
+            self.state.name,
+            self.state.settings.task_lease_s,
+            job.kind,
+            task.reservation,
+            job.run_s,
+            task.checkpoint,
+            job.work,
+        )
+
+    def _service_order(self, task: Task) -> StartOrder:
+        limits = {
+            "name": server_name(task),
+            "slots": SERVICE_SLOTS,
+            "connections": SERVICE_CONNECTIONS,
+        }
+        return StartOrder(
+            task.name,
+            task.attempt,
+            self.state.epoch,
+            self.state.name,
+            SERVICE_LEASE_S,
+            task.owner,
+            task.reservation,
+            0.0,
+            service=limits,
+        )
+
+    def _stop_order(self, task: Task) -> StopOrder:
+        job = self.state.job(task)
+        return StopOrder(
+            task.name,
+            task.attempt,
+            self.state.epoch,
+            checkpoint=bool(job and job.checkpoint and not task.cancel),
+            drain_s=SERVICE_DRAIN_S if task.is_service else 0.0,
+        )
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/placement/state.py
@@ -0,0 +1,56 @@
+"""What the parts of one zone's placer share."""
+
+from __future__ import annotations
+
+from fulmarlever.structure.configuration import IsolationRule, JobSpec
+from fulmarlever.structure.task import Task
+from fulmarleverd.kernel import Kernel
+from fulmarleverd.placement.backends import Backends
+from fulmarleverd.placement.book import TaskBook
+from fulmarleverd.placement.calls import Calls
+from fulmarleverd.placement.health import Health
+from fulmarleverd.placement.lease import ZoneLease
+from fulmarleverd.placement.orders import AttemptId
+from fulmarleverd.placement.queue import Lookup
+from fulmarleverd.services.workers import Workers
+
+
+class ZoneState:
+    """The state of a zone under one epoch.
+
+    ``confirmed_s`` holds the monotonic time at which a worker confirmed an attempt,
+    by task key; ``acknowledge`` the ends to acknowledge, by worker.
+    """
+
+    def __init__(self, kernel: Kernel, lease: ZoneLease, calls: Calls) -> None:
+        self.name = kernel.settings.zone
+        self.settings = kernel.settings
+        self.clock = kernel.clock
+        self.kernel = kernel
+        self.workers: Workers = kernel.find("workers")
+        self.lease = lease
+        self.epoch = lease.epoch
+        self.calls = calls
+        self.book = TaskBook()
+        self.lookup = Lookup()
+        self.backends = Backends(self.name)
+        self.health = Health()
+        self.acknowledge: dict[str, set[AttemptId]] = {}
+        self.confirmed_s: dict[str, float] = {}
+        self.loaded_s = 0.0
+
+    def job(self, task: Task) -> JobSpec | None:
+        """Return the declaration of a batch task's job, if it is known."""
+        return None if task.is_service else self.lookup.jobs.get(task.owner)
+
+    def may_renew(self, task: Task) -> bool:
+        """Return whether a task's lease may be renewed.
+
+        Without a valid lease of its own the holder goes on renewing what is never
+        moved while it cannot be heard; the others end, so that the next placer may
+        start them.
+        """
+        if self.lease.is_valid or task.is_service:
+            return True
+        job = self.job(task)
+        return job is None or job.isolation is IsolationRule.KEEP
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/placement/zone.py
@@ -0,0 +1,246 @@
+"""One holder's time as the placer of a zone: its rounds of decisions."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+
+from fulmarlever.outcomes import failed
+from fulmarlever.policies.placement import Room
+from fulmarlever.structure.configuration import Configuration
+from fulmarlever.structure.fleet import BackendServer
+from fulmarlever.structure.task import Task, TaskState
+from fulmarleverd.kernel import Kernel
+from fulmarleverd.placement.book import TaskBook
+from fulmarleverd.placement.calls import Calls, Spawn
+from fulmarleverd.placement.desired import service_tasks, worker_zones
+from fulmarleverd.placement.intake import Intake
+from fulmarleverd.placement.job_book import JobBook
+from fulmarleverd.placement.lease import ZoneLease
+from fulmarleverd.placement.orders import AttemptId, WorkerReport
+from fulmarleverd.placement.outbox import Outbox
+from fulmarleverd.placement.queue import Queue, make_room
+from fulmarleverd.placement.settle import cancelled
+from fulmarleverd.placement.state import ZoneState
+from fulmarleverd.placement.writer import Draft, TaskWriter
+from fulmarleverd.services.workers import ORDER_WINDOW_S, SyncPlan
+
+INBOX_S = 1.0
+"""The time between two reads of the zone's inbox."""
+
+INSTANCE_ROW_TTL_S = 24 * 3600.0
+"""How long the row of an ended instance keeps its attempt number from coming again."""
+
+REMOVED = "removed from the configuration"
+
+
+class Zone:
+    """The tasks of a zone under one epoch, from takeover to the loss of the lease.
+
+    A round takes up what workers reported, records new states in one group commit,
+    then chooses starts and records them in a second one, and only then talks to
+    workers.
+    """
+
+    def __init__(
+        self, kernel: Kernel, lease: ZoneLease, spawn: Spawn, wake: Callable[[], None]
+    ) -> None:
+        self.platform = kernel.find("platform")
+        self.timeline = kernel.find("timeline")
+        self.state = ZoneState(
+            kernel, lease, Calls(kernel.find("workers"), spawn, wake)
+        )
+        self.jobs = JobBook(self.platform, self.state.name, self.book)
+        self.writer = TaskWriter(self.platform, lease, self.book)
+        self.queue = Queue(self.book, self.state.lookup)
+        self.intake = Intake(self.state)
+        self.outbox = Outbox(self.state)
+        self._desired: dict[str, Task] = {}
+        self._desired_for: tuple[int, tuple[str, ...]] = (-1, ())
+        self._inbox_read_s = float("-inf")
+
+    @property
+    def book(self) -> TaskBook:
+        """Return the zone's tasks as the table confirmed them."""
+        return self.state.book
+
+    @property
+    def epoch(self) -> int:
+        """Return the epoch under which the zone was taken over."""
+        return self.state.epoch
+
+    async def load(self) -> bool:
+        """Read the zone's rows; return whether the table answered."""
+        backends = self.state.backends
+        rows = await self.platform.read([backends.key], [f"task/{self.state.name}/"])
+        if failed(rows):
+            return False
+        backends.load(rows.pop(backends.key, None))
+        for row in rows.values():
+            self.book.put(Task.from_wire(row.value), row.version)
+        self.state.loaded_s = self.state.clock.monotonic()
+        tasks = (entry.task for entry in self.book.entries.values())
+        return await self.jobs.load({t.owner for t in tasks if not t.is_service})
+
+    def take_report(self, report: WorkerReport) -> bool:
+        """Keep a worker's report for the next round; return whether it is urgent."""
+        return self.intake.take_report(report)
+
+    def plan(self, worker: str) -> SyncPlan:
+        """Return what the next synchronisation of a worker carries."""
+        renew = tuple(
+            AttemptId(task.name, task.attempt)
+            for task in self.book.of_worker(worker)
+            if self.state.may_renew(task)
+        )
+        lease, now_s = self.state.lease, self.state.clock.monotonic()
+        horizon_s = lease.valid_until if lease.is_valid else now_s + ORDER_WINDOW_S
+        acknowledge = tuple(self.state.acknowledge.get(worker, ()))
+        return SyncPlan(self.epoch, renew, acknowledge, horizon_s)
+
+    async def round(self, cfg: Configuration) -> None:
+        """Take up what happened, record it, and start and stop tasks."""
+        if not await self._resolve_doubts():
+            return
+        await self._read_jobs(cfg)
+        self._look_up(cfg)
+        if not await self._settle(cfg):
+            return
+        await self._fold_jobs()
+        await self._start_queued()
+        if self.state.lease.is_valid:
+            self.outbox.send()
+
+    async def _resolve_doubts(self) -> bool:
+        backends = self.state.backends
+        if backends.is_doubtful:
+            rows = await self.platform.read([backends.key])
+            if failed(rows):
+                return False
+            backends.load(rows.get(backends.key))
+        return await self.writer.read_doubtful()
+
+    async def _read_jobs(self, cfg: Configuration) -> None:
+        now_s = self.state.clock.monotonic()
+        if now_s - self._inbox_read_s < INBOX_S:
+            return
+        zones = worker_zones(self.platform.vms())
+        await self.jobs.declare(cfg, zones, self.state.clock.wall())
+        if await self.jobs.read_inbox():
+            self._inbox_read_s = now_s
+
+    def _look_up(self, cfg: Configuration) -> None:
+        lookup, jobs = self.state.lookup, self.jobs.jobs
+        lookup.services = cfg.services
+        lookup.jobs = {name: row.spec for name, row in jobs.items()}
+        lookup.submitted_s = {name: row.submitted for name, row in jobs.items()}
+
+    async def _settle(self, cfg: Configuration) -> bool:
+        draft = Draft()
+        self.intake.fill(draft)
+        for task in self._next_states(cfg):
+            if task.key not in draft.tasks:
+                draft.add(task)
+        self.jobs.take_inbox(draft)
+        backends = self.state.backends
+        servers = self._servers(draft)
+        if servers != backends.listed:
+            wire = backends.to_wire(servers, cfg.generation)
+            draft.others[backends.key] = (backends.version, wire)
+        for key, task in draft.tasks.items():
+            if task.is_service and task.state is TaskState.CANCELLED:
+                draft.ttl_s[key] = INSTANCE_ROW_TTL_S
+        tasks = list(draft.tasks.values())
+        if not await self.writer.write(draft):
+            backends.is_doubtful = True
+            return False
+        self._record(tasks)
+        if backends.key in draft.others:
+            version = self.writer.versions[backends.key]
+            backends.confirm(servers, version, self.state.clock.monotonic())
+        return True
+
+    async def _fold_jobs(self) -> None:
+        names = self.jobs.ended()
+        if names and await self.jobs.load(names):
+            draft = self.jobs.fold(name for name in names if name in self.jobs.ended())
+            if await self.writer.write(draft):
+                await self.jobs.load(names)
+        leftovers = self.jobs.leftovers()
+        if leftovers.removed:
+            await self.writer.write(leftovers)
+        self.jobs.forget_ended()
+
+    async def _start_queued(self) -> None:
+        if not self.book.in_state[TaskState.QUEUED]:
+            return
+        draft = Draft()
+        for task in self.queue.starts(self._rooms()):
+            draft.add(task)
+        tasks = list(draft.tasks.values())
+        if tasks and await self.writer.write(draft):
+            self._record(tasks)
+
+    def _next_states(self, cfg: Configuration) -> Iterator[Task]:
+        yield from self._service_changes(cfg)
+        yield from self.jobs.creations()
+        yield from self.jobs.cancellations()
+
+    def _service_changes(self, cfg: Configuration) -> Iterator[Task]:
+        if cfg.generation < self.state.backends.generation:
+            # An earlier placer acted on a later configuration.
+            return
+        zones = worker_zones(self.platform.vms())
+        if (cfg.generation, zones) != self._desired_for:
+            tasks = service_tasks(cfg, self.state.name, zones)
+            self._desired = {task.key: task for task in tasks}
+            self._desired_for = (cfg.generation, zones)
+        for key, task in self._desired.items():
+            known = self.book.get(key)
+            if known is None:
+                yield task
+            elif known.state is TaskState.CANCELLED:
+                yield replace(known, state=TaskState.QUEUED, cancel=False, reason="")
+        for key in self.book.services - self._desired.keys():
+            task = self.book.entries[key].task
+            change = None if task.state.is_final else cancelled(task, REMOVED)
+            if change is not None:
+                yield change
+
+    def _servers(self, draft: Draft) -> dict[str, BackendServer]:
+        keys = self.book.services | {
+            key for key, task in draft.tasks.items() if task.is_service
+        }
+        entries = self.book.entries
+        tasks = (draft.tasks.get(k) or entries[k].task for k in sorted(keys))
+        return self.state.backends.wanted(tasks, self._is_leaving)
+
+    def _is_leaving(self, task: Task) -> bool:
+        view = self.state.workers.fleet().get(task.worker)
+        is_worker_leaving = view is not None and view.is_leaving
+        return task.state is TaskState.STOPPING or is_worker_leaving
+
+    def _rooms(self) -> list[Room]:
+        now_s = self.state.clock.monotonic()
+        workers, health = self.state.workers, self.state.health
+        return [
+            make_room(name, view.vm.rack, view.size, self.book, self.state.lookup)
+            for name, view in workers.fleet().items()
+            if workers.is_reachable(view)
+            and not view.is_leaving
+            and not health.is_suspended(name, now_s)
+        ]
+
+    def _record(self, tasks: list[Task]) -> None:
+        for task in tasks:
+            if task.state is TaskState.STARTING:
+                self.state.health.note_start(task.worker)
+                self.state.calls.forget(task.key)
+            elif task.state is not TaskState.RUNNING:
+                self.state.confirmed_s.pop(task.key, None)
+            self.timeline.record(
+                f"task {task.state}",
+                task=task.name,
+                worker=task.worker,
+                detail=f"attempt {task.attempt} {task.reason}".strip(),
+            )
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/services/jobs.py
@@ -0,0 +1,183 @@
+"""Batch jobs by operators' word: submit, cancel and list them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from fulmarlever.outcomes import (
+    Conflict,
+    OutcomeUnknown,
+    Refused,
+    Unavailable,
+    failed,
+)
+from fulmarlever.policies.placement import impossible_dimensions
+from fulmarlever.structure.configuration import JobSpec
+from fulmarlever.structure.fleet import VM
+from fulmarlever.structure.size import Size
+from fulmarlever.structure.table import Applied, Change, Lane
+from fulmarlever.structure.task import Task, TaskState
+from fulmarleverd.kernel import SERVICES, Service
+from fulmarleverd.placement.desired import WORKER_ROLE, worker_zones
+from fulmarleverd.placement.job_rows import JobRow, JobState, cancellation, insertion
+
+CANCEL_TRIES = 5
+"""The number of times a cancellation is repeated after losing to another writer."""
+
+Missing = Refused | Conflict | Unavailable | OutcomeUnknown
+
+
+@dataclass(slots=True, frozen=True)
+class JobView:
+    """A job as operators see it. ``submitted_s`` is a Unix time.
+
+    ``tasks`` counts the tasks by state.
+    """
+
+    name: str
+    team: str
+    state: str
+    setup: str
+    submitted_s: float
+    tasks: dict[str, int]
+    reason: str = ""
+
+    def to_wire(self) -> dict:
+        """Return the JSON form."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+
+@SERVICES.register("jobs")
+class Jobs(Service):
+    """Operators' changes of batch jobs, on any daemon of any zone."""
+
+    name: ClassVar[str] = "jobs"
+
+    async def submit_spec(self, spec: JobSpec) -> JobRow | Missing:
+        """Add a job. Repeating it is harmless; another job of that name conflicts."""
+        refused = self.check(spec)
+        if refused is not None:
+            return refused
+        platform = self.kernel.find("platform")
+        zones = worker_zones(platform.vms())
+        if not zones and not spec.zones:
+            return Unavailable("the VM list has not been read yet")
+        row = JobRow.from_spec(spec, zones, now_s=self.clock.wall())
+        result = await platform.commit(insertion(row), Lane.TASKS)
+        if isinstance(result, Applied):
+            self.kernel.find("timeline").record("job submitted", detail=spec.name)
+            return row
+        if isinstance(result, Conflict):
+            return await self._compare(spec)
+        return result
+
+    async def cancel(self, name: str) -> JobRow | Missing:
+        """Ask for the end of a job. Repeating it is harmless.
+
+        The row returned shows the truth when the job had ended before.
+        """
+        for _ in range(CANCEL_TRIES):
+            found = await self._find(name)
+            if failed(found):
+                return found
+            row, version = found
+            if row.cancel or row.state.is_final:
+                return row
+            change = cancellation(row, version)
+            result = await self._commit(change)
+            if isinstance(result, Applied):
+                self.kernel.find("timeline").record("job cancelled", detail=name)
+                return JobRow.from_wire(change.writes[row.key])
+            if not isinstance(result, Conflict):
+                return result
+        return Conflict(f"job {name!r} is being changed by others")
+
+    async def listing(self) -> list[JobView] | Unavailable:
+        """Return every known job with its tasks by state."""
+        platform = self.kernel.find("platform")
+        rows = await platform.read([], ["job/", "task/"])
+        if failed(rows):
+            return rows
+        tasks: dict[str, list[Task]] = {}
+        for row in rows.values():
+            if row.key.startswith("task/"):
+                task = Task.from_wire(row.value)
+                tasks.setdefault(task.owner, []).append(task)
+        jobs = [r.value for r in rows.values() if r.key.startswith("job/")]
+        return [_view(JobRow.from_wire(job), tasks) for job in jobs]
+
+    def check(self, spec: JobSpec) -> Refused | None:
+        """Return why a job can never run on the workers that it may use, if so."""
+        vms = self.kernel.find("platform").vms()
+        if not vms:
+            return None
+        phrases = list(impossible_dimensions(spec.size, allowed_sizes(spec, vms)))
+        if phrases:
+            return Refused(f"job {spec.name!r} can never run: {'; '.join(phrases)}")
+        return None
+
+    async def _commit(
+        self, change: Change
+    ) -> Applied | Conflict | Unavailable | OutcomeUnknown:
+        return await self.kernel.find("platform").commit(change, Lane.TASKS)
+
+    async def _find(self, name: str) -> tuple[JobRow, int] | Refused | Unavailable:
+        key = f"job/{name}"
+        rows = await self.kernel.find("platform").read([key])
+        if failed(rows):
+            return rows
+        if key not in rows:
+            return Refused(f"there is no job {name!r}")
+        return JobRow.from_wire(rows[key].value), rows[key].version
+
+    async def _compare(self, spec: JobSpec) -> JobRow | Missing:
+        found = await self._find(spec.name)
+        if failed(found):
+            return found
+        row, _ = found
+        if row.spec != spec:
+            return Conflict(f"another job {spec.name!r} exists", (row.key,))
+        return row
+
+
+def allowed_sizes(spec: JobSpec, vms: dict[str, VM]) -> list[Size]:
+    """Return the sizes of the workers that a job may use."""
+    return [
+        vm.size
+        for vm in vms.values()
+        if vm.role == WORKER_ROLE
+        and (not spec.zones or vm.zone in spec.zones)
+        and (not spec.vms or vm.name in spec.vms)
+    ]
+
+
+def _view(row: JobRow, tasks: dict[str, list[Task]]) -> JobView:
+    counts: dict[str, int] = {}
+    for part in row.parts.values():
+        for state in (TaskState.DONE, TaskState.FAILED, TaskState.CANCELLED):
+            if number := getattr(part, str(state)):
+                counts[str(state)] = counts.get(str(state), 0) + number
+    reasons = {row.reason}
+    for task in tasks.get(row.spec.name, ()):
+        if task.zone not in row.parts:
+            counts[str(task.state)] = counts.get(str(task.state), 0) + 1
+            reasons.add(task.reason)
+    return JobView(
+        row.spec.name,
+        row.spec.team,
+        _state(row, counts),
+        row.setup,
+        row.submitted,
+        counts,
+        "; ".join(sorted(reasons - {""})),
+    )
+
+
+def _state(row: JobRow, counts: dict[str, int]) -> str:
+    if row.state is not JobState.ACTIVE:
+        return str(row.state)
+    if row.cancel:
+        return "cancelling"
+    active = (TaskState.STARTING, TaskState.RUNNING, TaskState.STOPPING)
+    return "running" if any(counts.get(str(s)) for s in active) else "queued"
--- a/packages/fulmarleverd/fulmarleverd/settings.py
+++ b/packages/fulmarleverd/fulmarleverd/settings.py
@@ -42,7 +42,7 @@
     heartbeat_s: float = 0.5
     suspect_after_s: float = 2.0
     placer_lease_s: float = 6.0
-    task_lease_s: float = 10.0
+    task_lease_s: float = 20.0
     worker_sync_s: float = 1.0
     table_timeout_s: float = 2.0
     table_writes_per_s: float = 40.0
