--- a/packages/fulmarleverd/fulmarleverd/settings.py
+++ b/packages/fulmarleverd/fulmarleverd/settings.py
@@ -113,7 +113,7 @@
     heartbeat_s: PositiveSeconds = 0.5
     suspect_after_s: PositiveSeconds = 2.0
     placer_lease_s: PositiveSeconds = 6.0
-    task_lease_s: PositiveSeconds = 10.0
+    task_lease_s: PositiveSeconds = 20.0
     worker_sync_s: PositiveSeconds = 1.0
     table_timeout_s: PositiveSeconds = 2.0
     table_writes_per_s: Rate = 40.0
