Add the request path: callers, admission, claims, slots and forwarding

Cause: no request could travel from a caller to a backend server. The thin path reads a request whole, admits it by class, claims its key where needed, takes a slot of this daemon's own share or forwards it, and answers whole. Ruled out: aiohttp's ClientSession, which by itself re-sends GET, PUT and DELETE on a lost connection, also where the operator declared them not idempotent.

--- /dev/null
+++ b/packages/fulmarlever/fulmarlever/policies/routing.py
@@ -0,0 +1,98 @@
+"""Policies that choose the backend server of a request.
+
+A policy chooses among the servers of one service on which this daemon has a free
+slot. Besides the chosen one there are naive versions for differential tests.
+"""
+
+from __future__ import annotations
+
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from typing import Protocol
+
+from fulmarlever.registry import Registry
+
+ROUTING: Registry[type[RoutingPolicy]] = Registry("routing policy")
+
+
+class ServerLoad(Protocol):
+    """What a policy knows about one server: load and lagging latency."""
+
+    in_use: int
+    limit: int
+    latency_s: float
+
+
+class RoutingPolicy(ABC):
+    """A choice among servers with a free slot."""
+
+    __slots__ = ("rng",)
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+
+    @abstractmethod
+    def choose(self, servers: Sequence[ServerLoad]) -> ServerLoad:
+        """Return one of the servers, of which there is at least one."""
+
+
+def expected_time_s(server: ServerLoad) -> float:
+    """Return an estimate of the time that one more request takes on a server."""
+    return (server.in_use + 1) / server.limit * server.latency_s
+
+
+@ROUTING.register("two-choices")
+class TwoChoices(RoutingPolicy):
+    """Takes the better of two random servers by in-flight count and latency."""
+
+    __slots__ = ()
+
+    def choose(self, servers: Sequence[ServerLoad]) -> ServerLoad:
+        """Return the one of two random servers with the shorter expected time."""
+        count = len(servers)
+        if count == 1:
+            return servers[0]
+        first = int(self.rng.random() * count)
+        second = int(self.rng.random() * (count - 1))
+        if second >= first:
+            second += 1
+        return min(servers[first], servers[second], key=expected_time_s)
+
+
+@ROUTING.register("least-loaded")
+class LeastLoaded(RoutingPolicy):
+    """Takes the best of all servers."""
+
+    __slots__ = ()
+
+    def choose(self, servers: Sequence[ServerLoad]) -> ServerLoad:
+        """Return the server with the shortest expected time."""
+        return min(servers, key=expected_time_s)
+
+
+@ROUTING.register("random")
+class RandomChoice(RoutingPolicy):
+    """Takes any server: a naive version."""
+
+    __slots__ = ()
+
+    def choose(self, servers: Sequence[ServerLoad]) -> ServerLoad:
+        """Return a random server."""
+        return self.rng.choice(servers)
+
+
+@ROUTING.register("round-robin")
+class RoundRobin(RoutingPolicy):
+    """Takes the servers in turn: a naive version."""
+
+    __slots__ = ("_turn",)
+
+    def __init__(self, rng: random.Random) -> None:
+        super().__init__(rng)
+        self._turn = 0
+
+    def choose(self, servers: Sequence[ServerLoad]) -> ServerLoad:
+        """Return the next server."""
+        self._turn += 1
+        return servers[self._turn % len(servers)]
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The parts of the request path that the services are built from."""
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/services/admission.py
@@ -0,0 +1,94 @@
+"""The service ``admission``: which requests this daemon takes in."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from fulmarlever.outcomes import NotRun
+from fulmarlever.policies.admission import ADMISSION
+from fulmarlever.structure.configuration import ServiceSpec
+from fulmarlever.structure.request import Request
+from fulmarleverd.kernel import SERVICES, Kernel, Service
+from fulmarleverd.requests.metrics import REFUSED
+
+ADMISSION_POLICY = "shares"
+REQUESTS_PER_SLOT = 4
+MIN_CAPACITY = 64
+BODY_CAPACITY_BYTES = 32 << 20
+CAPACITY_STEP_S = 0.5
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """A request that was taken in and has not left."""
+
+    service: str
+
+
+@dataclass(slots=True, eq=False)
+class BodyTicket:
+    """Memory in bytes that the body of a request may take."""
+
+    service: str
+    size_bytes: int
+
+
+@SERVICES.register("admission")
+class Admission(Service):
+    """Holds guaranteed shares of this daemon's room by service and urgency."""
+
+    name = "admission"
+
+    def __init__(self, kernel: Kernel, policy: str = ADMISSION_POLICY) -> None:
+        super().__init__(kernel)
+        self.requests = ADMISSION.find(policy)(MIN_CAPACITY)
+        self.bodies = ADMISSION.find(policy)(BODY_CAPACITY_BYTES)
+        self._configured_at = float("-inf")
+
+    async def start(self) -> None:
+        """Find the services that tell the capacity."""
+        self.config = self.kernel.find("config")
+        self.slots = self.kernel.find("slots")
+
+    def enter(self, request: Request) -> Ticket | NotRun:
+        """Take a request in, or refuse it because its class has no room."""
+        self._configure()
+        spec = self.config.current().services[request.service]
+        if not self.requests.admits(spec):
+            REFUSED.labels(spec.name, "share").inc()
+            wait_s = self._expected_wait_s(spec)
+            return NotRun("the service is over its share", wait_s, status=429)
+        self.requests.enter(spec.name)
+        return Ticket(spec.name)
+
+    def leave(self, ticket: Ticket) -> None:
+        """Count a request that has its answer."""
+        self.requests.leave(ticket.service)
+
+    def enter_body(self, spec: ServiceSpec, size_bytes: int) -> BodyTicket | NotRun:
+        """Reserve memory for a request's body before it is read."""
+        self._configure()
+        if not self.bodies.admits(spec, size_bytes):
+            REFUSED.labels(spec.name, "memory").inc()
+            wait_s = self._expected_wait_s(spec)
+            return NotRun("no memory for the body now", wait_s, status=503)
+        self.bodies.enter(spec.name, size_bytes)
+        return BodyTicket(spec.name, size_bytes)
+
+    def leave_body(self, ticket: BodyTicket) -> None:
+        """Release the memory of a body."""
+        self.bodies.leave(ticket.service, ticket.size_bytes)
+
+    def _expected_wait_s(self, spec: ServiceSpec) -> float:
+        return self.slots.pool.expected_wait_s(spec.name)
+
+    def _configure(self) -> None:
+        now = self.clock.monotonic()
+        if now - self._configured_at < CAPACITY_STEP_S:
+            return
+        self._configured_at = now
+        services = self.config.current().services
+        slots = sum(self.slots.pool.capacity(name) for name in services)
+        capacity = MIN_CAPACITY + REQUESTS_PER_SLOT * slots
+        self.requests.configure(services, capacity)
+        self.bodies.configure(services, BODY_CAPACITY_BYTES)
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/services/callers.py
@@ -0,0 +1,134 @@
+"""The service ``callers``: the HTTP port for callers.
+
+A request is read whole, in bounds, before it goes to the router, and its answer is
+written only when it is whole.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+from aiohttp import web
+from loguru import logger as log
+
+from fulmarlever.outcomes import failed
+from fulmarlever.structure.configuration import ServiceSpec
+from fulmarlever.structure.request import Answer, Request
+from fulmarleverd.kernel import SERVICES, Kernel, Service
+from fulmarleverd.requests.caller_protocol import CallerServer
+from fulmarleverd.requests.caller_request import (
+    BadRequest,
+    body_size,
+    build_request,
+    find_service,
+    read_body,
+    read_deadline_s,
+    read_key,
+)
+from fulmarleverd.requests.metrics import BAD_REQUESTS, REQUEST_SECONDS, REQUESTS
+
+SERVER_NAME = "fulmarlever"
+DRAIN_STEP_S = 0.02
+
+
+@SERVICES.register("callers")
+class Callers(Service):
+    """Accepts callers' connections; aiohttp runs one task for each."""
+
+    name = "callers"
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self.in_progress = 0
+        self._numbers = itertools.count(1)
+        self._server: CallerServer | None = None
+        self._listener: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Open the port."""
+        self.config = self.kernel.find("config")
+        self.admission = self.kernel.find("admission")
+        self.router = self.kernel.find("router")
+        identity = self.kernel.find("membership").identity
+        self._id_prefix = identity.replace("#", "-")
+        self._server = CallerServer(self._answer)
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            self._server, self.settings.address, self.settings.caller_port
+        )
+
+    @property
+    def port(self) -> int:
+        """Return the port that is open."""
+        return self._listener.sockets[0].getsockname()[1]
+
+    async def _answer(self, http: web.BaseRequest) -> web.Response:
+        self.in_progress += 1
+        label = "unknown"
+        started_at = self.clock.monotonic()
+        try:
+            spec = find_service(http.raw_path, self.config.current())
+            label = spec.name
+            answer = await self._serve(http, spec, started_at)
+        except BadRequest as exc:
+            BAD_REQUESTS.labels(exc.fault).inc()
+            answer = Answer.from_problem(exc.status, exc.fault, exc.detail)
+        finally:
+            self.in_progress -= 1
+        REQUESTS.labels(label, f"{answer.status // 100}xx").inc()
+        REQUEST_SECONDS.labels(label).observe(self.clock.monotonic() - started_at)
+        return self._response(http, answer)
+
+    async def _serve(
+        self, http: web.BaseRequest, spec: ServiceSpec, started_at: float
+    ) -> Answer:
+        deadline_s = read_deadline_s(http.headers, self.settings.default_deadline_s)
+        key = read_key(http.headers)
+        if not http.body_exists:
+            req = build_request(http, spec, b"", started_at + deadline_s, key)
+            return await self._route(req)
+        ticket = self.admission.enter_body(spec, body_size(http, spec))
+        if failed(ticket):
+            return Answer.from_failure(ticket)
+        try:
+            body = await read_body(http, spec.max_request_bytes)
+            req = build_request(http, spec, body, started_at + deadline_s, key)
+            return await self._route(req)
+        finally:
+            self.admission.leave_body(ticket)
+
+    async def _route(self, req: Request) -> Answer:
+        if not req.request_id:
+            req.request_id = f"{self._id_prefix}-{next(self._numbers)}"
+        return await self.router.handle(req)
+
+    def _response(self, http: web.BaseRequest, answer: Answer) -> web.Response:
+        response = web.Response(body=answer.body or None, status=answer.status)
+        for name, value in answer.headers:
+            response.headers.add(name, value)
+        response.headers["Server"] = SERVER_NAME
+        if self.kernel.is_draining or answer.status in (400, 408, 413):
+            response.force_close()
+        return response
+
+    async def drain(self) -> None:
+        """Wait for the balancer, then for requests in progress, then close."""
+        clock = self.clock
+        end = clock.monotonic() + self.settings.drain_limit_s
+        await asyncio.sleep(self.settings.unready_before_drain_s)
+        self._listener.close()
+        while clock.monotonic() < end and self.in_progress:
+            await asyncio.sleep(DRAIN_STEP_S)
+        self._server.pre_shutdown()
+        while clock.monotonic() < end and self._server.connections:
+            await asyncio.sleep(DRAIN_STEP_S)
+        if self._server.connections:
+            log.warning("connections of callers outlast the drain limit")
+
+    async def stop(self) -> None:
+        """Close every connection of callers."""
+        if self._listener is not None:
+            self._listener.close()
+            await self._server.shutdown(1.0)
+        await super().stop()
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/requests/path_base.py
@@ -0,0 +1,67 @@
+"""A base for tests of the request path on real connections."""
+
+from __future__ import annotations
+
+import unittest
+
+import aiohttp
+
+from fulmarlever.structure.table import Change
+from fulmarlever.tests.base import wait_until
+from fulmarlever_standins.table import MemoryTable
+from fulmarleverd.tests.requests.fakes import (
+    FakeNetwork,
+    ScriptedServer,
+    build,
+    server_row,
+    spec,
+)
+
+
+class PathTestCase(unittest.IsolatedAsyncioTestCase):
+    """Daemons over fakes, scripted backend servers and a caller's session."""
+
+    specs = (spec(),)
+
+    async def asyncSetUp(self):
+        self.network = FakeNetwork()
+        self.table = MemoryTable()
+        self.kernels = []
+        self.servers = []
+        self.session = aiohttp.ClientSession()
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        for kernel in self.kernels:
+            await kernel.stop()
+        for server in self.servers:
+            await server.stop()
+
+    async def serve(self, count=1, zone="a", slots=8):
+        servers = [ScriptedServer(slots) for _ in range(count)]
+        for server in servers:
+            await server.start()
+        row = server_row(servers, zone, self.specs[0].name, slots)
+        self.table.write(Change(writes={f"servers/{zone}": row}))
+        self.servers.extend(servers)
+        return servers
+
+    async def daemon(self, vm="entry-a-1", **settings):
+        settings.setdefault("drain_limit_s", 2.0)
+        specs = settings.pop("specs", self.specs)
+        kernel = build(self.network, self.table, vm, specs, **settings)
+        await kernel.start()
+        self.kernels.append(kernel)
+        return kernel
+
+    async def owning(self, *kernels, service="filling"):
+        """Wait until every given daemon owns slots of a service."""
+        await wait_until(
+            lambda: all(k.find("slots").pool.capacity(service) for k in kernels)
+        )
+
+    async def ask(self, kernel, path="/filling/x", method="GET", **kwargs):
+        """Send a request and return status, headers and body."""
+        url = f"http://127.0.0.1:{kernel.find('callers').port}{path}"
+        async with self.session.request(method, url, **kwargs) as response:
+            return response.status, response.headers, await response.read()
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/requests/path_tests.py
@@ -0,0 +1,63 @@
+from __future__ import annotations
+
+import asyncio
+
+from fulmarlever.tests.base import wait_until
+from fulmarleverd.tests.requests.path_base import PathTestCase
+
+
+class PathTests(PathTestCase):
+    async def test_answer_is_that_of_the_backend_server(self):
+        (server,) = await self.serve()
+        kernel = await self.daemon()
+        await self.owning(kernel)
+        headers = {"X-Request-Id": "r1", "X-Answer-Bytes": "3"}
+        status, got, body = await self.ask(
+            kernel, "/filling/a?b=c", "POST", data=b"hello", headers=headers
+        )
+        self.assertEqual((status, body), (200, b"r1:hello..."))
+        self.assertNotIn("X-Backend-State", got)
+        self.assertEqual(got["Server"], "fulmarlever")
+
+    async def test_daemons_share_all_slots_and_no_more(self):
+        (server,) = await self.serve()
+        kernels = [await self.daemon(f"entry-a-{i}") for i in range(1, 4)]
+        pools = [kernel.find("slots").pool for kernel in kernels]
+        await wait_until(
+            lambda: sorted(pool.capacity("filling") for pool in pools) == [2, 3, 3]
+        )
+        headers = {"X-Work-Ms": "20"}
+        asks = [self.ask(kernels[i % 3], headers=headers) for i in range(60)]
+        results = await asyncio.gather(*asks)
+        self.assertEqual({status for status, _, _ in results}, {200})
+        self.assertEqual(server.overruns, 0)
+        self.assertEqual(server.max_in_progress, 8)
+        self.assertLessEqual(server.max_connections, 8)
+
+    async def test_request_without_a_local_slot_is_forwarded(self):
+        (server,) = await self.serve(slots=1)
+        kernels = [await self.daemon(f"entry-a-{i}") for i in range(1, 3)]
+        pools = [kernel.find("slots").pool for kernel in kernels]
+        await wait_until(
+            lambda: sorted(pool.capacity("filling") for pool in pools) == [0, 1]
+        )
+        await wait_until(
+            lambda: any(
+                k.find("membership").view("load").get(vm, {}).get("filling")
+                for k, vm in zip(kernels, ("entry-a-2", "entry-a-1"), strict=True)
+            )
+        )
+        for kernel in kernels:
+            status, _, body = await self.ask(kernel, headers={"X-Request-Id": "q"})
+            self.assertEqual((status, body), (200, b"q:"))
+
+    async def test_stop_cuts_off_nothing_and_returns_the_shares(self):
+        (server,) = await self.serve()
+        kernel = await self.daemon()
+        await self.owning(kernel)
+        asking = asyncio.ensure_future(self.ask(kernel, headers={"X-Work-Ms": "300"}))
+        await wait_until(lambda: server.in_progress)
+        await kernel.stop()
+        status, _, _ = await asking
+        self.assertEqual(status, 200)
+        self.assertEqual(self.table.read(["slots/a"])[0].value["shares"], {})
