Write the demonstration, not yet run against daemons

Cause: the demo has to start the cluster, apply the example through the command line, send requests through all entry VMs, await the batch jobs, print and check what happened, and stop gracefully. Not run: the daemon's request path, placer and command line are not on main yet.

--- a/packages/fulmarlever_standins/fulmarlever_standins/arguments.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/arguments.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Annotated
 
 import cappa
@@ -54,11 +55,23 @@
     link: Annotated[list[str], Long] = field(default_factory=list)
 
 
+@cappa.command(name="demo", invoke=f"{COMMANDS}.demo.run_demo")
+@dataclass(slots=True)
+class DemoArguments:
+    """Run two zones with a configuration file and check what they do."""
+
+    file: Path
+
+
 @cappa.command(name="fulmarlever_standins")
 @dataclass(slots=True)
 class Arguments:
     """Run stand-ins of the platform, workers and the old setup."""
 
     command: cappa.Subcommands[
-        PlatformArguments | WorkerArguments | OldSetupArguments | RelayArguments
+        PlatformArguments
+        | WorkerArguments
+        | OldSetupArguments
+        | RelayArguments
+        | DemoArguments
     ]
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/commands/demo.py
@@ -0,0 +1,13 @@
+"""The command ``demo``."""
+
+from __future__ import annotations
+
+import cappa
+
+from fulmarlever_standins.arguments import DemoArguments
+from fulmarlever_standins.demo import Demo
+
+
+async def run_demo(arguments: DemoArguments) -> None:
+    """Run the demonstration and exit with its verdict."""
+    raise cappa.Exit(code=await Demo(arguments.file).run())
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/demo.py
@@ -0,0 +1,233 @@
+"""The demonstration: two zones, a service and a batch job, from start to end."""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from collections.abc import Iterator
+from pathlib import Path
+
+import yaml
+
+from fulmarlever_standins.caller import Caller, CallerRequest, CallerResult, Reply
+from fulmarlever_standins.client import wait_for
+from fulmarlever_standins.cluster import BackendTotals, Cluster
+from fulmarlever_standins.operator import Operator
+from fulmarlever_standins.processes import ProcessError
+from fulmarlever_standins.promises import find_violations
+
+ZONES = 2
+ENTRIES_PER_ZONE = 2
+WORKERS_PER_ZONE = 4
+ROUNDS = 12
+START_LIMIT_S = 30.0
+BATCH_LIMIT_S = 30.0
+TIMELINE_EVENTS = "60"
+
+
+class Demo:
+    """The steps of the demonstration and the differences found by them."""
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self.config = yaml.safe_load(path.read_text(encoding="utf-8"))
+        self.zones = self.config["zones"][:ZONES]
+        self.cluster = Cluster.from_zones(
+            self.zones, entries=ENTRIES_PER_ZONE, workers=WORKERS_PER_ZONE
+        )
+        self.operator = Operator(self.cluster)
+        self.differences: list[str] = []
+        self._started = time.monotonic()
+
+    async def run(self) -> int:
+        """Run every step, stop the cluster and return the exit code."""
+        try:
+            await self._run_steps()
+        except ProcessError as exc:
+            self.differences.append(str(exc))
+            print(self.cluster.log_tails())
+        finally:
+            await self._stop()
+        for difference in self.differences:
+            print(f"differs: {difference}")
+        print("the demonstration failed" if self.differences else "all checks passed")
+        return 1 if self.differences else 0
+
+    async def _run_steps(self) -> None:
+        await self._start()
+        await self._apply()
+        await self._wait_for_servers()
+        results = await self._send_requests()
+        records = await self._wait_for_jobs()
+        totals = await self.cluster.records()
+        self._show_requests(results, totals)
+        self._check_requests(results, totals)
+        self._check_jobs(records)
+        await self._show_timeline()
+
+    async def _start(self) -> None:
+        entries = len(self.cluster.topology.entries)
+        workers = len(self.cluster.topology.workers)
+        zones = " and ".join(self.zones)
+        self._say(f"starting a platform, {workers} workers, {entries} daemons: {zones}")
+        await self.cluster.start()
+        for vm in self.cluster.topology.entries:
+            pid = self.cluster.processes[vm.name].pid
+            print(f"  {vm.name} is ready, callers {vm.callers}, process {pid}")
+
+    async def _apply(self) -> None:
+        self._say(f"fulmarlever apply {self.path}")
+        print(_indent(await self.operator.show("apply", str(self.path))))
+        self._say("waiting until every daemon has the generation")
+        status = ("status", "--wait-generation", "1")
+        print(_indent(await self.operator.show(*status)))
+
+    async def _wait_for_servers(self) -> None:
+        wanted = sum(s["instances"] for s in self.config["services"].values())
+        self._say(f"waiting for {wanted} backend servers and for an answer everywhere")
+        await wait_for(
+            lambda: self._count_servers(wanted), "backend servers", START_LIMIT_S
+        )
+        async with Caller() as caller:
+            for vm in self.cluster.topology.entries:
+                await wait_for(
+                    lambda vm=vm: self._is_serving(caller, vm.name, vm.callers),
+                    f"answers through {vm.name}",
+                    START_LIMIT_S,
+                )
+        print(_indent(await self.operator.show("services")))
+
+    async def _count_servers(self, wanted: int) -> bool:
+        records = await self.cluster.worker_records()
+        return sum(len(r["services"]) for r in records.values()) >= wanted
+
+    async def _is_serving(self, caller: Caller, name: str, address: str) -> bool:
+        for service in self.config["services"]:
+            request = CallerRequest(f"probe-{name}-{time.monotonic_ns()}", service)
+            result = await caller.send(request, name, address)
+            if result.reply is not Reply.SERVED:
+                return False
+        return True
+
+    async def _send_requests(self) -> list[CallerResult]:
+        entries = self.cluster.topology.entries
+        requests = list(self._requests())
+        self._say(f"sending {len(requests)} requests through {len(entries)} entry VMs")
+        async with Caller() as caller:
+            results = []
+            for number, request in enumerate(requests):
+                # A repeated request goes through another entry VM than the first.
+                vm = entries[number % len(entries)]
+                results.append(await caller.send(request, vm.name, vm.callers))
+        return results
+
+    def _requests(self) -> Iterator[CallerRequest]:
+        for service in self.config["services"]:
+            for number in range(ROUNDS):
+                yield CallerRequest(f"get-{number}", service, work_ms=2)
+                order = CallerRequest(
+                    f"order-{number}",
+                    service,
+                    method="POST",
+                    path="orders",
+                    body=f"order {number}".encode(),
+                    key=f"order-key-{number}",
+                    work_ms=2,
+                    answer_bytes=2048,
+                )
+                yield order
+                yield order
+
+    async def _wait_for_jobs(self) -> dict[str, dict]:
+        jobs = {name: job.get("tasks", 1) for name, job in self.config["jobs"].items()}
+        self._say(f"waiting for the end of {jobs}")
+        await wait_for(
+            lambda: self._are_jobs_done(jobs), "the end of the jobs", BATCH_LIMIT_S
+        )
+        print(_indent(await self.operator.show("jobs")))
+        records = await self.cluster.worker_records()
+        for worker, run in _batch_runs(records):
+            seconds = (run["end"] or time.time()) - run["start"]
+            print(
+                f"  {run['task']} attempt {run['attempt']} on {worker}:"
+                f" {run['state']} after {seconds:.1f} s"
+            )
+        return records
+
+    async def _are_jobs_done(self, jobs: dict[str, int]) -> bool:
+        listing = (await self.operator.read("jobs"))["jobs"]
+        done = {job["name"] for job in listing if job["state"] == "done"}
+        return done >= set(jobs)
+
+    def _show_requests(
+        self, results: list[CallerResult], totals: BackendTotals
+    ) -> None:
+        self._say("who served what")
+        servers = {
+            request_id: server
+            for server, record in totals.by_server.items()
+            for request_id in record["runs"]
+        }
+        pairs = Counter(
+            (r.entry, servers.get(r.request.request_id, "nobody")) for r in results
+        )
+        for (entry, server), count in sorted(pairs.items()):
+            print(f"  {entry}: {count} answered by {server}")
+
+    def _check_requests(
+        self, results: list[CallerResult], totals: BackendTotals
+    ) -> None:
+        self.differences += find_violations(results, totals)
+        for result in results:
+            if result.reply is not Reply.SERVED:
+                self.differences.append(
+                    f"{result.request.request_id} through {result.entry}:"
+                    f" {result.reply} {result.status} {result.detail}"
+                )
+        entries = {result.entry for result in results if result.reply is Reply.SERVED}
+        if len(entries) < len(self.cluster.topology.entries):
+            self.differences.append(f"only {sorted(entries)} served requests")
+
+    def _check_jobs(self, records: dict[str, dict]) -> None:
+        runs = Counter(
+            run["task"] for _, run in _batch_runs(records) if run["state"] == "done"
+        )
+        starts = Counter(run["task"] for _, run in _batch_runs(records))
+        for name, job in self.config["jobs"].items():
+            for index in range(job.get("tasks", 1)):
+                task = f"{name}/{index}"
+                if (runs[task], starts[task]) != (1, 1):
+                    self.differences.append(
+                        f"{task} was started {starts[task]} times"
+                        f" and ended {runs[task]} times"
+                    )
+
+    async def _show_timeline(self) -> None:
+        self._say("the merged time line")
+        text = await self.operator.show("timeline", "--limit", TIMELINE_EVENTS)
+        print(_indent(text))
+        for vm in self.cluster.topology.entries:
+            if vm.name not in text:
+                self.differences.append(f"no event of {vm.name} in the time line")
+
+    async def _stop(self) -> None:
+        self._say("stopping everything gracefully")
+        codes = await self.cluster.close()
+        for name, code in codes.items():
+            if code != 0:
+                self.differences.append(f"{name} ended with exit code {code}")
+        print(f"  {len(codes)} processes ended")
+
+    def _say(self, text: str) -> None:
+        print(f"[{time.monotonic() - self._started:5.1f} s] {text}", flush=True)
+
+
+def _batch_runs(records: dict[str, dict]) -> Iterator[tuple[str, dict]]:
+    for worker, record in sorted(records.items()):
+        for run in record["runs"]:
+            if run["task"] not in record["services"]:
+                yield worker, run
+
+
+def _indent(text: str) -> str:
+    return "\n".join(f"  {line}" for line in text.rstrip().splitlines())
