--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/failures/__init__.py
@@ -0,0 +1,1 @@
+"""Failure tests on real processes, one module per fault."""
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/failures/base.py
@@ -0,0 +1,111 @@
+"""A cluster of real processes under load, and the check of the promises."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections import Counter
+from collections.abc import Awaitable
+
+from fulmarlever_standins.balancer import Balancer
+from fulmarlever_standins.caller import Caller, CallerRequest, CallerResult, Reply
+from fulmarlever_standins.client import wait_for
+from fulmarlever_standins.cluster import Cluster
+from fulmarlever_standins.load import Load, LoadSpec
+from fulmarlever_standins.operator import Operator
+from fulmarlever_standins.promises import find_violations
+
+SERVICE = "filling"
+LIMIT_S = 30.0
+CONFIG = """\
+zones: [{zones}]
+
+teams:
+  orders: {{}}
+
+services:
+  filling:
+    team: orders
+    urgency: critical
+    target: 250ms
+    instances: {instances}
+    size: {{cores: 4, memory: 8GiB}}
+    requests:
+      - {{method: POST, path: /orders, idempotent: false}}
+    max_run: 2s
+    guaranteed_share: 60%
+"""
+
+
+class FailureTestCase(unittest.IsolatedAsyncioTestCase):
+    """Starts a cluster with one service before each test.
+
+    The load of ``rate_per_s`` requests that each take ``work_ms`` keeps most of the
+    slots in use, so that a slot with two owners shows as an overrun.
+    """
+
+    zones = ("a", "b")
+    entries = 2
+    workers = 2
+    instances = 4
+    rate_per_s = 120.0
+    work_ms = 150
+    settings = {"log_level": "INFO", "drain_limit_s": 15.0}
+
+    async def asyncSetUp(self):
+        self.cluster = Cluster.from_zones(
+            self.zones, self.entries, self.workers, self.settings
+        )
+        self.addAsyncCleanup(self.cluster.close)
+        await self.cluster.start()
+        self.operator = Operator(self.cluster)
+        config = CONFIG.format(zones=", ".join(self.zones), instances=self.instances)
+        path = self.cluster.directory / "config.yaml"
+        path.write_text(config)
+        await self.operator.show("apply", str(path))
+        entries = self.cluster.topology.entries
+        self.balancer = await self.enterAsyncContext(Balancer(entries))
+        self.caller = await self.enterAsyncContext(Caller())
+        await wait_for(self.has_all_servers, "backend servers", LIMIT_S)
+        await self.wait_serving(*(vm.name for vm in entries))
+
+    async def has_all_servers(self) -> bool:
+        records = await self.cluster.worker_records()
+        count = sum(len(record["services"]) for record in records.values())
+        return count >= self.instances
+
+    async def wait_serving(self, *names: str) -> None:
+        """Wait until a request is served through each named entry VM."""
+        for name in names:
+            await wait_for(
+                lambda name=name: self.is_serving(name), f"{name} serves", LIMIT_S
+            )
+
+    async def is_serving(self, name: str) -> bool:
+        vm = self.cluster.topology.entry(name)
+        request = CallerRequest(f"probe-{name}", SERVICE)
+        result = await self.caller.send(request, name, vm.callers)
+        return result.reply is Reply.SERVED
+
+    async def load(
+        self, duration_s: float, faults: Awaitable, **fields
+    ) -> list[CallerResult]:
+        """Return the results of a load during which the faults happen."""
+        defaults = {"rate_per_s": self.rate_per_s, "work_ms": self.work_ms}
+        spec = LoadSpec(SERVICE, **(defaults | fields))
+        load = Load(spec, self.balancer, self.caller)
+        results, _ = await asyncio.gather(load.run(duration_s), faults)
+        return results
+
+    async def check(self, results: list[CallerResult]) -> Counter[Reply]:
+        """Fail on each broken promise and return how often each reply was given."""
+        totals = await self.cluster.records()
+        counts = Counter(result.reply for result in results)
+        violations = find_violations(results, totals)
+        self.assertEqual(violations, [], f"{counts}\n{self.cluster.log_tails()}")
+        self.assertGreater(counts[Reply.SERVED], 0, counts)
+        return counts
+
+    def details(self, results: list[CallerResult], reply: Reply) -> Counter[str]:
+        """Return how often each detail was given with one reply."""
+        return Counter(r.detail for r in results if r.reply is reply)
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/failures/kill_tests.py
@@ -0,0 +1,28 @@
+from __future__ import annotations
+
+import asyncio
+
+from fulmarlever_standins.tests.failures.base import FailureTestCase
+
+
+class KillTests(FailureTestCase):
+    async def test_killed_daemon_and_its_restart(self):
+        async def faults():
+            await asyncio.sleep(1.0)
+            await self.cluster.kill("entry-a-1")
+            await asyncio.sleep(4.0)
+            await self.cluster.start_vm("entry-a-1")
+
+        results = await self.load(9.0, faults())
+        await self.check(results)
+        await self.wait_serving("entry-a-1", "entry-a-2", "entry-b-1", "entry-b-2")
+
+    async def test_restart_at_once(self):
+        async def faults():
+            await asyncio.sleep(1.0)
+            await self.cluster.kill("entry-a-1")
+            await self.cluster.start_vm("entry-a-1")
+
+        results = await self.load(5.0, faults())
+        await self.check(results)
+        await self.wait_serving("entry-a-1")
