Pass the settings one by one to the log set-up

Cause: configure_logs takes a level and ids, and the daemon gave it the whole settings: AttributeError at start. Found by the first run of the demo. Before: no daemon starts. Conclusion: secrets of the settings are now masked in logs too.

--- a/packages/fulmarleverd/fulmarleverd/__main__.py
+++ b/packages/fulmarleverd/fulmarleverd/__main__.py
@@ -56,7 +56,13 @@
         sys.exit(EXIT_FINDINGS)
     if args.check:
         return
-    configure_logs(settings)
+    configure_logs(
+        settings.log_level,
+        settings.log_json,
+        vm=settings.vm,
+        zone=settings.zone,
+        secrets=[settings.peer_secret, *settings.operator_tokens.values()],
+    )
     asyncio.run(run_daemon(settings))
 
 
