--- a/packages/fulmarlever_standins/fulmarlever_standins/cluster.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/cluster.py
@@ -222,7 +222,7 @@
         return "\n".join(parts)
 
     async def _start_relay(self) -> None:
-        links = [link.argument for link in self.topology.links()]
+        links = [text for link in self.topology.links() for text in link.arguments]
         if not links:
             return
         arguments = [part for link in links for part in ("--link", link)]
--- a/packages/fulmarlever_standins/fulmarlever_standins/topology.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/topology.py
@@ -77,9 +77,16 @@
         return f"{self.source}>{self.target.name}"
 
     @property
-    def argument(self) -> str:
-        """Return the relay's command line argument."""
-        return f"{self.name}={self.address}:{PEER_PORT}={self.target.peers}"
+    def arguments(self) -> tuple[str, str]:
+        """Return the relay's command line arguments.
+
+        Daemons tell operators this address for the target, so the admin port is
+        forwarded as well; it is never cut.
+        """
+        return (
+            f"{self.name}={self.address}:{PEER_PORT}={self.target.peers}",
+            f"{self.name}/admin={self.address}:{ADMIN_PORT}={self.target.admin}",
+        )
 
 
 @dataclass(slots=True, frozen=True)
