Show the plan of an apply before carrying it out

Cause: a file is applied whole, so an operator has to see what it adds, changes and drains, and against which generation. Sizes, zones and VMs that the VM list cannot carry are warnings, because the list lags.

--- /dev/null
+++ b/packages/fulmarlever/fulmarlever/config/fleet_checks.py
@@ -0,0 +1,62 @@
+"""Warnings about entries that the present VM list cannot carry."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from fulmarlever.config.document import Document, Path
+from fulmarlever.config.references import describe_amount, largest_size
+from fulmarlever.structure.configuration import Configuration, JobSpec, ServiceSpec
+from fulmarlever.structure.fleet import VM
+
+WORKER_ROLE = "worker"
+
+
+def check_fleet(document: Document, cfg: Configuration, vms: Iterable[VM]) -> None:
+    """Add a warning for each zone, VM and size that no listed worker matches.
+
+    The VM list lags, so these are warnings and not mistakes.
+    """
+    workers = [vm for vm in vms if vm.role == WORKER_ROLE]
+    if not workers:
+        return
+    zones = {vm.zone for vm in workers}
+    for index, zone in enumerate(cfg.zones):
+        if zone not in zones:
+            message = f"the VM list has no worker in zone {zone!r}"
+            document.add(("zones", index), message, is_warning=True)
+    for path, spec in _workloads(cfg):
+        _check_workload(document, path, spec, workers)
+
+
+def _workloads(cfg: Configuration) -> Iterator[tuple[Path, ServiceSpec | JobSpec]]:
+    for service in cfg.services.values():
+        yield ("services", service.name), service
+    for job in cfg.jobs.values():
+        yield ("jobs", job.name), job
+
+
+def _check_workload(
+    document: Document, path: Path, spec: ServiceSpec | JobSpec, workers: list[VM]
+) -> None:
+    names = {vm.name for vm in workers}
+    for vm in spec.vms:
+        if vm not in names:
+            message = f"the VM list has no worker {vm!r}"
+            document.add((*path, "vms"), message, is_warning=True)
+    rooms = [
+        vm.size
+        for vm in workers
+        if (not spec.zones or vm.zone in spec.zones)
+        and (not spec.vms or vm.name in spec.vms)
+    ]
+    if not rooms or any(spec.size.fits_in(room) for room in rooms):
+        return
+    largest = largest_size(rooms)
+    over = [
+        f"needs {describe_amount(spec.size, name)}, and the largest listed worker has "
+        f"{describe_amount(largest, name)}"
+        for name in spec.size.exceeding(largest)
+    ]
+    reason = "; ".join(over) or "no one listed worker has room in every dimension"
+    document.add((*path, "size"), f"cannot run now: {reason}", is_warning=True)
--- /dev/null
+++ b/packages/fulmarlever/fulmarlever/config/plan.py
@@ -0,0 +1,87 @@
+"""The difference between two configurations, as steps that an operator reads."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from dataclasses import asdict, dataclass, fields
+from enum import Enum
+from typing import Any
+
+from fulmarlever.structure.configuration import Configuration
+from fulmarlever.structure.size import Size
+
+SECTIONS = ("workers", "teams", "services", "jobs")
+
+
+@dataclass(slots=True, frozen=True)
+class Step:
+    """One entry that is added, changed or removed.
+
+    ``changes`` lists one phrase for each option of a changed entry.
+    """
+
+    action: str
+    section: str
+    name: str
+    changes: tuple[str, ...] = ()
+
+    @classmethod
+    def from_wire(cls, data: dict) -> Step:
+        """Build a step from its wire form."""
+        return cls(**{**data, "changes": tuple(data["changes"])})
+
+    def to_wire(self) -> dict:
+        """Return the form used by the administration API."""
+        return asdict(self)
+
+    def __str__(self) -> str:
+        sign = {"add": "+", "change": "~", "remove": "-"}[self.action]
+        note = " (drained first)" if self._is_drained else ""
+        detail = f": {', '.join(self.changes)}" if self.changes else ""
+        return f"{sign} {self.section} {self.name}{detail}{note}"
+
+    @property
+    def _is_drained(self) -> bool:
+        return self.action == "remove" and self.section in ("services", "jobs")
+
+
+def difference(old: Configuration, new: Configuration) -> list[Step]:
+    """Return the steps from one configuration to another, by section and name."""
+    return [
+        step
+        for section in SECTIONS
+        for step in _section_steps(
+            section, getattr(old, section), getattr(new, section)
+        )
+    ]
+
+
+def _section_steps(
+    section: str, old: Mapping[str, Any], new: Mapping[str, Any]
+) -> Iterator[Step]:
+    for name in sorted(old.keys() | new.keys()):
+        if name not in old:
+            yield Step("add", section, name)
+        elif name not in new:
+            yield Step("remove", section, name)
+        elif changes := tuple(_changes(old[name], new[name])):
+            yield Step("change", section, name, changes)
+
+
+def _changes(old: Any, new: Any) -> Iterator[str]:
+    for field in fields(old):
+        before, after = getattr(old, field.name), getattr(new, field.name)
+        if before != after:
+            yield f"{field.name} {_text(before)} -> {_text(after)}"
+
+
+def _text(value: Any) -> str:
+    if isinstance(value, Size):
+        return f"{value.cores:g}c/{value.memory_mib:g}MiB/{value.accelerators}a"
+    if isinstance(value, Enum):
+        return value.name.lower()
+    if isinstance(value, float):
+        return f"{value:g}"
+    if isinstance(value, tuple):
+        return f"[{', '.join(map(_text, value))}]"
+    return str(value)
--- a/packages/fulmarlever/fulmarlever/config/reader.py
+++ b/packages/fulmarlever/fulmarlever/config/reader.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 from typing import Any
 
 from fulmarlever.config.document import Document
+from fulmarlever.config.fleet_checks import check_fleet
 from fulmarlever.config.references import Names, check_amounts, check_job, check_names
 from fulmarlever.config.schema import (
     JobOptions,
@@ -22,6 +23,7 @@
 from fulmarlever.config.validation import nearest, validate
 from fulmarlever.findings import Finding, Findings
 from fulmarlever.structure.configuration import Configuration, JobSpec, ServiceSpec
+from fulmarlever.structure.fleet import VM
 
 SECTIONS = {
     "workers": WorkerGroupOptions,
@@ -68,8 +70,12 @@
     file_name: str,
     submitted_s: float = 0.0,
     submissions: Mapping[str, float] | None = None,
+    vms: Iterable[VM] = (),
 ) -> Checked:
-    """Check a text whole and return what was found, warnings included."""
+    """Check a text whole and return what was found, warnings included.
+
+    ``vms`` is the VM list; entries that it cannot carry are warned about.
+    """
     document = Document.from_text(text, file_name)
     _check_top(document, ("zones", *SECTIONS))
     sections = {name: _read_section(document, name) for name in SECTIONS}
@@ -77,6 +83,7 @@
     check_names(document, Names.from_document(document))
     cfg = _build(text, sections, zones, submitted_s, submissions or {})
     check_amounts(document, cfg)
+    check_fleet(document, cfg, vms)
     return _result(document, cfg)
 
 
--- a/packages/fulmarlever/fulmarlever/config/references.py
+++ b/packages/fulmarlever/fulmarlever/config/references.py
@@ -122,8 +122,8 @@
     for dimension in job.size.exceeding(team.quota):
         document.add(
             (*path, "size"),
-            f"one task needs {_amount(job.size, dimension)}, over the quota of team "
-            f"{team.name!r} of {_amount(team.quota, dimension)}",
+            f"one task needs {describe_amount(job.size, dimension)}, over the quota "
+            f"of team {team.name!r} of {describe_amount(team.quota, dimension)}",
         )
 
 
@@ -135,15 +135,15 @@
     rooms = list(_rooms(cfg, spec))
     if not rooms or any(spec.size.fits_in(room) for room in rooms):
         return
-    largest = Size(*(max(getattr(room, d) for room in rooms) for d in DIMENSIONS))
+    largest = largest_size(rooms)
     over = list(spec.size.exceeding(largest))
     if not over:
         document.add((*path, "size"), "no one worker has room in every dimension")
     for dimension in over:
         document.add(
             (*path, "size"),
-            f"can never run: needs {_amount(spec.size, dimension)}, and the largest "
-            f"worker allowed has {_amount(largest, dimension)}",
+            f"can never run: needs {describe_amount(spec.size, dimension)}, and the "
+            f"largest worker allowed has {describe_amount(largest, dimension)}",
         )
 
 
@@ -157,7 +157,13 @@
             yield group.size
 
 
-def _amount(size: Size, dimension: str) -> str:
+def largest_size(sizes: list[Size]) -> Size:
+    """Return the largest amount of each dimension."""
+    return Size(*(max(getattr(size, d) for size in sizes) for d in DIMENSIONS))
+
+
+def describe_amount(size: Size, dimension: str) -> str:
+    """Return the amount of one dimension with its unit."""
     formats: dict[str, Callable[[Size], str]] = {
         "cores": lambda s: f"{s.cores:g} cores",
         "memory_mib": lambda s: f"{s.memory_mib / 1024:g}GiB of memory",
--- /dev/null
+++ b/packages/fulmarlever/fulmarlever/tests/config/plan_tests.py
@@ -0,0 +1,50 @@
+from __future__ import annotations
+
+from fulmarlever.config.plan import Step, difference
+from fulmarlever.config.reader import check_configuration, parse_configuration
+from fulmarlever.structure.fleet import VM
+from fulmarlever.structure.size import Size
+from fulmarlever.tests.base import TableTestCase
+from fulmarlever.tests.config.reader_tests import GOOD
+
+# name, text replaced in GOOD, replacement, lines of the plan
+PLANS = [
+    ("nothing", "a", "a", []),
+    ("instances", "team:", "instances: 3\n    team:", ["instances 1 -> 3"]),
+    ("urgency", "critical", "low", ["urgency critical -> low"]),
+    ("size", "512MiB", "1GiB", ["1c/512MiB/0a -> 1c/1024MiB/0a"]),
+    ("removed job", GOOD[GOOD.index("jobs:") :], "", ["- jobs labels (drained first)"]),
+    ("renamed", "labels:", "tags:", ["- jobs labels (drained first)", "+ jobs tags"]),
+]
+
+FLEET = [
+    VM("w-1", "a", "worker", "127.0.0.1", 1, size=Size(0.5, 1024)),
+    VM("w-9", "a", "worker", "127.0.0.1", 1, size=Size(2, 256)),
+    VM("entry-1", "b", "entry", "127.0.0.1", 1),
+]
+
+
+class PlanTests(TableTestCase):
+    def test_differences(self):
+        old = parse_configuration(GOOD, "f")
+        for _, text, replacement, lines in self.each(PLANS):
+            new = parse_configuration(GOOD.replace(text, replacement, 1), "f")
+            steps = difference(old, new)
+            self.assertEqual(len(steps), len(lines))
+            for step, line in zip(steps, lines, strict=True):
+                self.assertIn(line, str(step))
+                self.assertEqual(Step.from_wire(step.to_wire()), step)
+
+    def test_fleet_that_cannot_carry_it_gives_warnings(self):
+        checked = check_configuration(GOOD, "f", vms=FLEET)
+        self.assertIsNotNone(checked.configuration)
+        lines = [str(finding) for finding in checked.findings]
+        self.assertEqual(
+            lines,
+            [
+                "f:1:12: warning: the VM list has no worker in zone 'b'",
+                "f:11:11: warning: cannot run now: needs 1 cores, and the largest "
+                "listed worker has 0.5 cores",
+                "f:12:10: warning: the VM list has no worker 'w-2'",
+            ],
+        )
--- a/packages/fulmarlever_cli/fulmarlever_cli/arguments.py
+++ b/packages/fulmarlever_cli/fulmarlever_cli/arguments.py
@@ -33,6 +33,9 @@
         str,
         cappa.Arg(long=True, help="The id of an earlier try whose outcome is unknown."),
     ] = ""
+    dry_run: Annotated[
+        bool, cappa.Arg(long=True, help="Show the plan and change nothing.")
+    ] = False
 
 
 @cappa.command(name="status", help="Show every daemon and its generation.")
--- a/packages/fulmarlever_cli/fulmarlever_cli/display.py
+++ b/packages/fulmarlever_cli/fulmarlever_cli/display.py
@@ -29,6 +29,11 @@
         print(json.dumps(data, indent=2) if self.is_json else text)
         return EXIT_DONE
 
+    def note(self, text: str) -> None:
+        """Write something to read before the result; JSON output leaves it out."""
+        if not self.is_json:
+            print(text)
+
     def fail(self, failure: Failure, advice: str = "") -> int:
         """Write a failure and return the exit code."""
         is_unknown = isinstance(failure, OutcomeUnknown)
--- a/packages/fulmarleverd/fulmarleverd/api/configuration.py
+++ b/packages/fulmarleverd/fulmarleverd/api/configuration.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from loguru import logger as log
 
+from fulmarlever.config.plan import difference
 from fulmarlever.config.reader import check_configuration
 from fulmarlever.findings import Findings
 from fulmarlever.outcomes import failed
@@ -21,19 +22,25 @@
 
 @route("POST", "/v1/check")
 async def check(kernel: Kernel, request: web.Request) -> web.Response:
-    """Check a file against the present fleet and change nothing."""
+    """Check a file against the present fleet, return the plan and change nothing."""
     options = await read_options(request, text=str, file=OPTIONAL_TEXT)
+    config = kernel.find("config")
+    accepted = config.accepted()
     checked = await asyncio.to_thread(
         check_configuration,
         options["text"],
         options["file"] or "configuration",
         kernel.clock.wall(),
+        accepted.submissions if accepted else None,
+        list(kernel.find("platform").vms().values()),
     )
     if checked.configuration is None:
         return from_failure(Findings(checked.findings))
+    steps = difference(config.current(), checked.configuration)
     return answer(
         {
-            "generation": kernel.find("config").current().generation,
+            "generation": config.current().generation,
+            "plan": [step.to_wire() for step in steps],
             "findings": [finding.to_wire() for finding in checked.findings],
         }
     )
