--- a/packages/fulmarlever/fulmarlever/config/validation.py
+++ b/packages/fulmarlever/fulmarlever/config/validation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import difflib
 import functools
 import typing
@@ -117,9 +118,10 @@
     if not isinstance(options, type):
         return {}
     hints = typing.get_type_hints(options, include_extras=True)
-    names = getattr(options, "model_fields", None)
-    if names is None:
-        names = getattr(options, "__dataclass_fields__", {})
+    if dataclasses.is_dataclass(options):
+        names = [field.name for field in dataclasses.fields(options)]
+    else:
+        names = list(getattr(options, "model_fields", ()))
     return {name: hints[name] for name in names}
 
 
