Take a newer generation from a peer while the table is away

Cause: a daemon that starts or lags during an outage of the table has no other source. Mechanism: generation and digest are a topic of the membership, the text is asked for by a typed message and checked against its digest; only newer numbers are adopted. Ruled out: the text in the topic itself (sent to every peer at each change). Failing without: with no peer asked, both outage tests of config_tests fail; with it all pass.

--- a/packages/fulmarlever_cli/fulmarlever_cli/tests/base.py
+++ b/packages/fulmarlever_cli/fulmarlever_cli/tests/base.py
@@ -15,6 +15,7 @@
 from fulmarleverd.services.admin import AdminService
 from fulmarleverd.services.config import ConfigService
 from fulmarleverd.tests.base import make_kernel
+from fulmarleverd.tests.generations.fakes import FakeMembership
 
 TOKEN = "token-of-olafur-0123"
 
@@ -26,6 +27,7 @@
         self.kernel = make_kernel(
             admin_port=0, operator_tokens={"olafur": TOKEN}, admin_requests_per_s=1e6
         )
+        self.kernel.add(FakeMembership(self.kernel))
         self.kernel.add(ConfigService(self.kernel))
         self.add_services()
         self.kernel.add(AdminService(self.kernel))
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/generations/exchange.py
@@ -0,0 +1,77 @@
+"""The exchange of accepted generations between daemons."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from fulmarlever.outcomes import Unavailable, failed
+from fulmarlever.structure.messages import message
+from fulmarleverd.generations.accepted import Accepted
+from fulmarleverd.kernel import Service
+
+TOPIC = "config"
+CALL_LIMIT_S = 2.0
+PEERS_ASKED = 3
+
+
+@message("generation-request")
+@dataclass(slots=True)
+class GenerationRequest:
+    """Asks for the generation in force if it is newer than the sender's."""
+
+    known: int
+
+
+@message("generation-body")
+@dataclass(slots=True)
+class GenerationBody:
+    """The answer: the generation in force with its text."""
+
+    generation: int
+    digest: str
+    text: str
+    submissions: dict[str, float] = field(default_factory=dict)
+
+
+class GenerationExchange:
+    """Publishes this daemon's generation and takes newer ones from peers."""
+
+    __slots__ = ("_membership", "_accepted")
+
+    def __init__(self, membership: Service) -> None:
+        self._membership = membership
+        self._accepted: Accepted | None = None
+        membership.handle(GenerationRequest, self._answer)
+
+    def publish(self, accepted: Accepted) -> None:
+        """Tell the peers which generation is in force here."""
+        self._accepted = accepted
+        head = {"generation": accepted.generation, "digest": accepted.digest}
+        self._membership.publish(TOPIC, head)
+
+    async def take_newer(self, known: int) -> Accepted | None:
+        """Return a generation newer than the known one from a peer that has one."""
+        for vm in self._ahead(known):
+            answer = await self._membership.call(
+                vm, GenerationRequest(known), CALL_LIMIT_S
+            )
+            if not failed(answer) and answer.generation > known:
+                return Accepted(
+                    answer.generation, answer.digest, answer.text, answer.submissions
+                )
+        return None
+
+    def _ahead(self, known: int) -> list[str]:
+        """Return the peers with a newer generation, the newest first."""
+        view = self._membership.view(TOPIC)
+        ahead = [vm for vm in view if view[vm]["generation"] > known]
+        ahead.sort(key=lambda vm: view[vm]["generation"], reverse=True)
+        return ahead[:PEERS_ASKED]
+
+    async def _answer(self, request: GenerationRequest) -> GenerationBody | Unavailable:
+        accepted = self._accepted
+        if accepted is None or accepted.generation <= request.known:
+            return Unavailable("no newer generation is in force here")
+        return GenerationBody(
+            accepted.generation, accepted.digest, accepted.text, accepted.submissions
+        )
--- a/packages/fulmarleverd/fulmarleverd/services/config.py
+++ b/packages/fulmarleverd/fulmarleverd/services/config.py
@@ -20,6 +20,7 @@
 )
 from fulmarlever.structure.configuration import Configuration
 from fulmarleverd.generations.accepted import Accepted
+from fulmarleverd.generations.exchange import GenerationExchange
 from fulmarleverd.generations.store import GenerationStore
 from fulmarleverd.kernel import SERVICES, Kernel, Service
 
@@ -49,10 +50,12 @@
         self.is_loaded = False
         self._accepted: Accepted | None = None
         self._store: GenerationStore | None = None
+        self._exchange: GenerationExchange | None = None
 
     async def start(self) -> None:
         """Read the configuration once and keep polling it."""
         self._store = GenerationStore(self.kernel.find("platform"), self.clock)
+        self._exchange = GenerationExchange(self.kernel.find("membership"))
         await self.refresh()
         self.spawn(self._poll(), "configuration poll")
 
@@ -88,7 +91,16 @@
         return result.generation
 
     async def refresh(self) -> None:
-        """Take a newer generation from the table if there is one."""
+        """Take a newer generation from the table, and then from a peer.
+
+        A peer has a newer one than the table shows only while the table is away.
+        """
+        await self._refresh_from_table()
+        newer = await self._exchange.take_newer(self.current().generation)
+        if newer is not None:
+            await self.adopt(newer)
+
+    async def _refresh_from_table(self) -> None:
         newer = await self._store.read_newer(self.current().generation)
         if failed(newer):
             READ_FAILURES.inc()
@@ -117,6 +129,7 @@
     def _bring_into_force(self, cfg: Configuration, accepted: Accepted) -> None:
         self._accepted = accepted
         self.is_loaded = True
+        self._exchange.publish(accepted)
         GENERATION.set(cfg.generation)
         detail = f"generation {cfg.generation} digest {cfg.digest[:12]}"
         self.kernel.find("timeline").record("config.in-force", detail=detail)
--- a/packages/fulmarleverd/fulmarleverd/tests/services/admin_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/services/admin_tests.py
@@ -9,6 +9,7 @@
 from fulmarleverd.services.admin import AdminService
 from fulmarleverd.services.config import ConfigService
 from fulmarleverd.tests.base import make_kernel
+from fulmarleverd.tests.generations.fakes import FakeMembership
 
 TOKEN = "token-of-olafur-0123"
 HEADERS = {"Authorization": f"Bearer {TOKEN}"}
@@ -55,6 +56,7 @@
             admin_max_body_bytes=LIMIT_BYTES,
             operator_tokens={"olafur": TOKEN, "gunnar": "token-of-gunnar-0123"},
         )
+        self.kernel.add(FakeMembership(self.kernel))
         self.kernel.add(ConfigService(self.kernel))
         self.kernel.add(AdminService(self.kernel))
         await self.kernel.start()
--- a/packages/fulmarleverd/fulmarleverd/tests/services/config_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/services/config_tests.py
@@ -15,15 +15,19 @@
 from fulmarleverd.kernel import Kernel
 from fulmarleverd.services.config import ConfigService
 from fulmarleverd.tests.base import make_kernel
+from fulmarleverd.tests.generations.fakes import FakeMembership
 
 
 def text_of(team: str) -> str:
     return f"teams:\n  {team}: {{}}\n"
 
 
-def make_daemon(table: MemoryTable, vm: str) -> Kernel:
+def make_daemon(
+    table: MemoryTable, vm: str, network: dict[str, FakeMembership] | None = None
+) -> Kernel:
     kernel = make_kernel(ManualClock(), vm=vm, config_poll_s=0.02)
     kernel.find("platform").table = table
+    kernel.add(FakeMembership(kernel, network))
     kernel.add(ConfigService(kernel))
     return kernel
 
@@ -123,7 +127,10 @@
 class ConfigTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.table = MemoryTable(ManualClock())
-        self.kernels = [make_daemon(self.table, f"entry-{n}") for n in range(2)]
+        self.network = {}
+        self.kernels = [
+            make_daemon(self.table, f"entry-{n}", self.network) for n in range(2)
+        ]
         for kernel in self.kernels:
             await kernel.start()
         self.configs = [kernel.find("config") for kernel in self.kernels]
@@ -162,6 +169,25 @@
         platform.lose_answers = 1
         self.assertEqual(await self.configs[0].apply(text_of("a"), 0, "id-1"), 1)
 
+    async def test_peer_gives_the_generation_while_the_table_is_away(self):
+        self.kernels[1].find("platform").is_table_up = False
+        await self.configs[0].apply(text_of("a"), 0, "id-1")
+        await wait_until(lambda: self.configs[1].current().generation == 1)
+        self.assertIn("a", self.configs[1].current().teams)
+        self.network.clear()
+        await self.configs[0].apply(text_of("b"), 1, "id-2")
+        await self.configs[1].refresh()
+        self.assertEqual(self.configs[1].current().generation, 1)
+
+    async def test_new_daemon_without_table_is_loaded_from_a_peer(self):
+        await self.configs[0].apply(text_of("a"), 0, "id-1")
+        kernel = make_daemon(MemoryTable(ManualClock()), "entry-9", self.network)
+        kernel.find("platform").is_table_up = False
+        await kernel.start()
+        self.assertEqual(kernel.find("config").current().generation, 1)
+        self.assertTrue(kernel.find("config").is_loaded)
+        await kernel.stop()
+
     async def test_damaged_text_is_not_taken(self):
         await self.configs[0].apply(text_of("a"), 0, "id-1")
         accepted = self.configs[0].accepted()
