--- a/packages/fulmarleverd/fulmarleverd/api/views.py
+++ b/packages/fulmarleverd/fulmarleverd/api/views.py
@@ -98,7 +98,7 @@
                     "instances": spec.instances,
                     "new_share": spec.new_share,
                     "free_slots": slots.free(spec.name),
-                    "servers": [s.to_wire() for s in slots.servers(spec.name)],
+                    "servers": [s.server.to_wire() for s in slots.servers(spec.name)],
                 }
                 for spec in specs
             ]
