Submit, cancel and list jobs, and show the merged time line

Cause: the services of jobs and of the time line exist now. Mechanism: a repeated submission reads its relative deadline from the row of the job, so it is recognised as the same job; a failure names the jobs submitted before it. Measured: commands_tests with the service jobs over the fake platform, repeated submit and cancel included; cli and admin pass.

--- a/packages/fulmarlever/fulmarlever/config/reader.py
+++ b/packages/fulmarlever/fulmarlever/config/reader.py
@@ -88,11 +88,16 @@
 
 
 def parse_jobs(
-    text: str, file_name: str, cfg: Configuration, submitted_s: float
+    text: str,
+    file_name: str,
+    cfg: Configuration,
+    submitted_s: float,
+    submissions: Mapping[str, float] | None = None,
 ) -> dict[str, JobSpec] | Findings:
     """Return the jobs of a text that has only the section ``jobs``.
 
-    Teams, zones and VMs are those of the configuration in force.
+    Teams, zones and VMs are those of the configuration in force. Times are as for
+    :func:`parse_configuration`.
     """
     document = Document.from_text(text, file_name)
     _check_top(document, ("jobs",))
@@ -101,7 +106,8 @@
     groups = {name: group.vms for name, group in cfg.workers.items()}
     jobs = {}
     for name, option in options.items():
-        jobs[name] = _expand(option.to_job(name, submitted_s), groups)
+        job_submitted_s = (submissions or {}).get(name, submitted_s)
+        jobs[name] = _expand(option.to_job(name, job_submitted_s), groups)
         check_job(document, cfg, jobs[name])
         if name in cfg.services:
             document.add_at_key(("jobs", name), f"{name!r} is also a service")
--- a/packages/fulmarlever_cli/fulmarlever_cli/commands/cancel.py
+++ b/packages/fulmarlever_cli/fulmarlever_cli/commands/cancel.py
@@ -19,5 +19,5 @@
             advice = f"to find out: fulmarlever jobs; cancelling {name} again is safe"
             code = max(code, context.display.fail(result, advice))
         else:
-            context.display.show(result, f"{name}: cancelled")
+            context.display.show(result, f"{name}: {result['state']}")
     return code
--- a/packages/fulmarlever_cli/fulmarlever_cli/commands/jobs.py
+++ b/packages/fulmarlever_cli/fulmarlever_cli/commands/jobs.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from fulmarlever.outcomes import failed
 from fulmarlever_cli.arguments import Jobs
 from fulmarlever_cli.context import Context
 from fulmarlever_cli.display import table
 
-COLUMNS = ("name", "team", "state", "done", "tasks", "deadline", "reason")
+HEAD = ("JOB", "TEAM", "SETUP", "STATE", "TASKS", "REASON")
 
 
 async def jobs(args: Jobs, context: Context) -> int:
@@ -15,6 +17,19 @@
     result = await context.client.get("/v1/jobs")
     if failed(result):
         return context.display.fail(result)
-    rows = [[job.get(name, "") for name in COLUMNS] for job in result["jobs"]]
-    head = [name.upper() for name in COLUMNS]
-    return context.display.show(result, table(head, rows))
+    rows = [
+        (
+            job["name"],
+            job["team"],
+            job["setup"],
+            job["state"],
+            _counts(job["tasks"]),
+            job["reason"],
+        )
+        for job in sorted(result["jobs"], key=lambda job: job["name"])
+    ]
+    return context.display.show(result, table(HEAD, rows))
+
+
+def _counts(tasks: dict[str, Any]) -> str:
+    return ", ".join(f"{number} {state}" for state, number in sorted(tasks.items()))
--- a/packages/fulmarlever_cli/fulmarlever_cli/commands/submit.py
+++ b/packages/fulmarlever_cli/fulmarlever_cli/commands/submit.py
@@ -13,8 +13,8 @@
     text = read_text(args.file)
     if failed(text):
         return context.display.fail(text)
-    result = await context.client.post("/v1/jobs", text=text)
+    result = await context.client.post("/v1/jobs", text=text, file=str(args.file))
     if failed(result):
         advice = "to find out: fulmarlever jobs; submitting again is safe"
         return context.display.fail(result, advice)
-    return context.display.show(result, f"submitted: {result['jobs']}")
+    return context.display.show(result, "submitted: " + ", ".join(result["jobs"]))
--- a/packages/fulmarleverd/fulmarleverd/api/problems.py
+++ b/packages/fulmarleverd/fulmarleverd/api/problems.py
@@ -54,9 +54,8 @@
     )
 
 
-def from_failure(failure: Failure) -> web.Response:
+def from_failure(failure: Failure, **members: Any) -> web.Response:
     """Return the problem answer for a failure of a service."""
-    members: dict[str, Any] = {}
     if isinstance(failure, Findings):
         members["findings"] = failure.to_wire()
     for kind, status, title, outcome in KINDS:
--- a/packages/fulmarleverd/fulmarleverd/api/views.py
+++ b/packages/fulmarleverd/fulmarleverd/api/views.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from dataclasses import fields
 from typing import Any
 
 from aiohttp import web
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from fulmarlever.exceptions import KernelError
+from fulmarlever.outcomes import failed
+from fulmarlever.structure.configuration import ServiceSpec
+from fulmarlever.structure.table import Row
+from fulmarlever.timeline import TimelineQuery
 from fulmarleverd.api.problems import problem
 from fulmarleverd.api.routes import answer, route
 from fulmarleverd.kernel import Kernel
@@ -84,23 +89,48 @@
 
 @route("GET", "/v1/services")
 async def services(kernel: Kernel, request: web.Request) -> web.Response:
-    """Return the services in force with their backend servers."""
+    """Return the services in force with the backend servers of every zone."""
+    rows = await kernel.find("platform").read([], ["servers/"])
+    if failed(rows):
+        return answer(rows)
+    servers = [server for row in rows.values() for server in _servers(row)]
     specs = kernel.find("config").current().services.values()
-    slots = kernel.find("slots")
-    return answer(
-        {
-            "services": [
-                {
-                    "name": spec.name,
-                    "team": spec.team,
-                    "urgency": spec.urgency.name.lower(),
-                    "target_s": spec.target_s,
-                    "instances": spec.instances,
-                    "new_share": spec.new_share,
-                    "free_slots": slots.free(spec.name),
-                    "servers": [s.to_wire() for s in slots.servers(spec.name)],
-                }
-                for spec in specs
-            ]
-        }
-    )
+    return answer({"services": [_service(spec, servers) for spec in specs]})
+
+
+def _servers(row: Row) -> list[dict[str, Any]]:
+    return list(row.value["servers"].values())
+
+
+def _service(spec: ServiceSpec, servers: list[dict[str, Any]]) -> dict[str, Any]:
+    return {
+        "name": spec.name,
+        "team": spec.team,
+        "urgency": spec.urgency.name.lower(),
+        "target_s": spec.target_s,
+        "instances": spec.instances,
+        "new_share": spec.new_share,
+        "servers": [s for s in servers if s["service"] == spec.name],
+    }
+
+
+@route("GET", "/v1/timeline")
+async def timeline(kernel: Kernel, request: web.Request) -> web.Response:
+    """Return the merged events of all daemons that match the query."""
+    query = _read_query(request)
+    merged = await kernel.find("timeline").merged(query)
+    return answer(merged.to_wire())
+
+
+def _read_query(request: web.Request) -> TimelineQuery:
+    """Return the query of a request; raise ``HTTPBadRequest`` for a wrong one."""
+    options: dict[str, Any] = {}
+    types = {field.name: type(field.default) for field in fields(TimelineQuery)}
+    for name, text in request.query.items():
+        if name not in types:
+            raise web.HTTPBadRequest(text=f"unknown option {name!r}")
+        try:
+            options[name] = types[name](text)
+        except ValueError:
+            raise web.HTTPBadRequest(text=f"{name!r} is not a number") from None
+    return TimelineQuery(**options)
--- a/packages/fulmarleverd/fulmarleverd/services/admin.py
+++ b/packages/fulmarleverd/fulmarleverd/services/admin.py
@@ -28,7 +28,6 @@
     "POST /v1/drain",
     "POST /v1/handover",
     "GET /v1/report",
-    "GET /v1/timeline",
 )
 
 
