--- a/packages/fulmarleverd/fulmarleverd/peers/acceptor.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/acceptor.py
@@ -114,7 +114,8 @@
         if old is not None:
             old.close()
         self._connections[hello.vm] = stream
-        self._node.roster.learn(hello.vm, hello.zone, hello.address, hello.port)
+        if self._node.roster.learn(hello.vm, hello.zone, hello.address, hello.port):
+            self._node.proofs.reached(hello.vm)
         try:
             await self._read(stream, hello, first)
         finally:
--- a/packages/fulmarleverd/fulmarleverd/peers/node.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/node.py
@@ -38,6 +38,7 @@
         "proofs",
         "topics",
         "handlers",
+        "_reported",
     )
 
     def __init__(self, settings: Settings, clock: Clock) -> None:
@@ -47,9 +48,10 @@
         self.incarnation = int(clock.wall() * 1000)
         self.is_settled = False
         self.roster = Roster(clock)
-        self.proofs = EndProofs(clock)
+        self.proofs = EndProofs(clock, {peer.vm for peer in settings.peers})
         self.topics = Topics()
         self.handlers: dict[str, Handler] = {}
+        self._reported: set[str] = set()
 
     @property
     def vm(self) -> str:
@@ -73,9 +75,18 @@
     def heard(self, hello: Hello) -> None:
         """Note a frame from the peer that introduced itself with a hello."""
         if not self.proofs.alive(hello.vm, hello.incarnation):
-            log.error("{}#{} was proved ended", hello.vm, hello.incarnation)
+            self._report_ended(hello)
+            return
         self.roster.heard(hello.vm, hello.incarnation, hello.admin_port)
 
+    def _report_ended(self, hello: Hello) -> None:
+        # Frames that a network held back arrive after the end of their sender. A
+        # process that is still there stays out, because its slots may be in use.
+        identity = f"{hello.vm}#{hello.incarnation}"
+        if identity not in self._reported:
+            self._reported.add(identity)
+            log.error("a frame from {}, which was proved ended", identity)
+
     def is_stale(self, hello: Hello) -> bool:
         """Return whether a higher incarnation of the same VM is known."""
         return hello.incarnation < self.proofs.heard(hello.vm)
--- a/packages/fulmarleverd/fulmarleverd/peers/proofs.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/proofs.py
@@ -14,16 +14,23 @@
 REFUSALS_KEPT = 32
 LIST_FRESH_S = 10.0
 LIST_ABSENCE_S = 5.0
-LIST_NEVER_SEEN_S = 60.0
+LIST_LAG_S = 30.0
 
 
 class EndProofs:
     """What is known of the end of every incarnation of every VM.
 
-    An incarnation has ended when a higher one was heard, when the VM has left the VM
-    list, or when its peer port refused connections ``REFUSALS_NEEDED`` times over at
-    least ``REFUSALS_SPAN_S``, all after the incarnation was first noticed and with no
-    sign of life between. Proofs are kept: incarnations never come back.
+    An incarnation has ended when
+
+    * a higher one was heard,
+    * its peer port refused connections ``REFUSALS_NEEDED`` times over at least
+      ``REFUSALS_SPAN_S`` with no sign of life between, or
+    * the VM was absent from readings of the VM list over ``LIST_ABSENCE_S``.
+
+    Only what was seen after the incarnation was first noticed counts. The list lags by
+    up to ``LIST_LAG_S``, and so does an address that comes from it, so evidence that
+    rests on the list counts only that much later. Proofs are kept, because
+    incarnations never come back.
     """
 
     __slots__ = (
@@ -33,24 +40,22 @@
         "_noticed",
         "_refusals",
         "_absent",
-        "_listed",
+        "_fixed",
     )
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, fixed: Collection[str] = ()) -> None:
         self._clock = clock
+        self._fixed = frozenset(fixed)
         self._ended: dict[str, int] = {}
         self._heard: dict[str, int] = {}
         self._noticed: dict[str, dict[int, float]] = {}
         self._refusals: dict[str, list[float]] = {}
         self._absent: dict[str, float] = {}
-        self._listed: set[str] = set()
 
     def notice(self, vm: str, incarnation: int) -> None:
-        """Note that an incarnation exists; later refusals may prove its end."""
+        """Note that an incarnation exists; later evidence may prove its end."""
         known = self._noticed.setdefault(vm, {})
-        if incarnation not in known:
-            known[incarnation] = self._clock.monotonic()
-            self._absent.pop(vm, None)
+        known.setdefault(incarnation, self._clock.monotonic())
 
     def highest(self, vm: str) -> int:
         """Return the highest incarnation noticed or ended, or 0."""
@@ -74,7 +79,7 @@
         return is_new
 
     def reached(self, vm: str) -> None:
-        """Note that the VM's peer port took a connection."""
+        """Note that the VM's peer port took a connection, or that it moved."""
         self._refusals.pop(vm, None)
 
     def refused(self, vm: str) -> None:
@@ -82,33 +87,37 @@
         now = self._clock.monotonic()
         times = self._refusals.setdefault(vm, [])
         times.append(now)
-        for incarnation, noticed in self._noticed.get(vm, {}).items():
-            after = [at for at in times if at >= noticed]
+        for incarnation in list(self._noticed.get(vm, {})):
+            start = self._address_known_at(vm, incarnation)
+            after = [at for at in times if at >= start]
             span = now - after[0] if after else 0.0
             if len(after) >= REFUSALS_NEEDED and span >= REFUSALS_SPAN_S:
                 self._end(vm, incarnation)
         del times[:-REFUSALS_KEPT]
 
+    def _address_known_at(self, vm: str, incarnation: int) -> float:
+        noticed = self._noticed[vm].get(incarnation, float("inf"))
+        is_sure = vm in self._fixed or incarnation <= self._heard.get(vm, -1)
+        return noticed if is_sure else noticed + LIST_LAG_S
+
     def listed(self, vms: Collection[str], age_s: float) -> None:
         """Take over one reading of the VM list, ``age_s`` old."""
         if not vms or age_s > LIST_FRESH_S:
             self._absent.clear()
             return
         read_at = self._clock.monotonic() - age_s
-        self._listed.update(vms)
         for vm in self._noticed:
-            if vm in vms:
+            if vm in vms or vm in self._fixed:
                 self._absent.pop(vm, None)
             else:
                 self._check_absence(vm, read_at)
 
     def _check_absence(self, vm: str, read_at: float) -> None:
-        # A list that lags does not show a new VM yet, so a VM that was never on it
-        # has to be absent for longer.
-        needed = LIST_ABSENCE_S if vm in self._listed else LIST_NEVER_SEEN_S
         since = self._absent.setdefault(vm, read_at)
-        if read_at - since >= needed:
-            self._end(vm, self.highest(vm))
+        for incarnation, noticed in list(self._noticed[vm].items()):
+            start = max(since, noticed + LIST_LAG_S)
+            if read_at - start >= LIST_ABSENCE_S:
+                self._end(vm, incarnation)
 
     def is_ended(self, vm: str, incarnation: int) -> bool:
         """Return whether the end of an incarnation is proved."""
--- a/packages/fulmarleverd/fulmarleverd/peers/roster.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/roster.py
@@ -56,13 +56,19 @@
         self._fixed.add(peer.vm)
         self._put(peer)
 
-    def learn(self, vm: str, zone: str, address: str, port: int) -> None:
-        """Take over a peer's place from the VM list or from itself."""
+    def learn(self, vm: str, zone: str, address: str, port: int) -> bool:
+        """Take over a peer's place from the VM list or from the peer itself.
+
+        Return whether a known peer has moved to another address.
+        """
         held = self._peers.get(vm)
         if held is None:
             self._put(Peer(vm, zone, address, port))
-        elif vm not in self._fixed:
-            self._put(replace(held, zone=zone, address=address, port=port))
+            return False
+        if vm in self._fixed or (held.address, held.port) == (address, port):
+            return False
+        self._put(replace(held, zone=zone, address=address, port=port))
+        return True
 
     def is_fixed(self, vm: str) -> bool:
         """Return whether the settings name the peer."""
@@ -70,10 +76,10 @@
 
     def heard(self, vm: str, incarnation: int, admin_port: int) -> None:
         """Note that a peer has sent something."""
-        self._heard[vm] = self._clock.monotonic()
         held = self._peers.get(vm)
         if held is None or held.incarnation > incarnation:
             return
+        self._heard[vm] = self._clock.monotonic()
         self._put(
             replace(
                 held,
--- a/packages/fulmarleverd/fulmarleverd/services/membership.py
+++ b/packages/fulmarleverd/fulmarleverd/services/membership.py
@@ -11,6 +11,7 @@
 
 from fulmarlever.hybrid_clock import HybridClock
 from fulmarlever.outcomes import Unavailable
+from fulmarlever.structure.fleet import VM
 from fulmarleverd.kernel import SERVICES, Kernel, Service
 from fulmarleverd.peers.acceptor import Acceptor
 from fulmarleverd.peers.link import Link
@@ -169,10 +170,14 @@
         vms = platform.vms()
         for vm in vms.values():
             if vm.role == ENTRY_ROLE and vm.name != self.settings.vm:
-                self._node.roster.learn(vm.name, vm.zone, vm.address, vm.port)
-        fixed = {peer.vm for peer in self.settings.peers}
-        if vms:
-            self._node.proofs.listed(fixed | set(vms), platform.vms_age_s())
+                self._learn(vm)
+        self._node.proofs.listed(vms, platform.vms_age_s())
+
+    def _learn(self, vm: VM) -> None:
+        place = (vm.address, vm.port)
+        if self._node.roster.learn(vm.name, vm.zone, *place):
+            # Refusals of the old address prove nothing about the new one.
+            self._node.proofs.reached(vm.name)
 
     def _dial(self, vm: str) -> None:
         if vm in self._links:
