Take forwarded requests as membership hands them over

Cause: membership calls a handler with the message alone, the router's handler wanted the sending VM as well (and its fake passed it), so that every forwarded request ended in 'missing 1 required positional argument' in the demo.

--- a/packages/fulmarleverd/fulmarleverd/services/router.py
+++ b/packages/fulmarleverd/fulmarleverd/services/router.py
@@ -120,7 +120,7 @@
                 RETRIES.labels(spec.name).inc()
         return unknown or NotRun(reason, 1.0)
 
-    async def handle_forward(self, vm: str, message: Forward) -> Forwarded:
+    async def handle_forward(self, message: Forward) -> Forwarded:
         """Run the request of a peer on a slot of this daemon."""
         req = message.to_request(self.clock.monotonic())
         spec = self.config.current().services.get(req.service)
--- a/packages/fulmarleverd/fulmarleverd/tests/requests/fakes.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/requests/fakes.py
@@ -82,7 +82,7 @@
         handler = self.network.members[vm].handlers[type(message)]
         try:
             async with asyncio.timeout(timeout_s):
-                return await handler(self.settings.vm, message)
+                return await handler(message)
         except TimeoutError:
             return OutcomeUnknown("no reply")
 
