Name the services of the request path's fake configuration

Cause: Configuration got a field before 'services'; four path tests gave it by position and so had no service (404). 4 failed before, 4 pass after.

--- a/packages/fulmarleverd/fulmarleverd/tests/requests/fakes.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/requests/fakes.py
@@ -213,7 +213,8 @@
     kernel.add(FakePlatform(kernel, table))
     config = FakeConfig(kernel)
     chosen = specs or (spec(),)
-    config.configuration = Configuration(1, "x", {}, {s.name: s for s in chosen})
+    services = {s.name: s for s in chosen}
+    config.configuration = Configuration(1, "x", services=services)
     kernel.add(config)
     kernel.add(FakeMembership(kernel, network, incarnation))
     for service in (Slots, Admission, Claims, Router, Callers):
