Drain worker VMs by operators' word

Cause: an operator needs to empty a worker before its replacement, and the wish has to outlive every daemon. Mechanism: a row per drained worker, read in the same call as the head of the configuration, so it costs no further read; the zone's workers count as leaving. Not yet: instances on a leaving worker are taken out of use but not started elsewhere before the VM is gone; that is the placer's part.

--- a/packages/fulmarlever_cli/fulmarlever_cli/tests/commands_tests.py
+++ b/packages/fulmarlever_cli/fulmarlever_cli/tests/commands_tests.py
@@ -57,7 +57,7 @@
             ("missing file", ("apply", "none.yaml"), TOKEN, "none.yaml:1:1: cannot"),
             ("no job", ("cancel", "x", "y"), TOKEN, "there is no job 'y'"),
             ("wrong time", ("timeline", "--since", "3"), TOKEN, "has no unit"),
-            ("planned", ("drain", "w-1"), TOKEN, "not implemented"),
+            ("unknown VM", ("drain", "w-9"), TOKEN, "no VM 'w-9'"),
             (
                 "late",
                 ("status", "--wait-generation", "9", "--wait-limit", "0"),
@@ -129,6 +129,17 @@
                 self.assertEqual(code, 0)
                 self.assertIn(words, out)
 
+    async def test_drain(self):
+        drained = self.kernel.find("config").drained
+        rows = [(["w-1"], "w-1 is draining", {"w-1"}), (["w-1"], "draining", {"w-1"})]
+        rows += [(["w-1", "--undo"], "takes work again", set())] * 2
+        for words, message, expected in rows:
+            with self.subTest(words=words):
+                code, out, _ = await self.command("drain", *words)
+                self.assertEqual(code, 0)
+                self.assertIn(message, out)
+                self.assertEqual(drained.value, expected)
+
     async def test_timeline(self):
         code, out, _ = await self.command("timeline", "--kind", "job submitted")
         self.assertEqual(code, 0)
--- a/packages/fulmarleverd/fulmarleverd/api/routes.py
+++ b/packages/fulmarleverd/fulmarleverd/api/routes.py
@@ -46,8 +46,15 @@
         raise web.HTTPBadRequest(text="the body is not a JSON object")
     wrong = [f"unknown option {name!r}" for name in body if name not in types]
     for name, wanted in types.items():
-        if isinstance(body.get(name), bool) or not isinstance(body.get(name), wanted):
+        if not _is_of_type(body.get(name), wanted):
             wrong.append(f"option {name!r} is missing or of a wrong type")
     if wrong:
         raise web.HTTPBadRequest(text="; ".join(wrong))
     return {name: body.get(name) for name in types}
+
+
+def _is_of_type(value: Any, wanted: type | tuple[type, ...]) -> bool:
+    # In Python a truth value is also an int, in JSON it is not.
+    if isinstance(value, bool):
+        return wanted is bool
+    return isinstance(value, wanted)
--- a/packages/fulmarleverd/fulmarleverd/api/work.py
+++ b/packages/fulmarleverd/fulmarleverd/api/work.py
@@ -111,3 +111,16 @@
     state = str(row.state) if row.state.is_final else "cancelling"
     log.info("cancel of {} by {}: {}", name, request[OPERATOR], state)
     return answer({"job": name, "state": state})
+
+
+@route("POST", "/v1/drain")
+async def drain(kernel: Kernel, request: web.Request) -> web.Response:
+    """Drain a worker VM, or let it take work again."""
+    options = await read_options(request, worker=str, is_draining=bool)
+    worker, is_draining = options["worker"], options["is_draining"]
+    operator = request[OPERATOR]
+    result = await kernel.find("config").drain_worker(worker, operator, is_draining)
+    if failed(result):
+        return from_failure(result)
+    log.info("drain of {} by {}: {}", worker, operator, is_draining)
+    return answer({"worker": worker, "is_draining": is_draining})
--- a/packages/fulmarleverd/fulmarleverd/generations/store.py
+++ b/packages/fulmarleverd/fulmarleverd/generations/store.py
@@ -17,6 +17,7 @@
 )
 from fulmarlever.structure.table import ABSENT, Applied, Change, Row
 from fulmarleverd.generations.accepted import Accepted
+from fulmarleverd.generations.drains import DRAIN_PREFIX, drained_workers
 from fulmarleverd.kernel import Service
 
 HEAD_KEY = "config/head"
@@ -55,6 +56,14 @@
         return cls(row.value["generation"], row.value["digest"], row.version)
 
 
+@dataclass(slots=True, frozen=True)
+class Polled:
+    """The result of one poll: a newer generation, if any, and the drained workers."""
+
+    newer: Accepted | None
+    drained: frozenset[str]
+
+
 class GenerationStore:
     """Reads and compare-and-swap writes of generations.
 
@@ -70,19 +79,22 @@
         self._clock = clock
         self._pause_s = pause_s
 
-    async def read_newer(self, known: int) -> Accepted | None | Unavailable:
-        """Return the generation in force if it is newer than the known one.
+    async def poll(self, known: int) -> Polled | Unavailable:
+        """Return the drained workers, and the generation in force if it is newer.
 
         The next body is asked for together with the head, which makes one read of
         the usual case.
         """
-        rows = await self._platform.read([HEAD_KEY, body_key(known + 1)])
+        keys = [HEAD_KEY, body_key(known + 1)]
+        rows = await self._platform.read(keys, [DRAIN_PREFIX])
         if failed(rows):
             return rows
+        drained = drained_workers(rows)
         head = Head.from_rows(rows)
         if head.generation <= known:
-            return None
-        return await self._read_body(head, rows)
+            return Polled(None, drained)
+        body = await self._read_body(head, rows)
+        return body if failed(body) else Polled(body, drained)
 
     async def _read_body(
         self, head: Head, rows: Mapping[str, Row]
--- a/packages/fulmarleverd/fulmarleverd/services/admin.py
+++ b/packages/fulmarleverd/fulmarleverd/services/admin.py
@@ -25,7 +25,6 @@
 
 # Operations of the API whose service this daemon may not have.
 PLANNED = (
-    "POST /v1/drain",
     "POST /v1/handover",
     "GET /v1/report",
 )
--- a/packages/fulmarleverd/fulmarleverd/services/config.py
+++ b/packages/fulmarleverd/fulmarleverd/services/config.py
@@ -20,6 +20,7 @@
 )
 from fulmarlever.structure.configuration import Configuration
 from fulmarleverd.generations.accepted import Accepted
+from fulmarleverd.generations.drains import WORKER_ROLE, drain_change
 from fulmarleverd.generations.exchange import GenerationExchange
 from fulmarleverd.generations.store import GenerationStore
 from fulmarleverd.kernel import SERVICES, Kernel, Service
@@ -39,7 +40,8 @@
 class ConfigService(Service):
     """Keeps the newest accepted generation that this daemon has seen.
 
-    ``in_force`` emits the present configuration on subscription and each newer one.
+    ``in_force`` emits the present configuration on subscription and each newer one;
+    ``drained`` likewise the names of the workers that operators drain.
     """
 
     name = "config"
@@ -47,6 +49,7 @@
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self.in_force: BehaviorSubject[Configuration] = BehaviorSubject(Configuration())
+        self.drained: BehaviorSubject[frozenset[str]] = BehaviorSubject(frozenset())
         self.is_loaded = False
         self._accepted: Accepted | None = None
         self._store: GenerationStore | None = None
@@ -90,6 +93,24 @@
         await self.adopt(result)
         return result.generation
 
+    async def drain_worker(
+        self, worker: str, operator: str, is_draining: bool
+    ) -> bool | Refused | Unavailable | OutcomeUnknown:
+        """Drain a worker VM, or end its drain; repeating it changes nothing."""
+        vms = self.kernel.find("platform").vms()
+        if is_draining and worker not in vms:
+            return Refused(f"the VM list has no VM {worker!r}")
+        if is_draining and vms[worker].role != WORKER_ROLE:
+            return Refused(f"{worker!r} is not a worker")
+        change = drain_change(worker, operator, self.clock.wall(), is_draining)
+        result = await self.kernel.find("platform").write(change)
+        if failed(result):
+            return result
+        event = "drain.begun" if is_draining else "drain.undone"
+        self.kernel.find("timeline").record(event, worker=worker, detail=operator)
+        await self.refresh()
+        return True
+
     async def refresh(self) -> None:
         """Take a newer generation from the table, and then from a peer.
 
@@ -101,13 +122,15 @@
             await self.adopt(newer)
 
     async def _refresh_from_table(self) -> None:
-        newer = await self._store.read_newer(self.current().generation)
-        if failed(newer):
+        polled = await self._store.poll(self.current().generation)
+        if failed(polled):
             READ_FAILURES.inc()
             return
         self.is_loaded = True
-        if newer is not None:
-            await self.adopt(newer)
+        if polled.drained != self.drained.value:
+            self.drained.on_next(polled.drained)
+        if polled.newer is not None:
+            await self.adopt(polled.newer)
 
     async def adopt(self, accepted: Accepted) -> bool:
         """Bring a generation into force unless one as new is; return whether it is."""
--- a/packages/fulmarleverd/fulmarleverd/services/workers.py
+++ b/packages/fulmarleverd/fulmarleverd/services/workers.py
@@ -206,8 +206,9 @@
     def _listed(self) -> dict[str, VM]:
         zone = self.settings.zone
         vms = self.kernel.find("platform").vms()
+        drained = self.kernel.find("config").drained.value
         return {
-            name: vm
+            name: replace(vm, state=VMState.LEAVING) if name in drained else vm
             for name, vm in vms.items()
             if vm.role == WORKER_ROLE and vm.zone == zone
         }
--- a/packages/fulmarleverd/fulmarleverd/tests/generations/store_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/generations/store_tests.py
@@ -80,7 +80,7 @@
     )
     results = await asyncio.gather(*calls)
     await platform.flush()
-    head = await store.read_newer(0)
+    head = (await store.poll(0)).newer
     return results, platform.took_effect, head
 
 
--- a/packages/fulmarleverd/fulmarleverd/tests/placement/fakes.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/placement/fakes.py
@@ -5,6 +5,8 @@
 import asyncio
 from dataclasses import dataclass, field, replace
 
+from reactivex.subject import BehaviorSubject
+
 from fulmarlever.clock import ManualClock
 from fulmarlever.outcomes import OutcomeUnknown, Refused, Unavailable
 from fulmarlever.structure.configuration import Configuration
@@ -238,6 +240,7 @@
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self.configuration = Configuration()
+        self.drained = BehaviorSubject(frozenset())
 
     def current(self) -> Configuration:
         return self.configuration
