Report the measures and hand services over between the setups

Cause: the transition year moves a service by percentage, and operators judge it by tail latency, answers and shares over all daemons. Mechanism: handover sets new_share in the text in force and applies it on the condition of that generation; an edit that would change another entry (a YAML anchor) is refused. Ruled out: a share row beside the configuration (two sources of one truth that can disagree after an apply). Handover of jobs answers 501 until the service jobs has it.

--- a/packages/fulmarlever_cli/fulmarlever_cli/arguments.py
+++ b/packages/fulmarlever_cli/fulmarlever_cli/arguments.py
@@ -129,6 +129,10 @@
 class Report:
     """Show the measures."""
 
+    interval: Annotated[
+        float,
+        cappa.Arg(long=True, help="Measure for so many seconds from now on."),
+    ] = 0.0
     plot: Annotated[
         Path | None, cappa.Arg(long=True, help="Write the figures as CSV here.")
     ] = None
--- a/packages/fulmarlever_cli/fulmarlever_cli/commands/status.py
+++ b/packages/fulmarlever_cli/fulmarlever_cli/commands/status.py
@@ -6,13 +6,13 @@
 import time
 from typing import Any
 
-from fulmarlever.outcomes import Failure, Refused, Unavailable, failed
+from fulmarlever.outcomes import Refused, Unavailable
 from fulmarlever_cli.arguments import Status
 from fulmarlever_cli.context import Context
+from fulmarlever_cli.daemons import ask_daemons
 from fulmarlever_cli.display import table
 
 POLL_S = 0.1
-ENDED_STATES = ("ended", "left")
 HEAD = ("VM", "ZONE", "GENERATION", "TABLE", "PLACER", "STATE")
 
 
@@ -20,7 +20,7 @@
     """Show every daemon, or wait until all have a generation in force."""
     end = time.monotonic() + args.wait_limit
     while True:
-        daemons, missing = await _ask_all(context)
+        daemons, missing = await ask_daemons(context.client)
         if not daemons:
             reason = next(iter(missing.values()), "no admin address is given")
             return context.display.fail(Unavailable(reason))
@@ -35,47 +35,6 @@
     return context.display.show(data, _as_text(daemons, missing))
 
 
-async def _ask_all(
-    context: Context,
-) -> tuple[list[dict[str, Any]], dict[str, str]]:
-    """Ask the named daemons, then the peers that these know."""
-    found: dict[str, dict[str, Any]] = {}
-    missing: dict[str, str] = {}
-    asked: set[str] = set()
-    waiting = set(context.client.addresses)
-    while waiting:
-        asked |= waiting
-        addresses = sorted(waiting)
-        answers = await asyncio.gather(
-            *(context.client.ask(address, "/v1/status") for address in addresses)
-        )
-        for address, answer in zip(addresses, answers, strict=True):
-            _note(address, answer, found, missing)
-        waiting = set(_known_admins(found)) - asked
-    return [found[vm] for vm in sorted(found)], missing
-
-
-def _note(
-    address: str,
-    answer: dict[str, Any] | Failure,
-    found: dict[str, dict[str, Any]],
-    missing: dict[str, str],
-) -> None:
-    if failed(answer):
-        missing[address] = answer.reason
-    else:
-        found[answer["vm"]] = answer
-
-
-def _known_admins(found: dict[str, dict[str, Any]]) -> list[str]:
-    return [
-        peer["admin"]
-        for daemon in found.values()
-        for peer in daemon["peers"]
-        if peer["state"] not in ENDED_STATES and not peer["admin"].endswith(":0")
-    ]
-
-
 def _behind(
     generation: int | None, daemons: list[dict[str, Any]], missing: dict[str, str]
 ) -> list[str]:
--- a/packages/fulmarlever_cli/fulmarlever_cli/tests/commands_tests.py
+++ b/packages/fulmarlever_cli/fulmarlever_cli/tests/commands_tests.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 import cappa
+from prometheus_client.samples import Sample
 
 from fulmarlever.outcomes import OutcomeUnknown
 from fulmarlever_cli import client as client_module
@@ -13,6 +14,7 @@
 from fulmarlever_cli.context import DEFAULT_ADMIN, Context
 from fulmarlever_cli.display import table
 from fulmarlever_cli.tests.base import TOKEN, CommandTestCase
+from fulmarleverd.api import report as report_module
 
 EXAMPLES = Path(__file__).parents[4] / "examples"
 GOOD = "teams: {a: {}}\n"
@@ -140,6 +142,57 @@
                 self.assertIn(message, out)
                 self.assertEqual(drained.value, expected)
 
+    async def test_handover_of_a_service(self):
+        text = "teams: {a: {}}\nservices:\n  f: {team: a, size: {cores: 1}}\n"
+        await self.command("apply", self.write(text))
+        config = self.kernel.find("config")
+        rows = [
+            (["--to", "old", "--share", "30%"], 0, 0.7, 2),
+            (["--to", "old", "--share", "30%"], 0, 0.7, 2),
+            (["--to", "new", "--share", "5ms"], 1, 0.7, 2),
+            (["--to", "new", "--share", "130%"], 1, 0.7, 2),
+            (["--to", "new"], 0, 1.0, 3),
+        ]
+        for words, expected, share, generation in rows:
+            with self.subTest(words=words):
+                code, _, err = await self.command("handover", "f", *words)
+                self.assertEqual(code, expected, err)
+                cfg = config.current()
+                self.assertEqual(cfg.services["f"].new_share, share)
+                self.assertEqual(cfg.generation, generation)
+
+    async def test_handover_refuses_options_shared_by_an_anchor(self):
+        text = (
+            "teams: {a: {}}\nservices:\n  f: &f {team: a, size: {cores: 1}}\n  g: *f\n"
+        )
+        await self.command("apply", self.write(text))
+        code, _, err = await self.command("handover", "f", "--to", "old")
+        self.assertEqual(code, 1)
+        self.assertIn("shares options between f and g", err)
+
+    async def test_report(self):
+        samples = [
+            Sample(
+                "fulmarlever_request_seconds_bucket",
+                {"service": "f", "le": le},
+                count,
+            )
+            for le, count in (("0.01", 50), ("0.1", 100), ("+Inf", 100))
+        ]
+        for name, labels, count in (
+            ("fulmarlever_requests_total", {"service": "f", "status": "2xx"}, 100),
+            ("fulmarlever_refused_total", {"service": "f", "cause": "share"}, 7),
+            ("fulmarlever_evictions_total", {}, 2),
+        ):
+            samples.append(Sample(name, labels, count))
+        plot = self.write("")
+        with mock.patch.object(report_module, "_samples", lambda: iter(samples)):
+            code, out, err = await self.command("report", "--plot", plot)
+        self.assertEqual(code, 0, err)
+        self.assertIn("10ms  98.2ms  99.8ms  100      7        100%", out)
+        self.assertIn("evictions: 2", out)
+        self.assertIn("f,,0.1,100", Path(plot).read_text())
+
     async def test_timeline(self):
         code, out, _ = await self.command("timeline", "--kind", "job submitted")
         self.assertEqual(code, 0)
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/api/handover.py
@@ -0,0 +1,80 @@
+"""The route that moves work between the old setup and the new one."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aiohttp import web
+from loguru import logger as log
+
+from fulmarlever.config.edit import set_option
+from fulmarlever.config.plan import difference
+from fulmarlever.config.reader import parse_configuration
+from fulmarlever.config.units import parse_fraction
+from fulmarlever.findings import Findings
+from fulmarlever.outcomes import Failure, Refused, failed
+from fulmarleverd.api.guard import OPERATOR
+from fulmarleverd.api.problems import problem
+from fulmarleverd.api.routes import answer, read_options, route
+from fulmarleverd.kernel import Kernel
+
+SETUPS = ("old", "new")
+
+
+@route("POST", "/v1/handover")
+async def handover(kernel: Kernel, request: web.Request) -> web.Response:
+    """Give a share of a service, or a whole job, to one of the two setups."""
+    options = await read_options(request, name=str, to=str, share=str)
+    name, setup = options["name"], options["to"]
+    if setup not in SETUPS:
+        raise web.HTTPBadRequest(text=f"'to' is not one of {', '.join(SETUPS)}")
+    if name in kernel.find("config").current().services:
+        result = await _move_service(kernel, name, setup, options["share"])
+    else:
+        jobs = kernel.find("jobs")
+        if not hasattr(jobs, "handover"):
+            return problem(501, "not implemented", "jobs cannot be handed over yet")
+        result = await jobs.handover(name, setup)
+    log.info("handover of {} to {} by {}: {}", name, setup, request[OPERATOR], result)
+    return answer(result if failed(result) else {"name": name, "setup": setup})
+
+
+async def _move_service(
+    kernel: Kernel, name: str, setup: str, share: str
+) -> int | Failure:
+    """Apply the configuration in force with another share of one service."""
+    try:
+        fraction = parse_fraction(share)
+    except ValueError as exc:
+        return Refused(str(exc))
+    if not 0 <= fraction <= 1:
+        return Refused(f"the share {share} is not between 0 and 100%")
+    new_share = fraction if setup == "new" else 1 - fraction
+    config = kernel.find("config")
+    accepted = config.accepted()
+    text = set_option(
+        accepted.text, ("services", name, "new_share"), f"{new_share:.6g}"
+    )
+    if failed(text):
+        return text
+    refusal = await _check_edit(kernel, name, text)
+    if refusal is not None:
+        return refusal
+    # The same request gives the same id, so a repeat finds out about a lost answer.
+    apply_id = f"handover-{accepted.generation}-{name}-{new_share:.6g}"
+    return await config.apply(text, accepted.generation, apply_id)
+
+
+async def _check_edit(kernel: Kernel, name: str, text: str) -> Failure | None:
+    """Return why an edited text changes more than the one service, if it does."""
+    config = kernel.find("config")
+    submissions = config.accepted().submissions
+    new = await asyncio.to_thread(
+        parse_configuration, text, "configuration", 0.0, submissions
+    )
+    if isinstance(new, Findings):
+        return new
+    others = [step for step in difference(config.current(), new) if step.name != name]
+    if others:
+        return Refused(f"the file shares options between {name} and {others[0].name}")
+    return None
--- a/packages/fulmarleverd/fulmarleverd/api/routes.py
+++ b/packages/fulmarleverd/fulmarleverd/api/routes.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Awaitable, Callable
+from importlib import import_module
 from typing import Any
 
 from aiohttp import web
@@ -18,6 +19,15 @@
 ROUTES: Registry[RouteHandler] = Registry("route")
 
 
+ROUTE_MODULES = ("configuration", "handover", "report", "views", "work")
+
+
+def load_routes() -> None:
+    """Import the modules of the routes so that they register themselves."""
+    for name in ROUTE_MODULES:
+        import_module(f"fulmarleverd.api.{name}")
+
+
 def route(method: str, path: str) -> Callable[[RouteHandler], RouteHandler]:
     """Return a decorator that registers the handler of a method and path."""
     return ROUTES.register(f"{method} {path}")
