--- a/packages/fulmarleverd/fulmarleverd/api/routes.py
+++ b/packages/fulmarleverd/fulmarleverd/api/routes.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Awaitable, Callable
+from importlib import import_module
 from typing import Any
 
 from aiohttp import web
@@ -18,6 +19,15 @@
 ROUTES: Registry[RouteHandler] = Registry("route")
 
 
+ROUTE_MODULES = ("configuration", "handover", "report", "views", "work")
+
+
+def load_routes() -> None:
+    """Import the modules of the routes so that they register themselves."""
+    for name in ROUTE_MODULES:
+        import_module(f"fulmarleverd.api.{name}")
+
+
 def route(method: str, path: str) -> Callable[[RouteHandler], RouteHandler]:
     """Return a decorator that registers the handler of a method and path."""
     return ROUTES.register(f"{method} {path}")
@@ -46,8 +56,15 @@
         raise web.HTTPBadRequest(text="the body is not a JSON object")
     wrong = [f"unknown option {name!r}" for name in body if name not in types]
     for name, wanted in types.items():
-        if isinstance(body.get(name), bool) or not isinstance(body.get(name), wanted):
+        if not _is_of_type(body.get(name), wanted):
             wrong.append(f"option {name!r} is missing or of a wrong type")
     if wrong:
         raise web.HTTPBadRequest(text="; ".join(wrong))
     return {name: body.get(name) for name in types}
+
+
+def _is_of_type(value: Any, wanted: type | tuple[type, ...]) -> bool:
+    # In Python a truth value is also an int, in JSON it is not.
+    if isinstance(value, bool):
+        return wanted is bool
+    return isinstance(value, wanted)
