--- a/packages/fulmarlever/fulmarlever/wire.py
+++ b/packages/fulmarlever/fulmarlever/wire.py
@@ -176,7 +176,15 @@
 class FrameStream:
     """A TCP connection whose frames are sealed in both directions."""
 
-    __slots__ = ("reader", "writer", "_outgoing", "_incoming", "bytes_in", "bytes_out")
+    __slots__ = (
+        "reader",
+        "writer",
+        "frames",
+        "bytes_in",
+        "bytes_out",
+        "_outgoing",
+        "_incoming",
+    )
 
     def __init__(
         self,
@@ -189,6 +197,7 @@
         self.writer = writer
         self._outgoing = outgoing
         self._incoming = incoming
+        self.frames = 0
         self.bytes_in = 0
         self.bytes_out = 0
         writer.transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
@@ -213,6 +222,7 @@
             return False
         frame = pack(value, self._outgoing)
         self.writer.write(frame)
+        self.frames += 1
         self.bytes_out += len(frame)
         return True
 
@@ -235,6 +245,7 @@
         """
         digest, body = await read_raw(self.reader, MAX_FRAME_BYTES)
         self._incoming.verify(digest, body)
+        self.frames += 1
         self.bytes_in += LENGTH.size + DIGEST_BYTES + len(body)
         return unpack(body)
 
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that give the figures of the pages."""
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/measurements/control.py
@@ -0,0 +1,258 @@
+"""Cost of the control traffic between daemons, by number of peers and of services.
+
+Run as ``python -m fulmarlever_standins.measurements.control``. Daemons with membership
+and time line only run in this process, on one loopback address each. A row gives the
+mean per daemon, and the largest daemon for bytes:
+
+* ``frames/s`` sent and received,
+* ``payload B/s``: bytes of frames in both directions,
+* ``wire B/s``: the same with 52 bytes of IP and TCP headers for each segment that the
+  kernel counted, acknowledgements included,
+* ``core %``: processor time, the publishing of load included,
+* ``KiB``: memory that Python allocated for one daemon after the start.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import gc
+import random
+import resource
+import socket
+import struct
+import sys
+import tracemalloc
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from loguru import logger as log
+
+from fulmarlever.clock import Clock
+from fulmarlever.structure.fleet import VM
+from fulmarleverd.kernel import Kernel, Service
+from fulmarleverd.services.membership import Membership
+from fulmarleverd.services.timeline import Timeline
+from fulmarleverd.settings import Settings
+
+HEADER_BYTES = 52
+TCP_INFO_BYTES = 144
+SEGMENTS_OFFSET = 136
+PEER_PORT = 7102
+SETTLE_S = 4.0
+SERVICE_CHANGES_PER_S = 0.5
+SEED = 7
+
+
+@dataclass(slots=True, frozen=True)
+class Case:
+    """A fleet of equal zones whose daemons publish the load of some services."""
+
+    zones: int
+    daemons: int
+    services: int = 0
+
+    @property
+    def name(self) -> str:
+        """Return the case as it is printed."""
+        return f"{self.zones} x {self.daemons}, {self.services} services"
+
+
+@dataclass(slots=True)
+class Reading:
+    """Sums over all connections of one daemon since they were opened."""
+
+    frames: int = 0
+    payload_bytes: int = 0
+    wire_bytes: int = 0
+
+    def minus(self, other: Reading) -> Reading:
+        """Return what was added since another reading."""
+        return Reading(
+            self.frames - other.frames,
+            self.payload_bytes - other.payload_bytes,
+            self.wire_bytes - other.wire_bytes,
+        )
+
+
+class ListedPlatform(Service):
+    """The service ``platform`` with a fixed VM list."""
+
+    name = "platform"
+
+    def __init__(self, kernel: Kernel, vm_list: dict[str, VM]) -> None:
+        super().__init__(kernel)
+        self._vm_list = vm_list
+
+    def vms(self) -> dict[str, VM]:
+        """Return the VM list."""
+        return self._vm_list
+
+    def vms_age_s(self) -> float:
+        """Return the age of the list."""
+        return 0.0
+
+
+def make_list(case: Case) -> dict[str, VM]:
+    """Return the entry VMs of a case."""
+    found = {}
+    for zone in range(case.zones):
+        for number in range(case.daemons):
+            name = f"entry-{zone}-{number}"
+            address = f"127.60.{zone + 1}.{number + 1}"
+            found[name] = VM(name, f"zone-{zone}", "entry", address, PEER_PORT)
+    return found
+
+
+def make_daemon(vm: VM, vm_list: dict[str, VM]) -> Kernel:
+    """Return a daemon that has only what exchanges control traffic."""
+    cfg = Settings(
+        vm=vm.name,
+        zone=vm.zone,
+        address=vm.address,
+        platform="127.0.0.1:1",
+        peer_secret="a secret for measurements",
+    )
+    kernel = Kernel(cfg, Clock())
+    kernel.add(ListedPlatform(kernel, vm_list))
+    kernel.add(Membership(kernel))
+    kernel.add(Timeline(kernel))
+    return kernel
+
+
+def read_daemon(kernel: Kernel) -> Reading:
+    """Return the sums over the connections that a daemon has now."""
+    total = Reading()
+    for stream in kernel.find("membership").streams():
+        sock = stream.writer.get_extra_info("socket")
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+        segments = sum(struct.unpack_from("=II", info, SEGMENTS_OFFSET))
+        payload = stream.bytes_in + stream.bytes_out
+        total.frames += stream.frames
+        total.payload_bytes += payload
+        total.wire_bytes += payload + segments * HEADER_BYTES
+    return total
+
+
+async def publish_load(kernels: list[Kernel], services: int) -> None:
+    """Change the load of each service ``SERVICE_CHANGES_PER_S`` times a second."""
+    rng = random.Random(SEED)
+    loads = [
+        {f"service-{number}": [4, 8, 0, 0.05] for number in range(services)}
+        for _ in kernels
+    ]
+    while services:
+        for kernel, load in zip(kernels, loads, strict=True):
+            for name in load:
+                if rng.random() < SERVICE_CHANGES_PER_S:
+                    load[name] = [rng.randrange(8), 8, rng.randrange(3), 0.05]
+            kernel.find("membership").publish("load", load)
+            await asyncio.sleep(1.0 / len(kernels))
+
+
+def core_seconds() -> float:
+    """Return the processor time that this process has used."""
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
+
+
+async def measure(case: Case, seconds: float) -> dict[str, float]:
+    """Run one case and return its row."""
+    vm_list = make_list(case)
+    kernels = [make_daemon(vm, vm_list) for vm in vm_list.values()]
+    gc.collect()
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    for kernel in kernels:
+        await kernel.start()
+    publishing = asyncio.create_task(publish_load(kernels, case.services))
+    await asyncio.sleep(SETTLE_S)
+    gc.collect()
+    memory = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    first = [read_daemon(kernel) for kernel in kernels]
+    used_s = core_seconds()
+    await asyncio.sleep(seconds)
+    used_s = core_seconds() - used_s
+    last = [read_daemon(kernel) for kernel in kernels]
+    publishing.cancel()
+    for kernel in kernels:
+        await kernel.stop()
+    deltas = [late.minus(early) for late, early in zip(last, first, strict=True)]
+    return summarise(deltas, seconds, used_s, memory)
+
+
+def summarise(
+    deltas: list[Reading], seconds: float, used_s: float, memory: int
+) -> dict[str, float]:
+    """Return the means per daemon, and the largest daemon's bytes."""
+    count = len(deltas)
+    return {
+        "frames/s": sum(d.frames for d in deltas) / count / seconds,
+        "payload B/s": sum(d.payload_bytes for d in deltas) / count / seconds,
+        "wire B/s": sum(d.wire_bytes for d in deltas) / count / seconds,
+        "largest payload B/s": max(d.payload_bytes for d in deltas) / seconds,
+        "largest wire B/s": max(d.wire_bytes for d in deltas) / seconds,
+        "core %": 100.0 * used_s / count / seconds,
+        "KiB": memory / count / 1024,
+    }
+
+
+def slope(points: list[tuple[float, float]]) -> float:
+    """Return the slope of the least-squares line through the points."""
+    mean_x = sum(x for x, _ in points) / len(points)
+    mean_y = sum(y for _, y in points) / len(points)
+    over = sum((x - mean_x) * (y - mean_y) for x, y in points)
+    return over / sum((x - mean_x) ** 2 for x, _ in points)
+
+
+SERIES: dict[str, list[Case]] = {
+    "peers": [Case(1, 2), Case(1, 4), Case(1, 8), Case(1, 12)],
+    "services": [Case(1, 4, 0), Case(1, 4, 10), Case(1, 4, 40), Case(1, 4, 80)],
+    "zones": [Case(2, 3), Case(4, 3), Case(6, 3), Case(9, 3)],
+    "size": [Case(9, 8, 0), Case(9, 8, 60)],
+}
+VARIABLES = {
+    "peers": lambda case: case.daemons - 1,
+    "services": lambda case: case.services,
+    "zones": lambda case: case.zones,
+}
+
+
+def run_series(name: str, seconds: float) -> Iterator[str]:
+    """Run the cases of a series and yield the lines of its table."""
+    rows = []
+    for case in SERIES[name]:
+        row = asyncio.run(measure(case, seconds))
+        if not rows:
+            yield "| zones x daemons | " + " | ".join(row) + " |"
+            yield "| --- " * (len(row) + 1) + "|"
+        rows.append((case, row))
+        cells = " | ".join(f"{value:.2f}" for value in row.values())
+        yield f"| {case.name} | {cells} |"
+    variable = VARIABLES.get(name)
+    if variable is not None:
+        lines = {
+            column: slope([(variable(case), row[column]) for case, row in rows])
+            for column in rows[0][1]
+        }
+        cells = " | ".join(f"{value:.2f}" for value in lines.values())
+        yield f"| slope per unit of {name} | {cells} |"
+
+
+def main() -> None:
+    """Run the chosen series and print their tables."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("series", nargs="*", default=list(SERIES))
+    parser.add_argument("--seconds", type=float, default=8.0)
+    args = parser.parse_args()
+    log.remove()
+    log.add(sys.stderr, level="ERROR")
+    for name in args.series:
+        print(f"\n### {name}\n", flush=True)
+        for line in run_series(name, args.seconds):
+            print(line, flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/fulmarleverd/fulmarleverd/peers/acceptor.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/acceptor.py
@@ -59,6 +59,10 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def streams(self) -> list[FrameStream]:
+        """Return the open connections of peers."""
+        return list(self._connections.values())
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/packages/fulmarleverd/fulmarleverd/peers/link.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/link.py
@@ -44,7 +44,7 @@
         "tried",
         "_wake",
         "_node",
-        "_stream",
+        "stream",
         "_pending",
         "_position",
         "_up",
@@ -56,7 +56,7 @@
         self.tried = asyncio.Event()
         self._wake = asyncio.Event()
         self._node = node
-        self._stream: FrameStream | None = None
+        self.stream: FrameStream | None = None
         self._pending = PendingCalls()
         self._position = 0
         self._up = asyncio.Event()
@@ -127,7 +127,7 @@
             raise WireError(Fault.STALE, "a higher incarnation of this VM is known")
 
     def _take_over(self, stream: FrameStream, welcome: Hello) -> None:
-        self._stream = stream
+        self.stream = stream
         self._welcome = welcome
         self._pending = PendingCalls()
         self._node.heard(welcome)
@@ -137,7 +137,7 @@
     async def _serve(self) -> None:
         beats = asyncio.create_task(self._send_beats())
         try:
-            await self._read_answers(self._stream)
+            await self._read_answers(self.stream)
         except WireError as exc:
             REFUSED_FRAMES.labels(exc.fault).inc()
             log.warning("connection to {} closed: {}", self.vm, exc)
@@ -150,7 +150,7 @@
 
     def _drop(self) -> None:
         self._up.clear()
-        self._stream.close()
+        self.stream.close()
         self._pending.fail(f"the connection to {self.vm} was lost")
 
     async def _read_answers(self, stream: FrameStream) -> None:
@@ -169,12 +169,12 @@
             log.error("heartbeats to {} failed: {}", self.vm, exc)
         finally:
             # Closing wakes the reader, which ends the connection.
-            self._stream.close()
+            self.stream.close()
 
     async def _keep_beating(self, digests: Any) -> None:
         cfg = self._node.settings
-        while self._stream.can_send():
-            if self._stream.unsent_bytes < MAX_BEAT_BACKLOG_BYTES:
+        while self.stream.can_send():
+            if self.stream.unsent_bytes < MAX_BEAT_BACKLOG_BYTES:
                 self._send_beat(digests)
                 digests = None
             await asyncio.sleep(cfg.heartbeat_s)
@@ -193,7 +193,7 @@
             entries = newer_than(entries, digests)
         wire = [entry.to_wire() for entry in entries]
         beat = Beat(node.hybrid_clock.now(), wire)
-        if self._stream.send(frame_to_wire(beat)):
+        if self.stream.send(frame_to_wire(beat)):
             self._position = position
 
     async def call(self, message: Any, timeout_s: float) -> Any:
@@ -238,7 +238,7 @@
 
     async def _exchange(self, frame: Call, fut: asyncio.Future, end: float) -> Any:
         try:
-            if not self._stream.send(frame_to_wire(frame)):
+            if not self.stream.send(frame_to_wire(frame)):
                 return Unavailable(f"the connection to {self.vm} takes no more")
         except WireError as exc:
             return Unavailable(f"the message cannot be sent: {exc}")
--- a/packages/fulmarleverd/fulmarleverd/services/membership.py
+++ b/packages/fulmarleverd/fulmarleverd/services/membership.py
@@ -12,6 +12,7 @@
 from fulmarlever.hybrid_clock import HybridClock
 from fulmarlever.outcomes import Unavailable
 from fulmarlever.structure.fleet import VM
+from fulmarlever.wire import FrameStream
 from fulmarleverd.kernel import SERVICES, Kernel, Service
 from fulmarleverd.peers.acceptor import Acceptor
 from fulmarleverd.peers.link import Link
@@ -146,6 +147,11 @@
         detail = f"{peer.vm}#{peer.incarnation}"
         self.kernel.find("timeline").record(f"peer.{peer.state}", detail=detail)
 
+    def streams(self) -> list[FrameStream]:
+        """Return the open connections, for measurements."""
+        links = [link.stream for link in self._links.values() if link.is_up]
+        return links + self._acceptor.streams()
+
     async def _keep_sweeping(self) -> None:
         while True:
             await asyncio.sleep(self.settings.heartbeat_s)
