Test placement under faults, with a naive placer failing the same checks

Cause: the promises (one place, no overcommit, final states true) need proof under kills, freezes, late writes and orders, outages, lost answers, races. Found by it: a VM missing from the list was taken for gone at once; with its link to the new holder cut, the former holder still renewed the task that was started elsewhere. Now a VM must be missing for 30 s. A worker that shows a run which the book does not know takes no new task until that run is stopped.

--- a/packages/fulmarleverd/fulmarleverd/placement/intake.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/intake.py
@@ -36,6 +36,9 @@
 MISSING = "its worker no longer has it"
 LOST = "its worker is lost"
 
+GONE_AFTER_S = 30.0
+"""How long a VM must be missing from the VM list before it is taken for gone."""
+
 
 class Intake:
     """Reports and answers of workers since the last round."""
@@ -90,20 +93,28 @@
 
     def _take_worker(self, worker: str, report: WorkerReport, draft: Draft) -> None:
         present = set()
+        strays = 0
         for item in report.answer.tasks:
             present.add(f"task/{self.state.name}/{item.task}")
-            self._take_task(worker, item, draft)
+            strays += self._take_task(worker, item, draft)
+        self._note_ready(worker, strays)
         for task in self.state.book.of_worker(worker):
             if task.key not in present and self._is_missing(task, report):
                 draft.add(requeued(task, MISSING))
 
-    def _take_task(self, worker: str, report: TaskReport, draft: Draft) -> None:
+    def _note_ready(self, worker: str, strays: int) -> None:
+        # A stray takes room that the book does not count.
+        if strays:
+            self.state.ready.discard(worker)
+        else:
+            self.state.ready.add(worker)
+
+    def _take_task(self, worker: str, report: TaskReport, draft: Draft) -> bool:
+        """Take up one report and return whether it shows a stray run."""
         key = f"task/{self.state.name}/{report.task}"
         if key in draft.tasks:
-            return
+            return False
         task = self.state.book.get(key)
-        if task is not None and report.attempt > task.attempt:
-            return
         new = reported(task, report) if task is not None else None
         if new is not None:
             self._note_end(task, report)
@@ -111,8 +122,10 @@
         elif report.state != RUNNING:
             attempt = AttemptId(report.task, report.attempt)
             self.state.acknowledge.setdefault(worker, set()).add(attempt)
-        elif not self._is_current(task, report):
+        elif not self._is_current(task, worker, report):
             self._stop_stray(worker, report)
+            return True
+        return False
 
     def _note_end(self, task: Task, report: TaskReport) -> None:
         if task.is_service or not task.worker:
@@ -123,16 +136,18 @@
         elif report.state == DONE:
             self.state.health.note_success(task.worker)
 
-    def _is_current(self, task: Task | None, report: TaskReport) -> bool:
+    def _is_current(self, task: Task | None, worker: str, report: TaskReport) -> bool:
         return (
             task is not None
             and task.attempt == report.attempt
+            and task.worker == worker
             and task.state in HOLDING
         )
 
     def _stop_stray(self, worker: str, report: TaskReport) -> None:
         owner, _, index = report.task.rpartition("/")
-        stray = Task(self.state.name, owner, int(index), worker=worker)
+        # The key of its own keeps this call from delaying those of the task itself.
+        stray = Task(self.state.name, f"{worker}!{owner}", int(index), worker=worker)
         stray.attempt = report.attempt
         order = StopOrder(report.task, report.attempt, self.state.epoch, False)
         self.state.calls.stop(stray, order)
@@ -149,6 +164,7 @@
             view = fleet.get(worker)
             if view is not None and self.state.workers.is_reachable(view):
                 continue
+            self.state.ready.discard(worker)
             if self._is_lease_over(view):
                 yield from (
                     task
@@ -165,13 +181,18 @@
 
     def _may_move(self, task: Task, view: WorkerView | None) -> bool:
         """Return whether no former placer can still be renewing a task."""
-        if view is None or not view.is_listed or view.answered_s:
+        if self._is_gone(view) or (view is not None and view.answered_s):
             return True
         job = self.state.job(task)
         if task.is_service or (job and job.isolation is IsolationRule.MOVE):
             return True
         return all(self._is_ended(name) for name in self.state.lease.row.former)
 
+    def _is_gone(self, view: WorkerView | None) -> bool:
+        since_s = self.state.loaded_s if view is None else view.unlisted_since_s
+        now_s = self.state.clock.monotonic()
+        return since_s is not None and now_s - since_s >= GONE_AFTER_S
+
     def _is_ended(self, identity: str) -> bool:
         vm, _, incarnation = identity.partition("#")
         try:
--- a/packages/fulmarleverd/fulmarleverd/placement/state.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/state.py
@@ -19,7 +19,8 @@
     """The state of a zone under one epoch.
 
     ``confirmed_s`` holds the monotonic time at which a worker confirmed an attempt,
-    by task key; ``acknowledge`` the ends to acknowledge, by worker.
+    by task key; ``acknowledge`` the ends to acknowledge, by worker; ``ready`` the
+    workers whose last report shows nothing that the book does not know.
     """
 
     def __init__(self, kernel: Kernel, lease: ZoneLease, calls: Calls) -> None:
@@ -38,6 +39,7 @@
         self.acknowledge: dict[str, set[AttemptId]] = {}
         self.confirmed_s: dict[str, float] = {}
         self.loaded_s = 0.0
+        self.ready: set[str] = set()
 
     def job(self, task: Task) -> JobSpec | None:
         """Return the declaration of a batch task's job, if it is known."""
--- a/packages/fulmarleverd/fulmarleverd/placement/zone.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/zone.py
@@ -20,7 +20,7 @@
 from fulmarleverd.placement.orders import AttemptId, WorkerReport
 from fulmarleverd.placement.outbox import Outbox
 from fulmarleverd.placement.queue import Queue, make_room
-from fulmarleverd.placement.settle import cancelled
+from fulmarleverd.placement.settle import cancelled, stopping
 from fulmarleverd.placement.state import ZoneState
 from fulmarleverd.placement.writer import Draft, TaskWriter
 from fulmarleverd.services.workers import ORDER_WINDOW_S, SyncPlan
@@ -58,6 +58,7 @@
         self._desired: dict[str, Task] = {}
         self._desired_for: tuple[int, tuple[str, ...]] = (-1, ())
         self._inbox_read_s = float("-inf")
+        self._evictions: dict[str, str] = {}
 
     @property
     def book(self) -> TaskBook:
@@ -86,6 +87,10 @@
         """Keep a worker's report for the next round; return whether it is urgent."""
         return self.intake.take_report(report)
 
+    def evict(self, key: str, reason: str) -> None:
+        """Stop a task in the next round; it is queued again with its checkpoint."""
+        self._evictions[key] = reason
+
     def plan(self, worker: str) -> SyncPlan:
         """Return what the next synchronisation of a worker carries."""
         renew = tuple(
@@ -185,6 +190,12 @@
         yield from self._service_changes(cfg)
         yield from self.jobs.creations()
         yield from self.jobs.cancellations()
+        evictions, self._evictions = self._evictions, {}
+        for key, reason in evictions.items():
+            task = self.book.get(key)
+            change = stopping(task, reason) if task is not None else None
+            if change is not None:
+                yield change
 
     def _service_changes(self, cfg: Configuration) -> Iterator[Task]:
         if cfg.generation < self.state.backends.generation:
@@ -226,7 +237,8 @@
         return [
             make_room(name, view.vm.rack, view.size, self.book, self.state.lookup)
             for name, view in workers.fleet().items()
-            if workers.is_reachable(view)
+            if name in self.state.ready
+            and workers.is_reachable(view)
             and not view.is_leaving
             and not health.is_suspended(name, now_s)
         ]
--- a/packages/fulmarleverd/fulmarleverd/services/placer.py
+++ b/packages/fulmarleverd/fulmarleverd/services/placer.py
@@ -39,6 +39,7 @@
 
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
+        self.make_zone: type[Zone] = Zone
         self.zone: Zone | None = None
         self.lease: ZoneLease | None = None
         self._wake = asyncio.Event()
@@ -115,7 +116,7 @@
         self._wake.set()
 
     async def _take_over(self) -> None:
-        zone = Zone(self.kernel, self.lease, self.spawn, self.wake)
+        zone = self.make_zone(self.kernel, self.lease, self.spawn, self.wake)
         if not await zone.load() or not self.lease.is_valid:
             return
         self.zone = zone
--- a/packages/fulmarleverd/fulmarleverd/services/workers.py
+++ b/packages/fulmarleverd/fulmarleverd/services/workers.py
@@ -73,12 +73,12 @@
     is_answering: bool = False
     clock_offset_s: float | None = None
     grant_end_s: float = 0.0
-    is_listed: bool = True
+    unlisted_since_s: float | None = None
 
     @property
     def is_leaving(self) -> bool:
         """Return whether the worker takes no new task."""
-        return self.vm.state is VMState.LEAVING or not self.is_listed
+        return self.vm.state is VMState.LEAVING or self.unlisted_since_s is not None
 
     def worker_time(self, time_s: float) -> float | None:
         """Return a monotonic time on the worker's clock, early by the drift bound."""
@@ -154,7 +154,10 @@
         for name, vm in listed.items():
             self._update(name, vm)
         for name, view in self._views.items():
-            view.is_listed = name in listed
+            if name in listed:
+                view.unlisted_since_s = None
+            elif view.unlisted_since_s is None:
+                view.unlisted_since_s = self.clock.monotonic()
 
     async def sync(self, name: str) -> bool:
         """Synchronise with one worker and return whether it answered."""
--- a/packages/fulmarleverd/fulmarleverd/tests/placement/fakes.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/placement/fakes.py
@@ -12,6 +12,7 @@
 from fulmarlever.structure.configuration import Configuration
 from fulmarlever.structure.fleet import VM
 from fulmarlever.structure.size import Size
+from fulmarlever.structure.table import Change
 from fulmarlever_standins.table import MemoryTable
 from fulmarleverd.kernel import Kernel, Service
 from fulmarleverd.placement.orders import (
@@ -56,6 +57,8 @@
         self.runs: dict[str, FakeRun] = {}
         self.fails_starts = False
         self.starts: list[tuple[str, int, str]] = []
+        self.ends: dict[tuple[str, int], str] = {}
+        self.overruns = 0
         self.serial = 0
 
     def running(self) -> dict[str, FakeRun]:
@@ -82,6 +85,7 @@
         if order.attempt <= self.attempts.get(order.task, 0) or self.fails_starts:
             return Refused("over")
         if not (self.reserved() + order.size).fits_in(self.vm.size):
+            self.overruns += 1
             return Refused("does not fit")
         self.attempts[order.task] = order.attempt
         end = self.clock.monotonic() + order.lease_s
@@ -137,6 +141,7 @@
         """Let a running task end by itself."""
         if task in self.running():
             self.runs[task].state = state
+            self.ends[task, self.runs[task].order.attempt] = state
 
     def _is_fresh(self, order: StartOrder | StopOrder) -> bool:
         known = self.attempts.get(order.task, 0)
@@ -260,20 +265,44 @@
         return f"{vm}#{incarnation}" in self.ended
 
 
+class FaultyPlatform(FakePlatform):
+    """The fake platform of one daemon, cut off or with writes that arrive late."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self.is_holding = False
+        self.held: list[Change] = []
+
+    async def write(self, change: Change) -> object:
+        if self.is_holding:
+            self.held.append(change)
+            return OutcomeUnknown("no answer")
+        return await super().write(change)
+
+    def deliver_held(self) -> None:
+        """Let every held write reach the table now; the answers are lost."""
+        held, self.held = self.held, []
+        for change in held:
+            self.table.write(change)
+
+
 class Daemon:
     """One daemon's placement services over a shared table and fleet.
 
     Nothing runs by itself: tests call ``beat``, ``sync`` and ``round``.
     """
 
-    def __init__(self, cluster: Cluster, vm: str, zone: str) -> None:
+    def __init__(
+        self, cluster: Cluster, vm: str, zone: str, incarnation: int = 1
+    ) -> None:
         self.vm = vm
         self.kernel = make_kernel(cluster.clock, vm=vm, zone=zone)
-        self.platform: FakePlatform = self.kernel.find("platform")
+        self.platform = FaultyPlatform(self.kernel)
+        self.kernel.add(self.platform)
         self.platform.table = cluster.table
         self.platform.vm_list = cluster.vms
         self.config = FakeConfig(self.kernel)
-        self.membership = FakeMembership(self.kernel, f"{vm}#1")
+        self.membership = FakeMembership(self.kernel, f"{vm}#{incarnation}")
         self.workers = Workers(self.kernel)
         self.workers.client = FakeWorkerClient(vm, cluster.fleet)
         self.placer = Placer(self.kernel)
@@ -313,9 +342,9 @@
         """Add a worker to the fleet and the VM list."""
         self.vms[name] = self.fleet.add(name, **fields)
 
-    def add_daemon(self, vm: str, zone: str = "a") -> Daemon:
+    def add_daemon(self, vm: str, zone: str = "a", incarnation: int = 1) -> Daemon:
         """Add a daemon."""
-        daemon = Daemon(self, vm, zone)
+        daemon = Daemon(self, vm, zone, incarnation)
         self.daemons.append(daemon)
         return daemon
 
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/placement/faults_tests.py
@@ -0,0 +1,389 @@
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+from loguru import logger as log
+
+from fulmarlever.structure.configuration import IsolationRule, JobSpec
+from fulmarlever.structure.size import Size
+from fulmarlever.structure.task import Task
+from fulmarlever.tests.base import TableTestCase
+from fulmarleverd.placement.book import HOLDING
+from fulmarleverd.tests.placement.fakes import Cluster, Daemon
+from fulmarleverd.tests.placement.naive import naive_daemon
+
+WORKERS = ("w0", "w1", "w2")
+ENTRY_VMS = ("entry-a-1", "entry-a-2")
+WORKER_SIZE = Size(8, 8000, 0)
+SIZES = (Size(2, 1000), Size(4, 3000), Size(8, 1000))
+
+workers = st.sampled_from(WORKERS)
+vms = st.sampled_from(ENTRY_VMS)
+picks = st.integers(0, 1000)
+
+
+class PlacementMachine(RuleBasedStateMachine):
+    """Two daemons of one zone, three workers, and every fault of the brief."""
+
+    is_naive = False
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.runner = asyncio.Runner()
+        self.cluster = Cluster()
+        self.daemons: dict[str, Daemon] = {}
+        self.frozen: set[str] = set()
+        self.incarnations: Counter[str] = Counter()
+        self.final: dict[str, str] = {}
+        self.submitted: list[JobSpec] = []
+        for name in WORKERS:
+            self.cluster.add_worker(name, rack=name, size=WORKER_SIZE)
+        for vm in ENTRY_VMS:
+            self.boot(vm)
+
+    def teardown(self) -> None:
+        self.runner.close()
+
+    def boot(self, vm: str) -> None:
+        self.incarnations[vm] += 1
+        incarnation = self.incarnations[vm]
+        daemon = self.cluster.add_daemon(vm, incarnation=incarnation)
+        if self.is_naive:
+            naive_daemon(daemon)
+        self.daemons[vm] = daemon
+
+    def pass_time(self, seconds: float, step_s: float = 1.0) -> None:
+        active = [d for vm, d in self.daemons.items() if vm not in self.frozen]
+        if active:
+            self.runner.run(self.cluster.run(seconds, *active, step_s=step_s))
+        else:
+            self.cluster.clock.advance(seconds)
+
+    def tasks(self) -> list[Task]:
+        rows = self.cluster.table.read([], ["task/"])
+        return [Task.from_wire(row.value) for row in rows]
+
+    def holder(self) -> str | None:
+        for vm, daemon in self.daemons.items():
+            if daemon.placer.is_holder and vm not in self.frozen:
+                return vm
+        return None
+
+    def pick_running(self, pick: int) -> tuple[str, str] | None:
+        running = [
+            (name, task)
+            for name, worker in self.cluster.fleet.workers.items()
+            for task in worker.running()
+        ]
+        return running[pick % len(running)] if running else None
+
+    @initialize()
+    def begin(self) -> None:
+        self.submit(size=SIZES[0], tasks=3, rule=IsolationRule.KEEP, vm=ENTRY_VMS[0])
+        self.pass_time(3)
+
+    @rule(
+        size=st.sampled_from(SIZES),
+        tasks=st.integers(1, 4),
+        rule=st.sampled_from(IsolationRule),
+        vm=vms,
+    )
+    def submit(self, size: Size, tasks: int, rule: IsolationRule, vm: str) -> None:
+        name = f"job{len(self.submitted)}"
+        spec = JobSpec(name, "team", "kind", tasks=tasks, size=size, isolation=rule)
+        self.submitted.append(spec)
+        self.runner.run(self.daemons[vm].jobs.submit_spec(spec))
+
+    @rule(seconds=st.integers(1, 3))
+    def wait(self, seconds: int) -> None:
+        self.pass_time(seconds)
+
+    @rule()
+    def wait_for_takeover(self) -> None:
+        self.pass_time(10)
+
+    @rule()
+    def wait_for_leases(self) -> None:
+        self.pass_time(24)
+
+    @rule(pick=picks, state=st.sampled_from(("done", "done", "failed")))
+    def finish(self, pick: int, state: str) -> None:
+        found = self.pick_running(pick)
+        if found is not None:
+            self.cluster.fleet.workers[found[0]].finish(found[1], state)
+
+    @rule(pick=picks, vm=vms)
+    def evict(self, pick: int, vm: str) -> None:
+        zone = self.daemons[vm].placer.zone
+        tasks = list(zone.book.entries) if zone else []
+        if tasks:
+            zone.evict(tasks[pick % len(tasks)], "evicted by a test")
+
+    @rule(pick=picks, vm=vms, is_finished=st.booleans())
+    def cancel(self, pick: int, vm: str, is_finished: bool) -> None:
+        name = self.submitted[pick % len(self.submitted)].name
+        if is_finished:
+            self.finish(pick, "done")
+        self.runner.run(self.daemons[vm].jobs.cancel(name))
+
+    @rule(vm=vms)
+    def cancel_wave(self, vm: str) -> None:
+        for spec in self.submitted[1:]:
+            self.runner.run(self.daemons[vm].jobs.cancel(spec.name))
+
+    @rule(vm=vms)
+    def freeze(self, vm: str) -> None:
+        self.frozen.add(vm)
+
+    @rule(vm=vms)
+    def thaw(self, vm: str) -> None:
+        self.frozen.discard(vm)
+
+    @rule(vm=vms, is_known=st.booleans())
+    def restart(self, vm: str, is_known: bool) -> None:
+        ended = self.daemons[vm].membership.identity
+        self.frozen.discard(vm)
+        self.boot(vm)
+        if is_known:
+            for daemon in self.daemons.values():
+                daemon.membership.ended.add(ended)
+
+    @rule(vm=vms, worker=workers, is_holding=st.booleans())
+    def cut_link(self, vm: str, worker: str, is_holding: bool) -> None:
+        faults = self.cluster.fleet.hold if is_holding else self.cluster.fleet.cut
+        faults.add((vm, worker))
+
+    @rule()
+    def deliver_orders(self) -> None:
+        self.cluster.fleet.hold.clear()
+        self.cluster.fleet.cut.clear()
+        self.cluster.fleet.deliver_held()
+
+    @rule(
+        seconds=st.sampled_from((1, 3, 25)),
+        is_frozen=st.booleans(),
+        size=st.sampled_from(SIZES),
+        pick=picks,
+    )
+    def delay_holder(
+        self, seconds: int, is_frozen: bool, size: Size, pick: int
+    ) -> None:
+        """Let the holder's writes or orders of one step arrive much later."""
+        vm = self.holder()
+        if vm is None:
+            return
+        platform, fleet = self.daemons[vm].platform, self.cluster.fleet
+        links = {(vm, worker) for worker in WORKERS}
+        self.submit(size, 2, IsolationRule.MOVE, vm)
+        self.finish(pick, "done")
+        if pick % 2:
+            platform.is_holding = True
+        else:
+            fleet.hold |= links
+        self.pass_time(1)
+        platform.is_holding = False
+        fleet.hold -= links
+        if is_frozen:
+            self.frozen.add(vm)
+            self.pass_time(10)
+        self.finish(pick, "done")
+        self.pass_time(seconds)
+        platform.deliver_held()
+        fleet.deliver_held()
+        self.frozen.discard(vm)
+
+    @rule(worker=workers, seconds=st.sampled_from((5, 25)))
+    def split(self, worker: str, seconds: int) -> None:
+        """Cut the holder from the table and a worker from everybody else."""
+        vm = self.holder()
+        if vm is None:
+            return
+        others = {(name, worker) for name in ENTRY_VMS if name != vm}
+        self.daemons[vm].platform.is_table_up = False
+        self.cluster.fleet.cut |= others
+        self.pass_time(10)
+        self.pass_time(seconds)
+        self.no_task_in_two_places()
+        self.daemons[vm].platform.is_table_up = True
+        self.cluster.fleet.cut -= others
+
+    @rule(worker=workers, size=st.sampled_from(SIZES))
+    def lose_worker(self, worker: str, size: Size) -> None:
+        """Freeze a worker beyond its leases and wake it."""
+        self.cluster.fleet.frozen.add(worker)
+        self.submit(size, 2, IsolationRule.KEEP, ENTRY_VMS[0])
+        self.pass_time(26)
+        self.cluster.fleet.frozen.discard(worker)
+        self.cluster.fleet.deliver_held()
+
+    @rule(worker=workers)
+    def freeze_worker(self, worker: str) -> None:
+        self.cluster.fleet.frozen.add(worker)
+
+    @rule()
+    def thaw_workers(self) -> None:
+        self.cluster.fleet.frozen.clear()
+        self.cluster.fleet.deliver_held()
+
+    @rule(worker=workers)
+    def crash_worker(self, worker: str) -> None:
+        self.cluster.fleet.workers[worker].runs.clear()
+
+    @rule(worker=workers)
+    def flap_list(self, worker: str) -> None:
+        """Let a living VM be missing from the VM list for a while."""
+        self.cluster.vms.pop(worker, None)
+        self.pass_time(10)
+        self.heal_list()
+
+    @rule(worker=workers)
+    def remove_vm(self, worker: str) -> None:
+        """Let a VM end, and leave the VM list only later."""
+        self.crash_worker(worker)
+        self.cluster.fleet.frozen.add(worker)
+        self.pass_time(5)
+        self.cluster.vms.pop(worker, None)
+
+    @rule()
+    def heal_list(self) -> None:
+        for name, worker in self.cluster.fleet.workers.items():
+            self.cluster.vms[name] = worker.vm
+            if name in self.cluster.fleet.frozen:
+                self.crash_worker(name)
+
+    @rule(vm=vms, is_up=st.booleans())
+    def switch_table(self, vm: str, is_up: bool) -> None:
+        self.daemons[vm].platform.is_table_up = is_up
+
+    @rule(vm=vms, is_holding=st.booleans())
+    def hold_writes(self, vm: str, is_holding: bool) -> None:
+        self.daemons[vm].platform.is_holding = is_holding
+
+    @rule()
+    def deliver_writes(self) -> None:
+        for daemon in self.cluster.daemons:
+            daemon.platform.deliver_held()
+
+    @rule(vm=vms, count=st.integers(1, 3))
+    def lose_answers(self, vm: str, count: int) -> None:
+        self.daemons[vm].platform.lose_answers = count
+        self.cluster.fleet.lose_answers = count
+
+    @invariant()
+    def no_task_in_two_places(self) -> None:
+        for task in self.tasks():
+            places = self.cluster.fleet.places(task.name)
+            assert len(places) <= 1, (task.name, places)
+
+    @invariant()
+    def each_attempt_started_once(self) -> None:
+        starts = Counter(
+            (task, attempt)
+            for worker in self.cluster.fleet.workers.values()
+            for task, attempt, _ in worker.starts
+        )
+        assert all(count == 1 for count in starts.values()), starts
+
+    @invariant()
+    def no_worker_over_capacity(self) -> None:
+        reserved: dict[str, Size] = {}
+        for task in self.tasks():
+            if task.state in HOLDING:
+                before = reserved.get(task.worker, Size())
+                reserved[task.worker] = before + task.reservation
+        for worker, size in reserved.items():
+            assert size.fits_in(WORKER_SIZE), (worker, size)
+        for worker in self.cluster.fleet.workers.values():
+            assert worker.overruns == 0, worker.vm.name
+
+    @invariant()
+    def final_states_are_true_and_stay(self) -> None:
+        ends = {
+            key
+            for worker in self.cluster.fleet.workers.values()
+            for key, state in worker.ends.items()
+            if state == "done"
+        }
+        for task in self.tasks():
+            known = self.final.get(task.key)
+            assert known in (None, str(task.state)), (task.key, known, task.state)
+            if not task.state.is_final:
+                continue
+            self.final[task.key] = str(task.state)
+            assert not self.cluster.fleet.places(task.name), task
+            if task.state == "done":
+                assert (task.name, task.attempt) in ends, task
+
+    def heal(self) -> None:
+        self.deliver_orders()
+        self.thaw_workers()
+        self.heal_list()
+        self.frozen.clear()
+        self.cluster.fleet.lose_answers = 0
+        for daemon in self.cluster.daemons:
+            daemon.platform.is_table_up = True
+            daemon.platform.is_holding = False
+            daemon.platform.lose_answers = 0
+            daemon.platform.deliver_held()
+
+
+class HealingMachine(PlacementMachine):
+    """The same faults; in the end, once they are over, every job must end."""
+
+    def teardown(self) -> None:
+        self.heal()
+        for _ in range(60):
+            for worker in self.cluster.fleet.workers.values():
+                for name in list(worker.running()):
+                    worker.finish(name)
+            self.pass_time(2)
+            self.final_states_are_true_and_stay()
+            self.no_task_in_two_places()
+        jobs = self.runner.run(self.daemons[ENTRY_VMS[0]].jobs.listing())
+        super().teardown()
+        for job in jobs:
+            assert job.state in ("done", "failed", "cancelled"), job
+
+
+class NaiveMachine(PlacementMachine):
+    """The naive placer under the same checks."""
+
+    is_naive = True
+
+
+class FaultsTests(TableTestCase):
+    def setUp(self):
+        log.disable("fulmarleverd")
+        self.addCleanup(log.enable, "fulmarleverd")
+
+    def run_machine(
+        self, machine: type, examples: int, steps: int, **options: object
+    ) -> None:
+        limits = settings(max_examples=examples, stateful_step_count=steps, **options)
+        run_state_machine_as_test(machine, settings=limits)
+
+    def test_promises_hold_under_faults(self):
+        self.run_machine(PlacementMachine, examples=50, steps=30)
+
+    def test_everything_ends_once_faults_are_over(self):
+        self.run_machine(HealingMachine, examples=10, steps=25)
+
+    def test_naive_placer_breaks_the_promises(self):
+        with self.assertRaises(AssertionError):
+            self.run_machine(
+                NaiveMachine,
+                examples=150,
+                steps=40,
+                report_multiple_bugs=False,
+                phases=(Phase.generate,),
+            )
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/placement/naive.py
@@ -0,0 +1,76 @@
+"""A naive placer for differential tests: first fit, no leases, no fencing."""
+
+from __future__ import annotations
+
+from fulmarlever.policies.placement import PLACEMENTS
+from fulmarlever.structure.table import Change, Lane
+from fulmarleverd.placement.intake import Intake
+from fulmarleverd.placement.lease import ZoneLease
+from fulmarleverd.placement.zone import Zone
+from fulmarleverd.tests.placement.fakes import Daemon
+
+
+class NaiveLease(ZoneLease):
+    """A lease that is believed for ever and taken without waiting."""
+
+    @property
+    def is_valid(self) -> bool:
+        return self.is_held
+
+    @property
+    def epoch(self) -> int:
+        return 1
+
+    def lose(self) -> None:
+        self._seen = None
+
+    def _is_free(self, placer, beat, received) -> bool:
+        return placer is None or not self.row.holder or beat == self._seen_beat(beat)
+
+    def _seen_beat(self, beat) -> object:
+        before, self._seen = self._seen, beat
+        return before
+
+
+class Unconditional:
+    """A platform whose writes ignore their conditions."""
+
+    def __init__(self, platform) -> None:
+        self._platform = platform
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._platform, name)
+
+    async def commit(self, change: Change, lane: Lane) -> object:
+        change.conditions.clear()
+        return await self._platform.commit(change, lane)
+
+
+def naive_daemon(daemon: Daemon) -> None:
+    """Replace the mechanisms of a daemon's placer by naive ones."""
+    lease = daemon.placer.lease
+    daemon.placer.lease = NaiveLease(
+        lease.platform,
+        lease.clock,
+        "a",
+        f"{lease.holder}#{lease.incarnation}",
+        lease.lease_s,
+    )
+    daemon.placer.make_zone = NaiveZone
+
+
+class NaiveZone(Zone):
+    """A zone whose placer trusts its own memory."""
+
+    def __init__(self, *args: object) -> None:
+        super().__init__(*args)
+        self.writer.platform = Unconditional(self.platform)
+        self.queue.place = PLACEMENTS.find("first-fit")
+        self.intake = NaiveIntake(self.state)
+
+
+class NaiveIntake(Intake):
+    """Takes a silent worker for a dead one."""
+
+    def _is_lease_over(self, view) -> bool:
+        return True
