--- a/packages/fulmarleverd/fulmarleverd/requests/ownership.py
+++ b/packages/fulmarleverd/fulmarleverd/requests/ownership.py
@@ -161,7 +161,7 @@
         expired = [
             (server, who)
             for (server, who, entry), seen in self._closed_seen.items()
-            if now - seen >= row.run_s.get(server, DEFAULT_RUN_S) + CLOSED_MARGIN_S
+            if now - seen >= self._closed_for_s(row, server)
             and self._is_ended(who, view)
             and row.closed.get(server, {}).get(who) == entry
         ]
@@ -169,6 +169,9 @@
             row.open(server, who)
         return bool(expired)
 
+    def _closed_for_s(self, row: ShareRow, server: str) -> float:
+        return row.run_s.get(server, DEFAULT_RUN_S) + CLOSED_MARGIN_S
+
     def _raise_run_limit(self, row: ShareRow, view: ZoneView) -> bool:
         changed = False
         for name in row.shares:
--- a/packages/fulmarleverd/fulmarleverd/requests/slot_pool.py
+++ b/packages/fulmarleverd/fulmarleverd/requests/slot_pool.py
@@ -24,7 +24,7 @@
         self.policy = policy
         self.guard = PauseGuard(clock.monotonic())
         self.shares: dict[str, ServerShare] = {}
-        self.abandoned = 0
+        self._abandoned: list[Slot] = []
         self._by_service: dict[str, list[ServerShare]] = {}
         self._waiting: dict[str, deque[asyncio.Future[Slot]]] = {}
 
@@ -137,19 +137,20 @@
         if is_free or slot.sent_at is None:
             self._free(slot)
             return
-        self.abandoned += 1
-        left_s = slot.sent_at + slot.run_limit_s - self.clock.monotonic()
-        loop = asyncio.get_running_loop()
-        loop.call_later(max(0.0, left_s), self._free_abandoned, slot)
-
-    def _free_abandoned(self, slot: Slot) -> None:
-        left_s = slot.sent_at + slot.run_limit_s - self.clock.monotonic()
-        if left_s > 0:
-            loop = asyncio.get_running_loop()
-            loop.call_later(left_s, self._free_abandoned, slot)
-            return
-        self.abandoned -= 1
-        self._free(slot)
+        self._abandoned.append(slot)
+
+    @property
+    def abandoned(self) -> int:
+        """Return the number of slots whose request was given up and may still run."""
+        return len(self._abandoned)
+
+    def free_expired(self) -> None:
+        """Free the abandoned slots whose request must have ended."""
+        now = self.clock.monotonic()
+        expired = [s for s in self._abandoned if now - s.sent_at >= s.run_limit_s]
+        for slot in expired:
+            self._abandoned.remove(slot)
+            self._free(slot)
 
     def _free(self, slot: Slot) -> None:
         slot.share.in_use -= 1
--- a/packages/fulmarleverd/fulmarleverd/services/slots.py
+++ b/packages/fulmarleverd/fulmarleverd/services/slots.py
@@ -162,6 +162,7 @@
         while True:
             now = self.clock.monotonic()
             self.pool.guard.beat(now)
+            self.pool.free_expired()
             self.note_vm_list()
             self._relax_latencies(now)
             self._publish_load()
--- a/packages/fulmarleverd/fulmarleverd/tests/requests/fakes.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/requests/fakes.py
@@ -38,8 +38,11 @@
         self.members = {}
         self.cuts = set()
         self.ended = set()
+        self.frozen = set()
 
     def is_cut(self, one, other):
+        if self.frozen & {one, other}:
+            return True
         return frozenset((one, other)) in self.cuts
 
 
@@ -61,6 +64,7 @@
             if vm != self.settings.vm
             and zone in (None, m.settings.zone)
             and not self.network.is_cut(vm, self.settings.vm)
+            and m.identity not in self.network.ended
         ]
 
     def is_ended(self, vm, incarnation):
