Close callers' idle connections at the end of the drain

Cause: pre_shutdown ends the tasks of idle keep-alive connections and leaves the connections open, so a drain under load waited for its limit, and a request sent on such a connection meanwhile was never read.

--- a/packages/fulmarleverd/fulmarleverd/services/callers.py
+++ b/packages/fulmarleverd/fulmarleverd/services/callers.py
@@ -10,7 +10,6 @@
 import itertools
 
 from aiohttp import web
-from loguru import logger as log
 
 from fulmarlever.outcomes import failed
 from fulmarlever.structure.configuration import ServiceSpec
@@ -120,11 +119,9 @@
         self._listener.close()
         while clock.monotonic() < end and self.in_progress:
             await asyncio.sleep(DRAIN_STEP_S)
+        # The first call ends the tasks of idle connections without closing these.
         self._server.pre_shutdown()
-        while clock.monotonic() < end and self._server.connections:
-            await asyncio.sleep(DRAIN_STEP_S)
-        if self._server.connections:
-            log.warning("connections of callers outlast the drain limit")
+        await self._server.shutdown(max(0.0, end - clock.monotonic()))
 
     async def stop(self) -> None:
         """Close every connection of callers."""
