--- a/packages/fulmarlever_standins/fulmarlever_standins/backend.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/backend.py
@@ -23,8 +23,8 @@
 class BackendRecord:
     """Everything that one backend server ran and each excess over its limits.
 
-    ``last_start_leaving_s`` is the age of the leave, in seconds, when the last
-    request was started.
+    ``last_start`` is the Unix time at which the last request was started, and
+    ``last_start_leaving_s`` the age of the leave, in seconds, at that time.
     """
 
     runs: Counter[str] = field(default_factory=Counter)
@@ -32,6 +32,7 @@
     overruns: int = 0
     max_in_progress: int = 0
     max_connections: int = 0
+    last_start: float = 0.0
     last_start_leaving_s: float = 0.0
 
     def to_wire(self) -> dict:
@@ -91,6 +92,7 @@
 
     def _record_run(self, request: web.BaseRequest) -> None:
         self.record.runs[request.headers.get("X-Request-Id", "")] += 1
+        self.record.last_start = self.clock.wall()
         key = request.headers.get("Idempotency-Key")
         if key:
             self.record.keys[key] += 1
--- a/packages/fulmarlever_standins/fulmarlever_standins/cluster.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/cluster.py
@@ -42,6 +42,7 @@
     overruns: int = 0
     max_in_progress: int = 0
     max_connections: int = 0
+    last_start: float = 0.0
     last_start_leaving_s: float = 0.0
     by_server: dict[str, dict] = field(default_factory=dict)
 
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/failures/base.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/failures/base.py
@@ -106,6 +106,12 @@
         self.assertGreater(counts[Reply.SERVED], 0, counts)
         return counts
 
+    def check_nothing_cut_off(self, results: list[CallerResult]):
+        """Fail when a caller got no answer or an unknown outcome."""
+        cut_off = (Reply.LOST, Reply.UNKNOWN)
+        found = {reply: self.details(results, reply) for reply in cut_off}
+        self.assertEqual(found, {reply: Counter() for reply in cut_off})
+
     def details(self, results: list[CallerResult], reply: Reply) -> Counter[str]:
         """Return how often each detail was given with one reply."""
         return Counter(r.detail for r in results if r.reply is reply)
