Test claims, and that each answer is whole and reaches its own caller

Cause: no test produced lost claims, repeats across daemons, truncated, late, stale or oversized answers.

--- a/packages/fulmarleverd/fulmarleverd/tests/requests/fakes.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/requests/fakes.py
@@ -110,9 +110,9 @@
 
     async def start(self):
         server = web.Server(self.answer)
-        self.runner = web.ServerRunner(server)
+        self.runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self.runner.setup()
-        self.site = web.TCPSite(self.runner, "127.0.0.1", 0, shutdown_timeout=0.1)
+        self.site = web.TCPSite(self.runner, "127.0.0.1", 0)
         await self.site.start()
         self.server = server
         self.port = self.runner.addresses[0][1]
--- a/packages/fulmarleverd/fulmarleverd/tests/requests/path_base.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/requests/path_base.py
@@ -47,7 +47,7 @@
         return servers
 
     async def daemon(self, vm="entry-a-1", **settings):
-        settings.setdefault("drain_limit_s", 2.0)
+        settings.setdefault("drain_limit_s", 0.5)
         specs = settings.pop("specs", self.specs)
         kernel = build(self.network, self.table, vm, specs, **settings)
         await kernel.start()
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/services/claims_tests.py
@@ -0,0 +1,183 @@
+from __future__ import annotations
+
+import asyncio
+import json
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from fulmarlever.clock import ManualClock
+from fulmarlever.outcomes import NotRun, OutcomeUnknown
+from fulmarlever.structure.request import Answer
+from fulmarlever_standins.table import MemoryTable
+from fulmarleverd.services.claims import Claim, Claims
+from fulmarleverd.tests.base import make_kernel
+from fulmarleverd.tests.requests.fakes import FakeMembership, FakeNetwork, spec
+from fulmarleverd.tests.requests.path_base import PathTestCase
+from fulmarleverd.tests.requests.slot_world import WorldPlatform
+
+VMS = ("entry-a-1", "entry-b-1", "entry-c-1")
+FATES = ("ok", "lost", "dropped", "late", "down")
+ANSWER = Answer(201, [("X-Order", "7")], b"\x00filled")
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Three daemons get the same key again and again; writes fail in every way."""
+
+    claims_class = Claims
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.clock = ManualClock()
+        self.table = MemoryTable(self.clock)
+        self.network = FakeNetwork()
+        self.daemons = {vm: self.build(vm, 1) for vm in VMS}
+        self.open = []
+        self.runs = 0
+
+    def build(self, vm, incarnation):
+        kernel = make_kernel(self.clock, vm=vm)
+        kernel.add(WorldPlatform(kernel, self.table))
+        kernel.add(FakeMembership(kernel, self.network, incarnation))
+        claims = self.claims_class(kernel)
+        self.loop.run_until_complete(claims.start())
+        return claims
+
+    def teardown(self):
+        for claims in self.daemons.values():
+            self.loop.run_until_complete(claims.stop())
+        self.loop.close()
+
+    def record(self, step, *args):
+        """Run a call that records in the background, and let it begin."""
+
+        async def call():
+            step(*args)
+            for _ in range(10):
+                await asyncio.sleep(0)
+
+        self.loop.run_until_complete(call())
+
+    @invariant()
+    def the_request_runs_at_most_once(self):
+        assert self.runs <= 1, "ran twice"
+
+    @rule(vm=st.sampled_from(VMS), fate=st.sampled_from(FATES))
+    def repeat(self, vm, fate):
+        claims = self.daemons[vm]
+        claims.platform.is_table_up = fate != "down"
+        claims.platform.fate = "ok" if fate == "down" else fate
+        begun = self.loop.run_until_complete(claims.begin("filling", "k", "digest"))
+        claims.platform.is_table_up = True
+        claims.platform.fate = "ok"
+        if isinstance(begun, Claim):
+            self.open.append((vm, begun))
+        elif isinstance(begun, Answer):
+            assert begun == ANSWER
+        else:
+            assert isinstance(begun, NotRun | OutcomeUnknown)
+
+    @rule(vm=st.sampled_from(VMS))
+    def land(self, vm):
+        self.daemons[vm].platform.land()
+
+    @rule(fate=st.sampled_from(FATES[:4]), is_known=st.booleans())
+    def run(self, fate, is_known):
+        if self.open:
+            vm, claim = self.open.pop()
+            self.runs += 1
+            answer = ANSWER if is_known else Answer(502, outcome="unknown")
+            self.daemons[vm].platform.fate = fate
+            self.record(self.daemons[vm].finish, claim, answer)
+
+    @rule(fate=st.sampled_from(FATES[:4]))
+    def release(self, fate):
+        if self.open:
+            vm, claim = self.open.pop()
+            self.daemons[vm].platform.fate = fate
+            self.record(self.daemons[vm].release, claim)
+
+    @rule(vm=st.sampled_from(VMS))
+    def restart(self, vm):
+        old = self.daemons[vm]
+        identity = old.membership.identity
+        self.network.ended.add(identity)
+        self.open = [(name, claim) for name, claim in self.open if name != vm]
+        self.loop.run_until_complete(old.stop())
+        self.daemons[vm] = self.build(vm, int(identity.rpartition("#")[2]) + 1)
+
+
+class ClaimMachineTests(ClaimMachine.TestCase):
+    settings = settings(max_examples=100, stateful_step_count=30)
+
+
+class ClaimPathTests(PathTestCase):
+    specs = (spec(), spec("pickups", claim_required=False))
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        (self.server,) = await self.serve()
+        self.kernels_by_vm = [await self.daemon(f"entry-a-{i}") for i in (1, 2)]
+        await self.owning(*self.kernels_by_vm)
+
+    def platform(self, index):
+        return self.kernels_by_vm[index].find("platform")
+
+    async def post(self, index, key="k", body="order", **headers):
+        headers = {"Idempotency-Key": key, "X-Request-Id": key, **headers}
+        return await self.ask(
+            self.kernels_by_vm[index], method="POST", data=body, headers=headers
+        )
+
+    async def test_repeated_key_gets_the_same_answer_from_another_daemon(self):
+        first = await self.post(0)
+        await asyncio.sleep(0.05)
+        second = await self.post(1)
+        self.assertEqual((first[0], first[2]), (200, b"k:order"))
+        self.assertEqual((second[0], second[2]), (200, b"k:order"))
+        self.assertEqual(self.server.runs["k"], 1)
+
+    async def test_many_repeats_at_once_run_once(self):
+        headers = {"X-Work-Ms": "50"}
+        results = await asyncio.gather(
+            *(self.post(i % 2, **headers) for i in range(20))
+        )
+        statuses = sorted(status for status, _, _ in results)
+        self.assertEqual(statuses, [200] + [409] * 19)
+        self.assertEqual(self.server.runs["k"], 1)
+
+    async def test_same_key_with_another_body_is_refused(self):
+        await self.post(0)
+        status, _, body = await self.post(1, body="another order")
+        self.assertEqual((status, json.loads(body)["outcome"]), (422, "not-run"))
+
+    async def test_unknown_outcome_stays_unknown(self):
+        for index in (0, 1, 0):
+            status, _, body = await self.post(index, **{"X-Fault": "close"})
+            self.assertEqual((status, json.loads(body)["outcome"]), (502, "unknown"))
+            await asyncio.sleep(0.05)
+        self.assertEqual(self.server.runs["k"], 1)
+
+    async def test_table_down_refuses_unless_the_service_allows_it(self):
+        self.platform(0).is_table_up = False
+        status, headers, body = await self.post(0)
+        self.assertEqual((status, json.loads(body)["outcome"]), (503, "not-run"))
+        self.assertGreaterEqual(int(headers["Retry-After"]), 1)
+        self.assertEqual(self.server.runs["k"], 0)
+        claims = self.kernels_by_vm[0].find("claims")
+        begun = await claims.begin("pickups", "k", "digest", False)
+        self.assertIsInstance(begun, Claim)
+
+    async def test_lost_answer_of_the_claim_is_read_back(self):
+        self.platform(0).lose_answers = 1
+        status, _, _ = await self.post(0)
+        self.assertEqual((status, self.server.runs["k"]), (200, 1))
+
+    async def test_claim_of_a_request_that_did_not_run_is_released(self):
+        await self.server.stop()
+        status, _, _ = await self.post(0)
+        self.assertEqual(status, 503)
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.table.read(prefixes=["claim/"]), [])
