--- a/packages/fulmarleverd/fulmarleverd/tests/requests/path_base.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/requests/path_base.py
@@ -37,11 +37,13 @@
         for server in self.servers:
             await server.stop()
 
-    async def serve(self, count=1, zone="a", slots=8):
+    async def serve(self, count=1, zone="a", slots=8, service=""):
         servers = [ScriptedServer(slots) for _ in range(count)]
         for server in servers:
             await server.start()
-        row = server_row(servers, zone, self.specs[0].name, slots)
+        row = server_row(servers, zone, service or self.specs[0].name, slots)
+        for earlier in self.table.read([f"servers/{zone}"]):
+            row["servers"].update(earlier.value["servers"])
         self.table.write(Change(writes={f"servers/{zone}": row}))
         self.servers.extend(servers)
         return servers
