Count rows by a property, so that an empty table is not false

Cause: MemoryTable had got a __len__; fakes that take 'table or MemoryTable()' then gave each daemon a table of its own while the shared one was empty, and two placement lease tests failed (2 failed before, 0 after).

--- a/packages/fulmarlever_standins/fulmarlever_standins/platform.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/platform.py
@@ -121,7 +121,7 @@
             "reads": table.reads,
             "writes": table.writes,
             "rows_written": table.rows_written,
-            "rows": len(table),
+            "rows": table.row_count,
             "objects": len(self.objects),
             "calls_by_vm": dict(self.calls_by_vm),
         }
--- a/packages/fulmarlever_standins/fulmarlever_standins/table.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/table.py
@@ -23,7 +23,9 @@
         self._expiries: list[tuple[float, str, int]] = []
         self._next_version = 1
 
-    def __len__(self) -> int:
+    @property
+    def row_count(self) -> int:
+        """Return the number of rows."""
         return len(self._rows)
 
     def read(self, keys: Iterable[str] = (), prefixes: Iterable[str] = ()) -> list[Row]:
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/platform_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/platform_tests.py
@@ -47,16 +47,16 @@
                 self.platform.table = MemoryTable()
                 await self.set_faults(**faults)
                 self.assertEqual(await self.write(**options), expected)
-                self.assertEqual(len(self.platform.table), row_count)
+                self.assertEqual(self.platform.table.row_count, row_count)
                 await self.set_faults(table="ok", cut=[], lose_answers=0.0)
 
     async def test_slow_write_takes_effect_after_its_client_gave_up(self):
         await self.set_faults(table="slow", slow_s=0.2)
         short = ClientTimeout(total=0.05)
         self.assertEqual(await self.write(timeout=short), TimeoutError)
-        self.assertEqual(len(self.platform.table), 0)
+        self.assertEqual(self.platform.table.row_count, 0)
         await self.set_faults(table="ok")
-        while not len(self.platform.table):
+        while not self.platform.table.row_count:
             await self.get(f"{self.url}/counters")
 
     async def test_conditional_write_conflicts(self):
