Move tasks off workers that leave

Cause: a leaving worker got no new task and its servers were listed as leaving, but nothing stopped the tasks on it: they would have run until the VM vanished, and the service missed the instance until then.

--- a/packages/fulmarleverd/fulmarleverd/placement/zone.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/zone.py
@@ -8,7 +8,7 @@
 from fulmarlever.outcomes import failed
 from fulmarlever.policies.placement import Room
 from fulmarlever.structure.configuration import Configuration
-from fulmarlever.structure.fleet import BackendServer
+from fulmarlever.structure.fleet import BackendServer, VMState
 from fulmarlever.structure.task import Task, TaskState
 from fulmarleverd.kernel import Kernel
 from fulmarleverd.placement.book import TaskBook
@@ -31,6 +31,7 @@
 INSTANCE_ROW_TTL_S = 24 * 3600.0
 """How long the row of an ended instance keeps its attempt number from coming again."""
 
+LEAVING = "its worker is leaving"
 REMOVED = "removed from the configuration"
 
 
@@ -191,12 +192,18 @@
         yield from self.jobs.creations()
         yield from self.jobs.cancellations()
         evictions, self._evictions = self._evictions, {}
+        evictions.update((key, LEAVING) for key in self._leaving())
         for key, reason in evictions.items():
             task = self.book.get(key)
             change = stopping(task, reason) if task is not None else None
             if change is not None:
                 yield change
 
+    def _leaving(self) -> Iterator[str]:
+        for name, view in self.state.workers.fleet().items():
+            if view.vm.state is VMState.LEAVING:
+                yield from (task.key for task in self.book.of_worker(name))
+
     def _service_changes(self, cfg: Configuration) -> Iterator[Task]:
         if cfg.generation < self.state.backends.generation:
             # An earlier placer acted on a later configuration.
