--- a/packages/fulmarlever_standins/fulmarlever_standins/arguments.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/arguments.py
@@ -63,6 +63,35 @@
     file: Path
 
 
+@cappa.command(
+    name="pass-through", invoke=f"{COMMANDS}.pass_through.serve_pass_through"
+)
+@dataclass(slots=True)
+class PassThroughArguments:
+    """Serve a bare pass-through to one backend server, as a yardstick."""
+
+    listen: Annotated[str, Long]
+    target: Annotated[str, Long]
+
+
+@cappa.command(name="experiment", invoke=f"{COMMANDS}.experiment.run_experiment")
+@dataclass(slots=True)
+class ExperimentArguments:
+    """Run an experiment file and write a results file."""
+
+    file: Path
+    results: Annotated[Path, Long] = Path("results/experiment.json")
+
+
+@cappa.command(name="compare", invoke=f"{COMMANDS}.compare.compare_results")
+@dataclass(slots=True)
+class CompareArguments:
+    """Compare two results files, the second against the first."""
+
+    old: Path
+    new: Path
+
+
 @cappa.command(name="fulmarlever_standins")
 @dataclass(slots=True)
 class Arguments:
@@ -74,4 +103,7 @@
         | OldSetupArguments
         | RelayArguments
         | DemoArguments
+        | PassThroughArguments
+        | ExperimentArguments
+        | CompareArguments
     ]
--- a/packages/fulmarlever_standins/fulmarlever_standins/backend.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/backend.py
@@ -43,14 +43,15 @@
 class Backend:
     """Requests in progress, the record of runs and the answers of one server.
 
-    ``slow_factor`` returns the factor by which every answer takes longer.
+    ``slow_factor`` returns the factor by which an answer takes longer, for the number
+    of requests in progress.
     """
 
     def __init__(
         self,
         clock: Clock,
         slots: int = SLOTS,
-        slow_factor: Callable[[], float] = lambda: 1.0,
+        slow_factor: Callable[[int], float] = lambda in_progress: 1.0,
     ) -> None:
         self.clock = clock
         self.slots = slots
@@ -80,7 +81,7 @@
         self._record_run(request)
         work_s = float(request.headers.get("X-Work-Ms", "0")) / 1000.0
         if work_s > 0:
-            await asyncio.sleep(work_s * self.slow_factor())
+            await asyncio.sleep(work_s * self.slow_factor(self.in_progress))
         fault = request.headers.get("X-Fault", "")
         if fault:
             return await self._fail(request, body, fault)
--- a/packages/fulmarlever_standins/fulmarlever_standins/load.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/load.py
@@ -6,7 +6,7 @@
 import random
 import time
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from fulmarlever_standins.balancer import Balancer
@@ -15,7 +15,10 @@
 
 @dataclass(slots=True, frozen=True)
 class LoadSpec:
-    """One stream of requests to a service, at a mean rate of Poisson arrivals."""
+    """One stream of requests to a service, at a mean rate of Poisson arrivals.
+
+    ``slow_part`` of the requests take ``slow_work_ms`` in place of ``work_ms``.
+    """
 
     service: str
     rate_per_s: float
@@ -27,7 +30,8 @@
     seed: int = 1
     name: str = "load"
     post_path: str = "orders"
-    work: Callable[[random.Random], int] | None = None
+    slow_part: float = 0.0
+    slow_work_ms: int = 0
 
     def requests(self) -> Iterator[tuple[float, CallerRequest]]:
         """Yield requests without end, each with the pause before it in seconds."""
@@ -39,6 +43,7 @@
 
     def _request(self, dice: random.Random, number: int) -> CallerRequest:
         request_id = f"{self.name}-{self.seed}-{number}"
+        is_slow = dice.random() < self.slow_part
         is_post = dice.random() < self.post_part
         return CallerRequest(
             request_id=request_id,
@@ -47,7 +52,7 @@
             path=self.post_path if is_post else "items",
             body=dice.randbytes(self.body_bytes) if is_post else b"",
             key=f"key-{request_id}" if is_post else "",
-            work_ms=self.work(dice) if self.work else self.work_ms,
+            work_ms=self.slow_work_ms if is_slow else self.work_ms,
             answer_bytes=self.answer_bytes,
             deadline_ms=self.deadline_ms,
         )
--- a/packages/fulmarlever_standins/fulmarlever_standins/orders.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/orders.py
@@ -94,7 +94,8 @@
     """The switchable faults of a worker.
 
     ``interference`` maps a batch kind to the part by which one running task of that
-    kind slows the services of the worker.
+    kind slows the services of the worker. ``contention`` is the part by which each
+    other request in progress slows one at its server.
     """
 
     fail_starts: bool = False
@@ -103,6 +104,7 @@
     usage_lag_s: float = 0.5
     slow_factor: float = 1.0
     interference: dict[str, float] = field(default_factory=dict)
+    contention: float = 0.0
 
     def update(self, changes: dict) -> None:
         """Set the given faults and leave the others.
--- a/packages/fulmarlever_standins/fulmarlever_standins/runs.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/runs.py
@@ -163,7 +163,7 @@
         clock: Clock,
         received: float,
         address: str,
-        slow_factor: Callable[[], float],
+        slow_factor: Callable[[int], float],
     ) -> None:
         super().__init__(order, clock, received)
         limits = order.service or {}
--- a/packages/fulmarlever_standins/fulmarlever_standins/worker.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/worker.py
@@ -155,13 +155,14 @@
         for run in running:
             await self._end(run, "stopped", "the worker was stopped")
 
-    def service_slow_factor(self) -> float:
-        """Return how many times longer services take, by faults and interference."""
+    def service_slow_factor(self, in_progress: int) -> float:
+        """Return how many times longer a request takes, by faults and other work."""
         slowdown = sum(
             self.faults.interference.get(run.order.kind, 0.0) * run.share
             for run in self.runs.values()
             if run.is_running and not run.is_service
         )
+        slowdown += self.faults.contention * max(0, in_progress - 1)
         return self.faults.slow_factor * (1.0 + slowdown)
 
     async def _start_new(self, order: StartOrder, received: float) -> Run | Refusal:
