Let a configuration be built by keyword only

Cause: the model of slot ownership built its configuration by position; after fields were added its service landed among the teams, so max_run_s was the default of 30 s and 5 checks failed (11 of 16 slots back after 32 s). Before: ownership tests 5 failed. After: they pass; keyword-only construction keeps the same mistake from compiling.

--- a/packages/fulmarlever/fulmarlever/structure/configuration.py
+++ b/packages/fulmarlever/fulmarlever/structure/configuration.py
@@ -126,7 +126,7 @@
     work: dict[str, object] = field(default_factory=dict)
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, frozen=True, kw_only=True)
 class Configuration:
     """One accepted generation. Generation 0 is the empty configuration."""
 
--- a/packages/fulmarleverd/fulmarleverd/tests/requests/fakes.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/requests/fakes.py
@@ -218,7 +218,7 @@
     config = FakeConfig(kernel)
     chosen = specs or (spec(),)
     services = {s.name: s for s in chosen}
-    config.configuration = Configuration(1, "x", services=services)
+    config.configuration = Configuration(services=services)
     kernel.add(config)
     kernel.add(FakeMembership(kernel, network, incarnation))
     for service in (Slots, Admission, Claims, Router, Callers):
--- a/packages/fulmarleverd/fulmarleverd/tests/requests/slot_world.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/requests/slot_world.py
@@ -85,7 +85,7 @@
 
     def set_run_limit(self, seconds):
         service = replace(spec(), max_run_s=seconds)
-        self.config.configuration = Configuration(1, "x", {}, {"filling": service})
+        self.config.configuration = Configuration(services={"filling": service})
 
     @property
     def is_running(self):
