Close idle connections of callers while draining

Cause: aiohttp ends the task of an idle connection at pre_shutdown but leaves the socket open until shutdown; a request sent on it then got neither answer nor reset, and the drain waited for its limit ('connections of callers outlast the drain limit'). Ruled out: aborting every connection (cuts answers that are still being written). The naive admission test waits for the first refusal, where it had raced with the flood.

--- a/packages/fulmarleverd/fulmarleverd/requests/caller_protocol.py
+++ b/packages/fulmarleverd/fulmarleverd/requests/caller_protocol.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 from aiohttp import web
@@ -16,6 +17,18 @@
 class CallerProtocol(RequestHandler):
     """A connection of a caller that answers malformed requests as problems."""
 
+    async def start(self) -> None:
+        """Serve the connection, and close it when it is told to stop while idle.
+
+        Otherwise a request that came later would get neither answer nor reset.
+        """
+        try:
+            await super().start()
+        except asyncio.CancelledError:
+            if self.transport is not None:
+                self.transport.close()
+            raise
+
     def handle_error(
         self,
         request: web.BaseRequest,
--- a/packages/fulmarleverd/fulmarleverd/services/callers.py
+++ b/packages/fulmarleverd/fulmarleverd/services/callers.py
@@ -120,8 +120,8 @@
         self._listener.close()
         while clock.monotonic() < end and self.in_progress:
             await asyncio.sleep(DRAIN_STEP_S)
-        self._server.pre_shutdown()
         while clock.monotonic() < end and self._server.connections:
+            self._server.pre_shutdown()
             await asyncio.sleep(DRAIN_STEP_S)
         if self._server.connections:
             log.warning("connections of callers outlast the drain limit")
--- a/packages/fulmarleverd/fulmarleverd/tests/services/admission_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/services/admission_tests.py
@@ -31,8 +31,10 @@
             asyncio.ensure_future(self.ask(kernel, "/filling/x", headers=headers))
             for _ in range(FLOOD)
         ]
-        await wait_until(lambda: admission.requests.total > 100)
-        others = [await self.ask(kernel, "/pickups/x") for _ in range(OTHERS)]
+        await wait_until(lambda: 429 in (f.result()[0] for f in flood if f.done()))
+        others = await asyncio.gather(
+            *(self.ask(kernel, "/pickups/x") for _ in range(OTHERS))
+        )
         flooded = await asyncio.gather(*flood)
         return Counter(r[0] for r in flooded), Counter(r[0] for r in others)
 
--- a/packages/fulmarleverd/fulmarleverd/tests/services/callers_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/services/callers_tests.py
@@ -150,8 +150,12 @@
         self.assertEqual((status, body), (200, b"c:hello"))
 
     async def test_drain_closes_the_port_and_idle_connections(self):
-        _, idle = await asyncio.open_connection("127.0.0.1", self.port)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(b"GET /filling/ HTTP/1.1\r\n" + HOST + b"\r\n")
+        await reader.readuntil(b"\r\n\r\n")
         await self.kernel.find("callers").drain()
         with self.assertRaises(OSError):
             await asyncio.open_connection("127.0.0.1", self.port)
-        idle.close()
+        rest = await asyncio.wait_for(reader.read(), 10)
+        self.assertTrue(rest.endswith(b":"))
+        writer.close()
