--- a/packages/fulmarleverd/fulmarleverd/tests/requests/path_base.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/requests/path_base.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 import aiohttp
@@ -24,6 +25,8 @@
     specs = (spec(),)
 
     async def asyncSetUp(self):
+        # The debug mode keeps a stack for each handle and slows a flood ten times.
+        asyncio.get_running_loop().set_debug(False)
         self.network = FakeNetwork()
         self.table = MemoryTable()
         self.kernels = []
