Let 4,096 connections wait at the callers' port

Cause: the listener took asyncio's backlog of 100. In a flood of 160 callers 101 connections were accepted at once and the others came 1.2 s later, after the retransmission of their SYN; a refusal meant to come at once came late. Ruled out: the admission policy (it had room for 128 and counted 101) and the debug mode of the loop, which only hid the fault by slowing the callers. Conclusion: floods are now told at once, which the tests rely on.

--- a/packages/fulmarleverd/fulmarleverd/services/callers.py
+++ b/packages/fulmarleverd/fulmarleverd/services/callers.py
@@ -29,6 +29,9 @@
 from fulmarleverd.requests.metrics import BAD_REQUESTS, REQUEST_SECONDS, REQUESTS
 
 SERVER_NAME = "fulmarlever"
+LISTEN_BACKLOG = 4096
+"""Connections that may wait to be accepted; one more waits a second to be retried."""
+
 DRAIN_STEP_S = 0.02
 
 
@@ -55,7 +58,10 @@
         self._server = CallerServer(self._answer)
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
-            self._server, self.settings.address, self.settings.caller_port
+            self._server,
+            self.settings.address,
+            self.settings.caller_port,
+            backlog=LISTEN_BACKLOG,
         )
 
     @property
