Send requests without a client session, and wait without asyncio.wait

Connections of whole answers go back to the pool; before, a body writer that had not been reaped yet made some of them close. Ruled out: one shared connector (its idle connections can't be closed server by server when a share shrinks).

--- a/packages/fulmarleverd/fulmarleverd/requests/exchange.py
+++ b/packages/fulmarleverd/fulmarleverd/requests/exchange.py
@@ -5,8 +5,10 @@
 import asyncio
 from collections.abc import Callable
 
-from aiohttp import ClientError, ClientRequest, ClientResponse, ClientTimeout
+from aiohttp import ClientError, ClientRequest, ClientTimeout, StreamReader
+from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection, TCPConnector
+from aiohttp.http import HttpProcessingError, RawResponseMessage, StreamWriter
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -22,9 +24,11 @@
 
 CONNECT_TIMEOUT_S = 1.0
 KEEPALIVE_S = 15.0
+METHODS_WITH_BODY = frozenset(("PATCH", "POST", "PUT"))
 BODILESS_STATUSES = frozenset((204, 304))
-NO_AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
+SWITCHING_PROTOCOLS = 101
 TIMEOUT = ClientTimeout(total=None, connect=CONNECT_TIMEOUT_S)
+EXPECTED_ERRORS = (ClientError, HttpProcessingError, OSError, TimeoutError, ValueError)
 
 Result = Answer | Unavailable | OutcomeUnknown
 
@@ -35,11 +39,13 @@
     ``state`` is the last value of the server's ``X-Backend-State``.
     """
 
-    __slots__ = ("address", "state", "_host", "_connector")
+    __slots__ = ("address", "state", "_host", "_target", "_loop", "_connector")
 
     def __init__(self, host: str, port: int) -> None:
         self.address = (host, port)
         self._host = f"{host}:{port}"
+        self._loop = asyncio.get_running_loop()
+        self._target = ClientRequest("GET", URL(f"http://{self._host}/"))
         self.state = ""
         self._connector = TCPConnector(
             limit=1, keepalive_timeout=KEEPALIVE_S, use_dns_cache=False
@@ -62,91 +68,96 @@
         asked just before the first one. Return ``OutcomeUnknown`` when the answer is
         missing, truncated, too large or of unknown length.
         """
-        message = self._message(req, path)
         try:
-            conn = await self._connect(message)
+            conn = await self._connect()
         except (ClientError, OSError, TimeoutError) as exc:
             return Unavailable(f"no connection to the backend server: {exc}")
         if not may_send():
             conn.release()
             return Unavailable("the slot was lost before the request was sent")
+        is_reusable = False
         try:
-            return await self._converse(message, conn, max_answer_bytes)
-        except (ClientError, OSError, TimeoutError, ValueError) as exc:
+            await self._send(req, path, conn.protocol)
+            message, body = await read_head(conn.protocol)
+            result = await self._read_answer(req, message, body, max_answer_bytes)
+            is_reusable = not isinstance(result, OutcomeUnknown)
+            return result
+        except EXPECTED_ERRORS as exc:
             return OutcomeUnknown(f"no whole answer: {exc or type(exc).__name__}")
         finally:
-            conn.close()
+            conn.release() if is_reusable else conn.close()
 
-    def _message(self, req: Request, path: str) -> ClientRequest:
-        headers = CIMultiDict(fields_to_send(req.headers))
-        headers[REQUEST_ID_HEADER] = req.request_id
-        headers["Host"] = self._host
-        return ClientRequest(
-            req.method,
-            URL(f"http://{self._host}{path}", encoded=True),
-            headers=headers,
-            skip_auto_headers=NO_AUTO_HEADERS,
-            data=req.body or None,
-            loop=asyncio.get_running_loop(),
-        )
-
-    async def _connect(self, message: ClientRequest) -> Connection:
-        conn = await self._connector.connect(message, [], TIMEOUT)
+    async def _connect(self) -> Connection:
+        conn = await self._connector.connect(self._target, [], TIMEOUT)
         if not conn.protocol.should_close:
             return conn
         # Bytes that came while the connection was idle belong to no request.
         conn.close()
-        return await self._connector.connect(message, [], TIMEOUT)
+        return await self._connector.connect(self._target, [], TIMEOUT)
 
-    async def _converse(
-        self, message: ClientRequest, conn: Connection, max_answer_bytes: int
-    ) -> Result:
-        conn.protocol.set_response_params(
-            skip_payload=message.method == "HEAD",
+    async def _send(self, req: Request, path: str, protocol: ResponseHandler) -> None:
+        """Write head and body together, so that a small request is one packet."""
+        protocol.set_response_params(
+            skip_payload=req.method == "HEAD",
             read_until_eof=True,
             auto_decompress=False,
         )
-        response = await message.send(conn)
-        try:
-            await response.start(conn)
-            return await self._read_answer(response, max_answer_bytes)
-        finally:
-            response.close()
+        headers = CIMultiDict(fields_to_send(req.headers))
+        headers["Host"] = self._host
+        headers[REQUEST_ID_HEADER] = req.request_id
+        if req.body or req.method in METHODS_WITH_BODY:
+            headers["Content-Length"] = str(len(req.body))
+        writer = StreamWriter(protocol, self._loop)
+        await writer.write_headers(f"{req.method} {path} HTTP/1.1", headers)
+        await writer.write_eof(req.body)
 
-    async def _read_answer(self, response: ClientResponse, limit: int) -> Result:
-        self.state = response.headers.get(STATE_HEADER, "")
-        if self.state == STATE_FULL and response.status == 503:
-            await response.read()
-            return Unavailable("the backend server is full")
-        if not has_known_length(response):
+    async def _read_answer(
+        self,
+        req: Request,
+        message: RawResponseMessage,
+        body: StreamReader,
+        limit: int,
+    ) -> Result:
+        headers = message.headers
+        self.state = headers.get(STATE_HEADER, "")
+        if not has_known_length(req.method, message):
             return OutcomeUnknown("the answer does not tell its length")
-        body = await read_bounded(response, limit)
-        if body is None:
+        data = await read_bounded(body, limit)
+        if data is None:
             return OutcomeUnknown(f"the answer is larger than {limit} bytes")
-        headers = list(fields_to_return(response.headers.items()))
-        return Answer(response.status, headers, body)
+        if self.state == STATE_FULL and message.code == 503:
+            return Unavailable("the backend server is full")
+        return Answer(message.code, list(fields_to_return(headers.items())), data)
+
 
+async def read_head(
+    protocol: ResponseHandler,
+) -> tuple[RawResponseMessage, StreamReader]:
+    """Return the head of the final answer, after any interim ones, and its body."""
+    while True:
+        message, body = await protocol.read()
+        if message.code >= 200 or message.code == SWITCHING_PROTOCOLS:
+            return message, body
 
-def has_known_length(response: ClientResponse) -> bool:
+
+def has_known_length(method: str, message: RawResponseMessage) -> bool:
     """Return whether a truncated body could be told from a whole one."""
-    if response.method == "HEAD" or response.status in BODILESS_STATUSES:
-        return True
-    headers = response.headers
-    if "Content-Length" in headers:
+    if message.code == SWITCHING_PROTOCOLS:
+        return False
+    if method == "HEAD" or message.code in BODILESS_STATUSES:
         return True
-    return "chunked" in headers.get("Transfer-Encoding", "").lower()
+    return message.chunked or "Content-Length" in message.headers
 
 
-async def read_bounded(response: ClientResponse, limit: int) -> bytes | None:
+async def read_bounded(body: StreamReader, limit: int) -> bytes | None:
     """Return the whole body, or ``None`` when it is larger than the limit."""
-    content = response.content
-    chunk = await content.readany()
-    if content.at_eof():
+    chunk = await body.readany()
+    if body.at_eof():
         return chunk if len(chunk) <= limit else None
     chunks = [chunk]
     size = len(chunk)
-    while not content.at_eof():
-        chunk = await content.readany()
+    while not body.at_eof():
+        chunk = await body.readany()
         size += len(chunk)
         if size > limit:
             return None
--- a/packages/fulmarleverd/fulmarleverd/services/router.py
+++ b/packages/fulmarleverd/fulmarleverd/services/router.py
@@ -11,6 +11,7 @@
 from fulmarlever.structure.request import Answer, Forward, Forwarded, Request
 from fulmarleverd.kernel import SERVICES, Kernel, Service
 from fulmarleverd.requests.channels import MAX_IDLE_UNOWNED, Channels
+from fulmarleverd.requests.dispatch import Dispatch
 from fulmarleverd.requests.exchange import Channel, Result
 from fulmarleverd.requests.forwarding import PeerChooser
 from fulmarleverd.requests.headers import STATE_LEAVING
@@ -42,7 +43,7 @@
         self.in_progress = 0
         self._retry_policy = RETRY.find(retry_policy)
         self._budgets: dict[str, RetryPolicy] = {}
-        self._running: set[asyncio.Task] = set()
+        self._running: set[Dispatch] = set()
         self._rng = random.Random(self.settings.vm)
         host, _, port = self.settings.old_setup.rpartition(":")
         self.old_address = (host, int(port or 0))
@@ -178,43 +179,40 @@
         return await self._run_on(slot, req, spec)
 
     async def _run_on(self, slot: Slot, req: Request, spec: ServiceSpec) -> Result:
-        task = asyncio.get_running_loop().create_task(self._exchange(slot, req, spec))
-        return await self._until_deadline(task, req)
+        limit_s = slot.run_limit_s
+        dispatch = Dispatch(self.clock.monotonic() + limit_s, req.deadline)
+        dispatch.start(self._exchange(dispatch, slot, req, spec))
+        return await self._until_deadline(dispatch)
 
-    async def _until_deadline(self, task: asyncio.Task, req: Request) -> Result:
-        """Return a task's result, or an unknown outcome when the time is over.
+    async def _until_deadline(self, dispatch: Dispatch) -> Result:
+        """Return the result of a dispatch, or an unknown outcome at the deadline.
 
-        The task goes on, so that its slot becomes free when the server answers.
+        The dispatch goes on, so that its slot becomes free when the server answers.
         """
-        self._running.add(task)
-        task.add_done_callback(self._running.discard)
-        left_s = max(0.0, req.deadline - self.clock.monotonic())
-        await asyncio.wait((task,), timeout=left_s)
-        if not task.done():
-            return OutcomeUnknown("no answer before the deadline")
-        return task.result()
-
-    async def _exchange(self, slot: Slot, req: Request, spec: ServiceSpec) -> Result:
+        self._running.add(dispatch)
+        result = await dispatch.wait(self.clock.monotonic())
+        return result or OutcomeUnknown("no answer before the deadline")
+
+    async def _exchange(
+        self, dispatch: Dispatch, slot: Slot, req: Request, spec: ServiceSpec
+    ) -> None:
         share = slot.share
         channel = self.channels.take(share.address)
-        is_free = False
+        result: Result = OutcomeUnknown("no answer within the longest run time")
         try:
-            async with asyncio.timeout(slot.run_limit_s):
-                result = await channel.exchange(
-                    req,
-                    req.path,
-                    spec.max_answer_bytes,
-                    lambda: self._mark_sent(slot),
-                )
-            is_free = not isinstance(result, OutcomeUnknown)
-        except TimeoutError:
-            result = OutcomeUnknown("no answer within the longest run time")
+            result = await channel.exchange(
+                req,
+                req.path,
+                spec.max_answer_bytes,
+                lambda: self._mark_sent(slot),
+            )
         finally:
             most_idle = 0 if share.is_leaving else share.limit
             self.channels.give_back(channel, most_idle)
-            self.slots.give_back(slot, is_free)
-        self._judge(slot, channel, result)
-        return result
+            self.slots.give_back(slot, not isinstance(result, OutcomeUnknown))
+            self._judge(slot, channel, result)
+            self._running.discard(dispatch)
+            dispatch.finish(result)
 
     def _mark_sent(self, slot: Slot) -> bool:
         if not self.slots.pool.may_send(slot):
@@ -238,23 +236,25 @@
             share.measure(now - slot.taken_at, now)
 
     async def _try_old(self, req: Request, spec: ServiceSpec) -> Result:
-        task = asyncio.get_running_loop().create_task(self._exchange_old(req, spec))
-        return await self._until_deadline(task, req)
-
-    async def _exchange_old(self, req: Request, spec: ServiceSpec) -> Result:
+        limit_s = spec.max_run_s
+        dispatch = Dispatch(self.clock.monotonic() + limit_s, req.deadline)
+        dispatch.start(self._exchange_old(dispatch, req, spec))
+        return await self._until_deadline(dispatch)
+
+    async def _exchange_old(
+        self, dispatch: Dispatch, req: Request, spec: ServiceSpec
+    ) -> None:
         channel = self.channels.take(self.old_address)
+        result: Result = OutcomeUnknown("no answer within the longest run time")
+        path = f"/{spec.name}{req.path}"
         try:
-            async with asyncio.timeout(spec.max_run_s):
-                return await channel.exchange(
-                    req,
-                    f"/{spec.name}{req.path}",
-                    spec.max_answer_bytes,
-                    lambda: True,
-                )
-        except TimeoutError:
-            return OutcomeUnknown("no answer within the longest run time")
+            result = await channel.exchange(
+                req, path, spec.max_answer_bytes, lambda: True
+            )
         finally:
             self.channels.give_back(channel, MAX_IDLE_UNOWNED)
+            self._running.discard(dispatch)
+            dispatch.finish(result)
 
     async def _forward(
         self,
@@ -297,8 +297,14 @@
     async def _trim(self) -> None:
         while True:
             await asyncio.sleep(TRIM_S)
+            self._end_late_dispatches()
             self.channels.trim(self.slots.pool.shares, [self.old_address])
 
+    def _end_late_dispatches(self) -> None:
+        now = self.clock.monotonic()
+        for dispatch in [d for d in self._running if d.run_until <= now]:
+            dispatch.cancel()
+
     async def drain(self) -> None:
         """Wait until no request is in progress, here or for a peer."""
         end = self.clock.monotonic() + self.settings.drain_limit_s
@@ -307,8 +313,8 @@
 
     async def stop(self) -> None:
         """End what is left and close the connections to backend servers."""
-        for task in self._running:
-            task.cancel()
+        for dispatch in self._running:
+            dispatch.cancel()
         await self.channels.close()
         await super().stop()
 
