--- a/packages/fulmarleverd/fulmarleverd/tests/requests/fakes.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/requests/fakes.py
@@ -17,6 +17,7 @@
 from fulmarleverd.services.admission import Admission
 from fulmarleverd.services.callers import Callers
 from fulmarleverd.services.claims import Claims
+from fulmarleverd.services.membership import Membership
 from fulmarleverd.services.router import Router
 from fulmarleverd.services.slots import Slots
 from fulmarleverd.settings import PeerSettings
@@ -203,7 +204,7 @@
 
 
 def build(
-    network: FakeNetwork,
+    network: FakeNetwork | None,
     table: MemoryTable,
     vm: str = "entry-a-1",
     specs: tuple[ServiceSpec, ...] = (),
@@ -211,7 +212,10 @@
     incarnation: int = 1,
     **settings: object,
 ) -> Kernel:
-    """Return a kernel with the whole request path over fakes, not started."""
+    """Return a kernel with the whole request path over fakes, not started.
+
+    Without a network it has the real membership.
+    """
     fields = {"caller_port": 0, "unready_before_drain_s": 0.0, **settings}
     kernel = make_kernel(clock or Clock(), vm=vm, **fields)
     kernel.add(FakePlatform(kernel, table))
@@ -220,7 +224,10 @@
     services = {s.name: s for s in chosen}
     config.configuration = Configuration(1, "x", services=services)
     kernel.add(config)
-    kernel.add(FakeMembership(kernel, network, incarnation))
+    if network is None:
+        kernel.add(Membership(kernel))
+    else:
+        kernel.add(FakeMembership(kernel, network, incarnation))
     for service in (Slots, Admission, Claims, Router, Callers):
         kernel.add(service.from_config(kernel))
     return kernel
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/requests/forwarding_tests.py
@@ -0,0 +1,174 @@
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import Counter
+
+from fulmarlever.outcomes import OutcomeUnknown, Unavailable
+from fulmarlever.structure.request import Answer, Forward, Forwarded
+from fulmarlever.tests.base import wait_until
+from fulmarleverd.settings import PeerSettings
+from fulmarleverd.tests.peers.cluster import SECRET, free_port
+from fulmarleverd.tests.requests.path_base import PathTestCase
+
+
+class ForwardingTests(PathTestCase):
+    """Two zones; only the daemons of zone b have slots."""
+
+    async def zones(self):
+        (self.server,) = await self.serve(zone="b")
+        self.near = await self.daemon("entry-a-1", zone="a")
+        self.far = [await self.daemon(f"entry-b-{i}", zone="b") for i in (1, 2)]
+        await self.owning(*self.far)
+        await wait_until(
+            lambda: all(
+                self.near.find("membership").view("load").get(vm)
+                for vm in ("entry-b-1", "entry-b-2")
+            )
+        )
+
+    def refuse(self, kernel, reply):
+        """Let a daemon answer forwarded requests in a fixed way; count them."""
+        seen = []
+
+        async def handler(message):
+            seen.append(message)
+            return reply
+
+        kernel.find("membership").handle(Forward, handler)
+        return seen
+
+    async def test_request_goes_to_another_zone_when_its_own_has_no_slot(self):
+        await self.zones()
+        results = [await self.ask(self.near) for _ in range(20)]
+        self.assertEqual(Counter(r[0] for r in results), {200: 20})
+
+    async def test_request_that_a_peer_did_not_run_goes_to_the_next(self):
+        await self.zones()
+        reply = Forwarded(None, False, "full", 1.0, 503)
+        seen = self.refuse(self.far[0], reply)
+        for _ in range(10):
+            status, _, _ = await self.ask(self.near, method="POST")
+            self.assertEqual(status, 200)
+        self.assertGreater(len(seen), 0)
+
+    async def test_lost_peer_is_an_unknown_outcome_and_never_asked_twice(self):
+        await self.zones()
+        seen = [self.refuse(k, OutcomeUnknown("lost")) for k in self.far]
+        status, _, body = await self.ask(self.near, method="POST")
+        self.assertEqual((status, json.loads(body)["outcome"]), (502, "unknown"))
+        self.assertEqual(len(seen[0]) + len(seen[1]), 1)
+
+    async def test_idempotent_request_is_never_called_not_run_after_a_lost_try(self):
+        await self.zones()
+        replies = (OutcomeUnknown("lost"), Unavailable("no stream"))
+        calls = iter(replies * 5)
+
+        async def call(vm, message, timeout_s):
+            return next(calls)
+
+        self.near.find("membership").call = call
+        status, _, body = await self.ask(self.near)
+        self.assertEqual((status, json.loads(body)["outcome"]), (502, "unknown"))
+
+    async def test_forwarded_request_is_not_passed_on_without_end(self):
+        await self.zones()
+        seen = [self.refuse(k, Forwarded(None, False, "full")) for k in self.far]
+        status, _, _ = await self.ask(self.near)
+        self.assertEqual(status, 503)
+        messages = seen[0] + seen[1]
+        self.assertLessEqual(len(messages), 2)
+        for message in messages:
+            self.assertEqual(message.hops, 0)
+            self.assertIn("entry-a-1", message.visited)
+
+    async def test_draining_daemon_runs_no_new_forwarded_request(self):
+        await self.zones()
+        router = self.far[0].find("router")
+        self.far[0].is_draining = True
+        message = Forward("filling", "GET", "/", [], b"", "r", "", 5.0, 0, [])
+        reply = await router.handle_forward(message)
+        self.assertIsNone(reply.answer)
+        self.assertFalse(reply.is_unknown)
+        self.far[0].is_draining = False
+
+    async def test_all_callers_at_one_daemon_get_the_slots_of_the_whole_zone(self):
+        (server,) = await self.serve()
+        kernels = [await self.daemon(f"entry-a-{i}") for i in range(1, 5)]
+        await self.owning(*kernels)
+        at_once = asyncio.Semaphore(32)
+
+        async def ask():
+            async with at_once:
+                return await self.ask(kernels[0], headers={"X-Work-Ms": "20"})
+
+        results = await asyncio.gather(*(ask() for _ in range(200)))
+        self.assertEqual(Counter(r[0] for r in results), {200: 200})
+        self.assertEqual(server.max_in_progress, 8)
+
+
+class MembershipTests(PathTestCase):
+    """Forwarding over the real peer streams."""
+
+    async def test_request_travels_over_the_peer_stream(self):
+        self.network = None
+        (server,) = await self.serve(zone="b")
+        places = [
+            PeerSettings(f"entry-{zone}-1", zone, "127.0.0.1", free_port())
+            for zone in ("a", "b")
+        ]
+        kernels = [
+            await self.daemon(
+                place.vm,
+                zone=place.zone,
+                peer_port=place.port,
+                peers=tuple(p for p in places if p is not place),
+                peer_secret=SECRET,
+                heartbeat_s=0.05,
+            )
+            for place in places
+        ]
+        await self.owning(kernels[1])
+        membership = kernels[0].find("membership")
+        await wait_until(lambda: membership.view("load").get("entry-b-1"))
+        headers = {"X-Request-Id": "far", "X-Answer-Bytes": "100000"}
+        status, _, body = await self.ask(
+            kernels[0], method="POST", data=b"order", headers=headers
+        )
+        self.assertEqual((status, len(body)), (200, 100009))
+        self.assertEqual(server.runs["far"], 1)
+
+
+class OldSetupTests(PathTestCase):
+    async def test_fraction_goes_to_the_old_setup_and_repeats_follow_it(self):
+        (new,) = await self.serve()
+        (old,) = await self.serve(zone="elsewhere")
+        specs = (self.specs[0].__class__("filling", "portland", new_share=0.5),)
+        address = f"127.0.0.1:{old.port}"
+        kernel = await self.daemon(specs=specs, old_setup=address)
+        await self.owning(kernel)
+        shapes = set()
+        for number in range(60):
+            headers = {"X-Request-Id": f"r{number % 30}"}
+            status, got, body = await self.ask(kernel, headers=headers)
+            self.assertEqual((status, body), (200, f"r{number % 30}:".encode()))
+            shapes.add(tuple(sorted(name for name in got if name != "Date")))
+        self.assertEqual(len(shapes), 1)
+        self.assertEqual(set(old.runs.values()) | set(new.runs.values()), {2})
+        self.assertGreater(len(old.runs), 5)
+        self.assertGreater(len(new.runs), 5)
+
+    async def test_old_setup_that_is_away_is_certainly_not_run(self):
+        await self.serve()
+        specs = (self.specs[0].__class__("filling", "portland", new_share=0.0),)
+        kernel = await self.daemon(specs=specs, old_setup=f"127.0.0.1:{free_port()}")
+        status, _, body = await self.ask(kernel, method="POST")
+        self.assertEqual((status, json.loads(body)["outcome"]), (503, "not-run"))
+
+
+class WireTests(PathTestCase):
+    def test_answers_and_forwards_survive_their_wire_forms(self):
+        answer = Answer(201, [("A", "1"), ("A", "2")], b"\x00\xff")
+        self.assertEqual(Answer.from_wire(answer.to_wire()), answer)
+        self.assertEqual(Answer.from_row(answer.to_row()), answer)
+        self.assertEqual(Forwarded.from_result(answer).to_result(), answer)
