Name the routing and admission policy in the daemon's settings

Cause: the naive policies could be chosen only inside a process, so they could not be measured side by side with the chosen ones on real processes.

--- a/packages/fulmarleverd/fulmarleverd/services/admission.py
+++ b/packages/fulmarleverd/fulmarleverd/services/admission.py
@@ -11,7 +11,6 @@
 from fulmarleverd.kernel import SERVICES, Kernel, Service
 from fulmarleverd.requests.metrics import REFUSED
 
-ADMISSION_POLICY = "shares"
 REQUESTS_PER_SLOT = 4
 MIN_CAPACITY = 64
 BODY_CAPACITY_BYTES = 32 << 20
@@ -39,10 +38,11 @@
 
     name = "admission"
 
-    def __init__(self, kernel: Kernel, policy: str = ADMISSION_POLICY) -> None:
+    def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
-        self.requests = ADMISSION.find(policy)(MIN_CAPACITY)
-        self.bodies = ADMISSION.find(policy)(BODY_CAPACITY_BYTES)
+        policy = ADMISSION.find(self.settings.admission_policy)
+        self.requests = policy(MIN_CAPACITY)
+        self.bodies = policy(BODY_CAPACITY_BYTES)
         self._configured_at = float("-inf")
 
     async def start(self) -> None:
--- a/packages/fulmarleverd/fulmarleverd/services/slots.py
+++ b/packages/fulmarleverd/fulmarleverd/services/slots.py
@@ -27,7 +27,6 @@
 SHARE_POLL_S = 1.0
 BEAT_S = 0.25
 CONFLICT_BACKOFF_S = 0.2
-ROUTING_POLICY = "two-choices"
 
 
 @SERVICES.register("slots")
@@ -36,12 +35,13 @@
 
     name = "slots"
 
-    def __init__(self, kernel: Kernel, policy: str = ROUTING_POLICY) -> None:
+    def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self.key = f"slots/{self.settings.zone}"
         self.servers_key = f"servers/{self.settings.zone}"
         self.rng = random.Random(self.settings.vm)
-        self.pool = SlotPool(self.clock, ROUTING.find(policy)(self.rng))
+        policy = ROUTING.find(self.settings.routing_policy)
+        self.pool = SlotPool(self.clock, policy(self.rng))
         self.ownership: Ownership | None = None
         self._servers: dict[str, BackendServer] = {}
         self._seen_workers: set[str] = set()
--- a/packages/fulmarleverd/fulmarleverd/settings.py
+++ b/packages/fulmarleverd/fulmarleverd/settings.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Annotated, Any, ClassVar
+from typing import Annotated, Any, ClassVar, Literal
 
 from pydantic import BeforeValidator, ConfigDict, Field
 
@@ -70,6 +70,8 @@
 Port = Annotated[int, Field(ge=1, le=65535)]
 Count = Annotated[int, Field(ge=1)]
 Rate = Annotated[float, Field(gt=0)]
+RoutingPolicyName = Literal["two-choices", "least-loaded", "random", "round-robin"]
+AdmissionPolicyName = Literal["shares", "none"]
 
 
 @dataclass(slots=True, frozen=True)
@@ -120,6 +122,8 @@
     group_commit_s: Seconds = 0.005
     default_deadline_s: PositiveSeconds = 10.0
     max_queue_per_class: Count = 256
+    routing_policy: RoutingPolicyName = "two-choices"
+    admission_policy: AdmissionPolicyName = "shares"
     timeline_events: Count = 10000
     admin_max_body_bytes: ByteCount = 4 << 20
     admin_requests_per_s: Rate = 50.0
