--- a/packages/fulmarlever_standins/fulmarlever_standins/arguments.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/arguments.py
@@ -92,6 +92,14 @@
     new: Path
 
 
+@cappa.command(name="yardstick", invoke=f"{COMMANDS}.yardstick.run_yardstick")
+@dataclass(slots=True)
+class YardstickArguments:
+    """Measure what a daemon adds to a request, against a bare pass-through."""
+
+    repeats: Annotated[int, Long] = 5
+
+
 @cappa.command(name="fulmarlever_standins")
 @dataclass(slots=True)
 class Arguments:
@@ -106,4 +114,5 @@
         | PassThroughArguments
         | ExperimentArguments
         | CompareArguments
+        | YardstickArguments
     ]
