--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/failures/freeze_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/failures/freeze_tests.py
@@ -6,13 +6,19 @@
 
 
 class FreezeTests(FailureTestCase):
+    zones = ("a",)
+    instances = 2
+    rate_per_s = 80.0
+
     async def test_frozen_daemon_resumes_without_overrun(self):
         async def faults():
             await asyncio.sleep(1.0)
             self.cluster.freeze("entry-a-1")
-            await asyncio.sleep(5.0)
+            # Long enough for a reclaim of its slots, if the silence were taken for
+            # the end of the daemon.
+            await asyncio.sleep(15.0)
             self.cluster.thaw("entry-a-1")
 
-        results = await self.load(9.0, faults())
+        results = await self.load(18.0, faults())
         await self.check(results)
         await self.wait_serving("entry-a-1", "entry-a-2")
