--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/failures/base.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/failures/base.py
@@ -32,8 +32,9 @@
     size: {{cores: 4, memory: 8GiB}}
     requests:
       - {{method: POST, path: /orders, idempotent: false}}
-    max_run: 2s
+    max_run: {max_run}
     guaranteed_share: 60%
+    new_share: {new_share}
 """
 
 
@@ -48,18 +49,30 @@
     entries = 2
     workers = 2
     instances = 4
+    new_share = "100%"
+    max_run = "2s"
+    has_old_setup = False
     rate_per_s = 120.0
     work_ms = 150
     settings = {"log_level": "INFO", "drain_limit_s": 15.0}
 
     async def asyncSetUp(self):
         self.cluster = Cluster.from_zones(
-            self.zones, self.entries, self.workers, self.settings
+            self.zones,
+            self.entries,
+            self.workers,
+            self.settings,
+            self.has_old_setup,
         )
         self.addAsyncCleanup(self.cluster.close)
         await self.cluster.start()
         self.operator = Operator(self.cluster)
-        config = CONFIG.format(zones=", ".join(self.zones), instances=self.instances)
+        config = CONFIG.format(
+            zones=", ".join(self.zones),
+            instances=self.instances,
+            new_share=self.new_share,
+            max_run=self.max_run,
+        )
         path = self.cluster.directory / "config.yaml"
         path.write_text(config)
         await self.operator.show("apply", str(path))
