Keep one stream between two zones, held by their relays

The alive daemon with the lowest VM name is its zone's relay. Relays exchange the entries of their zones and the states of their daemons and pass on what they hear; calls to any other peer of another zone dial on demand and close after 30 s without use. The name decides and not the address, because the address of a peer differs by viewpoint where a forwarder is between. Ruled out: both ends beat whoever beats them (two relays of one zone keep each other in that role), asking for topics on demand (a view must be at hand).

--- a/packages/fulmarleverd/fulmarleverd/peers/acceptor.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/acceptor.py
@@ -125,7 +125,12 @@
         finally:
             if self._connections.get(hello.vm) is stream:
                 del self._connections[hello.vm]
-                self._node.roster.suspect(hello.vm)
+                self._lose(hello)
+
+    def _lose(self, hello: Hello) -> None:
+        # Connections from other zones also end because they are no longer needed.
+        if hello.zone == self._node.settings.zone:
+            self._node.roster.suspect(hello.vm)
 
     async def _read(self, stream: FrameStream, hello: Hello, frame: Frame) -> None:
         running: set[asyncio.Task] = set()
--- a/packages/fulmarleverd/fulmarleverd/peers/link.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/link.py
@@ -32,19 +32,22 @@
 PAUSE_FACTOR = 1.5
 MAX_BEAT_BACKLOG_BYTES = 1 << 20
 SILENCE_FACTOR = 3
+IDLE_S = 30.0
 PACED_BYTES_PER_S = 512
 
 
 class Link:
     """One task that dials a peer and keeps the connection for as long as it lasts.
 
-    ``tried`` is set after the first attempt.
+    ``tried`` is set after the first attempt; an idle link waits until it is needed.
     """
 
     __slots__ = (
         "vm",
         "tried",
+        "is_idle",
         "_wake",
+        "_wanted_until",
         "_node",
         "stream",
         "_pending",
@@ -56,7 +59,9 @@
     def __init__(self, node: Node, vm: str) -> None:
         self.vm = vm
         self.tried = asyncio.Event()
+        self.is_idle = False
         self._wake = asyncio.Event()
+        self._wanted_until = float("-inf")
         self._node = node
         self.stream: FrameStream | None = None
         self._pending = PendingCalls()
@@ -73,6 +78,7 @@
         """Dial, serve the connection and dial again, until cancelled."""
         pause_s = FIRST_PAUSE_S
         while True:
+            await self._until_needed()
             is_connected = await self._connect()
             self.tried.set()
             if is_connected:
@@ -81,6 +87,24 @@
             await self._pause(pause_s)
             pause_s = min(pause_s * PAUSE_FACTOR, LONGEST_PAUSE_S)
 
+    async def _until_needed(self) -> None:
+        while not self._is_needed():
+            self._wake.clear()
+            self.is_idle = True
+            await self._wake.wait()
+        self.is_idle = False
+
+    def _is_needed(self) -> bool:
+        if len(self._pending) or self._node.is_neighbour(self.vm):
+            return True
+        return self._node.clock.monotonic() < self._wanted_until
+
+    def want(self) -> None:
+        """Keep a connection for ``IDLE_S`` also to a peer that is no neighbour."""
+        self._wanted_until = self._node.clock.monotonic() + IDLE_S
+        if self.is_idle:
+            self._wake.set()
+
     async def _pause(self, pause_s: float) -> None:
         self._wake.clear()
         with contextlib.suppress(TimeoutError):
@@ -175,14 +199,25 @@
             self.stream.close()
 
     async def _keep_beating(self) -> None:
-        cfg = self._node.settings
-        while self.stream.can_send():
+        # The first heartbeat shows the acceptor that the hello was no replay.
+        self._send_beat()
+        while self.stream.can_send() and self._is_needed():
+            await asyncio.sleep(self._node.settings.heartbeat_s)
+            if not self._node.is_neighbour(self.vm):
+                continue
+            if self._is_silent():
+                break
             if self.stream.unsent_bytes < MAX_BEAT_BACKLOG_BYTES:
                 self._send_beat()
-            await asyncio.sleep(cfg.heartbeat_s)
-            silence_s = self._node.roster.heard_age_s(self.vm)
-            if silence_s > SILENCE_FACTOR * cfg.suspect_after_s:
-                break
+
+    def _is_silent(self) -> bool:
+        limit_s = SILENCE_FACTOR * self._node.settings.suspect_after_s
+        return self._node.roster.heard_age_s(self.vm) > limit_s
+
+    def refill(self) -> None:
+        """Offer every entry again, because the role of a daemon has changed."""
+        if self.is_up:
+            self._outbox.refill()
 
     def _send_beat(self) -> None:
         node = self._node
@@ -204,6 +239,7 @@
         name, data = encode(message)
         loop = asyncio.get_running_loop()
         end = loop.time() + timeout_s
+        self.want()
         if not await self._is_ready(end):
             return Unavailable(f"no connection to {self.vm}")
         pending = self._pending
@@ -228,7 +264,7 @@
         return peer is not None and peer.state == PeerState.ALIVE
 
     def wake(self) -> None:
-        """Dial at once, because the peer was heard."""
+        """Dial at once if a connection is needed."""
         self._wake.set()
 
     async def _exchange(self, frame: Call, fut: asyncio.Future, end: float) -> Any:
--- a/packages/fulmarleverd/fulmarleverd/peers/node.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/node.py
@@ -16,13 +16,14 @@
 from fulmarleverd.peers.calls import BAD_DATA
 from fulmarleverd.peers.frames import Answer, Call, Verdict
 from fulmarleverd.peers.proofs import EndProofs
-from fulmarleverd.peers.roster import Roster
+from fulmarleverd.peers.roster import Peer, PeerState, Roster
 from fulmarleverd.peers.topics import (
     Entry,
     Publication,
     Topics,
     entries_from_wire,
 )
+from fulmarleverd.peers.zones import Zones
 from fulmarleverd.settings import Settings
 
 MAX_VALUE_BYTES = 1 << 16
@@ -38,11 +39,11 @@
         "clock",
         "hybrid_clock",
         "incarnation",
-        "is_settled",
         "roster",
         "proofs",
         "topics",
         "publication",
+        "zones",
         "handlers",
         "_reported",
     )
@@ -52,11 +53,13 @@
         self.clock = clock
         self.hybrid_clock = HybridClock(clock)
         self.incarnation = int(clock.wall() * 1000)
-        self.is_settled = False
-        self.roster = Roster(clock)
+        self.roster = Roster(clock, settings.suspect_after_s)
         self.proofs = EndProofs(clock, {peer.vm for peer in settings.peers})
         self.topics = Topics()
         self.publication = Publication(self.topics, settings.vm)
+        self.zones = Zones(
+            settings.vm, settings.zone, self.roster, self.topics, self.proofs
+        )
         self.handlers: dict[str, Handler] = {}
         self._reported: set[str] = set()
 
@@ -84,13 +87,18 @@
         if not self.proofs.alive(hello.vm, hello.incarnation):
             self._report_ended(hello)
             return
-        if hello.incarnation > self.roster.incarnation(hello.vm):
-            self._forget_older(hello)
         self.roster.heard(hello.vm, hello.incarnation, hello.admin_port)
 
-    def _forget_older(self, hello: Hello) -> None:
+    def as_peer(self) -> Peer:
+        """Return this daemon as others list it."""
+        cfg = self.settings
+        place = (cfg.vm, cfg.zone, cfg.address, cfg.peer_port, cfg.admin_port)
+        return Peer(*place, self.incarnation, PeerState.ALIVE)
+
+    def forget_older(self, peer: Peer) -> None:
+        """Drop what earlier incarnations of a peer have published."""
         self.topics.forget(
-            lambda e: e.vm == hello.vm and e.incarnation < hello.incarnation
+            lambda e: e.vm == peer.vm and e.incarnation < peer.incarnation
         )
 
     def _report_ended(self, hello: Hello) -> None:
@@ -111,7 +119,7 @@
         Later, the identity is in use, and another process of the same VM name or a
         wall clock that was set back is reported instead.
         """
-        if self.is_settled:
+        if self.zones.is_settled:
             log.error("a peer knows incarnation {} of this VM", incarnation)
             return
         self.incarnation = max(self.incarnation, incarnation + 1)
@@ -133,7 +141,13 @@
 
     def is_for(self, entry: Entry, vm: str) -> bool:
         """Return whether a peer gets an entry from this daemon."""
-        return entry.vm == self.vm
+        peer = self.roster.get(vm)
+        return peer is not None and self.zones.is_for(entry, peer)
+
+    def is_neighbour(self, vm: str) -> bool:
+        """Return whether heartbeats are exchanged with a peer."""
+        peer = self.roster.get(vm)
+        return peer is not None and self.zones.is_neighbour(peer)
 
     async def answer(self, call: Call) -> Answer:
         """Run the handler of a call and return its answer."""
--- a/packages/fulmarleverd/fulmarleverd/peers/outbox.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/outbox.py
@@ -32,10 +32,14 @@
 
     def open(self, digests: Any) -> None:
         """Add what a peer with these digests lacks, and all that comes from now on."""
+        self.refill(digests)
+        self._topics.listeners.append(self.add)
+
+    def refill(self, digests: Any = None) -> None:
+        """Add what a peer with these digests lacks."""
         for entry in self._topics:
             if is_newer(entry, digests):
                 self.add(entry)
-        self._topics.listeners.append(self.add)
 
     def close(self) -> None:
         """Take no more entries."""
--- a/packages/fulmarleverd/fulmarleverd/peers/proofs.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/proofs.py
@@ -78,6 +78,15 @@
         self._end(vm, incarnation - 1)
         return is_new
 
+    def succeed(self, vm: str, incarnation: int) -> None:
+        """Note that a relay heard an incarnation: lower ones have ended."""
+        self.notice(vm, incarnation)
+        self._end(vm, incarnation - 1)
+
+    def is_past(self, vm: str, incarnation: int) -> bool:
+        """Return whether an incarnation has ended or a higher one was heard."""
+        return max(self._ended.get(vm, -1), self.heard(vm) - 1) >= incarnation
+
     def reached(self, vm: str) -> None:
         """Note that the VM's peer port took a connection, or that it moved."""
         self._refusals.pop(vm, None)
--- a/packages/fulmarleverd/fulmarleverd/peers/roster.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/roster.py
@@ -35,9 +35,10 @@
 class Roster:
     """The known peers by VM. ``changes`` emits a peer at each change of it."""
 
-    __slots__ = ("changes", "_clock", "_peers", "_heard", "_fixed")
+    __slots__ = ("changes", "_clock", "_silence_s", "_peers", "_heard", "_fixed")
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, silence_s: float) -> None:
+        self._silence_s = silence_s
         self.changes: Subject[Peer] = Subject()
         self._clock = clock
         self._peers: dict[str, Peer] = {}
@@ -85,6 +86,9 @@
         if held is None or held.incarnation > incarnation:
             return
         self._heard[vm] = self._clock.monotonic()
+        self._put_alive(held, incarnation, admin_port)
+
+    def _put_alive(self, held: Peer, incarnation: int, admin_port: int) -> None:
         self._put(
             replace(
                 held,
@@ -100,14 +104,24 @@
             return float("inf")
         return self._clock.monotonic() - self._heard[vm]
 
+    def is_heard(self, vm: str) -> bool:
+        """Return whether a peer itself was heard lately."""
+        return self.heard_age_s(vm) <= self._silence_s
+
+    def report(self, vm: str, incarnation: int, admin_port: int) -> None:
+        """Take over from a relay that a peer is alive."""
+        held = self._peers.get(vm)
+        if held is not None and held.incarnation <= incarnation:
+            self._put_alive(held, incarnation, admin_port)
+
     def suspect(self, vm: str) -> None:
         """Mark a peer that cannot be heard; it may still be serving."""
         self._set_state(vm, PeerState.ALIVE, PeerState.SUSPECT)
 
-    def suspect_silent(self, limit_s: float) -> None:
-        """Mark every peer that was not heard for the time."""
+    def suspect_silent(self, zone: str) -> None:
+        """Mark every peer of a zone that was not heard lately."""
         for peer in self:
-            if self.heard_age_s(peer.vm) > limit_s:
+            if peer.zone == zone and not self.is_heard(peer.vm):
                 self.suspect(peer.vm)
 
     def end(self, vm: str) -> None:
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/peers/zones.py
@@ -0,0 +1,128 @@
+"""Traffic between availability zones: one relay daemon for each zone.
+
+The relay is the alive daemon whose VM name is lowest; an address would differ by
+viewpoint where a zone is reached through a forwarder. Relays exchange the entries of
+their zones and pass on what comes from other zones. Every other daemon learns the
+states of peers elsewhere from the relay of its own zone.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+from fulmarleverd.peers.proofs import EndProofs
+from fulmarleverd.peers.roster import Peer, PeerState, Roster
+from fulmarleverd.peers.topics import Entry, Topics
+
+NEAR_TOPIC = "near"
+"""Published by a relay: place and incarnation of the alive daemons of its zone."""
+
+ZONES_TOPIC = "zones"
+"""Published by a relay: the relay of every other zone that it hears, by zone."""
+
+
+class Zones:
+    """The roles of daemons, and the states of peers that are heard through relays."""
+
+    __slots__ = ("is_settled", "_vm", "_zone", "_roster", "_topics", "_proofs")
+
+    def __init__(
+        self, vm: str, zone: str, roster: Roster, topics: Topics, proofs: EndProofs
+    ) -> None:
+        self.is_settled = False
+        self._vm = vm
+        self._zone = zone
+        self._roster = roster
+        self._topics = topics
+        self._proofs = proofs
+
+    def own_relay(self) -> str:
+        """Return the relay of this daemon's zone."""
+        mates = (peer.vm for peer in self._alive(self._zone))
+        return min([self._vm, *mates])
+
+    @property
+    def is_relay(self) -> bool:
+        """Return whether this daemon is the relay of its zone."""
+        return self.is_settled and self.own_relay() == self._vm
+
+    def is_neighbour(self, peer: Peer) -> bool:
+        """Return whether heartbeats are exchanged with a peer.
+
+        While no daemon of another zone is heard, the relay tries all of them.
+        """
+        if peer.zone == self._zone:
+            return True
+        if not self.is_relay:
+            return False
+        alive = [other.vm for other in self._alive(peer.zone)]
+        return not alive or peer.vm == min(alive)
+
+    def is_for(self, entry: Entry, peer: Peer) -> bool:
+        """Return whether a peer gets an entry from this daemon."""
+        is_of_zone = self._zone_of(entry.vm) == self._zone
+        if peer.zone == self._zone:
+            return entry.vm == self._vm or (self.is_relay and not is_of_zone)
+        return self.is_relay and is_of_zone
+
+    def _zone_of(self, vm: str) -> str:
+        if vm == self._vm:
+            return self._zone
+        peer = self._roster.get(vm)
+        return peer.zone if peer else self._zone
+
+    def _alive(self, zone: str) -> Iterator[Peer]:
+        for peer in self._roster:
+            if peer.zone == zone and peer.state == PeerState.ALIVE:
+                yield peer
+
+    def reports(self, own: Peer) -> dict[str, Any]:
+        """Return the values of the topics of a relay, ``None`` for other daemons."""
+        if not self.is_relay:
+            return {NEAR_TOPIC: None, ZONES_TOPIC: None}
+        near = {peer.vm: _place(peer) for peer in [own, *self._alive(self._zone)]}
+        return {NEAR_TOPIC: near, ZONES_TOPIC: self._heard_relays()}
+
+    def _heard_relays(self) -> dict[str, str]:
+        found: dict[str, str] = {}
+        for peer in sorted(self._roster, key=lambda peer: peer.vm):
+            if peer.zone != self._zone and self._roster.is_heard(peer.vm):
+                found.setdefault(peer.zone, peer.vm)
+        return found
+
+    def update_far_states(self) -> None:
+        """Take over the states of peers in other zones from the relays' reports."""
+        for zone, relay in self._current_relays().items():
+            near = self._value(relay, NEAR_TOPIC)
+            for vm, (incarnation, admin_port, address, port) in near.items():
+                if vm == self._vm or self._proofs.is_past(vm, incarnation):
+                    continue
+                self._roster.learn(vm, zone, address, port)
+                self._proofs.succeed(vm, incarnation)
+                self._roster.report(vm, incarnation, admin_port)
+        self._suspect_unreported()
+
+    def _suspect_unreported(self) -> None:
+        relays = self._current_relays()
+        for peer in self._roster:
+            if peer.zone == self._zone or self._roster.is_heard(peer.vm):
+                continue
+            relay = relays.get(peer.zone, "")
+            if peer.vm not in self._value(relay, NEAR_TOPIC):
+                self._roster.suspect(peer.vm)
+
+    def _current_relays(self) -> dict[str, str]:
+        if self.own_relay() == self._vm:
+            return self._heard_relays()
+        return self._value(self.own_relay(), ZONES_TOPIC)
+
+    def _value(self, vm: str, topic: str) -> dict[str, Any]:
+        entry = self._topics.get((vm, topic, ""))
+        # A new relay of another zone is known by its report before it is listed.
+        is_current = entry and entry.incarnation >= self._roster.incarnation(vm)
+        return entry.value if is_current and isinstance(entry.value, dict) else {}
+
+
+def _place(peer: Peer) -> list:
+    return [peer.incarnation, peer.admin_port, peer.address, peer.port]
--- a/packages/fulmarleverd/fulmarleverd/services/membership.py
+++ b/packages/fulmarleverd/fulmarleverd/services/membership.py
@@ -43,7 +43,9 @@
         self._acceptor = Acceptor(self._node)
         self._links: dict[str, Link] = {}
         self._dialers: dict[str, asyncio.Task] = {}
-        self._states: dict[str, PeerState] = {}
+        self._known: dict[str, tuple[PeerState, int]] = {}
+        self._refill_needed = False
+        self._was_relay = False
 
     async def start(self) -> None:
         """Open the peer port, dial the known peers and fix the incarnation."""
@@ -58,12 +60,15 @@
         self.spawn(self._keep_sweeping(), "membership sweep")
 
     async def _settle(self) -> None:
-        tries = [asyncio.ensure_future(li.tried.wait()) for li in self._links.values()]
+        mates = [
+            self._links[p.vm] for p in self.peers() if p.zone == self.settings.zone
+        ]
+        tries = [asyncio.ensure_future(link.tried.wait()) for link in mates]
         if tries:
             await asyncio.wait(tries, timeout=SETTLE_S)
         for fut in tries:
             fut.cancel()
-        self._node.is_settled = True
+        self._node.zones.is_settled = True
 
     async def stop(self) -> None:
         """Close every connection and, last of all, the peer port."""
@@ -106,7 +111,12 @@
         """Return whether it is proved that an incarnation of a VM has ended."""
         if vm == self.settings.vm:
             return incarnation < self._node.incarnation
-        return self._node.proofs.is_ended(vm, incarnation)
+        if self._node.proofs.is_ended(vm, incarnation):
+            return True
+        if vm in self._links:
+            # Only a dial can show that the port is closed.
+            self._links[vm].want()
+        return False
 
     def publish(self, topic: str, value: Any) -> None:
         """Set this daemon's value of a topic, which msgpack has to know.
@@ -140,9 +150,14 @@
         return await link.call(message, timeout_s)
 
     def _note_change(self, peer: Peer) -> None:
-        if self._states.get(peer.vm) == peer.state:
+        state, incarnation = self._known.get(peer.vm, (None, 0))
+        self._known[peer.vm] = (peer.state, peer.incarnation)
+        if state is None:
+            self._refill_needed = True
+        if incarnation < peer.incarnation:
+            self._node.forget_older(peer)
+        if state == peer.state:
             return
-        self._states[peer.vm] = peer.state
         if peer.state == PeerState.ALIVE and peer.vm in self._links:
             self._links[peer.vm].wake()
         detail = f"{peer.vm}#{peer.incarnation}"
@@ -161,17 +176,33 @@
     def _sweep(self) -> None:
         node = self._node
         self._read_list()
-        node.roster.suspect_silent(self.settings.suspect_after_s)
+        node.roster.suspect_silent(self.settings.zone)
+        node.zones.update_far_states()
         for peer in node.roster:
             if node.proofs.is_ended(peer.vm, peer.incarnation):
                 node.roster.end(peer.vm)
-            self._dial(peer.vm)
         for vm in list(self._gone()):
             self._forget_peer(vm)
+        for topic, value in node.zones.reports(node.as_peer()).items():
+            node.publish(topic, value)
+        self._update_links()
         counts = Counter(peer.state for peer in node.roster)
         for state in PeerState:
             PEERS.labels(state).set(counts[state])
 
+    def _update_links(self) -> None:
+        for peer in self._node.roster:
+            self._dial(peer.vm)
+        is_relay = self._node.zones.is_relay
+        if self._refill_needed or is_relay != self._was_relay:
+            for link in self._links.values():
+                link.refill()
+        self._refill_needed = False
+        self._was_relay = is_relay
+        for vm, link in self._links.items():
+            if link.is_idle and self._node.is_neighbour(vm):
+                link.wake()
+
     def _read_list(self) -> None:
         platform = self.kernel.find("platform")
         vms = platform.vms()
@@ -206,7 +237,7 @@
         self._node.roster.remove(vm)
         self._node.topics.forget(lambda entry: entry.vm == vm)
         self._links.pop(vm, None)
-        self._states.pop(vm, None)
+        self._known.pop(vm, None)
         dialer = self._dialers.pop(vm, None)
         if dialer is not None:
             dialer.cancel()
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/peers/zones_tests.py
@@ -0,0 +1,118 @@
+from __future__ import annotations
+
+from fulmarlever.tests.base import wait_until
+from fulmarleverd.peers.link import Link
+from fulmarleverd.peers.roster import PeerState
+from fulmarleverd.services.membership import Membership
+from fulmarleverd.tests.peers.cluster import ClusterTestCase, Echo
+
+FLEET = ("a1", "a2", "b1", "b2", "c1", "c2")
+
+
+def links_between_zones(services: list[Membership]) -> set[tuple[str, str]]:
+    """Return the open connections between zones, by VM names."""
+    return {
+        (service.settings.vm, vm)
+        for service in services
+        for vm, link in service._links.items()
+        if link.is_up and vm[0] != service.settings.zone
+    }
+
+
+def relay_pairs(*relays: str) -> set[tuple[str, str]]:
+    return {(one, two) for one in relays for two in relays if one != two}
+
+
+class ZoneTests(ClusterTestCase):
+    async def start_fleet(self) -> list[Membership]:
+        services = await self.start_all(*FLEET)
+        expected = relay_pairs("a1", "b1", "c1")
+        await wait_until(lambda: links_between_zones(services) == expected)
+        return services
+
+    async def test_one_stream_between_zones_carries_every_topic(self):
+        services = await self.start_fleet()
+        for service in services:
+            vm = service.settings.vm
+            service.publish("number", vm)
+            service.publish("load", {"x": [1, vm]})
+        for service in services:
+            others = {vm for vm in FLEET if vm != service.settings.vm}
+            expected = {vm: vm for vm in others}
+            await wait_until(lambda s=service, e=expected: s.view("number") == e)
+            await wait_until(lambda s=service, o=others: set(s.view("load")) == o)
+            self.assertEqual(len(service.live()), len(others))
+
+    async def test_calls_reach_daemons_without_a_stream(self):
+        services = await self.start_fleet()
+
+        async def echo(req: Echo) -> Echo:
+            return req
+
+        services[-1].handle(Echo, echo)
+        answer = await services[1].call("c2", Echo("x"), 5.0)
+        self.assertEqual(answer, Echo("x"))
+
+    async def test_the_next_daemon_takes_over_from_a_relay(self):
+        services = await self.start_fleet()
+        first = services[0].incarnation
+        await self.end("a1")
+        left = services[1:]
+        expected = relay_pairs("a2", "b1", "c1")
+        await wait_until(lambda: links_between_zones(left) >= expected)
+        left[0].publish("number", 7)
+        for service in left[1:]:
+            await wait_until(lambda s=service: s.view("number") == {"a2": 7})
+            await wait_until(lambda s=service: s.is_ended("a1", first))
+        again = await self.start("a1")
+        fleet = [again, *left]
+        expected = relay_pairs("a1", "b1", "c1")
+        await wait_until(lambda: links_between_zones(fleet) >= expected)
+        again.publish("number", 8)
+        values = {"a1": 8, "a2": 7}
+        await wait_until(lambda: left[-1].view("number") == values)
+
+    async def test_peers_behind_a_cut_are_suspect_and_not_ended(self):
+        services = await self.start_fleet()
+        near, far = services[1], services[4:]
+        incarnations = {s.settings.vm: s.incarnation for s in far}
+        streams = [s for service in services for s in self.streams_to(service, "c")]
+        with CutOff("c"):
+            for stream in streams:
+                stream.close()
+            await wait_until(lambda: len(near.live()) == 3)
+            for vm, incarnation in incarnations.items():
+                self.assertFalse(near.is_ended(vm, incarnation))
+            states = {peer.vm: peer.state for peer in near.peers()}
+            self.assertEqual(states["c1"], PeerState.SUSPECT)
+        await wait_until(lambda: len(near.live()) == 5)
+
+    def streams_to(self, service: Membership, zone: str) -> list:
+        own = service.settings.zone
+        return [
+            link.stream
+            for vm, link in service._links.items()
+            if link.is_up and own != vm[0] and zone in (own, vm[0])
+        ]
+
+
+class CutOff:
+    """Lets every dial between a zone and the others run into its timeout."""
+
+    def __init__(self, zone: str) -> None:
+        self.zone = zone
+        self.open = Link._open
+
+    def __enter__(self) -> None:
+        zone, whole = self.zone, self.open
+
+        async def open_unless_cut(link: Link, address: str, port: int) -> None:
+            own = link._node.settings.zone
+            if own != link.vm[0] and zone in (own, link.vm[0]):
+                raise TimeoutError
+            await whole(link, address, port)
+
+        Link._open = open_unless_cut
+
+    def __exit__(self, *details: object) -> None:
+        Link._open = self.open
