Let the heartbeat interval grow with the number of neighbours

Cause: heartbeats of 33 bytes cost 136 bytes with headers and acknowledgements, and their number grew with the peers of the zone and with the zones. The interval to peers of the zone is heartbeat_s times their number over 2, that between relays heartbeat_s times the number of other zones. A closed connection still makes it suspect at once, and topics that are not paced are sent at once, without waiting for the interval. Ruled out: UDP heartbeats (no acknowledgements, but a second scheme of digests and order), a longer interval for all (slower detection in small zones).

--- a/packages/fulmarleverd/fulmarleverd/peers/acceptor.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/acceptor.py
@@ -138,16 +138,17 @@
             while True:
                 self._node.hybrid_clock.observe(frame.stamp)
                 self._node.heard(hello)
-                self._take(stream, frame, running)
+                self._take(stream, hello.vm, frame, running)
                 frame = frame_from_wire(await stream.receive())
         finally:
             # Handlers run to their end: their effects must not stay half done.
             stream.close()
 
     def _take(
-        self, stream: FrameStream, frame: Frame, running: set[asyncio.Task]
+        self, stream: FrameStream, vm: str, frame: Frame, running: set[asyncio.Task]
     ) -> None:
         if isinstance(frame, Beat):
+            self._node.roster.expect(vm, frame.interval_ms / 1000)
             self._node.merge(frame.entries)
         elif not isinstance(frame, Call):
             raise WireError(Fault.MALFORMED, "an answer without a call")
--- a/packages/fulmarleverd/fulmarleverd/peers/frames.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/frames.py
@@ -19,9 +19,13 @@
 
 @dataclass(slots=True)
 class Beat:
-    """A heartbeat with the topic entries that the receiver does not have yet."""
+    """A heartbeat with the topic entries that the receiver does not have yet.
+
+    ``interval_ms`` is the longest time to the next heartbeat of the sender.
+    """
 
     stamp: int
+    interval_ms: int
     entries: list
 
 
@@ -63,6 +67,7 @@
     except (TypeError, ValueError, IndexError) as exc:
         raise WireError(Fault.MALFORMED, "a frame of unknown form") from exc
     numbers = (frame.stamp, getattr(frame, "number", 0), getattr(frame, "verdict", 0))
+    numbers += (getattr(frame, "interval_ms", 0),)
     if not all(type(number) is int for number in numbers):
         raise WireError(Fault.MALFORMED, "a frame with a wrong number")
     if not isinstance(getattr(frame, "name", ""), str):
--- a/packages/fulmarleverd/fulmarleverd/peers/link.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/link.py
@@ -33,6 +33,7 @@
 MAX_BEAT_BACKLOG_BYTES = 1 << 20
 SILENCE_FACTOR = 3
 IDLE_S = 30.0
+URGENT_DELAY_S = 0.05
 PACED_BYTES_PER_S = 512
 
 
@@ -202,7 +203,7 @@
         # The first heartbeat shows the acceptor that the hello was no replay.
         self._send_beat()
         while self.stream.can_send() and self._is_needed():
-            await asyncio.sleep(self._node.settings.heartbeat_s)
+            await self._until_due(self._node.interval_s(self.vm))
             if not self._node.is_neighbour(self.vm):
                 continue
             if self._is_silent():
@@ -210,9 +211,17 @@
             if self.stream.unsent_bytes < MAX_BEAT_BACKLOG_BYTES:
                 self._send_beat()
 
+    async def _until_due(self, interval_s: float) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(interval_s):
+                await self._outbox.urgent.wait()
+                # What is published in the same moment goes into one heartbeat.
+                await asyncio.sleep(URGENT_DELAY_S)
+
     def _is_silent(self) -> bool:
-        limit_s = SILENCE_FACTOR * self._node.settings.suspect_after_s
-        return self._node.roster.heard_age_s(self.vm) > limit_s
+        roster = self._node.roster
+        limit_s = SILENCE_FACTOR * roster.silence_limit_s(self.vm)
+        return roster.heard_age_s(self.vm) > limit_s
 
     def refill(self) -> None:
         """Offer every entry again, because the role of a daemon has changed."""
@@ -221,9 +230,11 @@
 
     def _send_beat(self) -> None:
         node = self._node
-        budget_bytes = PACED_BYTES_PER_S * node.settings.heartbeat_s
+        interval_s = node.interval_s(self.vm)
+        budget_bytes = PACED_BYTES_PER_S * interval_s
         entries = self._outbox.take(budget_bytes / max(1, len(node.topics.listeners)))
-        beat = Beat(node.hybrid_clock.now(), entries_to_wire(entries))
+        stamp = node.hybrid_clock.now()
+        beat = Beat(stamp, int(interval_s * 1000), entries_to_wire(entries))
         self.stream.send(frame_to_wire(beat))
 
     async def call(self, message: Any, timeout_s: float) -> Any:
--- a/packages/fulmarleverd/fulmarleverd/peers/node.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/node.py
@@ -144,6 +144,12 @@
         peer = self.roster.get(vm)
         return peer is not None and self.zones.is_for(entry, peer)
 
+    def interval_s(self, vm: str) -> float:
+        """Return the interval of the heartbeats to a peer."""
+        peer = self.roster.get(vm)
+        pace = self.zones.pace(peer) if peer is not None else 1.0
+        return pace * self.settings.heartbeat_s
+
     def is_neighbour(self, vm: str) -> bool:
         """Return whether heartbeats are exchanged with a peer."""
         peer = self.roster.get(vm)
--- a/packages/fulmarleverd/fulmarleverd/peers/roster.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/roster.py
@@ -10,6 +10,9 @@
 
 from fulmarlever.clock import Clock
 
+HEARTBEATS_MISSED = 3
+LONGEST_INTERVAL_S = 10.0
+
 
 class PeerState(StrEnum):
     """The states of a peer. Only ``ENDED`` needs proof."""
@@ -35,7 +38,15 @@
 class Roster:
     """The known peers by VM. ``changes`` emits a peer at each change of it."""
 
-    __slots__ = ("changes", "_clock", "_silence_s", "_peers", "_heard", "_fixed")
+    __slots__ = (
+        "changes",
+        "_clock",
+        "_silence_s",
+        "_peers",
+        "_heard",
+        "_intervals_s",
+        "_fixed",
+    )
 
     def __init__(self, clock: Clock, silence_s: float) -> None:
         self._silence_s = silence_s
@@ -43,6 +54,7 @@
         self._clock = clock
         self._peers: dict[str, Peer] = {}
         self._heard: dict[str, float] = {}
+        self._intervals_s: dict[str, float] = {}
         self._fixed: set[str] = set()
 
     def __iter__(self) -> Iterator[Peer]:
@@ -106,7 +118,16 @@
 
     def is_heard(self, vm: str) -> bool:
         """Return whether a peer itself was heard lately."""
-        return self.heard_age_s(vm) <= self._silence_s
+        return self.heard_age_s(vm) <= self.silence_limit_s(vm)
+
+    def expect(self, vm: str, interval_s: float) -> None:
+        """Note how often a peer sends heartbeats."""
+        self._intervals_s[vm] = min(interval_s, LONGEST_INTERVAL_S)
+
+    def silence_limit_s(self, vm: str) -> float:
+        """Return the silence after which a peer is suspect."""
+        missed_s = HEARTBEATS_MISSED * self._intervals_s.get(vm, 0.0)
+        return max(self._silence_s, missed_s)
 
     def report(self, vm: str, incarnation: int, admin_port: int) -> None:
         """Take over from a relay that a peer is alive."""
@@ -133,6 +154,7 @@
         """Forget a peer that has left the VM list for good."""
         self._peers.pop(vm, None)
         self._heard.pop(vm, None)
+        self._intervals_s.pop(vm, None)
 
     def _set_state(self, vm: str, old: PeerState, new: PeerState) -> None:
         held = self._peers.get(vm)
--- a/packages/fulmarleverd/fulmarleverd/peers/zones.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/zones.py
@@ -21,6 +21,12 @@
 ZONES_TOPIC = "zones"
 """Published by a relay: the relay of every other zone that it hears, by zone."""
 
+MATES_PER_INTERVAL = 2
+"""Peers of the zone with which heartbeats are exchanged in ``heartbeat_s``."""
+
+ZONES_PER_INTERVAL = 1
+"""Other zones with whose relays heartbeats are exchanged in ``heartbeat_s``."""
+
 
 class Zones:
     """The roles of daemons, and the states of peers that are heard through relays."""
@@ -59,6 +65,18 @@
         alive = [other.vm for other in self._alive(peer.zone)]
         return not alive or peer.vm == min(alive)
 
+    def pace(self, peer: Peer) -> float:
+        """Return how many times longer than set the heartbeat interval to a peer is.
+
+        It grows with the number of neighbours, so that their number does not
+        change the traffic of a daemon.
+        """
+        if peer.zone == self._zone:
+            mates = sum(other.zone == self._zone for other in self._roster)
+            return max(1.0, mates / MATES_PER_INTERVAL)
+        zones = {other.zone for other in self._roster} - {self._zone}
+        return max(1.0, len(zones) / ZONES_PER_INTERVAL)
+
     def is_for(self, entry: Entry, peer: Peer) -> bool:
         """Return whether a peer gets an entry from this daemon."""
         is_of_zone = self._zone_of(entry.vm) == self._zone
--- a/packages/fulmarleverd/fulmarleverd/tests/peers/acceptor_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/peers/acceptor_tests.py
@@ -36,7 +36,7 @@
         reader, writer = await self.open(target)
         hello = Hello(name, "a", 7, "127.0.0.1", 1, 2, target=target)
         stream, _ = await dial(reader, writer, SECRET, hello)
-        stream.send(frame_to_wire(Beat(0, [])))
+        stream.send(frame_to_wire(Beat(0, 100, [])))
         self.addCleanup(stream.close)
         return stream
 
@@ -92,7 +92,7 @@
             stream.send(frame_to_wire(call))
             if number % 64 == 0:
                 await asyncio.sleep(0)
-        stream.send(frame_to_wire(Beat(0, [["a3", 7, {"last": [["", 1, True]]}]])))
+        stream.send(frame_to_wire(Beat(0, 100, [["a3", 7, {"last": [["", 1, True]]}]])))
         await wait_until(lambda: first.view("last"))
         held, _ = tracemalloc.get_traced_memory()
         self.assertLess(held, MEMORY_LIMIT_BYTES)
