--- a/packages/fulmarleverd/fulmarleverd/placement/job_book.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/job_book.py
@@ -115,7 +115,8 @@
 
     def take_inbox(self, draft: Draft) -> None:
         """Remove inbox rows together with the changes that they asked for."""
-        for name in list(self.inbox)[:MAX_INBOX_PER_ROUND]:
+        names = [name for name in self.inbox if not self._is_unborn(name)]
+        for name in names[:MAX_INBOX_PER_ROUND]:
             draft.dropped[inbox_key(self.zone, name)] = self.inbox.pop(name)
 
     def ended(self) -> list[str]:
@@ -132,6 +133,8 @@
             draft.others[row.key] = (self.versions[name], row.to_wire())
             if row.state.is_final and not row.generation:
                 draft.ttl_s[row.key] = FINAL_ROW_TTL_S
+            if name in self.inbox:
+                draft.dropped[inbox_key(self.zone, name)] = self.inbox.pop(name)
         return draft
 
     def leftovers(self) -> Draft:
@@ -157,6 +160,20 @@
                 self._cancelling.discard(name)
                 self._removed.discard(name)
 
+    def _is_unborn(self, name: str) -> bool:
+        """Return whether a job was cancelled before it had tasks.
+
+        No task row tells the next placer of such a job, so its inbox row stays until
+        the job's row has the zone's part.
+        """
+        row = self.jobs.get(name)
+        return (
+            row is not None
+            and row.cancel
+            and name not in self.book.by_owner
+            and self._is_ended(name)
+        )
+
     async def _insert(self, row: JobRow) -> bool:
         result = await self.platform.commit(insertion(row), Lane.TASKS)
         return isinstance(result, Applied | Conflict)
