Change the placer row's version after a write of unknown outcome

Cause: found by HealingMachine: a creation whose answer was lost landed after the rows were read back as absent; its tasks existed in the table and in no placer's book, and the job stayed queued for ever. A read cannot exclude a write that is still on its way; a new version of the row that conditions every write does.

--- a/packages/fulmarleverd/fulmarleverd/placement/lease.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/lease.py
@@ -56,8 +56,9 @@
 class ZoneLease:
     """One daemon's view of the lease on the placement of its zone.
 
-    The row ``placer/{zone}`` changes only when the holder changes, so its version is
-    the fencing token of every write of the holder. A renewal counts up the row
+    The row ``placer/{zone}`` changes only when the holder changes, or by the holder
+    itself after a write of unknown outcome, so its version is the fencing token of
+    every write of the holder. A renewal counts up the row
     ``placer-beat/{zone}`` under the condition that the placer row is unchanged. The
     lease lasts from the send time of the last confirmed renewal.
     """
@@ -113,6 +114,22 @@
         else:
             await self._observe()
 
+    async def refence(self) -> bool:
+        """Change the version of the holder's row and return whether that worked.
+
+        Afterwards no earlier write of this holder can take effect any more.
+        """
+        before = self.version
+        change = Change({self.key: before}, {self.key: self.row.to_wire()})
+        result = await self.platform.write(change)
+        if isinstance(result, Applied) and self.version == before:
+            self.version = result.versions[self.key]
+            return True
+        if isinstance(result, Conflict):
+            self.lose()
+        self._is_doubtful = True
+        return False
+
     async def release(self) -> None:
         """Give the lease back, so that another daemon takes it without waiting."""
         if not self.is_held:
@@ -123,15 +140,15 @@
         await self.platform.write(change)
 
     async def _renew(self) -> None:
-        sent = self.clock.monotonic()
+        sent, version = self.clock.monotonic(), self.version
         self._counter += 1
         change = Change(
-            {self.key: self.version}, {self.beat_key: {"counter": self._counter}}
+            {self.key: version}, {self.beat_key: {"counter": self._counter}}
         )
         result = await self.platform.commit(change, Lane.LEASES)
         if isinstance(result, Applied) and self.is_held:
             self.valid_until = max(self.valid_until, sent + self.lease_s)
-        elif isinstance(result, Conflict):
+        elif isinstance(result, Conflict) and self.version == version:
             self.lose()
         else:
             self._is_doubtful = True
--- a/packages/fulmarleverd/fulmarleverd/placement/writer.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/writer.py
@@ -7,7 +7,7 @@
 from itertools import islice
 from typing import Any
 
-from fulmarlever.outcomes import Conflict, Unavailable, failed
+from fulmarlever.outcomes import Conflict, OutcomeUnknown, Unavailable, failed
 from fulmarlever.structure.table import Applied, Change, Lane
 from fulmarlever.structure.task import Task
 from fulmarleverd.kernel import Service
@@ -51,6 +51,7 @@
         self.lease = lease
         self.book = book
         self.doubtful: set[str] = set()
+        self.is_unfenced = False
         self.versions: dict[str, int] = {}
         self.changes = 0
 
@@ -70,8 +71,11 @@
 
     async def read_doubtful(self) -> bool:
         """Read the rows of unknown outcome again; return whether none is left."""
-        if not self.doubtful:
+        if not self.doubtful and not self.is_unfenced:
             return True
+        if self.is_unfenced and not await self.lease.refence():
+            return False
+        self.is_unfenced = False
         keys = sorted(self.doubtful)
         rows = await self.platform.read(keys)
         if failed(rows):
@@ -96,6 +100,9 @@
             return True
         if isinstance(result, Conflict) and self.lease.key in result.keys:
             self.lease.lose()
+        if isinstance(result, OutcomeUnknown):
+            # The write may still be on its way and take effect after a read.
+            self.is_unfenced = True
         if not isinstance(result, Unavailable):
             self.doubtful.update(draft.tasks, draft.removed)
             self.lease.doubt()
