Evict for urgent work and leaving workers; learn sizes; split quotas

Cause: urgent work must start within 5.9 s in a full fleet, leaving workers must empty, declared sizes are wrong, teams have quotas and batch a guarantee. Evictions are decided in the round that finds no room, recorded in the same commit, and the room that comes free is kept for the task that asked. Quotas are split over the zones by cores: asking other zones would overshoot in a cut.

--- a/packages/fulmarleverd/fulmarleverd/placement/book.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/book.py
@@ -35,6 +35,7 @@
     def __init__(self) -> None:
         self.entries: dict[str, Entry] = {}
         self.reserved: dict[str, Size] = defaultdict(Size)
+        self.reserved_by_owner: dict[str, Size] = defaultdict(Size)
         self.on_worker: dict[str, set[str]] = defaultdict(set)
         self.by_owner: dict[str, dict[int, str]] = defaultdict(dict)
         self.in_state: dict[TaskState, dict[str, None]] = defaultdict(dict)
@@ -63,6 +64,7 @@
         if task.state in HOLDING:
             self.on_worker[task.worker].add(task.key)
             self.reserved[task.worker] += task.reservation
+            self.reserved_by_owner[task.owner] += task.reservation
 
     def remove(self, key: str) -> None:
         """Forget a task, if it is known."""
@@ -76,6 +78,7 @@
         if task.state in HOLDING:
             self.on_worker[task.worker].discard(key)
             self.reserved[task.worker] -= task.reservation
+            self.reserved_by_owner[task.owner] -= task.reservation
             self._forget_empty(task.worker)
 
     def get(self, key: str) -> Task | None:
@@ -109,6 +112,7 @@
         self._open[task.owner] -= not task.state.is_final
         if not keys:
             del self.by_owner[task.owner], self._open[task.owner]
+            self.reserved_by_owner.pop(task.owner, None)
         self._note_closed(task.owner)
 
     def _note_closed(self, owner: str) -> None:
--- a/packages/fulmarleverd/fulmarleverd/placement/intake.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/intake.py
@@ -7,6 +7,7 @@
 from fulmarlever.exceptions import KernelError
 from fulmarlever.outcomes import Refused
 from fulmarlever.structure.configuration import IsolationRule
+from fulmarlever.structure.size import Size
 from fulmarlever.structure.task import Task, TaskState
 from fulmarleverd.placement.backends import server_name
 from fulmarleverd.placement.book import HOLDING
@@ -40,6 +41,13 @@
 """How long a VM must be missing from the VM list before it is taken for gone."""
 
 
+def _beyond(usage: Size, reservation: Size) -> Size:
+    return Size(
+        max(0.0, usage.cores - reservation.cores),
+        max(0.0, usage.memory_mib - reservation.memory_mib),
+    )
+
+
 class Intake:
     """Reports and answers of workers since the last round."""
 
@@ -98,10 +106,25 @@
             present.add(f"task/{self.state.name}/{item.task}")
             strays += self._take_task(worker, item, draft)
         self._note_ready(worker, strays)
+        self._note_usage(worker, report)
         for task in self.state.book.of_worker(worker):
             if task.key not in present and self._is_missing(task, report):
                 draft.add(requeued(task, MISSING))
 
+    def _note_usage(self, worker: str, report: WorkerReport) -> None:
+        excess = Size()
+        for item in report.answer.tasks:
+            key = f"task/{self.state.name}/{item.task}"
+            task = self.state.book.get(key)
+            if item.state != RUNNING or not self._is_current(task, worker, item):
+                continue
+            self.state.usage[key] = item.usage
+            excess += _beyond(item.usage, task.reservation)
+            if not task.is_service:
+                kind = self.state.lookup.kind(task)
+                self.state.lookup.sizes.observe(kind, key, item.usage)
+        self.state.excess[worker] = excess
+
     def _note_ready(self, worker: str, strays: int) -> None:
         # A stray takes room that the book does not count.
         if strays:
@@ -130,8 +153,13 @@
     def _note_end(self, task: Task, report: TaskReport) -> None:
         if task.is_service or not task.worker:
             return
+        now_s = self.state.clock.monotonic()
+        kind = self.state.lookup.kind(task)
+        started_s = self.state.confirmed_s.get(task.key)
+        is_whole = report.state == DONE and started_s and not task.checkpoint
+        run_s = now_s - started_s if is_whole else None
+        self.state.lookup.sizes.end(kind, task.key, run_s)
         if report.state == FAILED:
-            now_s = self.state.clock.monotonic()
             self.state.health.note_failure(task.worker, task.owner, now_s)
         elif report.state == DONE:
             self.state.health.note_success(task.worker)
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/placement/metrics.py
@@ -0,0 +1,9 @@
+"""The metrics of placement."""
+
+from __future__ import annotations
+
+from prometheus_client import Counter
+
+EVICTIONS = Counter(
+    "fulmarlever_evictions", "Tasks stopped by the placer to run again elsewhere."
+)
--- a/packages/fulmarleverd/fulmarleverd/placement/queue.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/queue.py
@@ -4,58 +4,31 @@
 
 from collections import Counter
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
 
 from fulmarlever.outcomes import failed
 from fulmarlever.policies.order import NO_DEADLINE_S, ORDERS, QueuedJob
 from fulmarlever.policies.placement import PLACEMENTS, Room, Surroundings, Wanted
-from fulmarlever.structure.configuration import JobSpec, ServiceSpec
+from fulmarlever.policies.preemption import PREEMPTIONS, Eviction
+from fulmarlever.structure.configuration import JobSpec, Urgency
 from fulmarlever.structure.size import Size
 from fulmarlever.structure.task import Task, TaskState
-from fulmarleverd.placement.book import HOLDING, TaskBook
-from fulmarleverd.placement.settle import started
+from fulmarleverd.placement.book import TaskBook
+from fulmarleverd.placement.lookup import Lookup
+from fulmarleverd.placement.rooms import occupied
+from fulmarleverd.placement.settle import started, stopping
+from fulmarleverd.placement.shares import Shares
 
 MAX_STARTS_PER_ROUND = 100
+MAX_PREEMPTIONS_PER_ROUND = 20
 
-
-@dataclass(slots=True)
-class Lookup:
-    """What the queue knows about the owners of tasks.
-
-    ``submitted_s`` holds Unix times by job.
-    """
-
-    services: dict[str, ServiceSpec] = field(default_factory=dict)
-    jobs: dict[str, JobSpec] = field(default_factory=dict)
-    submitted_s: dict[str, float] = field(default_factory=dict)
-
-    def kind(self, task: Task) -> str:
-        """Return the name of a service or the kind of a job."""
-        if task.is_service or task.owner not in self.jobs:
-            return task.owner
-        return self.jobs[task.owner].kind
-
-    def size(self, task: Task) -> Size:
-        """Return the size to reserve for a task."""
-        spec = self.services if task.is_service else self.jobs
-        return spec[task.owner].size
-
-    def wanted(self, task: Task) -> Wanted:
-        """Return what a task looks for."""
-        spec = (self.services if task.is_service else self.jobs)[task.owner]
-        return Wanted(
-            task.owner,
-            self.kind(task),
-            self.size(task),
-            task.is_service,
-            spec.spread_racks,
-            frozenset(spec.vms),
-            frozenset(task.failures),
-        )
+GUARANTEE = "services leave this room to batch work"
 
 
 class Queue:
-    """Decides which queued tasks start where, services first, then jobs in order."""
+    """Decides which queued tasks start where, services first, then jobs in order.
+
+    ``reasons`` says for each owner that waits what it waits for.
+    """
 
     def __init__(
         self,
@@ -63,49 +36,30 @@
         lookup: Lookup,
         placement: str = "scored",
         order: str = "latest-start",
+        preemption: str = "least-loss",
     ) -> None:
         self.book = book
         self.lookup = lookup
         self.place = PLACEMENTS.find(placement)
         self.order = ORDERS.find(order)
+        self.preempt = PREEMPTIONS.find(preemption)
         self.reasons: dict[str, str] = {}
 
-    def starts(self, rooms: Iterable[Room]) -> Iterator[Task]:
-        """Yield tasks with their next attempt recorded for a worker."""
-        rooms = list(rooms)
-        around = Surroundings(racks=self._racks(rooms))
-        count = 0
-        for tasks in self._waiting():
-            for task in tasks:
-                if count >= MAX_STARTS_PER_ROUND:
-                    return
-                start = self._start(task, rooms, around)
-                if start is None:
-                    # Equal tasks of one owner do not fit either.
-                    break
-                count += 1
-                yield start
-
-    def _start(
-        self, task: Task, rooms: list[Room], around: Surroundings
-    ) -> Task | None:
-        wanted = self.lookup.wanted(task)
-        room = self.place(wanted, rooms, around)
-        if failed(room):
-            self.reasons[task.owner] = room.reason
-            return None
-        self.reasons.pop(task.owner, None)
-        room.take(wanted)
-        around.racks[task.owner, room.rack] += 1
-        return started(task, room.worker, wanted.size)
+    def decide(
+        self, rooms: list[Room], shares: Shares, around: Surroundings
+    ) -> Iterator[Task]:
+        """Yield tasks to start, and tasks to evict so that urgent ones can start."""
+        self.reasons.clear()
+        around.racks = _racks(rooms)
+        return _Round(self, rooms, shares, around).decide()
 
-    def _waiting(self) -> Iterator[list[Task]]:
+    def waiting(self) -> Iterator[list[Task]]:
+        """Yield the queued tasks of each owner, in the order of their starts."""
         services: dict[str, list[Task]] = {}
         jobs: dict[str, list[Task]] = {}
         for task in self.book.tasks(TaskState.QUEUED):
-            groups = services if task.is_service else jobs
-            known = self.lookup.services if task.is_service else self.lookup.jobs
-            if task.owner in known:
+            if self.lookup.is_known(task):
+                groups = services if task.is_service else jobs
                 groups.setdefault(task.owner, []).append(task)
         by_urgency = sorted(
             services, key=lambda name: (self.lookup.services[name].urgency, name)
@@ -117,28 +71,127 @@
     def _queued(self, name: str) -> QueuedJob:
         spec = self.lookup.jobs[name]
         deadline_s = NO_DEADLINE_S if spec.deadline_s is None else spec.deadline_s
-        submitted_s = self.lookup.submitted_s.get(name, 0.0)
         return QueuedJob(
-            name, spec.team, spec.urgency, submitted_s, deadline_s, spec.run_s
+            name,
+            spec.team,
+            spec.urgency,
+            self.lookup.submitted_s.get(name, 0.0),
+            deadline_s,
+            self.lookup.sizes.run_s(spec.kind, spec.run_s),
         )
 
-    def _racks(self, rooms: list[Room]) -> Counter[tuple[str, str]]:
-        counts: Counter[tuple[str, str]] = Counter()
-        for room in rooms:
-            for owner, count in room.owners.items():
-                counts[owner, room.rack] += count
-        return counts
-
-
-def make_room(
-    worker: str, rack: str, size: Size, book: TaskBook, lookup: Lookup
-) -> Room:
-    """Return a worker's room with what the book's tasks reserve taken off."""
-    room = Room(worker, rack, size, size - book.reserved.get(worker, Size()))
-    for task in book.of_worker(worker):
-        if task.state not in HOLDING:
-            continue
-        room.owners[task.owner] += 1
-        counter = room.services if task.is_service else room.kinds
-        counter[lookup.kind(task)] += 1
-    return room
+
+class _Round:
+    """The decisions of one round, which share the rooms and what was given away."""
+
+    def __init__(
+        self, queue: Queue, rooms: list[Room], shares: Shares, around: Surroundings
+    ) -> None:
+        self.queue = queue
+        self.book = queue.book
+        self.lookup = queue.lookup
+        self.rooms = rooms
+        self.shares = shares
+        self.around = around
+        self.evicted: set[str] = set()
+        self.preemptions = 0
+        self._full: set[tuple[Size, frozenset[str]]] = set()
+
+    def decide(self) -> Iterator[Task]:
+        """Yield starts and evictions."""
+        count = 0
+        for tasks in self.queue.waiting():
+            for task in tasks:
+                if count >= MAX_STARTS_PER_ROUND:
+                    return
+                wanted = self.lookup.wanted(task)
+                start = self._start(task, wanted)
+                if start is not None:
+                    count += 1
+                    yield start
+                    continue
+                evictions = list(self._evict(task, wanted))
+                yield from evictions
+                if not evictions:
+                    # Equal tasks of one owner do not fit either.
+                    break
+
+    def _start(self, task: Task, wanted: Wanted) -> Task | None:
+        reason = self._forbidden(task, wanted.size)
+        shape = (wanted.size, wanted.vms)
+        if not reason and shape in self._full:
+            reason = "no room"
+        if reason:
+            self.queue.reasons[task.owner] = reason
+            return None
+        room = self.queue.place(wanted, self.rooms, self.around)
+        if failed(room):
+            self._full.add(shape)
+            self.queue.reasons[task.owner] = room.reason
+            return None
+        room.take(wanted)
+        self.around.racks[task.owner, room.rack] += 1
+        self.shares.start(wanted.size, self._team(task))
+        return started(task, room.worker, wanted.size)
+
+    def _forbidden(self, task: Task, size: Size) -> str:
+        if task.is_service:
+            return "" if self.shares.may_start_service(size) else GUARANTEE
+        team = self._team(task)
+        dimension = self.shares.over_quota(team, size)
+        return f"quota of team {team}: {dimension}" if dimension else ""
+
+    def _evict(self, task: Task, wanted: Wanted) -> Iterator[Task]:
+        than = self._preempts(task)
+        is_allowed = than is not None and not self._forbidden(task, wanted.size)
+        if not is_allowed or self.preemptions >= MAX_PREEMPTIONS_PER_ROUND:
+            return
+        self.preemptions += 1
+        rooms = {
+            room.worker: room
+            for room in self.rooms
+            if not wanted.vms or room.worker in wanted.vms
+        }
+        eviction = self.queue.preempt(
+            wanted.size,
+            (
+                occupied(room, self.book, self.lookup, than, self.evicted)
+                for room in rooms.values()
+            ),
+        )
+        if eviction is None or not self._may_evict(task, eviction):
+            return
+        # What comes free is kept for this task; others must not take it meanwhile.
+        rooms[eviction.worker].free -= wanted.size
+        reason = f"evicted for {task.name}"
+        for victim in eviction.victims:
+            self.evicted.add(victim.key)
+            self.shares.evict(victim.size)
+            change = stopping(self.book.entries[victim.key].task, reason)
+            if change is not None:
+                yield change
+
+    def _may_evict(self, task: Task, eviction: Eviction) -> bool:
+        if not task.is_service:
+            return True
+        size = sum((victim.size for victim in eviction.victims), Size())
+        return not eviction.victims or self.shares.may_evict(size)
+
+    def _preempts(self, task: Task) -> Urgency | None:
+        """Return the urgency above which a task evicts batch work, if it does."""
+        if task.is_service:
+            return Urgency.CRITICAL
+        job = self.lookup.jobs[task.owner]
+        return job.urgency if job.urgency <= Urgency.HIGH else None
+
+    def _team(self, task: Task) -> str:
+        job: JobSpec | None = None if task.is_service else self.lookup.jobs[task.owner]
+        return job.team if job else ""
+
+
+def _racks(rooms: Iterable[Room]) -> Counter[tuple[str, str]]:
+    counts: Counter[tuple[str, str]] = Counter()
+    for room in rooms:
+        for owner, count in room.owners.items():
+            counts[owner, room.rack] += count
+    return counts
--- a/packages/fulmarleverd/fulmarleverd/placement/state.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from fulmarlever.structure.configuration import IsolationRule, JobSpec
+from fulmarlever.structure.size import Size
 from fulmarlever.structure.task import Task
 from fulmarleverd.kernel import Kernel
 from fulmarleverd.placement.backends import Backends
@@ -10,8 +11,8 @@
 from fulmarleverd.placement.calls import Calls
 from fulmarleverd.placement.health import Health
 from fulmarleverd.placement.lease import ZoneLease
+from fulmarleverd.placement.lookup import Lookup
 from fulmarleverd.placement.orders import AttemptId
-from fulmarleverd.placement.queue import Lookup
 from fulmarleverd.services.workers import Workers
 
 
@@ -20,7 +21,9 @@
 
     ``confirmed_s`` holds the monotonic time at which a worker confirmed an attempt,
     by task key; ``acknowledge`` the ends to acknowledge, by worker; ``ready`` the
-    workers whose last report shows nothing that the book does not know.
+    workers whose last report shows nothing that the book does not know; ``usage`` the
+    last reported use of tasks, by key; ``excess`` what the tasks of a worker use
+    beyond their reservations.
     """
 
     def __init__(self, kernel: Kernel, lease: ZoneLease, calls: Calls) -> None:
@@ -40,6 +43,8 @@
         self.confirmed_s: dict[str, float] = {}
         self.loaded_s = 0.0
         self.ready: set[str] = set()
+        self.usage: dict[str, Size] = {}
+        self.excess: dict[str, Size] = {}
 
     def job(self, task: Task) -> JobSpec | None:
         """Return the declaration of a batch task's job, if it is known."""
--- a/packages/fulmarleverd/fulmarleverd/placement/zone.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/zone.py
@@ -6,9 +6,10 @@
 from dataclasses import replace
 
 from fulmarlever.outcomes import failed
-from fulmarlever.policies.placement import Room
+from fulmarlever.policies.placement import Room, Surroundings
 from fulmarlever.structure.configuration import Configuration
-from fulmarlever.structure.fleet import BackendServer
+from fulmarlever.structure.fleet import VM, BackendServer
+from fulmarlever.structure.size import DIMENSIONS, Size
 from fulmarlever.structure.task import Task, TaskState
 from fulmarleverd.kernel import Kernel
 from fulmarleverd.placement.book import TaskBook
@@ -17,10 +18,14 @@
 from fulmarleverd.placement.intake import Intake
 from fulmarleverd.placement.job_book import JobBook
 from fulmarleverd.placement.lease import ZoneLease
+from fulmarleverd.placement.metrics import EVICTIONS
 from fulmarleverd.placement.orders import AttemptId, WorkerReport
 from fulmarleverd.placement.outbox import Outbox
-from fulmarleverd.placement.queue import Queue, make_room
+from fulmarleverd.placement.queue import Queue
+from fulmarleverd.placement.relief import Relief
+from fulmarleverd.placement.rooms import make_room
 from fulmarleverd.placement.settle import cancelled, stopping
+from fulmarleverd.placement.shares import Shares, zone_part
 from fulmarleverd.placement.state import ZoneState
 from fulmarleverd.placement.writer import Draft, TaskWriter
 from fulmarleverd.services.workers import ORDER_WINDOW_S, SyncPlan
@@ -55,10 +60,13 @@
         self.queue = Queue(self.book, self.state.lookup)
         self.intake = Intake(self.state)
         self.outbox = Outbox(self.state)
+        self.relief = Relief(self.state)
         self._desired: dict[str, Task] = {}
         self._desired_for: tuple[int, tuple[str, ...]] = (-1, ())
         self._inbox_read_s = float("-inf")
         self._evictions: dict[str, str] = {}
+        self._part_for: dict[str, VM] = {}
+        self._part_of_all = 1.0
 
     @property
     def book(self) -> TaskBook:
@@ -112,7 +120,7 @@
         if not await self._settle(cfg):
             return
         await self._fold_jobs()
-        await self._start_queued()
+        await self._start_queued(cfg)
         if self.state.lease.is_valid:
             self.outbox.send()
 
@@ -137,6 +145,10 @@
     def _look_up(self, cfg: Configuration) -> None:
         lookup, jobs = self.state.lookup, self.jobs.jobs
         lookup.services = cfg.services
+        sizes = [view.size for view in self.state.workers.fleet().values()]
+        lookup.largest = Size(
+            *(max((getattr(s, d) for s in sizes), default=0) for d in DIMENSIONS)
+        )
         lookup.jobs = {name: row.spec for name, row in jobs.items()}
         lookup.submitted_s = {name: row.submitted for name, row in jobs.items()}
 
@@ -176,11 +188,14 @@
             await self.writer.write(leftovers)
         self.jobs.forget_ended()
 
-    async def _start_queued(self) -> None:
+    async def _start_queued(self, cfg: Configuration) -> None:
         if not self.book.in_state[TaskState.QUEUED]:
             return
         draft = Draft()
-        for task in self.queue.starts(self._rooms()):
+        rooms = self._rooms()
+        lookup = self.state.lookup
+        shares = Shares(self.book, lookup, rooms, cfg.teams, self._part())
+        for task in self.queue.decide(rooms, shares, Surroundings()):
             draft.add(task)
         tasks = list(draft.tasks.values())
         if tasks and await self.writer.write(draft):
@@ -190,6 +205,7 @@
         yield from self._service_changes(cfg)
         yield from self.jobs.creations()
         yield from self.jobs.cancellations()
+        yield from self.relief.stops()
         evictions, self._evictions = self._evictions, {}
         for key, reason in evictions.items():
             task = self.book.get(key)
@@ -235,7 +251,14 @@
         now_s = self.state.clock.monotonic()
         workers, health = self.state.workers, self.state.health
         return [
-            make_room(name, view.vm.rack, view.size, self.book, self.state.lookup)
+            make_room(
+                name,
+                view.vm.rack,
+                view.size,
+                self.book,
+                self.state.lookup,
+                self.state.excess.get(name, Size()),
+            )
             for name, view in workers.fleet().items()
             if name in self.state.ready
             and workers.is_reachable(view)
@@ -243,6 +266,12 @@
             and not health.is_suspended(name, now_s)
         ]
 
+    def _part(self) -> float:
+        vms = self.platform.vms()
+        if vms is not self._part_for:
+            self._part_for, self._part_of_all = vms, zone_part(vms, self.state.name)
+        return self._part_of_all
+
     def _record(self, tasks: list[Task]) -> None:
         for task in tasks:
             if task.state is TaskState.STARTING:
@@ -250,6 +279,9 @@
                 self.state.calls.forget(task.key)
             elif task.state is not TaskState.RUNNING:
                 self.state.confirmed_s.pop(task.key, None)
+                self.state.usage.pop(task.key, None)
+            if task.state is TaskState.STOPPING and not task.cancel:
+                EVICTIONS.inc()
             self.timeline.record(
                 f"task {task.state}",
                 task=task.name,
