Avoid workers that refuse or fail a task, and wait longer after each try

Cause: a task refused by the best-scored worker went there again at once, for ever; a fault that all workers share would cost two table writes a task and round. Suspension with growing probes and the end after 3 workers are now tested.

--- a/packages/fulmarleverd/fulmarleverd/placement/health.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/health.py
@@ -13,12 +13,16 @@
 
 @dataclass(slots=True)
 class _Record:
-    """The failures in a row of one worker and the time of its next probe."""
+    """The failures in a row of one worker and the time of its next probe.
+
+    ``is_start`` tells whether the last one was a refused start.
+    """
 
     owners: set[str]
     probe_s: float = 0.0
     wait_s: float = 0.0
     is_probing: bool = False
+    is_start: bool = False
 
 
 class Health:
@@ -31,9 +35,12 @@
     def __init__(self) -> None:
         self._records: dict[str, _Record] = {}
 
-    def note_failure(self, worker: str, owner: str, now_s: float) -> None:
+    def note_failure(
+        self, worker: str, owner: str, now_s: float, is_start: bool = False
+    ) -> None:
         """Count a failed start or a failed task."""
         record = self._records.setdefault(worker, _Record(set()))
+        record.is_start = is_start
         record.owners.add(owner)
         if len(record.owners) >= SUSPEND_AFTER or record.wait_s:
             record.wait_s = min(LONGEST_PROBE_S, max(FIRST_PROBE_S, record.wait_s * 2))
@@ -44,6 +51,12 @@
         """Forget the failures of a worker."""
         self._records.pop(worker, None)
 
+    def note_started(self, worker: str) -> None:
+        """Take note of a start that worked; it ends a run of failed starts."""
+        record = self._records.get(worker)
+        if record is not None and record.is_start:
+            self.note_success(worker)
+
     def note_start(self, worker: str) -> None:
         """Take note that a task was placed, which ends the chance of a probe."""
         record = self._records.get(worker)
--- a/packages/fulmarleverd/fulmarleverd/placement/intake.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/intake.py
@@ -89,12 +89,14 @@
 
     def _note_started(self, task: Task, answer: Started) -> None:
         self.state.confirmed_s[task.key] = self.state.clock.monotonic()
+        self.state.health.note_started(task.worker)
         if task.is_service and answer.port:
             self.state.backends.addresses[server_name(task)] = answer
 
     def _note_refused(self, task: Task, answer: Refused, draft: Draft) -> None:
         now_s = self.state.clock.monotonic()
-        self.state.health.note_failure(task.worker, task.owner, now_s)
+        self.state.health.note_failure(task.worker, task.owner, now_s, is_start=True)
+        self.state.lookup.retries.note_failure(task.key, task.worker, now_s)
         # An earlier order of the same attempt may have been carried out, so a stop
         # must confirm that it does not run.
         draft.add(stopping(task, f"start refused: {answer.reason}"))
@@ -160,6 +162,7 @@
         run_s = now_s - started_s if is_whole else None
         self.state.lookup.sizes.end(kind, task.key, run_s)
         if report.state == FAILED:
+            self.state.lookup.retries.note_failure(task.key, task.worker, now_s)
             self.state.health.note_failure(task.worker, task.owner, now_s)
         elif report.state == DONE:
             self.state.health.note_success(task.worker)
--- a/packages/fulmarleverd/fulmarleverd/placement/lookup.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/lookup.py
@@ -9,6 +9,7 @@
 from fulmarlever.structure.configuration import JobSpec, ServiceSpec, Team
 from fulmarlever.structure.size import Size
 from fulmarlever.structure.task import Task
+from fulmarleverd.placement.retries import Retries
 
 
 @dataclass(slots=True)
@@ -16,7 +17,7 @@
     """The declarations of services and jobs, and what was learned about their kinds.
 
     ``submitted_s`` holds Unix times by job. ``largest`` is the largest worker in each
-    dimension; no reservation is larger.
+    dimension; no reservation is larger. ``now_s`` is the monotonic time of the round.
     """
 
     services: dict[str, ServiceSpec] = field(default_factory=dict)
@@ -25,6 +26,8 @@
     submitted_s: dict[str, float] = field(default_factory=dict)
     sizes: Sizes = field(default_factory=SIZES.find("learned"))
     largest: Size = field(default_factory=Size)
+    retries: Retries = field(default_factory=Retries)
+    now_s: float = 0.0
 
     def kind(self, task: Task) -> str:
         """Return the name of a service or the kind of a job."""
@@ -36,6 +39,10 @@
         """Return whether the declaration of a task's owner is known."""
         return task.owner in (self.services if task.is_service else self.jobs)
 
+    def is_due(self, task: Task) -> bool:
+        """Return whether a queued task may be tried now."""
+        return self.is_known(task) and not self.retries.is_waiting(task.key, self.now_s)
+
     def size(self, task: Task) -> Size:
         """Return the size to reserve for a task."""
         if task.is_service:
@@ -53,7 +60,7 @@
             task.is_service,
             spec.spread_racks,
             frozenset(spec.vms),
-            frozenset(task.failures),
+            frozenset(task.failures) | self.retries.workers(task.key),
         )
 
     def _fitting(self, size: Size, declared: Size) -> Size:
--- a/packages/fulmarleverd/fulmarleverd/placement/queue.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/queue.py
@@ -58,7 +58,7 @@
         services: dict[str, list[Task]] = {}
         jobs: dict[str, list[Task]] = {}
         for task in self.book.tasks(TaskState.QUEUED):
-            if self.lookup.is_known(task):
+            if self.lookup.is_due(task):
                 groups = services if task.is_service else jobs
                 groups.setdefault(task.owner, []).append(task)
         by_urgency = sorted(
--- a/packages/fulmarleverd/fulmarleverd/placement/zone.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/zone.py
@@ -144,7 +144,8 @@
 
     def _look_up(self, cfg: Configuration) -> None:
         lookup, jobs = self.state.lookup, self.jobs.jobs
-        lookup.services = cfg.services
+        lookup.now_s = self.state.clock.monotonic()
+        lookup.services, lookup.teams = cfg.services, cfg.teams
         sizes = [view.size for view in self.state.workers.fleet().values()]
         lookup.largest = Size(
             *(max((getattr(s, d) for s in sizes), default=0) for d in DIMENSIONS)
@@ -280,6 +281,8 @@
             elif task.state is not TaskState.RUNNING:
                 self.state.confirmed_s.pop(task.key, None)
                 self.state.usage.pop(task.key, None)
+            if task.state.is_final:
+                self.state.lookup.retries.forget(task.key)
             if task.state is TaskState.STOPPING and not task.cancel:
                 EVICTIONS.inc()
             self.timeline.record(
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/placement/failing_tests.py
@@ -0,0 +1,76 @@
+from __future__ import annotations
+
+import unittest
+
+from fulmarlever.structure.configuration import JobSpec
+from fulmarlever.structure.size import Size
+from fulmarleverd.placement.health import FIRST_PROBE_S, Health
+from fulmarleverd.tests.placement.fakes import Cluster
+
+
+def job(name: str, tasks: int = 1) -> JobSpec:
+    return JobSpec(name, "packing", name, tasks=tasks, size=Size(1, 100))
+
+
+class FailingTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.cluster = Cluster()
+        for number in range(4):
+            self.cluster.add_worker(f"w{number}", rack=f"r{number}")
+        self.daemon = self.cluster.add_daemon("entry-a-1")
+
+    async def run_failing(self, seconds: int, owner: str, worker: str = "") -> None:
+        for _ in range(seconds):
+            for name, fake in self.cluster.fleet.workers.items():
+                for task in list(fake.running()):
+                    is_bad = name == worker if worker else task.startswith(owner)
+                    fake.finish(task, "failed" if is_bad else "done")
+            await self.cluster.run(1)
+
+    async def test_job_that_fails_on_several_workers_ends_with_the_reason(self):
+        await self.daemon.jobs.submit_spec(job("broken"))
+        await self.daemon.jobs.submit_spec(job("good", tasks=3))
+        await self.run_failing(30, "broken")
+        views = {view.name: view for view in await self.daemon.jobs.listing()}
+        self.assertEqual(views["broken"].state, "failed")
+        self.assertIn("failed 3 times on 3 workers", views["broken"].reason)
+        self.assertEqual(views["good"].state, "done")
+
+    async def test_worker_that_fails_everything_gets_no_work_but_probes(self):
+        self.cluster.fleet.workers["w0"].fails_starts = True
+        for number in range(40):
+            await self.daemon.jobs.submit_spec(job(f"job{number}"))
+        await self.run_failing(40, "none")
+        views = await self.daemon.jobs.listing()
+        self.assertEqual({view.state for view in views}, {"done"})
+
+    async def test_refused_start_is_tried_on_another_worker(self):
+        self.cluster.fleet.workers["w0"].fails_starts = True
+        await self.daemon.jobs.submit_spec(job("labels"))
+        await self.cluster.run(6)
+        self.assertEqual(len(self.cluster.fleet.places("labels/0")), 1)
+
+    async def test_bad_worker_does_not_make_good_jobs_fail(self):
+        for number in range(12):
+            await self.daemon.jobs.submit_spec(job(f"job{number}"))
+        await self.run_failing(40, "", worker="w1")
+        states = {view.state for view in await self.daemon.jobs.listing()}
+        self.assertEqual(states, {"done"})
+
+    def test_suspension_grows_and_one_success_ends_it(self):
+        health, now_s = Health(), 0.0
+        for owner in ("a", "b"):
+            health.note_failure("w", owner, now_s)
+            self.assertFalse(health.is_suspended("w", now_s))
+        wait_s = FIRST_PROBE_S
+        health.note_failure("w", "c", now_s)
+        for _ in range(4):
+            self.assertTrue(health.is_suspended("w", now_s + wait_s - 0.1))
+            now_s += wait_s
+            self.assertFalse(health.is_suspended("w", now_s))
+            health.note_start("w")
+            self.assertTrue(health.is_suspended("w", now_s))
+            health.note_failure("w", "d", now_s)
+            wait_s *= 2
+        health.note_success("w")
+        self.assertFalse(health.is_suspended("w", now_s))
