Learn how batch kinds slow services down; throttle, then evict for relief

Cause: a service over its latency target needs relief in bounded time, and the measurements lag and shift with load. A latency is compared with the baseline of its load; the error is shared out by pressure (normalised least mean squares), decayed towards a prior. The guard throttles in two steps, then evicts the worst kind and keeps it away for a growing time; a dead time longer than the lag and a release ratio keep it from swinging. Latencies come from each daemon's shares (mean by server) and request histogram (tail by service). Ruled out: blaming all batch on a worker for a slow answer (load shifts evict it).

--- a/packages/fulmarlever/fulmarlever/policies/placement.py
+++ b/packages/fulmarlever/fulmarlever/policies/placement.py
@@ -28,9 +28,9 @@
 class Room:
     """One worker with what is free on it.
 
-    ``owners`` counts the tasks of each service and job on the worker, and
-    ``services`` and ``kinds`` the instances of each service and tasks of each batch
-    kind.
+    ``owners`` counts the tasks of each service and job on the worker, ``services``
+    the instances of each service, and ``cores`` adds up what the tasks of each batch
+    kind reserve.
     """
 
     worker: str
@@ -39,14 +39,16 @@
     free: Size
     owners: Counter[str] = field(default_factory=Counter)
     services: Counter[str] = field(default_factory=Counter)
-    kinds: Counter[str] = field(default_factory=Counter)
+    cores: Counter[str] = field(default_factory=Counter)
 
     def take(self, wanted: Wanted) -> None:
         """Reserve the size of a task."""
         self.free -= wanted.size
         self.owners[wanted.owner] += 1
-        counter = self.services if wanted.is_service else self.kinds
-        counter[wanted.kind] += 1
+        if wanted.is_service:
+            self.services[wanted.kind] += 1
+        else:
+            self.cores[wanted.kind] += wanted.size.cores
 
 
 @dataclass(slots=True, frozen=True)
@@ -72,9 +74,11 @@
     """What a placement may look at besides the room itself.
 
     ``slowdown`` returns the expected relative slowdown of services by a placement,
-    0 for none. ``racks`` counts the tasks of each (owner, rack).
+    0 for none. ``is_blocked`` returns whether a room may not be used now. ``racks``
+    counts the tasks of each (owner, rack).
     """
 
+    is_blocked: Callable[[Wanted, Room], bool] = lambda wanted, room: False
     slowdown: Callable[[Wanted, Room], float] = lambda wanted, room: 0.0
     racks: Counter[tuple[str, str]] = field(default_factory=Counter)
 
@@ -130,6 +134,9 @@
         if not wanted.size.fits_in(room.free):
             missed.update(wanted.size.exceeding(room.free))
             continue
+        if around.is_blocked(wanted, room):
+            missed["interference"] += 1
+            continue
         score = _score(wanted, room, around)
         if best is None or score < best_score:
             best, best_score = room, score
--- a/packages/fulmarleverd/fulmarleverd/placement/calls.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/calls.py
@@ -8,7 +8,13 @@
 
 from fulmarlever.outcomes import Refused
 from fulmarlever.structure.task import Task
-from fulmarleverd.placement.orders import Ended, Started, StartOrder, StopOrder
+from fulmarleverd.placement.orders import (
+    Ended,
+    Started,
+    StartOrder,
+    StopOrder,
+    ThrottleOrder,
+)
 from fulmarleverd.services.workers import Workers
 
 Spawn = Callable[[Coroutine, str], asyncio.Task]
@@ -58,6 +64,11 @@
             call = self.workers.stop_task(task.worker, order)
             self._begin(task, call, False)
 
+    def throttle(self, worker: str, order: ThrottleOrder) -> None:
+        """Order a throttle; a lost one is repeated by the next change of its step."""
+        call = self.workers.throttle_task(worker, order)
+        self.spawn(call, f"throttle {order.task}")
+
     def take_results(self) -> list[CallResult]:
         """Return the results since the last call of this method."""
         results, self.results = self.results, []
--- a/packages/fulmarleverd/fulmarleverd/placement/outbox.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/outbox.py
@@ -73,10 +73,11 @@
         )
 
     def _service_order(self, task: Task) -> StartOrder:
+        spec = self.state.lookup.services.get(task.owner)
         limits = {
             "name": server_name(task),
-            "slots": SERVICE_SLOTS,
-            "connections": SERVICE_CONNECTIONS,
+            "slots": spec.slots if spec else SERVICE_SLOTS,
+            "connections": spec.connections if spec else SERVICE_CONNECTIONS,
         }
         return StartOrder(
             task.name,
--- a/packages/fulmarleverd/fulmarleverd/placement/rooms.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/rooms.py
@@ -21,8 +21,10 @@
         if task.state not in HOLDING:
             continue
         room.owners[task.owner] += 1
-        counter = room.services if task.is_service else room.kinds
-        counter[lookup.kind(task)] += 1
+        if task.is_service:
+            room.services[task.owner] += 1
+        else:
+            room.cores[lookup.kind(task)] += task.reservation.cores
     return room
 
 
--- a/packages/fulmarleverd/fulmarleverd/placement/zone.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/zone.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import replace
 
 from fulmarlever.outcomes import failed
@@ -15,11 +15,13 @@
 from fulmarleverd.placement.book import TaskBook
 from fulmarleverd.placement.calls import Calls, Spawn
 from fulmarleverd.placement.desired import service_tasks, worker_zones
+from fulmarleverd.placement.guard import EVICTED, Guard
 from fulmarleverd.placement.intake import Intake
 from fulmarleverd.placement.job_book import JobBook
+from fulmarleverd.placement.latency import Reading
 from fulmarleverd.placement.lease import ZoneLease
 from fulmarleverd.placement.metrics import EVICTIONS
-from fulmarleverd.placement.orders import AttemptId, WorkerReport
+from fulmarleverd.placement.orders import AttemptId, ThrottleOrder, WorkerReport
 from fulmarleverd.placement.outbox import Outbox
 from fulmarleverd.placement.queue import Queue
 from fulmarleverd.placement.relief import Relief
@@ -61,6 +63,7 @@
         self.intake = Intake(self.state)
         self.outbox = Outbox(self.state)
         self.relief = Relief(self.state)
+        self.guard = Guard(self.state)
         self._desired: dict[str, Task] = {}
         self._desired_for: tuple[int, tuple[str, ...]] = (-1, ())
         self._inbox_read_s = float("-inf")
@@ -99,6 +102,14 @@
         """Stop a task in the next round; it is queued again with its checkpoint."""
         self._evictions[key] = reason
 
+    def watch(self, readings: Mapping[str, Reading]) -> None:
+        """Give services over their target relief, from what daemons measured."""
+        for step in self.guard.watch(readings):
+            if isinstance(step, Task):
+                self.evict(step.key, EVICTED)
+            else:
+                self.state.calls.throttle(self._worker_of(step), step)
+
     def plan(self, worker: str) -> SyncPlan:
         """Return what the next synchronisation of a worker carries."""
         renew = tuple(
@@ -196,7 +207,8 @@
         rooms = self._rooms()
         lookup = self.state.lookup
         shares = Shares(self.book, lookup, rooms, cfg.teams, self._part())
-        for task in self.queue.decide(rooms, shares, Surroundings()):
+        around = Surroundings(self.guard.is_blocked, self.guard.slowdown)
+        for task in self.queue.decide(rooms, shares, around):
             draft.add(task)
         tasks = list(draft.tasks.values())
         if tasks and await self.writer.write(draft):
@@ -267,6 +279,10 @@
             and not health.is_suspended(name, now_s)
         ]
 
+    def _worker_of(self, order: ThrottleOrder) -> str:
+        task = self.book.get(f"task/{self.state.name}/{order.task}")
+        return task.worker if task is not None else ""
+
     def _part(self) -> float:
         vms = self.platform.vms()
         if vms is not self._part_for:
--- a/packages/fulmarleverd/fulmarleverd/services/placer.py
+++ b/packages/fulmarleverd/fulmarleverd/services/placer.py
@@ -9,6 +9,7 @@
 from fulmarlever.structure.configuration import Configuration
 from fulmarleverd.kernel import SERVICES, Kernel, Service
 from fulmarleverd.placement.book import TaskBook
+from fulmarleverd.placement.latency import LatencyFeed
 from fulmarleverd.placement.lease import ZoneLease
 from fulmarleverd.placement.orders import WorkerReport
 from fulmarleverd.placement.zone import Zone
@@ -17,6 +18,9 @@
 ROUND_S = 0.2
 """The time between two rounds when nothing happens."""
 
+WATCH_S = 2.0
+"""The time between two looks at the latencies of services."""
+
 ROUND_GAP_S = 0.02
 """The shortest time between two rounds, so that events share a group commit."""
 
@@ -42,6 +46,7 @@
         self.make_zone: type[Zone] = Zone
         self.zone: Zone | None = None
         self.lease: ZoneLease | None = None
+        self.feed = LatencyFeed(kernel)
         self._wake = asyncio.Event()
 
     async def start(self) -> None:
@@ -49,6 +54,7 @@
         self.prepare()
         self.spawn(self._keep_lease(), "placer lease")
         self.spawn(self._place(), "placer rounds")
+        self.spawn(self._watch_latencies(), "placer latencies")
 
     def prepare(self) -> None:
         """Find the other services and build the lease without starting anything."""
@@ -151,6 +157,13 @@
             fraction = RENEW_FRACTION if self.lease.is_held else OBSERVE_FRACTION
             await asyncio.sleep(self.settings.placer_lease_s * fraction)
 
+    async def _watch_latencies(self) -> None:
+        while True:
+            self.feed.refresh()
+            if self.zone is not None and self.lease.is_valid:
+                self.zone.watch(self.feed.readings())
+            await asyncio.sleep(WATCH_S)
+
     async def _place(self) -> None:
         while True:
             await self.round()
