Hand batch jobs over to the old setup and back, with one owner at a time

Cause: in the transition year a job has one owner, old or new. A job on its way to the old setup is 'leaving' until every zone recorded that none of its tasks runs; tasks keep their attempt and checkpoint for the way back. Ruled out: changing the owner at once (a frozen worker still runs a task).

--- a/packages/fulmarleverd/fulmarleverd/placement/job_book.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/job_book.py
@@ -9,16 +9,18 @@
 from fulmarlever.structure.table import Applied, Lane, Row
 from fulmarlever.structure.task import Task, TaskState
 from fulmarleverd.kernel import Service
-from fulmarleverd.placement.book import TaskBook
+from fulmarleverd.placement.book import HOLDING, TaskBook
 from fulmarleverd.placement.desired import job_tasks
 from fulmarleverd.placement.job_rows import (
     FINAL_ROW_TTL_S,
+    LEAVING,
+    NEW,
     JobRow,
     Part,
     inbox_key,
     insertion,
 )
-from fulmarleverd.placement.settle import cancelled
+from fulmarleverd.placement.settle import cancelled, stopping
 from fulmarleverd.placement.writer import Draft
 
 MAX_INBOX_PER_ROUND = 80
@@ -27,6 +29,7 @@
 KEYS_PER_READ = 500
 
 CANCELLED = "cancelled by an operator"
+HANDED_OVER = "handed over to the old setup"
 REMOVED = "removed from the configuration"
 
 
@@ -40,6 +43,7 @@
         self.jobs: dict[str, JobRow] = {}
         self.versions: dict[str, int] = {}
         self.inbox: dict[str, int] = {}
+        self._handed: set[str] = set()
         self._cancelling: set[str] = set()
         self._removed: set[str] = set()
         self._declared_generation = -1
@@ -105,6 +109,11 @@
 
     def cancellations(self) -> Iterator[Task]:
         """Yield the next state of each task whose job was cancelled or removed."""
+        for name in self.leaving():
+            for task in self.book.of_owner(name):
+                change = stopping(task, HANDED_OVER)
+                if change is not None:
+                    yield change
         for name in self._cancelling:
             yield from self._cancel(self.book.of_owner(name), CANCELLED)
         for name in self._removed:
@@ -113,6 +122,31 @@
             queued = [task for task in tasks if task.state is TaskState.QUEUED]
             yield from self._cancel(queued, REMOVED)
 
+    def leaving(self) -> list[str]:
+        """Return jobs that this zone must give to the old setup."""
+        return [
+            name
+            for name in self._handed
+            if self.jobs[name].setup == LEAVING
+            and self.zone not in self.jobs[name].released
+        ]
+
+    def stopped(self) -> list[str]:
+        """Return jobs on their way to the old setup of which nothing runs here."""
+        return [
+            name
+            for name in self.leaving()
+            if not any(task.state in HOLDING for task in self.book.of_owner(name))
+        ]
+
+    def release(self, names: Iterable[str]) -> Draft:
+        """Return the change that records that this zone runs nothing of some jobs."""
+        draft = Draft()
+        for name in names:
+            row = self.jobs[name].with_release(self.zone)
+            draft.others[row.key] = (self.versions[name], row.to_wire())
+        return draft
+
     def take_inbox(self, draft: Draft) -> None:
         """Remove inbox rows together with the changes that they asked for."""
         names = [name for name in self.inbox if not self._is_unborn(name)]
@@ -151,13 +185,15 @@
         for name in [n for n in self.jobs if n not in self.book.by_owner]:
             row = self.jobs[name]
             is_waiting = name in self.inbox or (
-                row.is_to_run
+                (row.is_to_run or name in self._handed)
+                and not row.state.is_final
                 and self.zone not in row.parts
                 and self.zone in row.zones_in_use()
             )
             if not is_waiting and not self._is_ended(name):
                 del self.jobs[name], self.versions[name]
                 self._cancelling.discard(name)
+                self._handed.discard(name)
                 self._removed.discard(name)
 
     def _is_unborn(self, name: str) -> bool:
@@ -183,6 +219,10 @@
         name = job.spec.name
         self.jobs[name] = job
         self.versions[name] = row.version
+        if job.setup != NEW:
+            self._handed.add(name)
+        else:
+            self._handed.discard(name)
         if job.cancel and self.zone not in job.parts:
             self._cancelling.add(name)
         else:
--- a/packages/fulmarleverd/fulmarleverd/placement/job_rows.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/job_rows.py
@@ -15,6 +15,9 @@
 FINAL_ROW_TTL_S = 7 * 24 * 3600.0
 """How long the row of an ended, submitted job is kept."""
 
+NEW, OLD, LEAVING = "new", "old", "leaving"
+"""The owners of a job; ``LEAVING`` is on its way from ``NEW`` to ``OLD``."""
+
 SPLITS_KEPT = 1024
 """The number of jobs whose split over the zones is remembered."""
 
@@ -48,18 +51,22 @@
     """The row ``job/{name}``.
 
     ``zones`` are the zones among which the tasks are split, fixed when the row is
-    written first. ``generation`` is that of the configuration that declared the job,
-    0 for a submitted one. ``submitted`` is a Unix time.
+    written first. ``setup`` is the owner of the job's tasks: ``new``, ``old``, or
+    ``leaving`` from the handover to the old setup until every zone is in ``released``,
+    which says that none of its tasks runs. ``generation`` is that of the
+    configuration that declared the job, 0 for a submitted one. ``submitted`` is a
+    Unix time.
     """
 
     spec: JobSpec
     submitted: float
     zones: tuple[str, ...]
-    setup: str = "new"
+    setup: str = NEW
     state: JobState = JobState.ACTIVE
     reason: str = ""
     generation: int = 0
     cancel: bool = False
+    released: tuple[str, ...] = ()
     parts: dict[str, Part] = field(default_factory=dict)
 
     @property
@@ -70,7 +77,7 @@
     @property
     def is_to_run(self) -> bool:
         """Return whether tasks of the job may start in this setup."""
-        is_new = self.setup == "new"
+        is_new = self.setup == NEW
         return is_new and not self.state.is_final and not self.cancel
 
     @classmethod
@@ -87,6 +94,7 @@
         fields = {name: data[name] for name in cls.__slots__ if name in data}
         fields["spec"] = spec_from_wire(data["spec"])
         fields["zones"] = tuple(data["zones"])
+        fields["released"] = tuple(data.get("released", ()))
         fields["state"] = JobState(data["state"])
         fields["parts"] = {zone: Part(**part) for zone, part in data["parts"].items()}
         return cls(**fields)
@@ -96,6 +104,7 @@
         data = {name: getattr(self, name) for name in self.__slots__}
         data["spec"] = spec_to_wire(self.spec)
         data["zones"] = list(self.zones)
+        data["released"] = list(self.released)
         data["state"] = str(self.state)
         data["parts"] = {zone: asdict(part) for zone, part in self.parts.items()}
         return data
@@ -108,12 +117,20 @@
         """Return the zones that place at least one task."""
         return set(_split(self.spec.name, self.spec.tasks, self.zones))
 
+    def with_release(self, zone: str) -> JobRow:
+        """Return the row after a zone stopped its tasks, owned by ``old`` if last."""
+        released = (*self.released, zone)
+        is_last = self.zones_in_use() <= {*released, *self.parts}
+        return replace(self, released=released, setup=OLD if is_last else self.setup)
+
     def with_part(self, zone: str, part: Part) -> JobRow:
         """Return the row with the end of one zone's tasks, and of the job if last."""
         parts = {**self.parts, zone: part}
         row = replace(self, parts=parts)
         if not self.zones_in_use() <= parts.keys():
-            return row
+            is_released = self.zones_in_use() <= {*self.released, *parts}
+            is_handed = is_released and self.setup == LEAVING
+            return replace(row, setup=OLD) if is_handed else row
         reasons = "; ".join(sorted({p.reason for p in parts.values() if p.reason}))
         return replace(row, state=_final_state(parts), reason=reasons)
 
@@ -133,6 +150,13 @@
     return _announced(replace(row, cancel=True), version)
 
 
+def handover(row: JobRow, version: int, setup: str) -> Change:
+    """Return the change that moves a job to a setup and tells the placers."""
+    if setup == NEW:
+        return _announced(replace(row, setup=NEW, released=()), version)
+    return _announced(replace(row, setup=LEAVING, released=()), version)
+
+
 def _announced(row: JobRow, version: int) -> Change:
     change = Change({row.key: version}, {row.key: row.to_wire()})
     for zone in sorted(row.zones_in_use()):
--- a/packages/fulmarleverd/fulmarleverd/placement/lookup.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/lookup.py
@@ -17,7 +17,8 @@
     """The declarations of services and jobs, and what was learned about their kinds.
 
     ``submitted_s`` holds Unix times by job. ``largest`` is the largest worker in each
-    dimension; no reservation is larger. ``now_s`` is the monotonic time of the round.
+    dimension; no reservation is larger. ``held`` holds the
+    jobs that the old setup owns. ``now_s`` is the monotonic time of the round.
     """
 
     services: dict[str, ServiceSpec] = field(default_factory=dict)
@@ -26,6 +27,7 @@
     submitted_s: dict[str, float] = field(default_factory=dict)
     sizes: Sizes = field(default_factory=SIZES.find("learned"))
     largest: Size = field(default_factory=Size)
+    held: set[str] = field(default_factory=set)
     retries: Retries = field(default_factory=Retries)
     now_s: float = 0.0
 
@@ -41,6 +43,8 @@
 
     def is_due(self, task: Task) -> bool:
         """Return whether a queued task may be tried now."""
+        if task.owner in self.held and not task.is_service:
+            return False
         return self.is_known(task) and not self.retries.is_waiting(task.key, self.now_s)
 
     def size(self, task: Task) -> Size:
--- a/packages/fulmarleverd/fulmarleverd/placement/zone.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/zone.py
@@ -18,6 +18,7 @@
 from fulmarleverd.placement.guard import EVICTED, Guard
 from fulmarleverd.placement.intake import Intake
 from fulmarleverd.placement.job_book import JobBook
+from fulmarleverd.placement.job_rows import NEW
 from fulmarleverd.placement.latency import Reading
 from fulmarleverd.placement.lease import ZoneLease
 from fulmarleverd.placement.metrics import EVICTIONS
@@ -162,6 +163,7 @@
             *(max((getattr(s, d) for s in sizes), default=0) for d in DIMENSIONS)
         )
         lookup.jobs = {name: row.spec for name, row in jobs.items()}
+        lookup.held = {name for name, row in jobs.items() if row.setup != NEW}
         lookup.submitted_s = {name: row.submitted for name, row in jobs.items()}
 
     async def _settle(self, cfg: Configuration) -> bool:
@@ -195,6 +197,11 @@
             draft = self.jobs.fold(name for name in names if name in self.jobs.ended())
             if await self.writer.write(draft):
                 await self.jobs.load(names)
+        names = self.jobs.stopped()
+        if names and await self.jobs.load(names):
+            draft = self.jobs.release(n for n in names if n in self.jobs.stopped())
+            if await self.writer.write(draft):
+                await self.jobs.load(names)
         leftovers = self.jobs.leftovers()
         if leftovers.removed:
             await self.writer.write(leftovers)
--- a/packages/fulmarleverd/fulmarleverd/services/jobs.py
+++ b/packages/fulmarleverd/fulmarleverd/services/jobs.py
@@ -20,7 +20,16 @@
 from fulmarlever.structure.task import Task, TaskState
 from fulmarleverd.kernel import SERVICES, Service
 from fulmarleverd.placement.desired import WORKER_ROLE, worker_zones
-from fulmarleverd.placement.job_rows import JobRow, JobState, cancellation, insertion
+from fulmarleverd.placement.job_rows import (
+    LEAVING,
+    NEW,
+    OLD,
+    JobRow,
+    JobState,
+    cancellation,
+    handover,
+    insertion,
+)
 
 CANCEL_TRIES = 5
 """The number of times a cancellation is repeated after losing to another writer."""
@@ -93,6 +102,31 @@
                 return result
         return Conflict(f"job {name!r} is being changed by others")
 
+    async def handover(self, name: str, setup: str) -> JobRow | Missing:
+        """Move a job to the setup ``old`` or ``new``. Repeating it is harmless.
+
+        A job goes to the old setup once none of its tasks runs in any zone; it goes to
+        the new one at once, on the operator's word that the old one has stopped it.
+        """
+        for _ in range(CANCEL_TRIES):
+            found = await self._find(name)
+            if failed(found):
+                return found
+            row, version = found
+            wanted = (NEW,) if setup == NEW else (OLD, LEAVING)
+            if row.setup in wanted or row.state.is_final:
+                return row
+            if row.setup == LEAVING:
+                return Conflict(f"job {name!r} is on its way to the old setup")
+            change = handover(row, version, setup)
+            result = await self._commit(change)
+            if isinstance(result, Applied):
+                self.kernel.find("timeline").record("job handover", detail=name)
+                return JobRow.from_wire(change.writes[row.key])
+            if not isinstance(result, Conflict):
+                return result
+        return Conflict(f"job {name!r} is being changed by others")
+
     async def listing(self) -> list[JobView] | Unavailable:
         """Return every known job with its tasks by state."""
         platform = self.kernel.find("platform")
