Stop with a checkpoint what may move while the table is out of reach

Cause: declared 'move', a task's lease was only left to run out, which lost its progress. Starting the next attempt in another zone is not built yet.

--- a/packages/fulmarleverd/fulmarleverd/placement/outbox.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/outbox.py
@@ -41,6 +41,15 @@
             if self._is_reachable(task) and (not task.is_service or is_noticed):
                 state.calls.stop(task, self._stop_order(task))
 
+    def send_isolated(self) -> None:
+        """Stop, with a checkpoint, what must not run on without the table.
+
+        The worker keeps the end and its checkpoint until a placer has recorded them.
+        """
+        for task in self.state.book.tasks(TaskState.RUNNING):
+            if self.state.must_stop(task) and self._is_reachable(task):
+                self.state.calls.stop(task, self._stop_order(task))
+
     def _to_start(self) -> Iterator[Task]:
         yield from self.state.book.tasks(TaskState.STARTING)
         for key in list(self.state.book.services):
--- a/packages/fulmarleverd/fulmarleverd/placement/state.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/state.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from fulmarlever.policies.isolation import (
+    ISOLATIONS,
+    STOP_AFTER_S,
+    IsolationStep,
+)
 from fulmarlever.structure.configuration import IsolationRule, JobSpec
 from fulmarlever.structure.size import Size
 from fulmarlever.structure.task import Task
@@ -39,6 +44,7 @@
         self.lookup = Lookup()
         self.backends = Backends(self.name)
         self.health = Health()
+        self.isolate = ISOLATIONS.find("declared")
         self.acknowledge: dict[str, set[AttemptId]] = {}
         self.confirmed_s: dict[str, float] = {}
         self.loaded_s = 0.0
@@ -57,7 +63,17 @@
         moved while it cannot be heard; the others end, so that the next placer may
         start them.
         """
-        if self.lease.is_valid or task.is_service:
-            return True
+        return self.isolation_step(task) is IsolationStep.RENEW
+
+    def isolation_step(self, task: Task) -> IsolationStep:
+        """Return what the isolation policy says about a running task."""
         job = self.job(task)
-        return job is None or job.isolation is IsolationRule.KEEP
+        rule = job.isolation if job is not None else IsolationRule.KEEP
+        lapsed_s = self.clock.monotonic() - self.lease.valid_until
+        return self.isolate(rule, task.is_service, lapsed_s)
+
+    def must_stop(self, task: Task) -> bool:
+        """Return whether a task must be stopped because the table is out of reach."""
+        lapsed_s = self.clock.monotonic() - self.lease.valid_until
+        is_stop = self.isolation_step(task) is IsolationStep.STOP
+        return is_stop and lapsed_s >= STOP_AFTER_S
--- a/packages/fulmarleverd/fulmarleverd/services/placer.py
+++ b/packages/fulmarleverd/fulmarleverd/services/placer.py
@@ -116,6 +116,8 @@
             await self.zone.round(self._configuration())
             if not self.lease.is_held:
                 self._leave()
+        elif self.zone is not None and self.lease.is_held:
+            self.zone.outbox.send_isolated()
 
     def wake(self) -> None:
         """Begin the next round without waiting."""
