--- a/packages/fulmarleverd/fulmarleverd/placement/zone.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/zone.py
@@ -2,25 +2,33 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import replace
 
 from fulmarlever.outcomes import failed
-from fulmarlever.policies.placement import Room
+from fulmarlever.policies.placement import Room, Surroundings
 from fulmarlever.structure.configuration import Configuration
-from fulmarlever.structure.fleet import BackendServer, VMState
+from fulmarlever.structure.fleet import VM, BackendServer
+from fulmarlever.structure.size import DIMENSIONS, Size
 from fulmarlever.structure.task import Task, TaskState
 from fulmarleverd.kernel import Kernel
 from fulmarleverd.placement.book import TaskBook
 from fulmarleverd.placement.calls import Calls, Spawn
 from fulmarleverd.placement.desired import service_tasks, worker_zones
+from fulmarleverd.placement.guard import EVICTED, Guard
 from fulmarleverd.placement.intake import Intake
 from fulmarleverd.placement.job_book import JobBook
+from fulmarleverd.placement.job_rows import NEW
+from fulmarleverd.placement.latency import Reading
 from fulmarleverd.placement.lease import ZoneLease
-from fulmarleverd.placement.orders import AttemptId, WorkerReport
+from fulmarleverd.placement.metrics import EVICTIONS
+from fulmarleverd.placement.orders import AttemptId, ThrottleOrder, WorkerReport
 from fulmarleverd.placement.outbox import Outbox
-from fulmarleverd.placement.queue import Queue, make_room
+from fulmarleverd.placement.queue import Queue
+from fulmarleverd.placement.relief import Relief
+from fulmarleverd.placement.rooms import make_room
 from fulmarleverd.placement.settle import cancelled, stopping
+from fulmarleverd.placement.shares import Shares, zone_part
 from fulmarleverd.placement.state import ZoneState
 from fulmarleverd.placement.writer import Draft, TaskWriter
 from fulmarleverd.services.workers import ORDER_WINDOW_S, SyncPlan
@@ -31,7 +39,6 @@
 INSTANCE_ROW_TTL_S = 24 * 3600.0
 """How long the row of an ended instance keeps its attempt number from coming again."""
 
-LEAVING = "its worker is leaving"
 REMOVED = "removed from the configuration"
 
 
@@ -56,10 +63,14 @@
         self.queue = Queue(self.book, self.state.lookup)
         self.intake = Intake(self.state)
         self.outbox = Outbox(self.state)
+        self.relief = Relief(self.state)
+        self.guard = Guard(self.state)
         self._desired: dict[str, Task] = {}
         self._desired_for: tuple[int, tuple[str, ...]] = (-1, ())
         self._inbox_read_s = float("-inf")
         self._evictions: dict[str, str] = {}
+        self._part_for: dict[str, VM] = {}
+        self._part_of_all = 1.0
 
     @property
     def book(self) -> TaskBook:
@@ -92,6 +103,14 @@
         """Stop a task in the next round; it is queued again with its checkpoint."""
         self._evictions[key] = reason
 
+    def watch(self, readings: Mapping[str, Reading]) -> None:
+        """Give services over their target relief, from what daemons measured."""
+        for step in self.guard.watch(readings):
+            if isinstance(step, Task):
+                self.evict(step.key, EVICTED)
+            else:
+                self.state.calls.throttle(self._worker_of(step), step)
+
     def plan(self, worker: str) -> SyncPlan:
         """Return what the next synchronisation of a worker carries."""
         renew = tuple(
@@ -113,7 +132,7 @@
         if not await self._settle(cfg):
             return
         await self._fold_jobs()
-        await self._start_queued()
+        await self._start_queued(cfg)
         if self.state.lease.is_valid:
             self.outbox.send()
 
@@ -137,8 +156,14 @@
 
     def _look_up(self, cfg: Configuration) -> None:
         lookup, jobs = self.state.lookup, self.jobs.jobs
-        lookup.services = cfg.services
+        lookup.now_s = self.state.clock.monotonic()
+        lookup.services, lookup.teams = cfg.services, cfg.teams
+        sizes = [view.size for view in self.state.workers.fleet().values()]
+        lookup.largest = Size(
+            *(max((getattr(s, d) for s in sizes), default=0) for d in DIMENSIONS)
+        )
         lookup.jobs = {name: row.spec for name, row in jobs.items()}
+        lookup.held = {name for name, row in jobs.items() if row.setup != NEW}
         lookup.submitted_s = {name: row.submitted for name, row in jobs.items()}
 
     async def _settle(self, cfg: Configuration) -> bool:
@@ -172,16 +197,25 @@
             draft = self.jobs.fold(name for name in names if name in self.jobs.ended())
             if await self.writer.write(draft):
                 await self.jobs.load(names)
+        names = self.jobs.stopped()
+        if names and await self.jobs.load(names):
+            draft = self.jobs.release(n for n in names if n in self.jobs.stopped())
+            if await self.writer.write(draft):
+                await self.jobs.load(names)
         leftovers = self.jobs.leftovers()
         if leftovers.removed:
             await self.writer.write(leftovers)
         self.jobs.forget_ended()
 
-    async def _start_queued(self) -> None:
+    async def _start_queued(self, cfg: Configuration) -> None:
         if not self.book.in_state[TaskState.QUEUED]:
             return
         draft = Draft()
-        for task in self.queue.starts(self._rooms()):
+        rooms = self._rooms()
+        lookup = self.state.lookup
+        shares = Shares(self.book, lookup, rooms, cfg.teams, self._part())
+        around = Surroundings(self.guard.is_blocked, self.guard.slowdown)
+        for task in self.queue.decide(rooms, shares, around):
             draft.add(task)
         tasks = list(draft.tasks.values())
         if tasks and await self.writer.write(draft):
@@ -191,19 +225,14 @@
         yield from self._service_changes(cfg)
         yield from self.jobs.creations()
         yield from self.jobs.cancellations()
+        yield from self.relief.stops()
         evictions, self._evictions = self._evictions, {}
-        evictions.update((key, LEAVING) for key in self._leaving())
         for key, reason in evictions.items():
             task = self.book.get(key)
             change = stopping(task, reason) if task is not None else None
             if change is not None:
                 yield change
 
-    def _leaving(self) -> Iterator[str]:
-        for name, view in self.state.workers.fleet().items():
-            if view.vm.state is VMState.LEAVING:
-                yield from (task.key for task in self.book.of_worker(name))
-
     def _service_changes(self, cfg: Configuration) -> Iterator[Task]:
         if cfg.generation < self.state.backends.generation:
             # An earlier placer acted on a later configuration.
@@ -242,7 +271,14 @@
         now_s = self.state.clock.monotonic()
         workers, health = self.state.workers, self.state.health
         return [
-            make_room(name, view.vm.rack, view.size, self.book, self.state.lookup)
+            make_room(
+                name,
+                view.vm.rack,
+                view.size,
+                self.book,
+                self.state.lookup,
+                self.state.excess.get(name, Size()),
+            )
             for name, view in workers.fleet().items()
             if name in self.state.ready
             and workers.is_reachable(view)
@@ -250,6 +286,16 @@
             and not health.is_suspended(name, now_s)
         ]
 
+    def _worker_of(self, order: ThrottleOrder) -> str:
+        task = self.book.get(f"task/{self.state.name}/{order.task}")
+        return task.worker if task is not None else ""
+
+    def _part(self) -> float:
+        vms = self.platform.vms()
+        if vms is not self._part_for:
+            self._part_for, self._part_of_all = vms, zone_part(vms, self.state.name)
+        return self._part_of_all
+
     def _record(self, tasks: list[Task]) -> None:
         for task in tasks:
             if task.state is TaskState.STARTING:
@@ -257,6 +303,11 @@
                 self.state.calls.forget(task.key)
             elif task.state is not TaskState.RUNNING:
                 self.state.confirmed_s.pop(task.key, None)
+                self.state.usage.pop(task.key, None)
+            if task.state.is_final:
+                self.state.lookup.retries.forget(task.key)
+            if task.state is TaskState.STOPPING and not task.cancel:
+                EVICTIONS.inc()
             self.timeline.record(
                 f"task {task.state}",
                 task=task.name,
