--- a/packages/fulmarleverd/fulmarleverd/requests/pause_guard.py
+++ b/packages/fulmarleverd/fulmarleverd/requests/pause_guard.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-PAUSE_LIMIT_S = 3.0
+PAUSE_LIMIT_S = 5.0
 """The longest gap between two beats after which slots are used without a new read.
 
 It is shorter than the margin for which slots of an ended owner stay closed.
