Poll the epoch of the shares and read the row only when it changed

Ruled out: peers telling each other of changes (a daemon that is cut off from its peers but not from the table would learn of a closing too late). Left: servers/{zone} is still read whole; its writer would have to add such a head.

--- a/packages/fulmarleverd/fulmarleverd/requests/ownership.py
+++ b/packages/fulmarleverd/fulmarleverd/requests/ownership.py
@@ -69,6 +69,10 @@
         self._closed_seen: dict[tuple[str, str, Closed], float] = {}
         self._ended_since: dict[str, float] = {}
 
+    def is_current(self, epoch: int) -> bool:
+        """Return whether the row of an epoch is the one adopted, and no write pends."""
+        return epoch == self.row.epoch and self._pending is None
+
     def adopt(self, row: ShareRow, version: int, view: ZoneView) -> None:
         """Take over a row that was read or written, and use the slots it gives."""
         self.row = row
--- a/packages/fulmarleverd/fulmarleverd/services/slots.py
+++ b/packages/fulmarleverd/fulmarleverd/services/slots.py
@@ -11,7 +11,7 @@
 from fulmarlever.outcomes import Conflict, OutcomeUnknown, failed
 from fulmarlever.policies.routing import ROUTING
 from fulmarlever.structure.fleet import BackendServer, VMState
-from fulmarlever.structure.table import ABSENT, Applied, Change, Lane, Row
+from fulmarlever.structure.table import Applied, Change, Lane, Row
 from fulmarleverd.kernel import SERVICES, Kernel, Service
 from fulmarleverd.requests.metrics import SLOTS_IN_USE, SLOTS_OWNED
 from fulmarleverd.requests.ownership import (
@@ -38,6 +38,7 @@
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self.key = f"slots/{self.settings.zone}"
+        self.head_key = f"slots-head/{self.settings.zone}"
         self.servers_key = f"servers/{self.settings.zone}"
         self.rng = random.Random(self.settings.vm)
         policy = ROUTING.find(self.settings.routing_policy)
@@ -83,21 +84,32 @@
         Return whether the row needs no further change.
         """
         started_at = self.clock.monotonic()
-        rows = await self.platform.read([self.key, self.servers_key])
+        rows = await self.platform.read([self.head_key, self.servers_key])
         self.note_vm_list()
         if failed(rows):
             return True
         self._read_servers(rows.get(self.servers_key))
-        row = rows.get(self.key)
-        shares = ShareRow.from_wire(row.value if row else None)
-        version = row.version if row else ABSENT
-        self.ownership.adopt(shares, version, self._view())
+        head = rows.get(self.head_key)
+        epoch = head.value["epoch"] if head else 0
+        if not self.ownership.is_current(epoch):
+            rows = await self.platform.read([self.key])
+            if failed(rows):
+                return True
+        self._adopt(rows.get(self.key))
         self.pool.guard.confirm(started_at, self.clock.monotonic())
         planned = self.ownership.plan(self._view())
         if planned is None:
             return True
         return await self._write(planned)
 
+    def _adopt(self, row: Row | None) -> None:
+        """Adopt the row that was read, or again the one that is still in force."""
+        if row is None:
+            shares, version = self.ownership.row, self.ownership.version
+        else:
+            shares, version = ShareRow.from_wire(row.value), row.version
+        self.ownership.adopt(shares, version, self._view())
+
     def note_vm_list(self) -> None:
         """Mark the servers whose worker leaves or left according to the VM list."""
         vms = self.platform.vms()
@@ -111,7 +123,8 @@
 
     async def _write(self, planned: ShareRow) -> bool:
         change = Change(
-            {self.key: self.ownership.version}, {self.key: planned.to_wire()}
+            {self.key: self.ownership.version},
+            {self.key: planned.to_wire(), self.head_key: {"epoch": planned.epoch}},
         )
         result = await self.platform.commit(change, Lane.TASKS)
         if isinstance(result, Applied):
