Refuse a waiting request while it can still be answered in time

Cause: a request waited for a slot up to its deadline and then started, so that in a flood the slots ran requests whose callers had given up: 'outcome unknown' in place of a final answer, retried on top. Waiting now ends early enough for twice the service's mean run time. The new path test fails before (8 of 40 answers were 502) and passes after, 3 of 3.

--- a/packages/fulmarleverd/fulmarleverd/requests/slot_pool.py
+++ b/packages/fulmarleverd/fulmarleverd/requests/slot_pool.py
@@ -85,6 +85,13 @@
             return 0.0
         return (self.waiting(service) + 1) / rate
 
+    def expected_run_s(self, service: str) -> float:
+        """Return the mean time that a request takes on the servers of the service."""
+        shares = [s for s in self.of_service(service) if s.limit and not s.is_leaving]
+        if not shares:
+            return 0.0
+        return sum(share.latency_s for share in shares) / len(shares)
+
     def take(self, service: str) -> Slot | None:
         """Return a free slot of the service, or ``None``."""
         now = self.clock.monotonic()
--- a/packages/fulmarleverd/fulmarleverd/services/router.py
+++ b/packages/fulmarleverd/fulmarleverd/services/router.py
@@ -28,6 +28,9 @@
 MAX_HOPS = 1
 FORWARD_MARGIN_S = 0.25
 RETRY_POLICY = "budget"
+RUN_ALLOWANCE = 2.0
+"""How many times the mean run time a waiting request keeps for its run."""
+
 TRIM_S = 0.25
 
 
@@ -160,12 +163,14 @@
     ) -> Result | NotRun:
         """Wait for a slot where the wait is shortest, if the deadline allows it."""
         pool = self.slots.pool
-        left_s = req.deadline - self.clock.monotonic()
+        # A request that starts later than this would be given up before its answer.
+        run_s = RUN_ALLOWANCE * pool.expected_run_s(spec.name)
+        left_s = req.deadline - self.clock.monotonic() - run_s
         own_s = pool.expected_wait_s(spec.name)
         place = self.peers.best_wait(spec.name, visited) if hops > 0 else None
         if place is not None and place.wait_s < min(own_s, left_s):
             return await self._forward(place.vm, req, spec, visited, hops, True)
-        if own_s > left_s:
+        if left_s <= 0 or own_s > left_s:
             REFUSED.labels(spec.name, "deadline").inc()
             status = 504 if pool.capacity(spec.name) else 503
             return NotRun("no slot is free in time", own_s, status)
--- a/packages/fulmarleverd/fulmarleverd/tests/requests/path_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/requests/path_tests.py
@@ -61,3 +61,22 @@
         status, _, _ = await asking
         self.assertEqual(status, 200)
         self.assertEqual(self.table.read(["slots/a"])[0].value["shares"], {})
+
+    async def test_request_that_would_start_too_late_is_refused_and_does_not_run(self):
+        (server,) = await self.serve()
+        kernel = await self.daemon()
+        await self.owning(kernel)
+        work = {"X-Work-Ms": "200"}
+        for _ in range(10):
+            await self.ask(kernel, headers=work)
+        headers = work | {"X-Deadline-Ms": "700"}
+        asks = [
+            self.ask(kernel, headers=headers | {"X-Request-Id": f"r{n}"})
+            for n in range(40)
+        ]
+        results = await asyncio.gather(*asks)
+        statuses = [status for status, _, _ in results]
+        self.assertLessEqual(set(statuses), {200, 503, 504}, statuses)
+        self.assertGreaterEqual(statuses.count(200), 16)
+        for n, status in enumerate(statuses):
+            self.assertEqual(server.runs[f"r{n}"], status == 200)
