--- a/packages/fulmarleverd/fulmarleverd/peers/roster.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/roster.py
@@ -152,9 +152,11 @@
 
     def remove(self, vm: str) -> None:
         """Forget a peer that has left the VM list for good."""
-        self._peers.pop(vm, None)
+        held = self._peers.pop(vm, None)
         self._heard.pop(vm, None)
         self._intervals_s.pop(vm, None)
+        if held is not None:
+            self.changes.on_next(replace(held, state=PeerState.ENDED))
 
     def _set_state(self, vm: str, old: PeerState, new: PeerState) -> None:
         held = self._peers.get(vm)
--- a/packages/fulmarleverd/fulmarleverd/peers/zones.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/zones.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterator
 from typing import Any
 
@@ -31,7 +32,16 @@
 class Zones:
     """The roles of daemons, and the states of peers that are heard through relays."""
 
-    __slots__ = ("is_settled", "_vm", "_zone", "_roster", "_topics", "_proofs")
+    __slots__ = (
+        "is_settled",
+        "_vm",
+        "_zone",
+        "_roster",
+        "_topics",
+        "_proofs",
+        "_lowest",
+        "_sizes",
+    )
 
     def __init__(
         self, vm: str, zone: str, roster: Roster, topics: Topics, proofs: EndProofs
@@ -42,11 +52,22 @@
         self._roster = roster
         self._topics = topics
         self._proofs = proofs
+        self._lowest: dict[str, str] = {}
+        self._sizes: Counter[str] = Counter()
+        roster.changes.subscribe(self._count)
+
+    def _count(self, changed: Peer) -> None:
+        # Peers change seldom and are asked for often.
+        self._sizes = Counter(peer.zone for peer in self._roster)
+        self._lowest = {}
+        for peer in self._roster:
+            if peer.state == PeerState.ALIVE:
+                held = self._lowest.get(peer.zone, peer.vm)
+                self._lowest[peer.zone] = min(held, peer.vm)
 
     def own_relay(self) -> str:
         """Return the relay of this daemon's zone."""
-        mates = (peer.vm for peer in self._alive(self._zone))
-        return min([self._vm, *mates])
+        return min(self._vm, self._lowest.get(self._zone, self._vm))
 
     @property
     def is_relay(self) -> bool:
@@ -62,8 +83,7 @@
             return True
         if not self.is_relay:
             return False
-        alive = [other.vm for other in self._alive(peer.zone)]
-        return not alive or peer.vm == min(alive)
+        return self._lowest.get(peer.zone, peer.vm) == peer.vm
 
     def pace(self, peer: Peer) -> float:
         """Return how many times longer than set the heartbeat interval to a peer is.
@@ -72,10 +92,9 @@
         change the traffic of a daemon.
         """
         if peer.zone == self._zone:
-            mates = sum(other.zone == self._zone for other in self._roster)
-            return max(1.0, mates / MATES_PER_INTERVAL)
-        zones = {other.zone for other in self._roster} - {self._zone}
-        return max(1.0, len(zones) / ZONES_PER_INTERVAL)
+            return max(1.0, self._sizes[self._zone] / MATES_PER_INTERVAL)
+        zones = sum(zone != self._zone for zone in self._sizes)
+        return max(1.0, zones / ZONES_PER_INTERVAL)
 
     def is_for(self, entry: Entry, peer: Peer) -> bool:
         """Return whether a peer gets an entry from this daemon."""
