--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/measurements/idle.py
@@ -0,0 +1,89 @@
+"""Cost of one idle daemon process, by the number of VMs in the VM list.
+
+Run as ``python -m fulmarlever_standins.measurements.idle``. A platform and one daemon
+run as processes of their own; the list is filled with VMs of a role that no daemon
+uses, so only the reading of the list grows. A row gives the processor time, the
+resident memory, and the bytes of one answer with the list.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+from pathlib import Path
+
+from fulmarlever_standins.cluster import Cluster
+
+SIZES = (0, 400, 800, 1672)
+SETTLE_S = 3.0
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+VMS_PER_RACK = 8
+FIRST_FIELD = 3
+"""The number, in proc(5), of the first field after the command's name."""
+
+USER_TICKS_FIELD = 14
+SYSTEM_TICKS_FIELD = 15
+RESIDENT_PAGES_FIELD = 24
+
+
+def make_entry(number: int) -> dict:
+    """Return one entry of the VM list."""
+    return {
+        "name": f"listed-zone-{number % 9}-{number}",
+        "zone": f"zone-{number % 9}",
+        "role": "listed",
+        "address": f"10.{number // 250}.{number % 250}.7",
+        "port": 7200,
+        "state": "live",
+        "rack": f"rack-{number // VMS_PER_RACK}",
+        "size": {"cores": 32.0, "memory_mib": 128000.0, "accelerators": 1},
+    }
+
+
+def read_process(pid: int) -> tuple[float, int]:
+    """Return processor seconds and resident bytes of a process."""
+    text = Path(f"/proc/{pid}/stat").read_text()
+    fields = text.rsplit(")", 1)[1].split()
+    user = int(fields[USER_TICKS_FIELD - FIRST_FIELD])
+    system = int(fields[SYSTEM_TICKS_FIELD - FIRST_FIELD])
+    pages = int(fields[RESIDENT_PAGES_FIELD - FIRST_FIELD])
+    return (user + system) / TICKS_PER_S, pages * PAGE_BYTES
+
+
+async def measure(seconds: float) -> list[tuple[int, float, float, int]]:
+    """Return VMs, per cent of a core, MiB and bytes of the list, for each size."""
+    rows = []
+    async with Cluster.from_zones(["a"], entries=1, workers=0) as cluster:
+        name = cluster.topology.entries[0].name
+        pid = cluster.processes[name].pid
+        listed = 0
+        for size in SIZES:
+            for number in range(listed, size):
+                address = cluster.topology.platform
+                await cluster.control.post(address, "/v1/vms", make_entry(number))
+            listed = size
+            await asyncio.sleep(SETTLE_S)
+            before, _ = read_process(pid)
+            await asyncio.sleep(seconds)
+            after, resident = read_process(pid)
+            body = json.dumps({"vms": [make_entry(n) for n in range(size)]})
+            share = 100.0 * (after - before) / seconds
+            rows.append((size, share, resident / (1 << 20), len(body)))
+    return rows
+
+
+def main() -> None:
+    """Measure and print the table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    args = parser.parse_args()
+    print("| VMs in the list | core % | MiB | list bytes |\n| --- | --- | --- | --- |")
+    for size, share, mebibytes, body in asyncio.run(measure(args.seconds)):
+        print(f"| {size} | {share:.2f} | {mebibytes:.1f} | {body} |")
+
+
+if __name__ == "__main__":
+    main()
