Follow peers beside the table's poll, and outlive faults of subscribers

Cause: in an outage each poll of the table waits for its timeout, and the peers were asked only after it; and an exception of a subscriber ended the polling for good. Mechanism: two loops; peers are asked only while the last poll of the table failed. Ruled out: peers always (the accepting daemon would send the text to all others). Failing before: test_fault_of_a_subscriber_does_not_end_the_polling.

--- a/packages/fulmarleverd/fulmarleverd/services/config.py
+++ b/packages/fulmarleverd/fulmarleverd/services/config.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Awaitable, Callable
 
 from loguru import logger as log
 from prometheus_client import Counter, Gauge
@@ -51,6 +52,7 @@
         self.in_force: BehaviorSubject[Configuration] = BehaviorSubject(Configuration())
         self.drained: BehaviorSubject[frozenset[str]] = BehaviorSubject(frozenset())
         self.is_loaded = False
+        self._is_table_read = False
         self._accepted: Accepted | None = None
         self._store: GenerationStore | None = None
         self._exchange: GenerationExchange | None = None
@@ -60,7 +62,8 @@
         self._store = GenerationStore(self.kernel.find("platform"), self.clock)
         self._exchange = GenerationExchange(self.kernel.find("membership"))
         await self.refresh()
-        self.spawn(self._poll(), "configuration poll")
+        self.spawn(self._repeat(self._refresh_from_table), "configuration poll")
+        self.spawn(self._repeat(self._refresh_from_peers), "configuration of peers")
 
     def current(self) -> Configuration:
         """Return the configuration in force."""
@@ -112,17 +115,22 @@
         return True
 
     async def refresh(self) -> None:
-        """Take a newer generation from the table, and then from a peer.
-
-        A peer has a newer one than the table shows only while the table is away.
-        """
+        """Take a newer generation from the table, or from a peer without the table."""
         await self._refresh_from_table()
+        await self._refresh_from_peers()
+
+    async def _refresh_from_peers(self) -> None:
+        # With the table up, the daemon that accepted a generation would otherwise
+        # send its text to all others.
+        if self._is_table_read:
+            return
         newer = await self._exchange.take_newer(self.current().generation)
         if newer is not None:
             await self.adopt(newer)
 
     async def _refresh_from_table(self) -> None:
         polled = await self._store.poll(self.current().generation)
+        self._is_table_read = not failed(polled)
         if failed(polled):
             READ_FAILURES.inc()
             return
@@ -157,16 +165,24 @@
         detail = f"generation {cfg.generation} digest {cfg.digest[:12]}"
         self.kernel.find("timeline").record("config.in-force", detail=detail)
         log.info("configuration in force: {}", detail)
-        self.in_force.on_next(cfg)
+        try:
+            self.in_force.on_next(cfg)
+        except Exception:
+            # The generation is in force; a fault of one subscriber is its own.
+            log.exception("a subscriber failed on generation {}", cfg.generation)
 
-    async def _poll(self) -> None:
+    async def _repeat(self, refresh: Callable[[], Awaitable[None]]) -> None:
         period = self.settings.config_poll_s
         while True:
             # Jitter spreads the reads of many daemons over the period.
             await asyncio.sleep(
                 period * random.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
             )
-            await self.refresh()
+            try:
+                await refresh()
+            except Exception:
+                # A malformed row or a fault of a subscriber must not end the polling.
+                log.exception("the configuration could not be refreshed")
 
 
 def _refuse(text: str, apply_id: str) -> Refused | None:
--- a/packages/fulmarleverd/fulmarleverd/tests/services/config_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/services/config_tests.py
@@ -188,6 +188,17 @@
         self.assertTrue(kernel.find("config").is_loaded)
         await kernel.stop()
 
+    async def test_fault_of_a_subscriber_does_not_end_the_polling(self):
+        def fail(cfg):
+            if cfg.generation == 1:
+                raise ValueError("fault of a subscriber")
+
+        self.configs[1].in_force.subscribe(fail)
+        await self.configs[0].apply(text_of("a"), 0, "id-1")
+        await wait_until(lambda: self.configs[1].current().generation == 1)
+        await self.configs[0].apply(text_of("b"), 1, "id-2")
+        await wait_until(lambda: self.configs[1].current().generation == 2)
+
     async def test_damaged_text_is_not_taken(self):
         await self.configs[0].apply(text_of("a"), 0, "id-1")
         accepted = self.configs[0].accepted()
