--- a/packages/fulmarlever_cli/fulmarlever_cli/commands/report.py
+++ b/packages/fulmarlever_cli/fulmarlever_cli/commands/report.py
@@ -46,8 +46,7 @@
     jobs = [] if failed(listing) else listing["jobs"]
     if args.plot is not None:
         _write_plot(args.plot, services)
-    evictions = int(sum(item["evictions"] for item in reports))
-    data = _as_data(services, jobs, evictions, missing)
+    data = _as_data(services, jobs, _evictions(reports), missing)
     return context.display.show(data, _as_text(data))
 
 
@@ -74,10 +73,16 @@
     return later
 
 
+def _evictions(reports: list[dict[str, Any]]) -> int | None:
+    """Return the evictions that the daemons counted, ``None`` if none counts them."""
+    counts = [item["evictions"] for item in reports if item["evictions"] is not None]
+    return int(sum(counts)) if counts else None
+
+
 def _as_data(
     services: dict[str, ServiceMeasures],
     jobs: list[dict[str, Any]],
-    evictions: int,
+    evictions: int | None,
     missing: dict[str, str],
 ) -> dict[str, Any]:
     total = sum(measures.total for measures in services.values())
@@ -138,7 +143,7 @@
             "",
             table(TEAM_HEAD, teams),
             "",
-            f"evictions: {data['evictions']}",
+            f"evictions: {_count(data['evictions'])}",
             *(f"not reached: {address}: {why}" for address, why in missing),
         ]
     )
@@ -148,6 +153,10 @@
     return "-" if seconds is None else f"{seconds * 1000:.3g}ms"
 
 
+def _count(number: int | None) -> str:
+    return "not counted" if number is None else str(number)
+
+
 def _percent(fraction: float | None) -> str:
     return "-" if fraction is None else f"{fraction:.0%}"
 
--- a/packages/fulmarleverd/fulmarleverd/api/report.py
+++ b/packages/fulmarleverd/fulmarleverd/api/report.py
@@ -24,12 +24,13 @@
     """Return latencies and counts by service since the start of this daemon.
 
     ``buckets`` maps an upper bound in seconds to the number of answers up to it.
+    ``evictions`` is null when this daemon does not count them.
     """
     services: dict[str, dict[str, Any]] = defaultdict(_empty)
-    evictions = 0.0
+    evictions: float | None = None
     for sample in _samples():
         if sample.name == EVICTIONS:
-            evictions += sample.value
+            evictions = (evictions or 0.0) + sample.value
         elif "service" in sample.labels:
             _add(services[sample.labels["service"]], sample)
     specs = kernel.find("config").current().services
