Answer texts that no codec can hold, and deep nesting, as malformed

Cause: half a surrogate pair in a JSON text raised UnicodeEncodeError in the reader (found by hand); a token with undecodable bytes raised it before the guard's handler.

--- a/packages/fulmarlever/fulmarlever/config/document.py
+++ b/packages/fulmarlever/fulmarlever/config/document.py
@@ -87,7 +87,7 @@
         with paused_collection():
             try:
                 node = yaml.compose(text, Loader=PlainLoader)
-            except yaml.YAMLError as exc:
+            except (yaml.YAMLError, UnicodeError, RecursionError) as exc:
                 document._add_syntax_error(exc)
                 return document
             if node is not None:
@@ -112,7 +112,7 @@
     def _add_at(self, place: Place, message: str, is_warning: bool = False) -> None:
         self.findings.append(Finding(self.file_name, *place, message, is_warning))
 
-    def _add_syntax_error(self, exc: yaml.YAMLError) -> None:
+    def _add_syntax_error(self, exc: Exception) -> None:
         mark = getattr(exc, "problem_mark", None)
         place = (mark.line + 1, mark.column + 1) if mark else START
         problem = getattr(exc, "problem", None) or "not a YAML text"
--- a/packages/fulmarleverd/fulmarleverd/api/guard.py
+++ b/packages/fulmarleverd/fulmarleverd/api/guard.py
@@ -47,7 +47,7 @@
         scheme, _, given = authorization.partition(" ")
         found = ""
         for name, token in self._tokens.items():
-            if hmac.compare_digest(given.strip().encode(), token):
+            if hmac.compare_digest(given.strip().encode(errors="replace"), token):
                 found = name
         return found if scheme.lower() == "bearer" else ""
 
--- a/packages/fulmarleverd/fulmarleverd/api/routes.py
+++ b/packages/fulmarleverd/fulmarleverd/api/routes.py
@@ -50,7 +50,7 @@
     """
     try:
         body = json.loads(await request.text() or "{}")
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise web.HTTPBadRequest(text=f"the body is not JSON: {exc}") from None
     if not isinstance(body, dict):
         raise web.HTTPBadRequest(text="the body is not a JSON object")
@@ -67,4 +67,15 @@
     # In Python a truth value is also an int, in JSON it is not.
     if isinstance(value, bool):
         return wanted is bool
-    return isinstance(value, wanted)
+    return isinstance(value, wanted) and _is_encodable(value)
+
+
+def _is_encodable(value: Any) -> bool:
+    # JSON can spell half of a surrogate pair, which no digest or row can hold.
+    if not isinstance(value, str):
+        return True
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
