List every metric with its labels, checked against the registry

Measured: reference_tests passes; with the row of fulmarlever_claims_total removed in scratch it fails.

--- a/packages/fulmarleverd/fulmarleverd/tests/reference_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/reference_tests.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import yaml
+from prometheus_client import REGISTRY
 from pydantic import TypeAdapter
 from pydantic_core import PydanticUndefined
 
@@ -12,9 +13,12 @@
 from fulmarlever.config.reader import SECTIONS
 from fulmarlever.config.validation import option_types
 from fulmarlever.tests.base import TableTestCase
+from fulmarleverd.api.routes import load_routes
+from fulmarleverd.services import load_services
 from fulmarleverd.settings import Settings
 
 GUIDE = Path(__file__).parents[4] / "docs" / "user-guide"
+METRIC_ROW = re.compile(r"^\| `(fulmarlever_\w+)` \| ([^|]*)\|", re.MULTILINE)
 ROW = re.compile(r"^\| `(\w+)` \| (required|none|`([^`]*)`) \|", re.MULTILINE)
 
 # page, heading before the table or tables, class of options
@@ -74,3 +78,16 @@
         text = (GUIDE / "configuration.md").read_text()
         for section in ("zones", *SECTIONS):
             self.assertIn(f"| `{section}` |", text)
+
+    def test_every_metric_is_listed_with_its_labels(self):
+        load_services()
+        load_routes()
+        listed = dict(METRIC_ROW.findall((GUIDE / "metrics.md").read_text()))
+        for collector, names in list(REGISTRY._collector_to_names.items()):
+            ours = {name for name in names if name.startswith("fulmarlever_")}
+            if not ours:
+                continue
+            found = sorted(ours & set(listed))
+            self.assertEqual(len(found), 1, f"{sorted(ours)} is not in metrics.md")
+            labels = re.findall(r"`(\w+)`", listed[found[0]])
+            self.assertEqual(labels, list(collector._labelnames), found[0])
