Hand jobs over through the service jobs, and warn of changes without effect

Cause: the placement's part moves jobs between the setups; and a changed declaration of an accepted job appeared in the plan although the job keeps its first one.

--- a/packages/fulmarlever/fulmarlever/config/plan.py
+++ b/packages/fulmarlever/fulmarlever/config/plan.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import asdict, dataclass, fields
 from enum import Enum
 from typing import Any
 
+from fulmarlever.config.document import Document
 from fulmarlever.structure.configuration import Configuration
 from fulmarlever.structure.size import Size
 
@@ -56,6 +57,18 @@
     ]
 
 
+def warn_of_fixed_jobs(document: Document, steps: Iterable[Step]) -> None:
+    """Add a warning for each change of a job, which keeps its first declaration."""
+    for step in steps:
+        if step.section == "jobs" and step.action == "change":
+            document.add(
+                ("jobs", step.name),
+                f"job {step.name!r} was accepted earlier and keeps its declaration; "
+                "cancel it and use another name",
+                is_warning=True,
+            )
+
+
 def _section_steps(
     section: str, old: Mapping[str, Any], new: Mapping[str, Any]
 ) -> Iterator[Step]:
--- a/packages/fulmarlever/fulmarlever/config/reader.py
+++ b/packages/fulmarlever/fulmarlever/config/reader.py
@@ -9,6 +9,7 @@
 
 from fulmarlever.config.document import Document
 from fulmarlever.config.fleet_checks import check_fleet
+from fulmarlever.config.plan import difference, warn_of_fixed_jobs
 from fulmarlever.config.references import Names, check_amounts, check_job, check_names
 from fulmarlever.config.schema import (
     JobOptions,
@@ -71,10 +72,12 @@
     submitted_s: float = 0.0,
     submissions: Mapping[str, float] | None = None,
     vms: Iterable[VM] = (),
+    in_force: Configuration | None = None,
 ) -> Checked:
     """Check a text whole and return what was found, warnings included.
 
-    ``vms`` is the VM list; entries that it cannot carry are warned about.
+    ``vms`` is the VM list; entries that it cannot carry are warned about, and so are
+    changes that have no effect against the configuration in force.
     """
     document = Document.from_text(text, file_name)
     _check_top(document, ("zones", *SECTIONS))
@@ -84,6 +87,8 @@
     cfg = _build(text, sections, zones, submitted_s, submissions or {})
     check_amounts(document, cfg)
     check_fleet(document, cfg, vms)
+    if in_force is not None:
+        warn_of_fixed_jobs(document, difference(in_force, cfg))
     return _result(document, cfg)
 
 
--- a/packages/fulmarlever/fulmarlever/tests/config/plan_tests.py
+++ b/packages/fulmarlever/fulmarlever/tests/config/plan_tests.py
@@ -48,3 +48,11 @@
                 "f:12:10: warning: the VM list has no worker 'w-2'",
             ],
         )
+
+    def test_change_of_an_accepted_job_is_warned_about(self):
+        old = parse_configuration(GOOD, "f", 1000.0)
+        text = GOOD.replace("deadline: in 2h", "tasks: 3")
+        checked = check_configuration(text, "f", 1000.0, in_force=old)
+        (finding,) = checked.findings
+        self.assertEqual((finding.line, finding.is_warning), (17, True))
+        self.assertIn("keeps its declaration", finding.message)
--- a/packages/fulmarlever_cli/fulmarlever_cli/commands/handover.py
+++ b/packages/fulmarlever_cli/fulmarlever_cli/commands/handover.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from fulmarlever.outcomes import failed
 from fulmarlever_cli.arguments import Handover
 from fulmarlever_cli.context import Context
@@ -15,4 +17,11 @@
     if failed(result):
         advice = "to find out, repeat the command; that is safe"
         return context.display.fail(result, advice)
-    return context.display.show(result, f"{args.name} moves to the {args.to} setup")
+    return context.display.show(result, _as_text(args.name, result))
+
+
+def _as_text(name: str, result: dict[str, Any]) -> str:
+    if "new_share" in result:
+        share = f"{result['new_share']:.4g}"
+        return f"{name}: new_share {share} in generation {result['generation']}"
+    return f"{name}: setup {result['setup']}, {result['state']}"
--- a/packages/fulmarleverd/fulmarleverd/api/configuration.py
+++ b/packages/fulmarleverd/fulmarleverd/api/configuration.py
@@ -33,6 +33,7 @@
         kernel.clock.wall(),
         accepted.submissions if accepted else None,
         list(kernel.find("platform").vms().values()),
+        config.current(),
     )
     if checked.configuration is None:
         return from_failure(Findings(checked.findings))
--- a/packages/fulmarleverd/fulmarleverd/api/handover.py
+++ b/packages/fulmarleverd/fulmarleverd/api/handover.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 from aiohttp import web
 from loguru import logger as log
@@ -14,7 +15,6 @@
 from fulmarlever.findings import Findings
 from fulmarlever.outcomes import Failure, Refused, failed
 from fulmarleverd.api.guard import OPERATOR
-from fulmarleverd.api.problems import problem
 from fulmarleverd.api.routes import answer, read_options, route
 from fulmarleverd.kernel import Kernel
 
@@ -31,17 +31,23 @@
     if name in kernel.find("config").current().services:
         result = await _move_service(kernel, name, setup, options["share"])
     else:
-        jobs = kernel.find("jobs")
-        if not hasattr(jobs, "handover"):
-            return problem(501, "not implemented", "jobs cannot be handed over yet")
-        result = await jobs.handover(name, setup)
-    log.info("handover of {} to {} by {}: {}", name, setup, request[OPERATOR], result)
-    return answer(result if failed(result) else {"name": name, "setup": setup})
+        result = await _move_job(kernel, name, setup)
+    outcome = result.reason if failed(result) else result
+    log.info("handover of {} by {}: {}", name, request[OPERATOR], outcome)
+    return answer(result)
+
+
+async def _move_job(kernel: Kernel, name: str, setup: str) -> dict[str, Any] | Failure:
+    """Give a job to another setup; it may be on its way for a while."""
+    row = await kernel.find("jobs").handover(name, setup)
+    if failed(row):
+        return row
+    return {"name": name, "setup": row.setup, "state": str(row.state)}
 
 
 async def _move_service(
     kernel: Kernel, name: str, setup: str, share: str
-) -> int | Failure:
+) -> dict[str, Any] | Failure:
     """Apply the configuration in force with another share of one service."""
     try:
         fraction = parse_fraction(share)
@@ -62,7 +68,10 @@
         return refusal
     # The same request gives the same id, so a repeat finds out about a lost answer.
     apply_id = f"handover-{accepted.generation}-{name}-{new_share:.6g}"
-    return await config.apply(text, accepted.generation, apply_id)
+    result = await config.apply(text, accepted.generation, apply_id)
+    if failed(result):
+        return result
+    return {"name": name, "new_share": new_share, "generation": result}
 
 
 async def _check_edit(kernel: Kernel, name: str, text: str) -> Failure | None:
