Wait before fetching an unreadable generation again

Cause: a daemon that cannot read a generation, for example one with options of a later version, fetched and parsed it with every poll: 151 ms of processor time a second at the size of two years.

--- a/packages/fulmarleverd/fulmarleverd/generations/accepted.py
+++ b/packages/fulmarleverd/fulmarleverd/generations/accepted.py
@@ -6,6 +6,7 @@
 
 from fulmarlever.config.reader import digest_of, parse_configuration
 from fulmarlever.findings import Findings
+from fulmarlever.outcomes import Refused
 from fulmarlever.structure.configuration import Configuration
 
 
@@ -31,13 +32,13 @@
         """Return the form sent between daemons."""
         return asdict(self)
 
-    @property
-    def is_whole(self) -> bool:
-        """Return whether the text is the one that the digest was made from."""
-        return digest_of(self.text) == self.digest
+    def to_configuration(self) -> Configuration | Findings | Refused:
+        """Read the text into the configuration with this generation's number.
 
-    def to_configuration(self) -> Configuration | Findings:
-        """Read the text into the configuration with this generation's number."""
+        A text that is not the one that the digest was made from is refused.
+        """
+        if digest_of(self.text) != self.digest:
+            return Refused("its text is damaged")
         file_name = f"generation-{self.generation}"
         cfg = parse_configuration(self.text, file_name, 0.0, self.submissions)
         if isinstance(cfg, Findings):
--- a/packages/fulmarleverd/fulmarleverd/services/config.py
+++ b/packages/fulmarleverd/fulmarleverd/services/config.py
@@ -14,6 +14,7 @@
 from fulmarlever.findings import Findings
 from fulmarlever.outcomes import (
     Conflict,
+    Failure,
     OutcomeUnknown,
     Refused,
     Unavailable,
@@ -27,6 +28,9 @@
 from fulmarleverd.kernel import SERVICES, Kernel, Service
 
 POLL_JITTER = 0.2
+UNREADABLE_PAUSE_S = 30.0
+"""The time after which a generation that could not be read is fetched again."""
+
 MAX_APPLY_ID_LENGTH = 100
 
 GENERATION = Gauge(
@@ -53,6 +57,8 @@
         self.drained: BehaviorSubject[frozenset[str]] = BehaviorSubject(frozenset())
         self.is_loaded = False
         self._is_table_read = False
+        self._unreadable = 0
+        self._unreadable_until_s = 0.0
         self._accepted: Accepted | None = None
         self._store: GenerationStore | None = None
         self._exchange: GenerationExchange | None = None
@@ -124,12 +130,12 @@
         # send its text to all others.
         if self._is_table_read:
             return
-        newer = await self._exchange.take_newer(self.current().generation)
+        newer = await self._exchange.take_newer(self._known())
         if newer is not None:
             await self.adopt(newer)
 
     async def _refresh_from_table(self) -> None:
-        polled = await self._store.poll(self.current().generation)
+        polled = await self._store.poll(self._known())
         self._is_table_read = not failed(polled)
         if failed(polled):
             READ_FAILURES.inc()
@@ -144,12 +150,9 @@
         """Bring a generation into force unless one as new is; return whether it is."""
         if accepted.generation <= self.current().generation:
             return False
-        if not accepted.is_whole:
-            log.error("text of generation {} is damaged", accepted.generation)
-            return False
         cfg = await asyncio.to_thread(accepted.to_configuration)
-        if isinstance(cfg, Findings):
-            log.error("generation {} cannot be read: {}", accepted.generation, cfg)
+        if failed(cfg):
+            self._note_unreadable(accepted.generation, cfg)
             return False
         # Another generation may have arrived during the parsing.
         if cfg.generation <= self.current().generation:
@@ -157,6 +160,19 @@
         self._bring_into_force(cfg, accepted)
         return True
 
+    def _known(self) -> int:
+        """Return the generation above which a newer one is worth fetching."""
+        if self.clock.monotonic() < self._unreadable_until_s:
+            return max(self._unreadable, self.current().generation)
+        return self.current().generation
+
+    def _note_unreadable(self, generation: int, failure: Failure) -> None:
+        # Fetching and reading it again with every poll would cost a sixth of a core.
+        self._unreadable = generation
+        self._unreadable_until_s = self.clock.monotonic() + UNREADABLE_PAUSE_S
+        READ_FAILURES.inc()
+        log.error("generation {} cannot be read: {}", generation, failure.reason)
+
     def _bring_into_force(self, cfg: Configuration, accepted: Accepted) -> None:
         self._accepted = accepted
         self.is_loaded = True
--- a/packages/fulmarleverd/fulmarleverd/tests/services/config_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/services/config_tests.py
@@ -2,16 +2,19 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from fulmarlever.clock import ManualClock
-from fulmarlever.config.reader import MAX_TEXT_BYTES
+from fulmarlever.config.reader import MAX_TEXT_BYTES, digest_of
 from fulmarlever.findings import Findings
 from fulmarlever.outcomes import Conflict, Refused, Unavailable
 from fulmarlever.tests.base import wait_until
 from fulmarlever_standins.table import MemoryTable
+from fulmarleverd.generations import store as store_module
+from fulmarleverd.generations.accepted import Accepted
 from fulmarleverd.kernel import Kernel
 from fulmarleverd.services.config import ConfigService
 from fulmarleverd.tests.base import make_kernel
@@ -127,6 +130,7 @@
 class ConfigTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.table = MemoryTable(ManualClock())
+        self.readings = 0
         self.network = {}
         self.kernels = [
             make_daemon(self.table, f"entry-{n}", self.network) for n in range(2)
@@ -188,6 +192,32 @@
         self.assertTrue(kernel.find("config").is_loaded)
         await kernel.stop()
 
+    async def test_unreadable_generation_is_not_fetched_again_at_once(self):
+        await self.configs[0].apply(text_of("a"), 0, "id-1")
+        # The polls of the services themselves would be counted too.
+        for config in self.configs:
+            await config.stop()
+        text = "option-of-a-later-version: 1"
+        change = store_module._change(
+            Accepted(2, digest_of(text), text), await self.head(), "id-2"
+        )
+        self.table.write(change)
+        clock = self.kernels[0].clock
+        original = Accepted.to_configuration
+        for seconds, readings in ((0, 1), (0, 1), (31, 2), (0, 2)):
+            clock.advance(seconds)
+            with mock.patch.object(
+                Accepted, "to_configuration", autospec=True, side_effect=original
+            ) as read:
+                await self.configs[0].refresh()
+                self.readings += read.call_count
+            self.assertEqual(self.readings, readings)
+            self.assertEqual(self.configs[0].current().generation, 1)
+
+    async def head(self):
+        rows = {row.key: row for row in self.table.read(["config/head"])}
+        return store_module.Head.from_rows(rows)
+
     async def test_fault_of_a_subscriber_does_not_end_the_polling(self):
         def fail(cfg):
             if cfg.generation == 1:
