Stay unready while the generation in force cannot be read

Cause: a daemon started with a version older than the file in force had the empty configuration, answered ready, and would have answered 404 to callers of every service.

--- a/packages/fulmarleverd/fulmarleverd/services/config.py
+++ b/packages/fulmarleverd/fulmarleverd/services/config.py
@@ -46,7 +46,8 @@
     """Keeps the newest accepted generation that this daemon has seen.
 
     ``in_force`` emits the present configuration on subscription and each newer one;
-    ``drained`` likewise the names of the workers that operators drain.
+    ``drained`` likewise the names of the workers that operators drain. ``is_loaded``
+    tells whether the newest generation that could be found is in force.
     """
 
     name = "config"
@@ -140,11 +141,12 @@
         if failed(polled):
             READ_FAILURES.inc()
             return
-        self.is_loaded = True
         if polled.drained != self.drained.value:
             self.drained.on_next(polled.drained)
         if polled.newer is not None:
             await self.adopt(polled.newer)
+        elif self._known() == self.current().generation:
+            self.is_loaded = True
 
     async def adopt(self, accepted: Accepted) -> bool:
         """Bring a generation into force unless one as new is; return whether it is."""
--- a/packages/fulmarleverd/fulmarleverd/tests/services/config_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/services/config_tests.py
@@ -214,6 +214,17 @@
             self.assertEqual(self.readings, readings)
             self.assertEqual(self.configs[0].current().generation, 1)
 
+    async def test_new_daemon_with_an_unreadable_generation_is_not_loaded(self):
+        text = "option-of-a-later-version: 1"
+        accepted = Accepted(1, digest_of(text), text)
+        change = store_module._change(accepted, store_module.Head(), "id-1")
+        self.table.write(change)
+        kernel = make_daemon(self.table, "entry-9")
+        await kernel.start()
+        await kernel.find("config").refresh()
+        self.assertFalse(kernel.find("config").is_loaded)
+        await kernel.stop()
+
     async def head(self):
         rows = {row.key: row for row in self.table.read(["config/head"])}
         return store_module.Head.from_rows(rows)
