--- a/packages/fulmarlever/fulmarlever/tests/config/reader_tests.py
+++ b/packages/fulmarlever/fulmarlever/tests/config/reader_tests.py
@@ -131,6 +131,21 @@
         text = textwrap.dedent("zones: &z [*z]")
         self.assertIn("nested too deeply", str(parse_configuration(text, "f")))
 
+    @given(
+        st.integers(0, len(GOOD)),
+        st.integers(0, 40),
+        st.text(alphabet="ab1: {}[],%-\n", max_size=6),
+    )
+    def test_findings_of_a_damaged_file_lie_inside_it(self, start, length, inserted):
+        text = GOOD[:start] + inserted + GOOD[start + length :]
+        result = parse_configuration(text, "f.yaml")
+        lines = text.split("\n")
+        for item in result if isinstance(result, Findings) else ():
+            self.assertTrue(1 <= item.line <= len(lines), str(item))
+            self.assertTrue(
+                1 <= item.column <= len(lines[item.line - 1]) + 1, str(item)
+            )
+
     @given(st.text(alphabet="ab:[]{}-&*!'\"#\n 1", max_size=60))
     def test_any_text_gives_a_result(self, text):
         result = parse_configuration(text, "f")
--- a/packages/fulmarlever_cli/fulmarlever_cli/client.py
+++ b/packages/fulmarlever_cli/fulmarlever_cli/client.py
@@ -15,11 +15,13 @@
     OutcomeUnknown,
     Refused,
     Unavailable,
-    failed,
 )
 
 REQUEST_LIMIT_S = 15.0
 CONNECT_LIMIT_S = 3.0
+ASK_LIMIT_S = 4.0
+"""The limit for one daemon of many, so that a frozen one does not hold up the rest."""
+
 ROUNDS = 3
 PAUSE_S = 0.3
 RETRIED_STATUSES = (429, 503)
@@ -57,7 +59,8 @@
 
     async def ask(self, address: str, path: str) -> Any | Failure:
         """Return the answer of one daemon to a read."""
-        return await self._send_once("GET", address, path)
+        limit = aiohttp.ClientTimeout(total=ASK_LIMIT_S, sock_connect=CONNECT_LIMIT_S)
+        return await self._send_once("GET", address, path, timeout=limit)
 
     async def _send(self, method: str, path: str, **options: Any) -> Any | Failure:
         result: Any = Unavailable("no admin address is given")
@@ -107,8 +110,3 @@
     return (
         OutcomeUnknown(reason) if body.get("outcome") == "unknown" else Refused(reason)
     )
-
-
-def unreachable(result: Any) -> bool:
-    """Return whether a daemon gave no answer at all."""
-    return failed(result) and isinstance(result, Unavailable | OutcomeUnknown)
