--- a/packages/fulmarleverd/fulmarleverd/services/config.py
+++ b/packages/fulmarleverd/fulmarleverd/services/config.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Awaitable, Callable
 
 from loguru import logger as log
 from prometheus_client import Counter, Gauge
@@ -13,6 +14,7 @@
 from fulmarlever.findings import Findings
 from fulmarlever.outcomes import (
     Conflict,
+    Failure,
     OutcomeUnknown,
     Refused,
     Unavailable,
@@ -26,6 +28,9 @@
 from fulmarleverd.kernel import SERVICES, Kernel, Service
 
 POLL_JITTER = 0.2
+UNREADABLE_PAUSE_S = 30.0
+"""The time after which a generation that could not be read is fetched again."""
+
 MAX_APPLY_ID_LENGTH = 100
 
 GENERATION = Gauge(
@@ -41,7 +46,8 @@
     """Keeps the newest accepted generation that this daemon has seen.
 
     ``in_force`` emits the present configuration on subscription and each newer one;
-    ``drained`` likewise the names of the workers that operators drain.
+    ``drained`` likewise the names of the workers that operators drain. ``is_loaded``
+    tells whether the newest generation that could be found is in force.
     """
 
     name = "config"
@@ -51,6 +57,9 @@
         self.in_force: BehaviorSubject[Configuration] = BehaviorSubject(Configuration())
         self.drained: BehaviorSubject[frozenset[str]] = BehaviorSubject(frozenset())
         self.is_loaded = False
+        self._is_table_read = False
+        self._unreadable = 0
+        self._unreadable_until_s = 0.0
         self._accepted: Accepted | None = None
         self._store: GenerationStore | None = None
         self._exchange: GenerationExchange | None = None
@@ -60,7 +69,8 @@
         self._store = GenerationStore(self.kernel.find("platform"), self.clock)
         self._exchange = GenerationExchange(self.kernel.find("membership"))
         await self.refresh()
-        self.spawn(self._poll(), "configuration poll")
+        self.spawn(self._repeat(self._refresh_from_table), "configuration poll")
+        self.spawn(self._repeat(self._refresh_from_peers), "configuration of peers")
 
     def current(self) -> Configuration:
         """Return the configuration in force."""
@@ -112,36 +122,39 @@
         return True
 
     async def refresh(self) -> None:
-        """Take a newer generation from the table, and then from a peer.
-
-        A peer has a newer one than the table shows only while the table is away.
-        """
+        """Take a newer generation from the table, or from a peer without the table."""
         await self._refresh_from_table()
-        newer = await self._exchange.take_newer(self.current().generation)
+        await self._refresh_from_peers()
+
+    async def _refresh_from_peers(self) -> None:
+        # With the table up, the daemon that accepted a generation would otherwise
+        # send its text to all others.
+        if self._is_table_read:
+            return
+        newer = await self._exchange.take_newer(self._known())
         if newer is not None:
             await self.adopt(newer)
 
     async def _refresh_from_table(self) -> None:
-        polled = await self._store.poll(self.current().generation)
+        polled = await self._store.poll(self._known())
+        self._is_table_read = not failed(polled)
         if failed(polled):
             READ_FAILURES.inc()
             return
-        self.is_loaded = True
         if polled.drained != self.drained.value:
             self.drained.on_next(polled.drained)
         if polled.newer is not None:
             await self.adopt(polled.newer)
+        elif self._known() == self.current().generation:
+            self.is_loaded = True
 
     async def adopt(self, accepted: Accepted) -> bool:
         """Bring a generation into force unless one as new is; return whether it is."""
         if accepted.generation <= self.current().generation:
             return False
-        if not accepted.is_whole:
-            log.error("text of generation {} is damaged", accepted.generation)
-            return False
         cfg = await asyncio.to_thread(accepted.to_configuration)
-        if isinstance(cfg, Findings):
-            log.error("generation {} cannot be read: {}", accepted.generation, cfg)
+        if failed(cfg):
+            self._note_unreadable(accepted.generation, cfg)
             return False
         # Another generation may have arrived during the parsing.
         if cfg.generation <= self.current().generation:
@@ -149,6 +162,19 @@
         self._bring_into_force(cfg, accepted)
         return True
 
+    def _known(self) -> int:
+        """Return the generation above which a newer one is worth fetching."""
+        if self.clock.monotonic() < self._unreadable_until_s:
+            return max(self._unreadable, self.current().generation)
+        return self.current().generation
+
+    def _note_unreadable(self, generation: int, failure: Failure) -> None:
+        # Fetching and reading it again with every poll would cost a sixth of a core.
+        self._unreadable = generation
+        self._unreadable_until_s = self.clock.monotonic() + UNREADABLE_PAUSE_S
+        READ_FAILURES.inc()
+        log.error("generation {} cannot be read: {}", generation, failure.reason)
+
     def _bring_into_force(self, cfg: Configuration, accepted: Accepted) -> None:
         self._accepted = accepted
         self.is_loaded = True
@@ -157,16 +183,24 @@
         detail = f"generation {cfg.generation} digest {cfg.digest[:12]}"
         self.kernel.find("timeline").record("config.in-force", detail=detail)
         log.info("configuration in force: {}", detail)
-        self.in_force.on_next(cfg)
+        try:
+            self.in_force.on_next(cfg)
+        except Exception:
+            # The generation is in force; a fault of one subscriber is its own.
+            log.exception("a subscriber failed on generation {}", cfg.generation)
 
-    async def _poll(self) -> None:
+    async def _repeat(self, refresh: Callable[[], Awaitable[None]]) -> None:
         period = self.settings.config_poll_s
         while True:
             # Jitter spreads the reads of many daemons over the period.
             await asyncio.sleep(
                 period * random.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
             )
-            await self.refresh()
+            try:
+                await refresh()
+            except Exception:
+                # A malformed row or a fault of a subscriber must not end the polling.
+                log.exception("the configuration could not be refreshed")
 
 
 def _refuse(text: str, apply_id: str) -> Refused | None:
