--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that run in one process, with small fakes at the interfaces."""
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/measurements/placement.py
@@ -0,0 +1,335 @@
+"""The measurements of placement, printed as Markdown tables.
+
+Run ``python -m fulmarlever_standins.measurements.placement [NAME...]``; without names
+all of them run, one after the other, in one process.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import statistics
+import sys
+import time
+import tracemalloc
+from collections.abc import Iterator
+from importlib import import_module
+
+from loguru import logger as log
+
+from fulmarlever.policies.placement import Surroundings
+from fulmarlever.structure.configuration import (
+    Configuration,
+    JobSpec,
+    ServiceSpec,
+    Urgency,
+)
+from fulmarlever.structure.size import Size
+from fulmarlever_standins.measurements.site import Site, Variant
+from fulmarlever_standins.measurements.tables import MEASUREMENTS, print_table
+from fulmarleverd.placement.shares import Shares
+
+WORKER = Size(32, 125000)
+TASK = Size(1, 2000)
+FLEETS = (25, 35, 400, 1600)
+TASKS_PER_WORKER = 25
+REPEATS = 5
+
+CHOSEN = Variant("chosen")
+FIRST_FIT = Variant("first fit", placement="first-fit", order="submission")
+NAIVE = Variant(
+    "naive",
+    "first-fit",
+    "submission",
+    "none",
+    "declared",
+    interference="none",
+    relieves=False,
+)
+
+
+def batch(name: str, tasks: int, **fields: object) -> JobSpec:
+    """Return a job of small tasks that keep their checkpoints."""
+    fields = {"team": "packing", "kind": name, "size": TASK, **fields}
+    return JobSpec(name, tasks=tasks, **fields)
+
+
+@MEASUREMENTS.register("decisions")
+async def measure_decisions() -> None:
+    """Measure the processor time of a start and the memory of a zone."""
+    rows = []
+    for workers in FLEETS:
+        for variant in (FIRST_FIT, CHOSEN):
+            rows.append(
+                [workers, variant.name, *await _measure_fleet(workers, variant)]
+            )
+    head = ["workers", "policy", "choice, µs a start", "whole, µs a start"]
+    print_table(
+        "Decisions: one zone, 25 tasks a worker; medians",
+        [*head, "idle round, µs", "memory, MB", "starts a second in 1.9 % of a core"],
+        rows,
+    )
+
+
+async def _measure_fleet(workers: int, variant: Variant) -> Iterator[float]:
+    gc.collect()
+    tracemalloc.start()
+    site = Site(workers, WORKER, variant)
+    await site.begin(Configuration())
+    await site.submit(batch("base", workers * (TASKS_PER_WORKER - 5), run_s=1e9))
+    await site.run(workers * TASKS_PER_WORKER / 100 + 8)
+    memory, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    choices, wholes, idles = [], [], []
+    for number in range(REPEATS):
+        tasks = min(100, 2 * workers)
+        choices.append(await _time_choice(site, f"probe{number}", tasks))
+        wholes.append(await _time_whole(site, f"whole{number}", tasks))
+        idles.append(await _time_idle(site))
+    whole = statistics.median(wholes)
+    return (
+        statistics.median(choices),
+        whole,
+        statistics.median(idles),
+        memory / 1e6,
+        0.019 / (whole / 1e6),
+    )
+
+
+async def _time_choice(site: Site, name: str, tasks: int) -> float:
+    """Return the microseconds of choosing one worker, rooms included."""
+    zone = site.daemon.placer.zone
+    decide = zone.queue.decide
+    spent: list[float] = []
+
+    def timed(rooms: list, shares: Shares, around: Surroundings) -> Iterator:
+        begin = time.process_time()
+        chosen = list(decide(rooms, shares, around))
+        if chosen:
+            spent.append((time.process_time() - begin) / len(chosen))
+        return iter(chosen)
+
+    zone.queue.decide = timed
+    await site.submit(batch(name, tasks, run_s=1.0))
+    await site.run(8)
+    zone.queue.decide = decide
+    return 1e6 * statistics.median(spent)
+
+
+async def _time_whole(site: Site, name: str, tasks: int) -> float:
+    """Return the microseconds of the placer's rounds for one start and finish."""
+    placer = site.daemon.placer
+    round_ = placer.round
+    spent = 0.0
+
+    async def timed() -> None:
+        nonlocal spent
+        begin = time.process_time()
+        await round_()
+        spent += time.process_time() - begin
+
+    placer.round = timed
+    idle = await _time_idle(site)
+    await site.submit(batch(name, tasks, run_s=1.0))
+    spent = 0.0
+    steps = 8
+    await site.run(steps)
+    placer.round = round_
+    return 1e6 * (spent - 2 * steps * idle / 1e6) / tasks
+
+
+async def _time_idle(site: Site) -> float:
+    """Return the microseconds of a round in which nothing is to do."""
+    times = []
+    for _ in range(20):
+        begin = time.process_time()
+        await site.daemon.placer.zone.round(site.daemon.config.current())
+        times.append(time.process_time() - begin)
+    return 1e6 * statistics.median(times)
+
+
+@MEASUREMENTS.register("table")
+async def measure_table() -> None:
+    """Count the table's reads and writes for starts, finishes and idle time."""
+    rows = []
+    for workers in (25, 35, 178):
+        site = Site(workers, WORKER, CHOSEN)
+        other = site.cluster.add_daemon("entry-a-2")
+        await site.begin(Configuration())
+        await site.run(5)
+        idle = await _count(site, 60, None)
+        observer = await _count_observer(site, other, 60)
+        tasks = workers * 10
+        busy = await _count(site, 60, batch("wave", tasks, run_s=20.0))
+        rows.append(
+            [
+                workers,
+                idle[0] / 60,
+                idle[1] / 60,
+                observer,
+                tasks,
+                (busy[1] - idle[1]) / tasks,
+                (busy[2] - idle[2]) / tasks,
+            ]
+        )
+    print_table(
+        "Table: one zone; starts and finishes of one wave of 20 s tasks",
+        [
+            "workers",
+            "holder idle, reads a second",
+            "holder idle, writes a second",
+            "other daemon, reads a second",
+            "tasks",
+            "writes for a start and a finish",
+            "rows for a start and a finish",
+        ],
+        rows,
+    )
+
+
+async def _count(
+    site: Site, seconds: int, spec: JobSpec | None
+) -> tuple[int, int, int]:
+    table = site.cluster.table
+    before = (table.reads, table.writes, table.rows_written)
+    if spec is not None:
+        await site.submit(spec)
+    lease_step = site.daemon.placer.step
+    for second in range(seconds):
+        # The lease is renewed every 2 s; a step of the simulation lasts 1 s.
+        site.daemon.placer.step = lease_step if second % 2 else _nothing
+        await site.step()
+    site.daemon.placer.step = lease_step
+    after = (table.reads, table.writes, table.rows_written)
+    return tuple(b - a for a, b in zip(before, after, strict=True))
+
+
+async def _nothing() -> None:
+    return None
+
+
+async def _count_observer(site: Site, other: object, seconds: int) -> float:
+    before = site.cluster.table.reads
+    for _ in range(seconds):
+        await other.placer.lease.step()
+    return (site.cluster.table.reads - before) / seconds
+
+
+@MEASUREMENTS.register("sizes")
+async def measure_sizes() -> None:
+    """Measure overruns and utilisation with sizes wrong by 0.3 to 3 times."""
+    variants = (
+        NAIVE,
+        Variant("declared, relieved", sizes="declared"),
+        CHOSEN,
+        Variant("chosen, unknown kinds times 3", unproven_factor=3.0),
+    )
+    rows = []
+    for variant in variants:
+        site = Site(35, WORKER, variant)
+        await site.begin(Configuration())
+        factors = (0.3, 0.5, 0.8, 1.0, 1.5, 2.0, 3.0)
+        for number, factor in enumerate(factors):
+            kind = f"kind{number}"
+            site.usage_factor[kind] = factor
+            size = Size(2, 6000)
+            await site.submit(batch(kind, 300, kind=kind, size=size, run_s=40.0))
+        await site.run(300)
+        totals = site.totals
+        rows.append(
+            [
+                variant.name,
+                totals.overrun_s,
+                100 * totals.overrun_s / (35 * 300),
+                100 * totals.used_s / totals.size_s,
+                totals.done,
+            ]
+        )
+    print_table(
+        "Sizes wrong by 0.3 to 3 times: 35 workers, 300 s, 7 kinds of 300 tasks",
+        [
+            "policy",
+            "overrun, worker seconds",
+            "of all, %",
+            "cores used, %",
+            "tasks done",
+        ],
+        rows,
+    )
+
+
+@MEASUREMENTS.register("floods")
+async def measure_floods() -> None:
+    """Measure the start of urgent work and what the other kind keeps in a flood."""
+    rows = []
+    for variant in (NAIVE, FIRST_FIT, CHOSEN):
+        waits = await _flood_of_batch(variant)
+        kept, running = await _flood_of_services(variant)
+        rows.append(
+            [
+                variant.name,
+                f"{len(waits)} of 40",
+                statistics.median(waits) if waits else "-",
+                max(waits) if waits else "-",
+                100 * kept,
+                running,
+            ]
+        )
+    print_table(
+        "Floods: 35 workers; batch of 5 times the fleet, then services of 2 times",
+        [
+            "policy",
+            "urgent tasks started in 60 s",
+            "median, s",
+            "longest, s",
+            "cores batch keeps in the flood of services, %",
+            "instances running",
+        ],
+        rows,
+    )
+
+
+async def _flood_of_batch(variant: Variant) -> list[float]:
+    site = Site(35, WORKER, variant)
+    await site.begin(Configuration())
+    for number in range(50):
+        await site.submit(batch(f"flood{number}", 112, run_s=600, urgency=Urgency.LOW))
+    await site.run(30)
+    for number in range(20):
+        spec = batch(f"urgent{number}", 2, run_s=30, urgency=Urgency.CRITICAL)
+        await site.submit(spec)
+        await site.run(1, step_s=0.5)
+    await site.run(40, step_s=0.5)
+    return [
+        at - site.submitted_s[name.rpartition("/")[0]]
+        for name, at in site.started_s.items()
+        if name.startswith("urgent")
+    ]
+
+
+async def _flood_of_services(variant: Variant) -> tuple[float, int]:
+    site = Site(35, WORKER, variant)
+    await site.begin(Configuration())
+    await site.submit(batch("labels", 1120, run_s=1e6))
+    await site.run(30)
+    service = ServiceSpec("flood", "orders", instances=560, size=Size(4, 4000))
+    await site.begin(Configuration(services={"flood": service}))
+    await site.run(60)
+    cores, instances = 0.0, 0
+    for worker in site.cluster.fleet.workers.values():
+        for run in worker.running().values():
+            instances += run.order.service is not None
+            cores += 0.0 if run.order.service else run.order.size.cores
+    return cores / (35 * WORKER.cores), instances
+
+
+async def main(names: list[str]) -> None:
+    """Run the named measurements, or all of them."""
+    import_module("fulmarlever_standins.measurements.mixed")
+    log.disable("fulmarleverd")
+    for name in names or list(MEASUREMENTS):
+        await MEASUREMENTS.find(name)()
+
+
+if __name__ == "__main__":
+    asyncio.run(main(sys.argv[1:]))
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/measurements/site.py
@@ -0,0 +1,170 @@
+"""One simulated zone: a daemon's real placement over workers in memory."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from fulmarlever.policies.sizes import SIZES, LearnedSizes
+from fulmarlever.structure.configuration import Configuration, JobSpec
+from fulmarlever.structure.size import Size
+from fulmarleverd.placement.guard import Guard
+from fulmarleverd.placement.latency import Reading
+from fulmarleverd.placement.queue import Queue
+from fulmarleverd.tests.placement.fakes import Cluster, FakeRun, FakeWorker
+
+WORKERS_PER_RACK = 8
+
+
+@dataclass(slots=True, frozen=True)
+class Variant:
+    """The policies of one run, by their names in the registries."""
+
+    name: str
+    placement: str = "scored"
+    order: str = "latest-start"
+    preemption: str = "least-loss"
+    sizes: str = "learned"
+    unproven_factor: float = 1.0
+    interference: str = "learned"
+    relieves: bool = True
+    static_part: float | None = None
+
+
+@dataclass(slots=True)
+class Totals:
+    """What a run added up."""
+
+    done: int = 0
+    late: int = 0
+    overrun_s: float = 0.0
+    used_s: float = 0.0
+    size_s: float = 0.0
+    latencies_s: list[float] = field(default_factory=list)
+
+
+class Site:
+    """A zone whose time is simulated in steps, with one daemon that places for it."""
+
+    def __init__(self, workers: int, size: Size, variant: Variant) -> None:
+        self.cluster = Cluster()
+        self.variant = variant
+        for number in range(workers):
+            rack = f"rack-{number // WORKERS_PER_RACK}"
+            self.cluster.add_worker(f"worker-{number:04}", rack=rack, size=size)
+        self.daemon = self.cluster.add_daemon("entry-a-1")
+        self.totals = Totals()
+        self.usage_factor: dict[str, float] = {}
+        self.left_s: dict[tuple[str, str], float] = {}
+        self.saved_s: dict[str, float] = {}
+        self.started_s: dict[str, float] = {}
+        self.submitted_s: dict[str, float] = {}
+        self.specs: dict[str, JobSpec] = {}
+        self.on_latency: Callable[[], Mapping[str, Reading]] | None = None
+        self.random = random.Random(7)
+
+    async def begin(self, cfg: Configuration) -> None:
+        """Take the zone over with the variant's policies."""
+        self.cluster.configure(cfg)
+        await self.daemon.placer.step()
+        zone, variant = self.daemon.placer.zone, self.variant
+        zone.queue = Queue(
+            zone.book,
+            zone.state.lookup,
+            variant.placement,
+            variant.order,
+            variant.preemption,
+        )
+        is_learned = variant.sizes == "learned"
+        zone.state.lookup.sizes = (
+            LearnedSizes(variant.unproven_factor)
+            if is_learned
+            else SIZES.find(variant.sizes)()
+        )
+        zone.guard = self._guard(zone.state)
+        if not variant.relieves:
+            zone.relief.stops = lambda: iter(())
+
+    def _guard(self, state: object) -> Guard:
+        guard = Guard(state, self.variant.interference)
+        guard.is_acting = self.variant.interference == "learned"
+        part = self.variant.static_part
+        if part is not None:
+            guard.is_blocked = lambda wanted, room: (
+                not wanted.is_service
+                and bool(room.services)
+                and sum(room.cores.values()) + wanted.size.cores
+                > part * room.size.cores
+            )
+        return guard
+
+    async def submit(self, spec: JobSpec) -> None:
+        """Submit a job and remember when."""
+        self.specs[spec.name] = spec
+        self.submitted_s[spec.name] = self.cluster.clock.wall()
+        await self.daemon.jobs.submit_spec(spec)
+
+    async def step(self, step_s: float = 1.0) -> None:
+        """Let time pass: tasks progress, reports arrive, the placer decides."""
+        self.cluster.clock.advance(step_s)
+        for worker in self.cluster.fleet.workers.values():
+            self._progress(worker, step_s)
+        if self.on_latency is not None:
+            readings = self.on_latency()
+            if self.daemon.placer.zone is not None:
+                self.daemon.placer.zone.watch(readings)
+        await self.daemon.step()
+
+    async def run(self, seconds: float, step_s: float = 1.0) -> None:
+        """Let some seconds pass."""
+        for _ in range(int(seconds / step_s)):
+            await self.step(step_s)
+
+    def pressures(self, worker: FakeWorker) -> Counter[str]:
+        """Return the part of a worker's cores that each batch kind really uses."""
+        parts: Counter[str] = Counter()
+        for run in worker.running().values():
+            if run.order.service is None:
+                used = run.usage.cores or run.order.size.cores
+                parts[run.order.kind] += used * run.share / worker.vm.size.cores
+        return parts
+
+    def _progress(self, worker: FakeWorker, step_s: float) -> None:
+        used = Size()
+        for name, run in worker.running().items():
+            run.usage = self._usage(name, run)
+            used += run.usage
+            if run.order.service is None:
+                self._advance(worker, name, run, step_s)
+        over = any(used.exceeding(worker.vm.size))
+        self.totals.overrun_s += step_s * over
+        self.totals.used_s += step_s * used.cores
+        self.totals.size_s += step_s * worker.vm.size.cores
+
+    def _usage(self, name: str, run: FakeRun) -> Size:
+        if run.order.service is not None:
+            return Size(run.order.size.cores * 0.5, run.order.size.memory_mib * 0.6)
+        declared = self.specs[name.rpartition("/")[0]].size
+        factor = self.usage_factor.get(run.order.kind, 1.0)
+        factor *= self.random.uniform(0.9, 1.0)
+        return Size(declared.cores * factor * run.share, declared.memory_mib * factor)
+
+    def _advance(
+        self, worker: FakeWorker, name: str, run: FakeRun, step_s: float
+    ) -> None:
+        spec = self.specs[name.rpartition("/")[0]]
+        key = (name, f"{run.order.attempt}")
+        if key not in self.left_s:
+            self.started_s.setdefault(name, self.cluster.clock.wall())
+            kept = spec.checkpoint and run.order.checkpoint
+            self.left_s[key] = self.saved_s[name] if kept else spec.run_s
+        self.left_s[key] -= step_s * run.share
+        self.saved_s[name] = self.left_s[key]
+        if self.left_s[key] <= 0:
+            worker.finish(name)
+            self.totals.done += 1
+            deadline_s = spec.deadline_s
+            now_s = self.cluster.clock.wall()
+            self.totals.late += deadline_s is not None and now_s > deadline_s
