Keep the queue by owner and pass over reports that say nothing new

Cause: in a flood each round walked every queued task, and every report of a running task went through the full state change.

--- a/packages/fulmarleverd/fulmarleverd/placement/book.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/book.py
@@ -25,8 +25,9 @@
 class TaskBook:
     """Tasks by key, and indexes by owner and worker.
 
-    ``closed`` holds the owners all of whose known tasks have ended, ``services`` the
-    keys of service instances.
+    ``queued`` holds the keys of queued tasks by owner, and ``changes`` counts every
+    change of the book. ``closed`` holds the owners all of whose known tasks have
+    ended, ``services`` the keys of service instances.
 
     The book holds only what the table confirmed. Tasks in it are never changed; a new
     state is written to the table first and then put here.
@@ -39,6 +40,8 @@
         self.on_worker: dict[str, set[str]] = defaultdict(set)
         self.by_owner: dict[str, dict[int, str]] = defaultdict(dict)
         self.in_state: dict[TaskState, dict[str, None]] = defaultdict(dict)
+        self.queued: dict[str, dict[str, None]] = defaultdict(dict)
+        self.changes = 0
         self.closed: set[str] = set()
         self.services: set[str] = set()
         self._open: Counter[str] = Counter()
@@ -61,6 +64,9 @@
             self.services.add(task.key)
         self._note_closed(task.owner)
         self.in_state[task.state][task.key] = None
+        self.changes += 1
+        if task.state is TaskState.QUEUED:
+            self.queued[task.owner][task.key] = None
         if task.state in HOLDING:
             self.on_worker[task.worker].add(task.key)
             self.reserved[task.worker] += task.reservation
@@ -73,6 +79,9 @@
             return
         task = entry.task
         self.in_state[task.state].pop(key, None)
+        self.changes += 1
+        if task.state is TaskState.QUEUED:
+            self._remove_from_queue(task)
         self.services.discard(key)
         self._remove_from_owner(task)
         if task.state in HOLDING:
@@ -106,6 +115,12 @@
         """Return the tasks that take room on a worker."""
         return [self.entries[key].task for key in self.on_worker.get(worker, ())]
 
+    def _remove_from_queue(self, task: Task) -> None:
+        keys = self.queued[task.owner]
+        keys.pop(task.key, None)
+        if not keys:
+            del self.queued[task.owner]
+
     def _remove_from_owner(self, task: Task) -> None:
         keys = self.by_owner[task.owner]
         keys.pop(task.index, None)
--- a/packages/fulmarleverd/fulmarleverd/placement/intake.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/intake.py
@@ -37,10 +37,26 @@
 MISSING = "its worker no longer has it"
 LOST = "its worker is lost"
 
+USAGE_S = 2.0
+"""The time between two looks at the usage of a worker whose tasks use too much."""
+
+CALM_USAGE_S = 4.0
+"""The time between two looks at the usage of another worker's tasks."""
+
 GONE_AFTER_S = 30.0
 """How long a VM must be missing from the VM list before it is taken for gone."""
 
 
+def _is_as_known(task: Task, worker: str, report: TaskReport) -> bool:
+    """Return whether a report says nothing new, which nearly all of them do."""
+    return (
+        report.state == RUNNING
+        and task.state is TaskState.RUNNING
+        and task.attempt == report.attempt
+        and task.worker == worker
+    )
+
+
 def _beyond(usage: Size, reservation: Size) -> Size:
     return Size(
         max(0.0, usage.cores - reservation.cores),
@@ -54,6 +70,7 @@
     def __init__(self, state: ZoneState) -> None:
         self.state = state
         self._reports: dict[str, WorkerReport] = {}
+        self._usage_due_s: dict[str, float] = {}
 
     def take_report(self, report: WorkerReport) -> bool:
         """Keep a worker's report for the next round; return whether it is urgent."""
@@ -104,14 +121,22 @@
     def _take_worker(self, worker: str, report: WorkerReport, draft: Draft) -> None:
         present = set()
         strays = 0
+        prefix, entries = f"task/{self.state.name}/", self.state.book.entries
         for item in report.answer.tasks:
-            present.add(f"task/{self.state.name}/{item.task}")
-            strays += self._take_task(worker, item, draft)
+            key = prefix + item.task
+            present.add(key)
+            entry = entries.get(key)
+            if entry is None or not _is_as_known(entry.task, worker, item):
+                strays += self._take_task(worker, item, draft)
         self._note_ready(worker, strays)
-        self._note_usage(worker, report)
-        for task in self.state.book.of_worker(worker):
-            if task.key not in present and self._is_missing(task, report):
-                draft.add(requeued(task, MISSING))
+        now_s = self.state.clock.monotonic()
+        if now_s >= self._usage_due_s.get(worker, 0.0):
+            self._note_usage(worker, report)
+            is_over = self.state.excess[worker] != Size()
+            self._usage_due_s[worker] = now_s + (USAGE_S if is_over else CALM_USAGE_S)
+        for key in self.state.book.on_worker.get(worker, set()) - present:
+            if self._is_missing(entries[key].task, report):
+                draft.add(requeued(entries[key].task, MISSING))
 
     def _note_usage(self, worker: str, report: WorkerReport) -> None:
         excess = Size()
--- a/packages/fulmarleverd/fulmarleverd/placement/lookup.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/lookup.py
@@ -37,16 +37,6 @@
             return task.owner
         return self.jobs[task.owner].kind
 
-    def is_known(self, task: Task) -> bool:
-        """Return whether the declaration of a task's owner is known."""
-        return task.owner in (self.services if task.is_service else self.jobs)
-
-    def is_due(self, task: Task) -> bool:
-        """Return whether a queued task may be tried now."""
-        if task.owner in self.held and not task.is_service:
-            return False
-        return self.is_known(task) and not self.retries.is_waiting(task.key, self.now_s)
-
     def size(self, task: Task) -> Size:
         """Return the size to reserve for a task."""
         if task.is_service:
--- a/packages/fulmarleverd/fulmarleverd/placement/queue.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/queue.py
@@ -11,7 +11,7 @@
 from fulmarlever.policies.preemption import PREEMPTIONS, Eviction
 from fulmarlever.structure.configuration import JobSpec, Urgency
 from fulmarlever.structure.size import Size
-from fulmarlever.structure.task import Task, TaskState
+from fulmarlever.structure.task import Task
 from fulmarleverd.placement.book import TaskBook
 from fulmarleverd.placement.lookup import Lookup
 from fulmarleverd.placement.rooms import occupied
@@ -53,20 +53,24 @@
         around.racks = _racks(rooms)
         return _Round(self, rooms, shares, around).decide()
 
-    def waiting(self) -> Iterator[list[Task]]:
+    def waiting(self) -> Iterator[Iterator[Task]]:
         """Yield the queued tasks of each owner, in the order of their starts."""
-        services: dict[str, list[Task]] = {}
-        jobs: dict[str, list[Task]] = {}
-        for task in self.book.tasks(TaskState.QUEUED):
-            if self.lookup.is_due(task):
-                groups = services if task.is_service else jobs
-                groups.setdefault(task.owner, []).append(task)
-        by_urgency = sorted(
-            services, key=lambda name: (self.lookup.services[name].urgency, name)
+        lookup = self.lookup
+        owners = list(self.book.queued)
+        services = [name for name in owners if name in lookup.services]
+        services.sort(key=lambda name: (lookup.services[name].urgency, name))
+        jobs = [name for name in owners if name in lookup.jobs]
+        ordered = self.order(
+            self._queued(name) for name in jobs if name not in lookup.held
         )
-        yield from (services[name] for name in by_urgency)
-        ordered = self.order(self._queued(name) for name in jobs)
-        yield from (jobs[job.name] for job in ordered)
+        for name in (*services, *(job.name for job in ordered)):
+            yield self._due(name)
+
+    def _due(self, owner: str) -> Iterator[Task]:
+        for key in list(self.book.queued.get(owner, ())):
+            task = self.book.entries[key].task
+            if not self.lookup.retries.is_waiting(key, self.lookup.now_s):
+                yield task
 
     def _queued(self, name: str) -> QueuedJob:
         spec = self.lookup.jobs[name]
--- a/packages/fulmarleverd/fulmarleverd/placement/shares.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/shares.py
@@ -9,7 +9,6 @@
 from fulmarlever.structure.configuration import Team
 from fulmarlever.structure.fleet import VM
 from fulmarlever.structure.size import Size
-from fulmarlever.structure.task import TaskState
 from fulmarleverd.placement.book import TaskBook
 from fulmarleverd.placement.desired import WORKER_ROLE
 from fulmarleverd.placement.lookup import Lookup
@@ -97,8 +96,9 @@
         return min(BATCH_GUARANTEE * self.capacity, self.batch_wanted)
 
     def _queued_cores(self, book: TaskBook) -> float:
-        total = 0.0
-        for key in book.in_state[TaskState.QUEUED]:
-            job = self.lookup.jobs.get(book.entries[key].task.owner)
-            total += job.size.cores if job else 0.0
-        return total
+        jobs = self.lookup.jobs
+        return sum(
+            len(keys) * jobs[owner].size.cores
+            for owner, keys in book.queued.items()
+            if owner in jobs
+        )
--- a/packages/fulmarleverd/fulmarleverd/placement/zone.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/zone.py
@@ -36,6 +36,9 @@
 INBOX_S = 1.0
 """The time between two reads of the zone's inbox."""
 
+BLOCKED_S = 1.0
+"""How long a queue that could start nothing is left alone while no task changes."""
+
 INSTANCE_ROW_TTL_S = 24 * 3600.0
 """How long the row of an ended instance keeps its attempt number from coming again."""
 
@@ -69,6 +72,8 @@
         self._desired_for: tuple[int, tuple[str, ...]] = (-1, ())
         self._inbox_read_s = float("-inf")
         self._evictions: dict[str, str] = {}
+        self._blocked_at = (-1, -1)
+        self._blocked_until_s = 0.0
         self._part_for: dict[str, VM] = {}
         self._part_of_all = 1.0
 
@@ -208,7 +213,9 @@
         self.jobs.forget_ended()
 
     async def _start_queued(self, cfg: Configuration) -> None:
-        if not self.book.in_state[TaskState.QUEUED]:
+        now_s = self.state.clock.monotonic()
+        is_tried = (self.book.changes, cfg.generation) == self._blocked_at
+        if not self.book.queued or (is_tried and now_s < self._blocked_until_s):
             return
         draft = Draft()
         rooms = self._rooms()
@@ -217,6 +224,9 @@
         around = Surroundings(self.guard.is_blocked, self.guard.slowdown)
         for task in self.queue.decide(rooms, shares, around):
             draft.add(task)
+        if not draft.tasks:
+            self._blocked_at = (self.book.changes, cfg.generation)
+            self._blocked_until_s = now_s + BLOCKED_S
         tasks = list(draft.tasks.values())
         if tasks and await self.writer.write(draft):
             self._record(tasks)
