--- a/packages/fulmarlever_standins/fulmarlever_standins/measurements/__init__.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/measurements/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements that give the figures of the pages."""
+"""Measurements that run in one process, with small fakes at the interfaces."""
