Record a claim's answer before it goes out, and tell repeats the truth

Cause: the answer of a claimed request went out while its recording was under way, so a repeat through another entry VM met a claim 'in progress' and was told 409 with the outcome 'not-run', although the request had run. Found by the demo (order-5: said not run and ran 1 times) and by old_setup_tests. Ruled out: asking the claim's daemon over the peer stream (more messages, and no answer when that daemon is gone); holding the repeat back (refused). Change: the answer waits for its recording, 0.1 s at most; a repeat that still meets the claim gets 409 with outcome 'unknown' and Retry-After. Before: old_setup_tests and demo_tests fail; with the wait in claims_tests removed (0.05 s between the two) the repeat test fails too. After: claims, path, demo and old_setup tests pass. claims_tests now expects the outcome of a 409 and repeats at once, both stricter than before.

--- a/packages/fulmarlever/fulmarlever/outcomes.py
+++ b/packages/fulmarlever/fulmarlever/outcomes.py
@@ -34,6 +34,16 @@
     __slots__ = ()
 
 
+class InProgress(Failure):
+    """The same work is under way; ask for its outcome in ``retry_after_s``."""
+
+    __slots__ = ("retry_after_s",)
+
+    def __init__(self, reason: str, retry_after_s: float) -> None:
+        super().__init__(reason)
+        self.retry_after_s = retry_after_s
+
+
 class Conflict(Failure):
     """A conditional write lost against another writer.
 
--- a/packages/fulmarlever/fulmarlever/structure/request.py
+++ b/packages/fulmarlever/fulmarlever/structure/request.py
@@ -10,10 +10,11 @@
 
 import xxhash
 
-from fulmarlever.outcomes import Failure, NotRun, OutcomeUnknown
+from fulmarlever.outcomes import Failure, InProgress, NotRun, OutcomeUnknown
 from fulmarlever.structure.messages import message
 
 PROBLEM_TYPE = "application/problem+json"
+IN_PROGRESS_STATUS = 409
 RETRY_STATUSES = frozenset((429, 503, 504))
 FRACTION_BITS = 64
 MAX_RETRY_AFTER_S = 30.0
@@ -81,8 +82,8 @@
         """Build the answer to a request that no backend server answered."""
         document = {"title": title, "detail": detail, "outcome": str(outcome)}
         headers = [("Content-Type", PROBLEM_TYPE)]
-        is_retriable = status in RETRY_STATUSES or status == 409
-        if outcome is Outcome.NOT_RUN and is_retriable:
+        is_retriable = outcome is Outcome.NOT_RUN and status in RETRY_STATUSES
+        if is_retriable or status == IN_PROGRESS_STATUS:
             seconds = math.ceil(min(max(retry_after_s, 1.0), MAX_RETRY_AFTER_S))
             headers.append(("Retry-After", str(seconds)))
         return cls(status, headers, json.dumps(document).encode(), str(outcome))
@@ -94,6 +95,14 @@
             return cls.from_problem(
                 502, "Outcome unknown", failure.reason, Outcome.UNKNOWN
             )
+        if isinstance(failure, InProgress):
+            return cls.from_problem(
+                IN_PROGRESS_STATUS,
+                "In progress",
+                failure.reason,
+                Outcome.UNKNOWN,
+                failure.retry_after_s,
+            )
         status = getattr(failure, "status", 503)
         retry_after_s = getattr(failure, "retry_after_s", 1.0)
         return cls.from_problem(
--- a/packages/fulmarleverd/fulmarleverd/services/claims.py
+++ b/packages/fulmarleverd/fulmarleverd/services/claims.py
@@ -13,6 +13,7 @@
 
 from fulmarlever.outcomes import (
     Conflict,
+    InProgress,
     NotRun,
     OutcomeUnknown,
     Unavailable,
@@ -27,6 +28,7 @@
 CLAIM_TTL_S = 3600.0
 MAX_KEPT_ANSWER_BYTES = 16384
 RETRY_IN_PROGRESS_S = 1.0
+RECORDING_WAIT_S = 0.1
 RETRY_TABLE_DOWN_S = 5.0
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 5.0
@@ -68,7 +70,7 @@
 
     async def begin(
         self, service: str, key: str, digest: str, is_required: bool = True
-    ) -> Claim | Answer | NotRun | OutcomeUnknown:
+    ) -> Claim | Answer | InProgress | NotRun | OutcomeUnknown:
         """Claim a key, or return what is known of the request that has it.
 
         ``NotRun`` says that this request was not dispatched and never will be.
@@ -121,7 +123,9 @@
             self._record(self._remove(claim))
         return NotRun("the claim was not made", RETRY_IN_PROGRESS_S)
 
-    def _judge(self, claim: Claim, row: Row) -> Answer | NotRun | OutcomeUnknown:
+    def _judge(
+        self, claim: Claim, row: Row
+    ) -> Answer | InProgress | NotRun | OutcomeUnknown:
         """Return what a row of another dispatch says about this request."""
         value = row.value
         if value["digest"] != claim.digest:
@@ -132,9 +136,7 @@
             return OutcomeUnknown("the request ran once; its answer was not kept")
         if value["state"] == "unknown" or self._is_ended(value):
             return OutcomeUnknown("an earlier request with this key may have run")
-        return NotRun(
-            "a request with this key is in progress", RETRY_IN_PROGRESS_S, status=409
-        )
+        return InProgress("a request with this key is in progress", RETRY_IN_PROGRESS_S)
 
     def _is_ended(self, value: dict[str, Any]) -> bool:
         vm, incarnation = split_identity(self.membership.identity)
@@ -142,8 +144,13 @@
             return value["incarnation"] < incarnation
         return self.membership.is_ended(value["vm"], value["incarnation"])
 
-    def finish(self, claim: Claim, answer: Answer) -> None:
-        """Record the answer, or the unknown outcome, of a dispatched request."""
+    async def finish(self, claim: Claim, answer: Answer) -> None:
+        """Record the answer, or the unknown outcome, of a dispatched request.
+
+        Return when it is recorded, so that a repeat through another entry VM gets the
+        same answer, but after ``RECORDING_WAIT_S`` at the latest; the recording goes
+        on in the background.
+        """
         if claim.version is None:
             return
         state = "unknown" if answer.outcome else "done"
@@ -155,7 +162,9 @@
             {claim.row_key: self._value(claim, state, kept)},
             ttl_s={claim.row_key: CLAIM_TTL_S},
         )
-        self._record(self._commit_until_known(change))
+        recording = self._record(self._commit_until_known(change))
+        if recording is not None:
+            await asyncio.wait((recording,), timeout=RECORDING_WAIT_S)
 
     def release(self, claim: Claim) -> None:
         """Give up the claim of a request that certainly did not run."""
@@ -176,13 +185,14 @@
             "answer": answer,
         }
 
-    def _record(self, coroutine: Any) -> None:
+    def _record(self, coroutine: Any) -> asyncio.Task | None:
         if len(self._recordings) >= MAX_RECORDINGS:
             coroutine.close()
-            return
+            return None
         task = self.spawn(coroutine, "claim record")
         self._recordings.add(task)
         task.add_done_callback(self._recordings.discard)
+        return task
 
     async def _commit_until_known(self, change: Change) -> None:
         """Repeat a conditional write until the table has taken or refused it."""
--- a/packages/fulmarleverd/fulmarleverd/services/router.py
+++ b/packages/fulmarleverd/fulmarleverd/services/router.py
@@ -90,7 +90,7 @@
         if isinstance(result, NotRun):
             self.claims.release(claim)
         else:
-            self.claims.finish(claim, answer)
+            await self.claims.finish(claim, answer)
         return answer
 
     async def _run(
--- a/packages/fulmarleverd/fulmarleverd/tests/services/claims_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/services/claims_tests.py
@@ -8,7 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from fulmarlever.clock import ManualClock
-from fulmarlever.outcomes import NotRun, OutcomeUnknown
+from fulmarlever.outcomes import InProgress, NotRun, OutcomeUnknown
 from fulmarlever.structure.request import Answer
 from fulmarlever_standins.table import MemoryTable
 from fulmarleverd.services.claims import Claim, Claims
@@ -54,7 +54,9 @@
         """Run a call that records in the background, and let it begin."""
 
         async def call():
-            step(*args)
+            result = step(*args)
+            if asyncio.iscoroutine(result):
+                asyncio.ensure_future(result)
             for _ in range(10):
                 await asyncio.sleep(0)
 
@@ -77,7 +79,7 @@
         elif isinstance(begun, Answer):
             assert begun == ANSWER
         else:
-            assert isinstance(begun, NotRun | OutcomeUnknown)
+            assert isinstance(begun, InProgress | NotRun | OutcomeUnknown)
 
     @rule(vm=st.sampled_from(VMS))
     def land(self, vm):
@@ -133,19 +135,20 @@
 
     async def test_repeated_key_gets_the_same_answer_from_another_daemon(self):
         first = await self.post(0)
-        await asyncio.sleep(0.05)
         second = await self.post(1)
         self.assertEqual((first[0], first[2]), (200, b"k:order"))
         self.assertEqual((second[0], second[2]), (200, b"k:order"))
         self.assertEqual(self.server.runs["k"], 1)
 
     async def test_many_repeats_at_once_run_once(self):
-        headers = {"X-Work-Ms": "50"}
+        headers = {"X-Work-Ms": "1000"}
         results = await asyncio.gather(
             *(self.post(i % 2, **headers) for i in range(20))
         )
         statuses = sorted(status for status, _, _ in results)
         self.assertEqual(statuses, [200] + [409] * 19)
+        outcomes = {json.loads(body)["outcome"] for s, _, body in results if s == 409}
+        self.assertEqual(outcomes, {"unknown"})
         self.assertEqual(self.server.runs["k"], 1)
 
     async def test_same_key_with_another_body_is_refused(self):
