--- a/packages/fulmarlever_standins/fulmarlever_standins/demo.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/demo.py
@@ -22,7 +22,7 @@
 ROUNDS = 12
 START_LIMIT_S = 30.0
 BATCH_LIMIT_S = 30.0
-TIMELINE_EVENTS = "60"
+TIMELINE_EVENTS = "200"
 
 
 class Demo:
@@ -31,6 +31,7 @@
     def __init__(self, path: Path) -> None:
         self.path = path
         self.config = yaml.safe_load(path.read_text(encoding="utf-8"))
+        self.jobs = dict(self.config["jobs"])
         self.zones = self.config["zones"][:ZONES]
         self.cluster = Cluster.from_zones(
             self.zones, entries=ENTRIES_PER_ZONE, workers=WORKERS_PER_ZONE
@@ -58,6 +59,7 @@
         await self._apply()
         await self._wait_for_servers()
         results = await self._send_requests()
+        await self._submit()
         records = await self._wait_for_jobs()
         totals = await self.cluster.records()
         self._show_requests(results, totals)
@@ -138,8 +140,18 @@
                 yield order
                 yield order
 
+    async def _submit(self) -> None:
+        """Submit the first job of the file once more, under a name of its own."""
+        first = next(iter(self.jobs))
+        name = f"{first}-again"
+        self.jobs[name] = self.jobs[first]
+        path = self.cluster.directory / "submitted.yaml"
+        path.write_text(yaml.safe_dump({"jobs": {name: self.jobs[name]}}))
+        self._say(f"fulmarlever submit: {name}, {first} once more")
+        print(_indent(await self.operator.show("submit", str(path))))
+
     async def _wait_for_jobs(self) -> dict[str, dict]:
-        jobs = {name: job.get("tasks", 1) for name, job in self.config["jobs"].items()}
+        jobs = {name: job.get("tasks", 1) for name, job in self.jobs.items()}
         self._say(f"waiting for the end of {jobs}")
         await wait_for(
             lambda: self._are_jobs_done(jobs), "the end of the jobs", BATCH_LIMIT_S
@@ -193,7 +205,7 @@
             run["task"] for _, run in _batch_runs(records) if run["state"] == "done"
         )
         starts = Counter(run["task"] for _, run in _batch_runs(records))
-        for name, job in self.config["jobs"].items():
+        for name, job in self.jobs.items():
             for index in range(job.get("tasks", 1)):
                 task = f"{name}/{index}"
                 if (runs[task], starts[task]) != (1, 1):
