Let the demonstration's caller come back after 409

Cause: the record of a claim's answer is written after the answer was given, so a repeat with the same key that follows at once can meet 409, 'in progress', with Retry-After.

--- a/packages/fulmarlever_standins/fulmarlever_standins/demo.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/demo.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from collections import Counter
 from collections.abc import Iterator
@@ -15,6 +16,7 @@
 from fulmarlever_standins.operator import Operator
 from fulmarlever_standins.processes import ProcessError
 from fulmarlever_standins.promises import find_violations
+from fulmarlever_standins.topology import EntryVM
 
 ZONES = 2
 ENTRIES_PER_ZONE = 2
@@ -22,6 +24,8 @@
 ROUNDS = 12
 START_LIMIT_S = 30.0
 BATCH_LIMIT_S = 30.0
+MAX_TRIES = 5
+CONFLICT = 409
 TIMELINE_EVENTS = "200"
 
 
@@ -120,9 +124,20 @@
             for number, request in enumerate(requests):
                 # A repeated request goes through another entry VM than the first.
                 vm = entries[number % len(entries)]
-                results.append(await caller.send(request, vm.name, vm.callers))
+                results.append(await self._send(caller, request, vm))
         return results
 
+    async def _send(
+        self, caller: Caller, request: CallerRequest, vm: EntryVM
+    ) -> CallerResult:
+        """Send a request, again while the first one with its key is in progress."""
+        for _ in range(MAX_TRIES):
+            result = await caller.send(request, vm.name, vm.callers)
+            if result.status != CONFLICT:
+                break
+            await asyncio.sleep(float(result.retry_after or 1))
+        return result
+
     def _requests(self) -> Iterator[CallerRequest]:
         for service in self.config["services"]:
             for number in range(ROUNDS):
