--- a/packages/fulmarlever_standins/fulmarlever_standins/demo.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/demo.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from collections import Counter
 from collections.abc import Iterator
@@ -15,6 +16,7 @@
 from fulmarlever_standins.operator import Operator
 from fulmarlever_standins.processes import ProcessError
 from fulmarlever_standins.promises import find_violations
+from fulmarlever_standins.topology import EntryVM
 
 ZONES = 2
 ENTRIES_PER_ZONE = 2
@@ -22,7 +24,9 @@
 ROUNDS = 12
 START_LIMIT_S = 30.0
 BATCH_LIMIT_S = 30.0
-TIMELINE_EVENTS = "60"
+MAX_TRIES = 5
+CONFLICT = 409
+TIMELINE_EVENTS = "200"
 
 
 class Demo:
@@ -31,6 +35,7 @@
     def __init__(self, path: Path) -> None:
         self.path = path
         self.config = yaml.safe_load(path.read_text(encoding="utf-8"))
+        self.jobs = dict(self.config["jobs"])
         self.zones = self.config["zones"][:ZONES]
         self.cluster = Cluster.from_zones(
             self.zones, entries=ENTRIES_PER_ZONE, workers=WORKERS_PER_ZONE
@@ -58,6 +63,7 @@
         await self._apply()
         await self._wait_for_servers()
         results = await self._send_requests()
+        await self._submit()
         records = await self._wait_for_jobs()
         totals = await self.cluster.records()
         self._show_requests(results, totals)
@@ -118,9 +124,20 @@
             for number, request in enumerate(requests):
                 # A repeated request goes through another entry VM than the first.
                 vm = entries[number % len(entries)]
-                results.append(await caller.send(request, vm.name, vm.callers))
+                results.append(await self._send(caller, request, vm))
         return results
 
+    async def _send(
+        self, caller: Caller, request: CallerRequest, vm: EntryVM
+    ) -> CallerResult:
+        """Send a request, again while the first one with its key is in progress."""
+        for _ in range(MAX_TRIES):
+            result = await caller.send(request, vm.name, vm.callers)
+            if result.status != CONFLICT:
+                break
+            await asyncio.sleep(float(result.retry_after or 1))
+        return result
+
     def _requests(self) -> Iterator[CallerRequest]:
         for service in self.config["services"]:
             for number in range(ROUNDS):
@@ -138,8 +155,18 @@
                 yield order
                 yield order
 
+    async def _submit(self) -> None:
+        """Submit the first job of the file once more, under a name of its own."""
+        first = next(iter(self.jobs))
+        name = f"{first}-again"
+        self.jobs[name] = self.jobs[first]
+        path = self.cluster.directory / "submitted.yaml"
+        path.write_text(yaml.safe_dump({"jobs": {name: self.jobs[name]}}))
+        self._say(f"fulmarlever submit: {name}, {first} once more")
+        print(_indent(await self.operator.show("submit", str(path))))
+
     async def _wait_for_jobs(self) -> dict[str, dict]:
-        jobs = {name: job.get("tasks", 1) for name, job in self.config["jobs"].items()}
+        jobs = {name: job.get("tasks", 1) for name, job in self.jobs.items()}
         self._say(f"waiting for the end of {jobs}")
         await wait_for(
             lambda: self._are_jobs_done(jobs), "the end of the jobs", BATCH_LIMIT_S
@@ -193,7 +220,7 @@
             run["task"] for _, run in _batch_runs(records) if run["state"] == "done"
         )
         starts = Counter(run["task"] for _, run in _batch_runs(records))
-        for name, job in self.config["jobs"].items():
+        for name, job in self.jobs.items():
             for index in range(job.get("tasks", 1)):
                 task = f"{name}/{index}"
                 if (runs[task], starts[task]) != (1, 1):
