--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/readiness.py
@@ -0,0 +1,55 @@
+"""Waits until a cluster serves its configuration."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from fulmarlever_standins.caller import Caller, CallerRequest, Reply
+from fulmarlever_standins.client import wait_for
+from fulmarlever_standins.cluster import Cluster
+from fulmarlever_standins.topology import EntryVM
+
+START_LIMIT_S = 40.0
+
+
+async def wait_for_servers(cluster: Cluster, count: int) -> None:
+    """Wait until so many backend servers have been started.
+
+    Raise ``ProcessError`` when it takes too long.
+    """
+
+    async def are_started() -> bool:
+        records = await cluster.worker_records()
+        return sum(len(r["services"]) for r in records.values()) >= count
+
+    await wait_for(are_started, f"{count} backend servers", START_LIMIT_S)
+
+
+async def wait_for_answers(
+    caller: Caller,
+    entries: Iterable[EntryVM],
+    services: Iterable[str],
+    probes: int = 1,
+) -> None:
+    """Wait until every service answers through every entry VM.
+
+    With several probes, all of them must be served one after the other. Raise
+    ``ProcessError`` when it takes too long.
+    """
+    names = list(services)
+    for vm in entries:
+        for service in names:
+            await wait_for(
+                lambda vm=vm, service=service: _is_served(caller, vm, service, probes),
+                f"{service} through {vm.name}",
+                START_LIMIT_S,
+            )
+
+
+async def _is_served(caller: Caller, vm: EntryVM, service: str, probes: int) -> bool:
+    for number in range(probes):
+        request = CallerRequest(f"probe-{vm.name}-{number}", service)
+        result = await caller.send(request, vm.name, vm.callers)
+        if result.reply is not Reply.SERVED:
+            return False
+    return True
