--- a/packages/fulmarleverd/fulmarleverd/services/placer.py
+++ b/packages/fulmarleverd/fulmarleverd/services/placer.py
@@ -15,13 +15,13 @@
 from fulmarleverd.placement.zone import Zone
 from fulmarleverd.services.workers import SyncPlan
 
-ROUND_S = 0.2
+ROUND_S = 0.5
 """The time between two rounds when nothing happens."""
 
 WATCH_S = 2.0
 """The time between two looks at the latencies of services."""
 
-ROUND_GAP_S = 0.02
+ROUND_GAP_S = 0.1
 """The shortest time between two rounds, so that events share a group commit."""
 
 OBSERVE_FRACTION = 1 / 6
