Keep the slot of an unanswered request while its server shows no life

Cause: a slot was free again once its request's run limit had passed. A frozen server runs nothing meanwhile; its kernel still accepts connections, so each run limit sent it another 8 requests, and all of them ran when it resumed. Ruled out: the ownership of slots (shares in the table added up to 8) and the worker's leases. Ruled out as mends: a probe request (itself one request too many) and the placer's view of the worker (seconds late). Change: a request without an answer is given up only when its run limit has passed once more since the same server answered another request, when the server left the list, or after 60 s of silence; its connection stays open, so that the late answer frees the slot. The caller is told at the run limit as before. Not covered: a freeze longer than the run limit plus 60 s.

--- a/packages/fulmarleverd/fulmarleverd/requests/server_share.py
+++ b/packages/fulmarleverd/fulmarleverd/requests/server_share.py
@@ -37,6 +37,7 @@
 
     ``limit`` is the number it may use now. ``in_use`` counts requests in progress,
     among them those that were abandoned and may still run at the server.
+    ``answered_at`` is the time of the server's last whole answer.
     """
 
     __slots__ = (
@@ -47,6 +48,7 @@
         "is_listed",
         "says_leaving",
         "is_worker_leaving",
+        "answered_at",
         "_latency_s",
         "_measured_at",
         "_block_s",
@@ -61,6 +63,7 @@
         self.is_listed = True
         self.says_leaving = False
         self.is_worker_leaving = False
+        self.answered_at = float("-inf")
         self._latency_s = INITIAL_LATENCY_S
         self._measured_at = 0.0
         self._block_s = FIRST_BLOCK_S
--- a/packages/fulmarleverd/fulmarleverd/services/router.py
+++ b/packages/fulmarleverd/fulmarleverd/services/router.py
@@ -184,19 +184,23 @@
         return await self._run_on(slot, req, spec)
 
     async def _run_on(self, slot: Slot, req: Request, spec: ServiceSpec) -> Result:
-        limit_s = slot.run_limit_s
-        dispatch = Dispatch(self.clock.monotonic() + limit_s, req.deadline)
+        now = self.clock.monotonic()
+        dispatch = Dispatch(now, slot.run_limit_s, req.deadline, slot.share)
         dispatch.start(self._exchange(dispatch, slot, req, spec))
         return await self._until_deadline(dispatch)
 
     async def _until_deadline(self, dispatch: Dispatch) -> Result:
-        """Return the result of a dispatch, or an unknown outcome at the deadline.
+        """Return the result of a dispatch, or an unknown outcome when time is over.
 
         The dispatch goes on, so that its slot becomes free when the server answers.
         """
         self._running.add(dispatch)
         result = await dispatch.wait(self.clock.monotonic())
-        return result or OutcomeUnknown("no answer before the deadline")
+        if result is not None:
+            return result
+        if dispatch.run_until < dispatch.deadline:
+            return OutcomeUnknown("no answer within the longest run time")
+        return OutcomeUnknown("no answer before the deadline")
 
     async def _exchange(
         self, dispatch: Dispatch, slot: Slot, req: Request, spec: ServiceSpec
@@ -232,6 +236,7 @@
         if channel.state == STATE_LEAVING:
             share.says_leaving = True
         if isinstance(result, Answer):
+            share.answered_at = now
             share.measure(now - slot.sent_at, now)
             return
         BACKEND_ERRORS.labels(slot.server.service, type(result).__name__).inc()
@@ -241,8 +246,8 @@
             share.measure(now - slot.taken_at, now)
 
     async def _try_old(self, req: Request, spec: ServiceSpec) -> Result:
-        limit_s = spec.max_run_s
-        dispatch = Dispatch(self.clock.monotonic() + limit_s, req.deadline)
+        now = self.clock.monotonic()
+        dispatch = Dispatch(now, spec.max_run_s, req.deadline)
         dispatch.start(self._exchange_old(dispatch, req, spec))
         return await self._until_deadline(dispatch)
 
@@ -307,7 +312,7 @@
 
     def _end_late_dispatches(self) -> None:
         now = self.clock.monotonic()
-        for dispatch in [d for d in self._running if d.run_until <= now]:
+        for dispatch in [d for d in self._running if d.is_over(now)]:
             dispatch.cancel()
 
     async def drain(self) -> None:
