--- a/packages/fulmarlever_standins/fulmarlever_standins/measurements/idle.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/measurements/idle.py
@@ -1,9 +1,12 @@
-"""Cost of one idle daemon process, by the number of VMs in the VM list.
-
-Run as ``python -m fulmarlever_standins.measurements.idle``. A platform and one daemon
-run as processes of their own; the list is filled with VMs of a role that no daemon
-uses, so only the reading of the list grows. A row gives the processor time, the
-resident memory, and the bytes of one answer with the list.
+"""Cost of idle daemon processes, by the length of the VM list and by their number.
+
+Run as ``python -m fulmarlever_standins.measurements.idle``. Platform, daemons and
+workers run as processes of their own. In the first table the list of one daemon is
+filled with VMs of a role that no daemon uses, so only the reading of the list grows;
+a row gives its processor time and resident memory and the bytes of one list. In the
+second a zone has some daemons and workers and no work; a row gives the processor time
+of the busiest daemon, which is the placer, and of the least busy one, and the table's
+reads and writes a second.
 """
 
 from __future__ import annotations
@@ -17,6 +20,7 @@
 from fulmarlever_standins.cluster import Cluster
 
 SIZES = (0, 400, 800, 1672)
+ZONES = ((1, 0), (2, 0), (4, 0), (2, 8), (2, 16))
 SETTLE_S = 3.0
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
@@ -75,14 +79,37 @@
     return rows
 
 
+async def measure_zone(daemons: int, workers: int, seconds: float) -> list[float]:
+    """Return the largest and least per cent of a core, reads and writes a second."""
+    async with Cluster.from_zones(["a"], entries=daemons, workers=workers) as cluster:
+        pids = [cluster.processes[vm.name].pid for vm in cluster.topology.entries]
+        await asyncio.sleep(SETTLE_S)
+        counters = await cluster.counters()
+        before = [read_process(pid)[0] for pid in pids]
+        await asyncio.sleep(seconds)
+        shares = [
+            100.0 * (read_process(pid)[0] - used) / seconds
+            for pid, used in zip(pids, before, strict=True)
+        ]
+        later = await cluster.counters()
+    rates = [(later[name] - counters[name]) / seconds for name in ("reads", "writes")]
+    return [max(shares), min(shares), *rates]
+
+
 def main() -> None:
-    """Measure and print the table."""
+    """Measure and print the tables."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=10.0)
     args = parser.parse_args()
     print("| VMs in the list | core % | MiB | list bytes |\n| --- | --- | --- | --- |")
     for size, share, mebibytes, body in asyncio.run(measure(args.seconds)):
         print(f"| {size} | {share:.2f} | {mebibytes:.1f} | {body} |")
+    print("\n| daemons, workers | largest core % | least core % | reads/s | writes/s |")
+    print("| --- | --- | --- | --- | --- |")
+    for daemons, workers in ZONES:
+        row = asyncio.run(measure_zone(daemons, workers, args.seconds))
+        cells = " | ".join(f"{value:.2f}" for value in row)
+        print(f"| {daemons}, {workers} | {cells} |")
 
 
 if __name__ == "__main__":
