Send a daemon's own load before the load that it passes on

Cause: a relay passes the load of every daemon elsewhere to its zone; with 64 far daemons and 60 services its own load waited behind up to 3840 items. Shown: test_own_items_go_before_those_passed_on, where the order of arrival would have sent a far item first (100 wait before the own one).

--- a/packages/fulmarleverd/fulmarleverd/peers/link.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/link.py
@@ -66,7 +66,9 @@
         self._node = node
         self.stream: FrameStream | None = None
         self._pending = PendingCalls()
-        self._outbox = Outbox(node.topics, lambda entry: node.is_for(entry, vm))
+        self._outbox = Outbox(
+            node.topics, node.vm, lambda entry: node.is_for(entry, vm)
+        )
         self._up = asyncio.Event()
         self._welcome: Hello | None = None
 
--- a/packages/fulmarleverd/fulmarleverd/peers/outbox.py
+++ b/packages/fulmarleverd/fulmarleverd/peers/outbox.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Any
 
 import msgpack
@@ -19,11 +19,14 @@
     the receiver gets. ``urgent`` is set while an entry waits that is not paced.
     """
 
-    __slots__ = ("urgent", "_topics", "_is_wanted", "_keys")
+    __slots__ = ("urgent", "_topics", "_vm", "_is_wanted", "_keys")
 
-    def __init__(self, topics: Topics, is_wanted: Callable[[Entry], bool]) -> None:
+    def __init__(
+        self, topics: Topics, vm: str, is_wanted: Callable[[Entry], bool]
+    ) -> None:
         self.urgent = asyncio.Event()
         self._topics = topics
+        self._vm = vm
         self._is_wanted = is_wanted
         self._keys: dict[Key, bool] = {}
 
@@ -57,23 +60,34 @@
     def take(self, budget_bytes: float) -> list[Entry]:
         """Remove and return all entries that are not paced and some that are.
 
-        The paced ones take up to the budget, and one of them may exceed it.
+        The paced ones take up to the budget: first those of this daemon itself, then
+        at least one of the others, whose number grows with the whole fleet.
         """
         self.urgent.clear()
-        return list(self._take(budget_bytes))
-
-    def _take(self, budget_bytes: float) -> Iterator[Entry]:
-        for key, is_paced in list(self._keys.items()):
-            if is_paced and budget_bytes <= 0:
-                continue
+        at_once = self._collect(lambda key: not self._keys[key], float("inf"))
+        own = self._collect(lambda key: key[0] == self._vm, budget_bytes)
+        left = budget_bytes - sum(packed_bytes(entry) for entry in own)
+        others = self._collect(lambda key: key[0] != self._vm, max(left, 1.0))
+        return at_once + own + others
+
+    def _collect(
+        self, is_due: Callable[[Key], bool], budget_bytes: float
+    ) -> list[Entry]:
+        found = []
+        for key in [key for key in self._keys if is_due(key)]:
+            if budget_bytes <= 0:
+                break
             del self._keys[key]
             entry = self._topics.get(key)
-            if entry is None:
-                continue
-            if is_paced:
-                packed = msgpack.packb((entry.item, entry.version, entry.value))
-                budget_bytes -= len(packed)
-            yield entry
+            if entry is not None:
+                budget_bytes -= packed_bytes(entry)
+                found.append(entry)
+        return found
+
+
+def packed_bytes(entry: Entry) -> int:
+    """Return the bytes that an entry takes in a heartbeat beside its group."""
+    return len(msgpack.packb((entry.item, entry.version, entry.value)))
 
 
 def is_newer(entry: Entry, digests: Any) -> bool:
--- a/packages/fulmarleverd/fulmarleverd/tests/peers/topics_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/peers/topics_tests.py
@@ -51,7 +51,7 @@
     def beat(self, other: Daemon, budget_bytes: float = 10.0) -> None:
         """Send what has changed; a new connection compares digests first."""
         if other.vm not in self.outboxes:
-            outbox = Outbox(self.topics, lambda entry: entry.vm == self.vm)
+            outbox = Outbox(self.topics, self.vm, lambda entry: entry.vm == self.vm)
             outbox.open(other.topics.digests())
             self.outboxes[other.vm] = outbox
         wire = entries_to_wire(self.outboxes[other.vm].take(budget_bytes))
@@ -124,6 +124,15 @@
             one.beat(two, 1.0)
         self.assertEqual(set(assemble(two.topics.of_topic("load"))["a"]), set(items))
 
+    def test_own_items_go_before_those_passed_on(self):
+        topics = Topics()
+        outbox = Outbox(topics, "a", lambda entry: True)
+        outbox.open(None)
+        for number in range(100):
+            topics.put(Entry("far", "load", f"service-{number}", 1, 1, [1]))
+        topics.put(Entry("a", "load", "service-0", 1, 1, [1]))
+        self.assertEqual([entry.vm for entry in outbox.take(1.0)], ["a", "far"])
+
     def test_a_removed_item_disappears(self):
         one, two = Daemon("a", 1), Daemon("b", 1)
         for load in ({"x": 1, "y": 2}, {"y": 2}):
