Share one drain limit among the services of a stop

Cause: callers, router, claims and slots each waited up to drain_limit_s, so that a hanging request and a table that is away made a stop last several limits; the cycles of shares of the drain and of the poll could also run at once, and requests that wait for a server that had failed for a moment were not served when it became usable again. Shown failing: with a limit of their own for callers and router the stop under test lasts 6.24 s (bound 4 s).

--- a/packages/fulmarleverd/fulmarleverd/kernel.py
+++ b/packages/fulmarleverd/fulmarleverd/kernel.py
@@ -72,6 +72,7 @@
         self.settings = settings
         self.clock = clock or Clock()
         self.is_draining = False
+        self._drain_until: float | None = None
         self._services: dict[str, Service] = {}
         self._started: list[Service] = []
 
@@ -115,6 +116,13 @@
             await self._guard(service.drain(), service, "drain")
         await self._stop_started()
 
+    def drain_left_s(self) -> float:
+        """Return the seconds left for the drain of all services together."""
+        now = self.clock.monotonic()
+        if self._drain_until is None:
+            self._drain_until = now + self.settings.drain_limit_s
+        return max(0.0, self._drain_until - now)
+
     async def _stop_started(self) -> None:
         while self._started:
             service = self._started.pop()
--- a/packages/fulmarleverd/fulmarleverd/requests/slot_pool.py
+++ b/packages/fulmarleverd/fulmarleverd/requests/slot_pool.py
@@ -163,6 +163,11 @@
         slot.share.in_use -= 1
         self._serve_waiting(slot.server.service)
 
+    def serve_waiting(self) -> None:
+        """Serve requests that wait for servers that became usable with time."""
+        for service in self._waiting:
+            self._serve_waiting(service)
+
     def _serve_waiting(self, service: str) -> None:
         line = self._waiting.get(service)
         while line:
--- a/packages/fulmarleverd/fulmarleverd/services/callers.py
+++ b/packages/fulmarleverd/fulmarleverd/services/callers.py
@@ -26,6 +26,7 @@
     read_deadline_s,
     read_key,
 )
+from fulmarleverd.requests.draining import requests_left_s
 from fulmarleverd.requests.metrics import BAD_REQUESTS, REQUEST_SECONDS, REQUESTS
 
 SERVER_NAME = "fulmarlever"
@@ -33,6 +34,7 @@
 """Connections that may wait to be accepted; one more waits a second to be retried."""
 
 DRAIN_STEP_S = 0.02
+LEAST_CLOSING_S = 0.1
 
 
 @SERVICES.register("callers")
@@ -120,13 +122,12 @@
 
     async def drain(self) -> None:
         """Wait for the balancer, then for requests in progress, then close."""
-        clock = self.clock
-        end = clock.monotonic() + self.settings.drain_limit_s
+        end = self.clock.monotonic() + requests_left_s(self.kernel)
         await asyncio.sleep(self.settings.unready_before_drain_s)
         self._listener.close()
-        while clock.monotonic() < end and self.in_progress:
+        while self.clock.monotonic() < end and self.in_progress:
             await asyncio.sleep(DRAIN_STEP_S)
-        while clock.monotonic() < end and self._server.connections:
+        while self.clock.monotonic() < end and self._server.connections:
             self._server.pre_shutdown()
             await asyncio.sleep(DRAIN_STEP_S)
         if self._server.connections:
@@ -136,5 +137,7 @@
         """Close every connection of callers."""
         if self._listener is not None:
             self._listener.close()
-            await self._server.shutdown(1.0)
+            # aiohttp takes a timeout of zero for none.
+            left_s = max(LEAST_CLOSING_S, self.kernel.drain_left_s())
+            await self._server.shutdown(left_s)
         await super().stop()
--- a/packages/fulmarleverd/fulmarleverd/services/claims.py
+++ b/packages/fulmarleverd/fulmarleverd/services/claims.py
@@ -223,5 +223,5 @@
     async def drain(self) -> None:
         """Wait until the results of finished requests are recorded."""
         if self._recordings:
-            limit_s = self.settings.drain_limit_s
-            await asyncio.wait(set(self._recordings), timeout=limit_s)
+            left_s = self.kernel.drain_left_s()
+            await asyncio.wait(set(self._recordings), timeout=left_s)
--- a/packages/fulmarleverd/fulmarleverd/services/router.py
+++ b/packages/fulmarleverd/fulmarleverd/services/router.py
@@ -12,6 +12,7 @@
 from fulmarleverd.kernel import SERVICES, Kernel, Service
 from fulmarleverd.requests.channels import MAX_IDLE_UNOWNED, Channels
 from fulmarleverd.requests.dispatch import Dispatch
+from fulmarleverd.requests.draining import requests_left_s
 from fulmarleverd.requests.exchange import Channel, Result
 from fulmarleverd.requests.forwarding import PeerChooser
 from fulmarleverd.requests.headers import STATE_LEAVING
@@ -32,6 +33,7 @@
 """How many times the mean run time a waiting request keeps for its run."""
 
 TRIM_S = 0.25
+DRAIN_STEP_S = 0.02
 
 
 @SERVICES.register("router")
@@ -312,9 +314,9 @@
 
     async def drain(self) -> None:
         """Wait until no request is in progress, here or for a peer."""
-        end = self.clock.monotonic() + self.settings.drain_limit_s
+        end = self.clock.monotonic() + requests_left_s(self.kernel)
         while self.clock.monotonic() < end and (self.in_progress or self._running):
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(DRAIN_STEP_S)
 
     async def stop(self) -> None:
         """End what is left and close the connections to backend servers."""
--- a/packages/fulmarleverd/fulmarleverd/services/slots.py
+++ b/packages/fulmarleverd/fulmarleverd/services/slots.py
@@ -48,6 +48,7 @@
         self._seen_workers: set[str] = set()
         self._published: dict[str, list] = {}
         self._gives_back = False
+        self._cycle = asyncio.Lock()
 
     async def start(self) -> None:
         """Begin to read the row of shares and to hold this daemon's part."""
@@ -83,6 +84,10 @@
 
         Return whether the row needs no further change.
         """
+        async with self._cycle:
+            return await self._run_cycle()
+
+    async def _run_cycle(self) -> bool:
         started_at = self.clock.monotonic()
         rows = await self.platform.read([self.head_key, self.servers_key])
         self.note_vm_list()
@@ -176,6 +181,7 @@
             now = self.clock.monotonic()
             self.pool.guard.beat(now)
             self.pool.free_expired()
+            self.pool.serve_waiting()
             self.note_vm_list()
             self._relax_latencies(now)
             self._publish_load()
@@ -209,9 +215,8 @@
 
     async def drain(self) -> None:
         """Give all shares back once no request is in progress."""
-        end = self.clock.monotonic() + self.settings.drain_limit_s
         self._gives_back = True
-        while self.clock.monotonic() < end:
+        while self.kernel.drain_left_s() > 0:
             if await self.refresh() and self._owned() == 0:
                 return
             await asyncio.sleep(CONFLICT_BACKOFF_S)
--- a/packages/fulmarleverd/fulmarleverd/tests/requests/path_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/requests/path_tests.py
@@ -80,3 +80,19 @@
         self.assertGreaterEqual(statuses.count(200), 16)
         for n, status in enumerate(statuses):
             self.assertEqual(server.runs[f"r{n}"], status == 200)
+
+    async def test_stop_ends_at_the_drain_limit_whatever_hangs(self):
+        (server,) = await self.serve()
+        limit_s = 2.0
+        kernel = await self.daemon(drain_limit_s=limit_s)
+        await self.owning(kernel)
+        headers = {"X-Work-Ms": "20000"}
+        asking = asyncio.ensure_future(self.ask(kernel, headers=headers))
+        await wait_until(lambda: server.in_progress)
+        kernel.find("platform").is_table_up = False
+        loop = asyncio.get_running_loop()
+        begun_at = loop.time()
+        await kernel.stop()
+        # The services share one limit; each alone would double it.
+        self.assertLess(loop.time() - begun_at, 2 * limit_s)
+        await asyncio.gather(asking, return_exceptions=True)
--- a/packages/fulmarleverd/fulmarleverd/tests/services/slots_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/services/slots_tests.py
@@ -74,6 +74,12 @@
         await asyncio.gather(gone, return_exceptions=True)
         self.assertEqual(self.pool.free("filling"), 1)
 
+    async def test_waiter_gets_the_slot_of_a_server_that_failed_for_a_moment(self):
+        share = self.pool.of_service("filling")[0]
+        share.block(self.kernel.clock.monotonic())
+        self.assertIsNone(self.pool.take("filling"))
+        self.assertIsNotNone(await self.pool.wait("filling", 5.0))
+
 
 class LeavingTests(PathTestCase):
     """Each sign that a server leaves ends its new requests within the limit."""
