--- a/packages/fulmarleverd/fulmarleverd/services/placer.py
+++ b/packages/fulmarleverd/fulmarleverd/services/placer.py
@@ -21,7 +21,7 @@
 WATCH_S = 2.0
 """The time between two looks at the latencies of services."""
 
-ROUND_GAP_S = 0.02
+ROUND_GAP_S = 0.1
 """The shortest time between two rounds, so that events share a group commit."""
 
 OBSERVE_FRACTION = 1 / 6
