--- a/packages/fulmarleverd/fulmarleverd/services/workers.py
+++ b/packages/fulmarleverd/fulmarleverd/services/workers.py
@@ -69,8 +69,8 @@
 class WorkerView:
     """One worker as the placer's daemon sees it. Times are monotonic seconds.
 
-    ``grant_end_s`` is the time after which every lease that this daemon granted on
-    the worker is over.
+    ``grant_end_s`` is the time after which every lease of a batch task that this
+    daemon granted on the worker is over.
     """
 
     vm: VM
@@ -200,7 +200,9 @@
         if view is None:
             return Unavailable(f"worker {worker} is unknown")
         horizon_s = min(horizon_s, self.clock.monotonic() + ORDER_WINDOW_S)
-        view.grant(horizon_s, order.lease_s)
+        if order.service is None:
+            # The long lease of an instance must not keep other tasks from moving.
+            view.grant(horizon_s, order.lease_s)
         order = replace(order, not_after_s=view.worker_time(horizon_s))
         return await self.client.start(view.vm, order)
 
--- a/packages/fulmarleverd/fulmarleverd/tests/placement/fakes.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/placement/fakes.py
@@ -56,6 +56,7 @@
         self.attempts: dict[str, int] = {}
         self.runs: dict[str, FakeRun] = {}
         self.fails_starts = False
+        self.refuses_stops = False
         self.starts: list[tuple[str, int, str]] = []
         self.ends: dict[tuple[str, int], str] = {}
         self.overruns = 0
@@ -118,7 +119,7 @@
     def stop(self, order: StopOrder) -> Ended | Refused:
         """Carry out a stop."""
         self.running()
-        if not self._is_fresh(order):
+        if not self._is_fresh(order) or self.refuses_stops:
             return Refused("fenced")
         self.attempts[order.task] = order.attempt
         run = self.runs.get(order.task)
