--- a/packages/fulmarleverd/fulmarleverd/placement/shares.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/shares.py
@@ -25,6 +25,13 @@
     return own / total if total else 1.0
 
 
+def quota_part(quota: Size, part: float) -> Size:
+    """Return the part of a quota that a zone may use."""
+    return Size(
+        quota.cores * part, quota.memory_mib * part, int(quota.accelerators * part)
+    )
+
+
 class Shares:
     """The use of a zone by batch work and by teams during one round.
 
@@ -69,11 +76,7 @@
         if declared is None or declared.quota is None:
             return ""
         quota = declared.quota
-        part = Size(
-            quota.cores * self.part,
-            quota.memory_mib * self.part,
-            int(quota.accelerators * self.part),
-        )
+        part = quota_part(quota, self.part)
         used = self.by_team[team] + size
         for name in used.exceeding(part):
             # A quota that does not name a dimension does not limit it.
--- a/packages/fulmarleverd/fulmarleverd/services/jobs.py
+++ b/packages/fulmarleverd/fulmarleverd/services/jobs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import ClassVar
 
@@ -15,7 +16,7 @@
 from fulmarlever.policies.placement import impossible_dimensions
 from fulmarlever.structure.configuration import JobSpec
 from fulmarlever.structure.fleet import VM
-from fulmarlever.structure.size import Size
+from fulmarlever.structure.size import DIMENSIONS, Size
 from fulmarlever.structure.table import Applied, Change, Lane
 from fulmarlever.structure.task import Task, TaskState
 from fulmarleverd.kernel import SERVICES, Service
@@ -30,6 +31,7 @@
     handover,
     insertion,
 )
+from fulmarleverd.placement.shares import quota_part, zone_part
 
 CANCEL_TRIES = 5
 """The number of times a cancellation is repeated after losing to another writer."""
@@ -147,10 +149,27 @@
         if not vms:
             return None
         phrases = list(impossible_dimensions(spec.size, allowed_sizes(spec, vms)))
+        phrases.extend(self._over_quota(spec, vms))
         if phrases:
             return Refused(f"job {spec.name!r} can never run: {'; '.join(phrases)}")
         return None
 
+    def _over_quota(self, spec: JobSpec, vms: dict[str, VM]) -> Iterator[str]:
+        """Yield the dimensions in which no zone's part of the quota holds one task."""
+        team = self.kernel.find("config").current().teams.get(spec.team)
+        if team is None or team.quota is None:
+            return
+        zones = spec.zones or worker_zones(vms)
+        parts = [quota_part(team.quota, zone_part(vms, zone)) for zone in zones]
+        for name in DIMENSIONS:
+            wanted, quota = getattr(spec.size, name), getattr(team.quota, name)
+            largest = max((getattr(part, name) for part in parts), default=0)
+            if quota and wanted > largest:
+                yield (
+                    f"{name}: {wanted:g} wanted, the quota of {team.name!r} leaves "
+                    f"{largest:g} in a zone"
+                )
+
     async def _commit(
         self, change: Change
     ) -> Applied | Conflict | Unavailable | OutcomeUnknown:
--- a/packages/fulmarleverd/fulmarleverd/tests/placement/eviction_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/placement/eviction_tests.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from fulmarlever.outcomes import Refused
 from fulmarlever.structure.configuration import (
     Configuration,
     JobSpec,
@@ -95,6 +96,13 @@
         self.assertEqual(self.running("later"), [])
         self.assertEqual(len(self.running("others")), 2)
 
+    async def test_task_over_its_part_of_the_quota_is_refused(self):
+        quota = Team("packing", Size(3, 16000))
+        self.cluster.configure(Configuration(teams={"packing": quota}))
+        result = await self.daemon.jobs.submit_spec(job("labels"))
+        self.assertIsInstance(result, Refused)
+        self.assertIn("cores: 4 wanted, the quota", result.reason)
+
     async def test_overused_worker_is_relieved_and_the_size_learned(self):
         await self.submit(job("labels", tasks=6, size=Size(2, 1000)))
         await self.cluster.run(4)
