Bound learned sizes by what a peak really shows

Headroom now stays below the declaration until a peak exceeds it by 5 %, and no size exceeds 4 times the declaration.

--- a/packages/fulmarlever/fulmarlever/policies/sizes.py
+++ b/packages/fulmarlever/fulmarlever/policies/sizes.py
@@ -31,6 +31,12 @@
 SMALLEST_FRACTION = 0.1
 """The least part of a declared size that is reserved."""
 
+LARGEST_FACTOR = 4.0
+"""The largest multiple of a declared size that is reserved."""
+
+EXCEEDED = 1.05
+"""The multiple of a declared size from which on a peak shows that it is too small."""
+
 
 class Sizes(Protocol):
     """Knows what tasks of a kind use."""
@@ -140,8 +146,8 @@
         cores = percentile([s.cores for s in samples], SIZE_PERCENTILE)
         memory = percentile([s.memory_mib for s in samples], SIZE_PERCENTILE)
         return Size(
-            max(HEADROOM * cores, SMALLEST_FRACTION * declared.cores),
-            max(HEADROOM * memory, SMALLEST_FRACTION * declared.memory_mib),
+            _estimate(cores, declared.cores),
+            _estimate(memory, declared.memory_mib),
             declared.accelerators,
         )
 
@@ -153,6 +159,18 @@
         return percentile(known.runs_s, RUN_PERCENTILE)
 
 
+def _estimate(peak: float, declared: float) -> float:
+    """Return the amount of one dimension to reserve for a peak.
+
+    A task that uses all it is given shows no need of more: without the first bound
+    the headroom would let its kind grow with every start.
+    """
+    wanted = HEADROOM * peak
+    if peak <= EXCEEDED * declared:
+        wanted = min(wanted, declared)
+    return min(LARGEST_FACTOR * declared, max(wanted, SMALLEST_FRACTION * declared))
+
+
 def percentile(values: Iterable[float], fraction: float) -> float:
     """Return the smallest value that is not exceeded by a fraction of the values."""
     ordered = sorted(values)
