Name the failing row of a parameter table in the assertion

Before: that message. After: "row 'two': 2 != 1". Ruled out: going on after a failed row, which a generator cannot do; the test fails at its first bad row, as before.

--- a/packages/fulmarlever/fulmarlever/tests/base.py
+++ b/packages/fulmarlever/fulmarlever/tests/base.py
@@ -23,11 +23,21 @@
 class TableTestCase(unittest.TestCase):
     """A test case whose tests run over rows of parameters."""
 
+    row = ""
+
     def each(self, rows: Iterable[tuple]) -> Iterable[tuple]:
-        """Yield every row inside a sub-test that is named after it."""
+        """Yield every row, whose first item names it in a failed assertion.
+
+        The first row that fails ends the test.
+        """
         for row in rows:
-            with self.subTest(row=row[0]):
-                yield row
+            self.row = str(row[0])
+            yield row
+        self.row = ""
+
+    def _formatMessage(self, msg: str | None, standardMsg: str) -> str:
+        text = super()._formatMessage(msg, standardMsg)
+        return f"row {self.row!r}: {text}" if self.row else text
 
 
 async def wait_until(
