Name all events of the time line in one form, and record writes of shares

Cause: two parts named events 'peer.alive' and 'task done'; filters by kind need one form. Changes of slot ownership left no trace in the time line. After: 'part.event' everywhere, and slots.written with epoch and slots owned.

--- a/packages/fulmarlever_cli/fulmarlever_cli/tests/base.py
+++ b/packages/fulmarlever_cli/fulmarlever_cli/tests/base.py
@@ -29,7 +29,7 @@
     """A time line with one event of this daemon and one daemon that is away."""
 
     async def merged(self, query):
-        event = Event(1 << 40, "entry-a-1", "a", "job submitted", detail="labels")
+        event = Event(1 << 40, "entry-a-1", "a", "job.submitted", detail="labels")
         return MergedTimeline(query.select([event]), {"entry-b-1": "no answer"})
 
 
--- a/packages/fulmarlever_cli/fulmarlever_cli/tests/commands_tests.py
+++ b/packages/fulmarlever_cli/fulmarlever_cli/tests/commands_tests.py
@@ -194,14 +194,14 @@
         self.assertIn("f,,0.1,100", Path(plot).read_text())
 
     async def test_timeline(self):
-        code, out, _ = await self.command("timeline", "--kind", "job submitted")
+        code, out, _ = await self.command("timeline", "--kind", "job.submitted")
         self.assertEqual(code, 0)
-        self.assertIn("entry-a-1  job submitted         labels\n", out)
+        self.assertIn("entry-a-1  job.submitted         labels\n", out)
         self.assertIn("not reached: entry-b-1: no answer", out)
         page = self.write("")
         _, out, _ = await self.command("timeline", "--html", page)
         self.assertEqual(out, f"1 events written to {page}\n")
-        self.assertIn("job submitted", Path(page).read_text())
+        self.assertIn("job.submitted", Path(page).read_text())
 
     async def test_next_daemon_is_asked_when_one_is_gone(self):
         self.address = f"127.0.0.1:1,{self.address}"
--- a/packages/fulmarleverd/fulmarleverd/placement/zone.py
+++ b/packages/fulmarleverd/fulmarleverd/placement/zone.py
@@ -319,7 +319,7 @@
             if task.state is TaskState.STOPPING and not task.cancel:
                 EVICTIONS.inc()
             self.timeline.record(
-                f"task {task.state}",
+                f"task.{task.state}",
                 task=task.name,
                 worker=task.worker,
                 detail=f"attempt {task.attempt} {task.reason}".strip(),
--- a/packages/fulmarleverd/fulmarleverd/services/jobs.py
+++ b/packages/fulmarleverd/fulmarleverd/services/jobs.py
@@ -77,7 +77,7 @@
         row = JobRow.from_spec(spec, zones, now_s=self.clock.wall())
         result = await platform.commit(insertion(row), Lane.TASKS)
         if isinstance(result, Applied):
-            self.kernel.find("timeline").record("job submitted", detail=spec.name)
+            self.kernel.find("timeline").record("job.submitted", detail=spec.name)
             return row
         if isinstance(result, Conflict):
             return await self._compare(spec)
@@ -98,7 +98,7 @@
             change = cancellation(row, version)
             result = await self._commit(change)
             if isinstance(result, Applied):
-                self.kernel.find("timeline").record("job cancelled", detail=name)
+                self.kernel.find("timeline").record("job.cancelled", detail=name)
                 return JobRow.from_wire(change.writes[row.key])
             if not isinstance(result, Conflict):
                 return result
@@ -123,7 +123,7 @@
             change = handover(row, version, setup)
             result = await self._commit(change)
             if isinstance(result, Applied):
-                self.kernel.find("timeline").record("job handover", detail=name)
+                self.kernel.find("timeline").record("job.handover", detail=name)
                 return JobRow.from_wire(change.writes[row.key])
             if not isinstance(result, Conflict):
                 return result
--- a/packages/fulmarleverd/fulmarleverd/services/placer.py
+++ b/packages/fulmarleverd/fulmarleverd/services/placer.py
@@ -130,7 +130,7 @@
         self.zone = zone
         self.kernel.find("workers").take_duty(self)
         self.kernel.find("timeline").record(
-            "placer takeover", detail=f"epoch {self.epoch}"
+            "placer.takeover", detail=f"epoch {self.epoch}"
         )
         self.wake()
 
@@ -138,7 +138,7 @@
         if self.zone is not None:
             self.zone = None
             self.kernel.find("workers").drop_duty()
-            self.kernel.find("timeline").record("placer left")
+            self.kernel.find("timeline").record("placer.left")
 
     def _take_report(self, report: WorkerReport) -> None:
         if self.zone is not None and self.zone.take_report(report):
--- a/packages/fulmarleverd/fulmarleverd/services/slots.py
+++ b/packages/fulmarleverd/fulmarleverd/services/slots.py
@@ -135,6 +135,8 @@
         if isinstance(result, Applied):
             version = result.versions[self.key]
             self.ownership.adopt(planned, version, self._view())
+            detail = f"epoch {planned.epoch}, owns {self._owned()} slots"
+            self.kernel.find("timeline").record("slots.written", detail=detail)
             return True
         if isinstance(result, OutcomeUnknown):
             self.ownership.doubt()
