Keep the idle connections of slots that were just given out

Cause: the trim of idle connections counted slots in use. A waiting request that was given a slot has no connection yet, so its idle one was closed and a new one opened while the server still counted the old one: up to 11 at a server with 8 slots. Ruled out: too many slots (in progress never above 8) and reconnects after faults (none). Conclusion: connections follow connections taken, not slots in use.

--- a/packages/fulmarleverd/fulmarleverd/requests/channels.py
+++ b/packages/fulmarleverd/fulmarleverd/requests/channels.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Collection, Mapping
 
 from fulmarleverd.requests.exchange import Channel
@@ -22,15 +23,20 @@
 
     def __init__(self) -> None:
         self._idle: dict[Address, list[Channel]] = {}
+        self._taken: Counter[Address] = Counter()
         self._closing: set[asyncio.Task] = set()
 
     def take(self, address: Address) -> Channel:
         """Return a channel, with an open connection if there is an idle one."""
+        self._taken[address] += 1
         idle = self._idle.get(address)
         return idle.pop() if idle else Channel(*address)
 
     def give_back(self, channel: Channel, most_idle: int) -> None:
         """Keep a channel for the next request unless enough are idle."""
+        self._taken[channel.address] -= 1
+        if not self._taken[channel.address]:
+            del self._taken[channel.address]
         idle = self._idle.setdefault(channel.address, [])
         if len(idle) < most_idle:
             idle.append(channel)
@@ -44,7 +50,10 @@
         keep = dict.fromkeys(others, MAX_IDLE_UNOWNED)
         for share in shares.values():
             if not share.is_leaving:
-                keep[share.address] = max(0, share.limit - share.in_use)
+                # Slots in use are no measure: a request that was just given a slot
+                # has not taken its channel yet.
+                open_slots = share.limit - self._taken[share.address]
+                keep[share.address] = max(0, open_slots)
         for address, idle in list(self._idle.items()):
             while len(idle) > keep.get(address, 0):
                 self._close(idle.pop(0))
