--- a/packages/fulmarlever/fulmarlever/tests/base.py
+++ b/packages/fulmarlever/fulmarlever/tests/base.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import unittest
 from collections.abc import Callable, Iterable
 
 from hypothesis import HealthCheck, settings
 
+from fulmarlever.polling import poll_until
+
 settings.register_profile(
     "ci",
     derandomize=True,
@@ -47,13 +48,7 @@
 
     Raise ``AssertionError`` when the time is over.
     """
-    loop = asyncio.get_running_loop()
-    end = loop.time() + timeout_s
-    while loop.time() < end:
-        value = condition()
-        if asyncio.iscoroutine(value):
-            value = await value
-        if value:
-            return value
-        await asyncio.sleep(WAIT_STEP_S)
-    raise AssertionError(f"condition not met within {timeout_s} s")
+    value = await poll_until(condition, timeout_s, WAIT_STEP_S)
+    if value is None:
+        raise AssertionError(f"condition not met within {timeout_s} s")
+    return value
--- a/packages/fulmarlever_standins/fulmarlever_standins/client.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/client.py
@@ -7,6 +7,7 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 
+from fulmarlever.polling import poll_until
 from fulmarlever_standins.processes import ChildProcess, ProcessError
 
 POLL_S = 0.05
@@ -83,13 +84,7 @@
 
     Raise ``ProcessError`` that names what was waited for when the time is over.
     """
-    loop = asyncio.get_running_loop()
-    end = loop.time() + limit_s
-    while loop.time() < end:
-        value = condition()
-        if asyncio.iscoroutine(value):
-            value = await value
-        if value:
-            return value
-        await asyncio.sleep(POLL_S)
-    raise ProcessError(f"{what}: not within {limit_s} s")
+    value = await poll_until(condition, limit_s, POLL_S)
+    if value is None:
+        raise ProcessError(f"{what}: not within {limit_s} s")
+    return value
