--- a/packages/fulmarleverd/fulmarleverd/services/claims.py
+++ b/packages/fulmarleverd/fulmarleverd/services/claims.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Coroutine
 from dataclasses import dataclass
 from typing import Any
 
@@ -35,8 +36,6 @@
 LONGEST_RECORDING_S = 120.0
 MAX_RECORDINGS = 1000
 
-Begun = Any
-
 
 @dataclass(slots=True)
 class Claim:
@@ -52,6 +51,10 @@
     version: int | None
 
 
+Begun = Claim | Answer | InProgress | NotRun | OutcomeUnknown
+"""A claim, or what is known of the request that has the key."""
+
+
 @SERVICES.register("claims")
 class Claims(Service):
     """Claims on idempotency keys in the platform's table."""
@@ -70,7 +73,7 @@
 
     async def begin(
         self, service: str, key: str, digest: str, is_required: bool = True
-    ) -> Claim | Answer | InProgress | NotRun | OutcomeUnknown:
+    ) -> Begun:
         """Claim a key, or return what is known of the request that has it.
 
         ``NotRun`` says that this request was not dispatched and never will be.
@@ -91,7 +94,7 @@
             return NotRun("claims cannot be made now", RETRY_TABLE_DOWN_S)
         return result
 
-    async def _insert(self, claim: Claim) -> Begun:
+    async def _insert(self, claim: Claim) -> Begun | Unavailable:
         change = Change(
             {claim.row_key: ABSENT},
             {claim.row_key: self._value(claim, "started")},
@@ -123,9 +126,7 @@
             self._record(self._remove(claim))
         return NotRun("the claim was not made", RETRY_IN_PROGRESS_S)
 
-    def _judge(
-        self, claim: Claim, row: Row
-    ) -> Answer | InProgress | NotRun | OutcomeUnknown:
+    def _judge(self, claim: Claim, row: Row) -> Begun:
         """Return what a row of another dispatch says about this request."""
         value = row.value
         if value["digest"] != claim.digest:
@@ -185,7 +186,7 @@
             "answer": answer,
         }
 
-    def _record(self, coroutine: Any) -> asyncio.Task | None:
+    def _record(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task | None:
         if len(self._recordings) >= MAX_RECORDINGS:
             coroutine.close()
             return None
