--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/cluster_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/cluster_tests.py
@@ -3,7 +3,7 @@
 import unittest
 
 from fulmarlever_standins.cluster import Cluster
-from fulmarlever_standins.topology import Topology
+from fulmarlever_standins.topology import Topology, find_free_prefix
 
 
 class TopologyTests(unittest.TestCase):
@@ -35,3 +35,9 @@
         expected = {"platform": 0, "relay": 0, names[0]: 0, names[1]: -9}
         self.assertEqual(codes, expected)
         self.assertFalse(cluster.directory.exists())
+
+
+class PrefixTests(unittest.TestCase):
+    def test_prefixes_chosen_at_once_differ(self):
+        prefixes = [find_free_prefix() for _ in range(100)]
+        self.assertEqual(len(set(prefixes)), len(prefixes))
--- a/packages/fulmarlever_standins/fulmarlever_standins/topology.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/topology.py
@@ -17,6 +17,7 @@
 WORKER_PORT = 7200
 WORKERS_PER_RACK = 8
 WORKER_SIZE = Size(32.0, 125.0 * 1024.0)
+RESERVATION_PORT = 7099
 FIRST_PREFIX = 2
 LAST_PREFIX = 250
 FIRST_WORKER_HOST = 100
@@ -147,16 +148,23 @@
         return [vm for vm in self.entries if vm.zone == zone]
 
 
+_reservations: list[socket.socket] = []
+
+
 def find_free_prefix() -> int:
-    """Return a second byte of 127.0.0.0/8 that no other cluster uses."""
+    """Return a second byte of 127.0.0.0/8 that no other cluster uses.
+
+    A socket that stays bound until this process ends keeps others from choosing it.
+    """
     while True:
         prefix = random.randint(FIRST_PREFIX, LAST_PREFIX)
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind((f"127.{prefix}.0.1", PLATFORM_PORT))
-            except OSError:
-                continue
+        reservation = socket.socket()
+        try:
+            reservation.bind((f"127.{prefix}.0.1", RESERVATION_PORT))
+        except OSError:
+            reservation.close()
+            continue
+        _reservations.append(reservation)
         return prefix
 
 
