Drop an unused exception and a copy of the write queue per commit

Cause: SettingsError was written first and never raised, since settings return findings; the choice of a group copied every lane of waiting changes (up to 20,000) although it takes at most 150 rows and removes them only afterwards. Ruled out: a change of behaviour (nothing awaits between choice and removal). Run: platform, kernel, settings, path and generations tests 35 passed, 0 failed; the cost of the copy was not measured.

--- a/packages/fulmarlever/fulmarlever/exceptions.py
+++ b/packages/fulmarlever/fulmarlever/exceptions.py
@@ -7,10 +7,6 @@
     """The base of every exception that fulmarlever raises."""
 
 
-class SettingsError(FulmarleverError):
-    """The settings file of a process cannot be used."""
-
-
 class FrameError(FulmarleverError):
     """A frame from a peer is malformed, too large or not authentic."""
 
--- a/packages/fulmarleverd/fulmarleverd/platform/commits.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/commits.py
@@ -136,7 +136,7 @@
 
     def _candidates(self) -> Iterator[_Waiting]:
         for lane in Lane:
-            yield from list(self._lanes[lane])
+            yield from self._lanes[lane]
 
     async def _send(self, group: list[_Waiting]) -> None:
         while group:
