--- a/packages/fulmarlever/fulmarlever/clock.py
+++ b/packages/fulmarlever/fulmarlever/clock.py
@@ -14,6 +14,10 @@
         """Return seconds on a clock that never goes back, for leases and timeouts."""
         return time.monotonic()
 
+    def boot(self) -> float:
+        """Return seconds on a steady clock that also counts suspensions."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def wall(self) -> float:
         """Return the Unix time in seconds, for deadlines and time stamps."""
         return time.time()
@@ -31,6 +35,10 @@
         """Return the set time in seconds."""
         return self.now
 
+    def boot(self) -> float:
+        """Return the set time in seconds."""
+        return self.now
+
     def wall(self) -> float:
         """Return the set time in seconds."""
         return self.now
--- a/packages/fulmarleverd/fulmarleverd/kernel.py
+++ b/packages/fulmarleverd/fulmarleverd/kernel.py
@@ -82,10 +82,14 @@
     ) -> Kernel:
         """Build the named services in the given order."""
         kernel = cls(settings, clock)
-        for name in names:
-            kernel.add(SERVICES.find(name).from_config(kernel))
+        kernel.add_named(names)
         return kernel
 
+    def add_named(self, names: Iterable[str]) -> None:
+        """Build and add registered services in the given order."""
+        for name in names:
+            self.add(SERVICES.find(name).from_config(self))
+
     def add(self, service: Service) -> None:
         """Add a service, for example a fake one in a test."""
         self._services[service.name] = service
--- a/packages/fulmarleverd/fulmarleverd/platform/__init__.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/__init__.py
@@ -1,1 +1,1 @@
-"""The client of the platform: table, object store and VM list."""
+"""The Authority platform: its names, formats and calls, and nothing that decides."""
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/platform/callers.py
@@ -0,0 +1,152 @@
+"""The HTTP interface of callers and of the balancer's readiness probe."""
+
+from __future__ import annotations
+
+import math
+import time
+
+from aiohttp import web
+from loguru import logger as log
+
+from fulmarlever.outcomes import Failure, NotRun, OutcomeUnknown, Refused, failed
+from fulmarleverd.platform.formats import parse_job
+from fulmarleverd.scheduling.api import JobCalls, NoQueue
+from fulmarleverd.scheduling.intake import JobStatus, UnknownJob
+from fulmarleverd.scheduling.metrics import REQUEST_SECONDS, REQUESTS
+
+READY_PATH = "/readiness"
+# How long a caller waits for an answer.
+DEADLINE_HEADER = "X-Deadline-Ms"
+BACKLOG = 1024
+METHODS = ("GET", "POST", "DELETE")
+RETRY_AFTER_UNAVAILABLE_S = 1.0
+
+
+class CallerServer:
+    """Answers callers' job calls; ``calls`` decides."""
+
+    def __init__(self, calls: JobCalls, max_body_bytes: int) -> None:
+        self._calls = calls
+        self._max_body_bytes = max_body_bytes
+        self._runners: list[web.ServerRunner] = []
+        self.is_closing = False
+        self.in_progress = 0
+
+    async def open(self, caller_address: str, ready_address: str) -> None:
+        """Listen on both addresses."""
+        await self._listen(self._answer, caller_address)
+        await self._listen(self._readiness, ready_address)
+
+    async def _listen(self, handler: object, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        server = web.Server(handler, access_log=None, keepalive_timeout=75.0)
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        await web.TCPSite(runner, host, int(port), backlog=BACKLOG).start()
+        self._runners.append(runner)
+
+    async def close(self) -> None:
+        """Stop listening and close every connection."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def _readiness(self, req: web.BaseRequest) -> web.Response:
+        if req.path != READY_PATH:
+            return web.Response(status=404)
+        return web.Response(status=200 if self._calls.is_ready() else 503)
+
+    async def _answer(self, req: web.BaseRequest) -> web.Response:
+        began_s = time.monotonic()
+        self.in_progress += 1
+        try:
+            resp = await self._route(req)
+        finally:
+            self.in_progress -= 1
+        if self.is_closing:
+            resp.force_close()
+        call = req.method if req.method in METHODS else "other"
+        REQUESTS.labels(call, str(resp.status)).inc()
+        REQUEST_SECONDS.labels(call).observe(time.monotonic() - began_s)
+        return resp
+
+    async def _route(self, req: web.BaseRequest) -> web.Response:
+        host = req.headers.get("Host", "").partition(":")[0]
+        found = self._calls.find_queue(host, req.path)
+        if failed(found):
+            return _failure(found, "", req.method)
+        job_id = req.path[len(found.path_prefix) :]
+        until_s = self._calls.until_s(found, _deadline_s(req))
+        if req.method == "POST":
+            raw = await self._body(req)
+            if failed(raw):
+                return _failure(raw, job_id, req.method)
+            job = parse_job(job_id, raw)
+            result = job
+            if not failed(job):
+                result = await self._calls.submit(job, found, until_s)
+        elif req.method == "GET" and not job_id:
+            result = await self._calls.pending(found)
+        elif req.method == "GET":
+            result = await self._calls.status(job_id)
+        elif req.method == "DELETE":
+            result = await self._calls.cancel(job_id, until_s)
+        else:
+            return web.Response(status=405)
+        if failed(result):
+            return _failure(result, job_id, req.method)
+        return _success(result)
+
+    async def _body(self, req: web.BaseRequest) -> bytes | Refused:
+        limit = min(self._max_body_bytes, self._calls.max_body_bytes())
+        if (req.content_length or 0) > limit:
+            return Refused(f"the body is over {limit} bytes")
+        raw = await req.content.read(limit + 1)
+        while len(raw) <= limit and not req.content.at_eof():
+            raw += await req.content.read(limit + 1 - len(raw))
+        return raw if len(raw) <= limit else Refused(f"the body is over {limit} bytes")
+
+
+def _deadline_s(req: web.BaseRequest) -> float:
+    """Return how long the caller waits, in seconds, or 0 if it does not say."""
+    try:
+        return max(0.0, float(req.headers.get(DEADLINE_HEADER, 0)) / 1000.0)
+    except ValueError:
+        return 0.0
+
+
+def _success(result: object) -> web.Response:
+    if isinstance(result, JobStatus):
+        return web.json_response({"state": str(result.state)})
+    if isinstance(result, int):
+        return web.json_response({"pending": result})
+    return web.json_response({})
+
+
+def _failure(failure: Failure, job_id: str, method: str) -> web.Response:
+    status, retry_after_s = _failure_status(failure)
+    log.bind(
+        event="caller-refused",
+        job=job_id,
+        method=method,
+        status=status,
+        retry_after_s=retry_after_s,
+    ).info(failure.reason)
+    headers = {}
+    if retry_after_s:
+        headers["Retry-After"] = str(math.ceil(retry_after_s))
+    return web.json_response({"error": failure.reason}, status=status, headers=headers)
+
+
+def _failure_status(failure: Failure) -> tuple[int, float]:
+    """Return the HTTP status of a failure and when to come back, in seconds."""
+    if isinstance(failure, NoQueue):
+        return 404, 0.0
+    if isinstance(failure, UnknownJob):
+        return 410, 0.0
+    if isinstance(failure, NotRun):
+        return failure.status, failure.retry_after_s
+    if isinstance(failure, OutcomeUnknown):
+        return 504, 0.0
+    if isinstance(failure, Refused):
+        return 400, 0.0
+    return 503, RETRY_AFTER_UNAVAILABLE_S
--- a/packages/fulmarleverd/fulmarleverd/platform/http.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/http.py
@@ -1,82 +1,84 @@
-"""HTTP requests to the platform, with sentinel values for failures."""
+"""Calls over HTTP with JSON bodies, and sentinel values for their failures."""
 
 from __future__ import annotations
 
+import json
 from dataclasses import dataclass
+from typing import Any
 
 import aiohttp
 
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable
 
-STATUS_NOTHING_DONE = 503
-MAX_CONNECTIONS = 16
+CONNECT_TIMEOUT_S = 0.6
+KEEPALIVE_S = 20.0
+JSON_HEADERS = {"Content-Type": "application/json"}
 
 
 @dataclass(slots=True, frozen=True)
 class Reply:
-    """An answer of the platform: HTTP status, body and entity tag."""
+    """The answer to a call: HTTP status and decoded body (None if it has none)."""
 
     status: int
-    body: bytes
-    etag: str = ""
+    body: Any
 
 
-class PlatformHTTP:
-    """One HTTP session with the platform.
+CallResult = Reply | Unavailable | OutcomeUnknown
 
-    ``base`` is ``HOST:PORT``. Outgoing connections are bound to ``local_address``.
-    """
 
-    __slots__ = ("_base", "_headers", "_local_address", "_timeout", "_session")
+class HTTPClient:
+    """A pool of connections. ``local_address`` is the source of each connection."""
 
-    def __init__(
-        self, base: str, vm: str, zone: str, local_address: str, timeout_s: float
-    ) -> None:
-        self._base = f"http://{base}"
-        self._headers = {"X-VM": vm, "X-Zone": zone}
+    __slots__ = ("_session", "_local_address", "_per_host")
+
+    def __init__(self, local_address: str, per_host: int) -> None:
         self._local_address = local_address
-        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._per_host = per_host
         self._session: aiohttp.ClientSession | None = None
 
     async def open(self) -> None:
-        """Open the session."""
+        """Open the pool."""
         connector = aiohttp.TCPConnector(
-            limit=MAX_CONNECTIONS, local_addr=(self._local_address, 0)
+            limit=0,
+            limit_per_host=self._per_host,
+            keepalive_timeout=KEEPALIVE_S,
+            local_addr=(self._local_address, 0) if self._local_address else None,
         )
         self._session = aiohttp.ClientSession(
-            connector=connector, headers=self._headers, timeout=self._timeout
+            connector=connector, auto_decompress=False
         )
 
     async def close(self) -> None:
-        """Close the session."""
+        """Close the pool."""
         if self._session is not None:
             await self._session.close()
 
-    async def send(
+    async def call(
         self,
         method: str,
-        path: str,
-        *,
-        json: object = None,
-        data: bytes | None = None,
-        known_etag: str = "",
-    ) -> Reply | Unavailable | OutcomeUnknown:
+        url: str,
+        timeout_s: float,
+        body: object = None,
+        headers: dict[str, str] | None = None,
+    ) -> CallResult:
         """Send one request and return the whole answer.
 
-        ``Unavailable`` means that the platform certainly did nothing: no connection,
-        or status 503. ``OutcomeUnknown`` means that the answer was lost. With
-        ``known_etag`` an unchanged entity is answered by status 304 without a body.
+        ``Unavailable`` means that the request was certainly not sent.
         """
-        headers = {"If-None-Match": known_etag} if known_etag else None
+        data = None
+        if body is not None:
+            data = json.dumps(body, separators=(",", ":")).encode()
+            headers = {**JSON_HEADERS, **(headers or {})}
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_s, sock_connect=min(CONNECT_TIMEOUT_S, timeout_s)
+        )
         try:
             async with self._session.request(
-                method, self._base + path, json=json, data=data, headers=headers
+                method, url, data=data, headers=headers, timeout=timeout
             ) as resp:
-                body = await resp.read()
-        except aiohttp.ClientConnectorError as exc:
-            return Unavailable(f"no connection to the platform: {exc.strerror}")
-        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
-            return OutcomeUnknown(f"answer of the platform lost: {type(exc).__name__}")
-        if resp.status == STATUS_NOTHING_DONE:
-            return Unavailable("the platform answers 503")
-        return Reply(resp.status, body, resp.headers.get("ETag", ""))
+                raw = await resp.read()
+                return Reply(resp.status, json.loads(raw) if raw else None)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+            return Unavailable(f"no connection: {exc}")
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as exc:
+            return OutcomeUnknown(f"no answer: {type(exc).__name__} {exc}".strip())
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/platform/interface.py
@@ -0,0 +1,73 @@
+"""The Authority platform as the scheduler's interface."""
+
+from __future__ import annotations
+
+from fulmarlever.outcomes import Failure, failed
+from fulmarleverd.platform.callers import CallerServer
+from fulmarleverd.platform.formats import (
+    CONFIG_KEY,
+    OPERATOR_TABLE,
+    WORKERS_TABLE,
+    parse_config,
+    parse_worker,
+)
+from fulmarleverd.platform.http import HTTPClient
+from fulmarleverd.platform.settings import read_settings
+from fulmarleverd.platform.store import MAX_CONNECTIONS, AuthorityStore
+from fulmarleverd.platform.workers import (
+    MAX_CONNECTIONS_PER_WORKER,
+    AuthorityWorkers,
+)
+from fulmarleverd.scheduling.api import JobCalls
+from fulmarleverd.scheduling.ports import INTERFACES, StoredRow
+from fulmarleverd.scheduling.specs import (
+    SchedulingConfig,
+    SchedulingSettings,
+    WorkerEntry,
+)
+
+MAX_BODY_BYTES = 1 << 20
+
+
+@INTERFACES.register("authority")
+class AuthorityInterface:
+    """Settings, clients and formats of the Authority platform."""
+
+    config_table = OPERATOR_TABLE
+    config_key = CONFIG_KEY
+    workers_table = WORKERS_TABLE
+
+    def __init__(self, settings: SchedulingSettings) -> None:
+        self.settings = settings
+        self._store_http = HTTPClient(settings.address, MAX_CONNECTIONS)
+        self._worker_http = HTTPClient(settings.address, MAX_CONNECTIONS_PER_WORKER)
+        self.store = AuthorityStore(settings.store_address, self._store_http)
+        self.workers = AuthorityWorkers(self._worker_http)
+
+    @classmethod
+    def from_environment(cls) -> AuthorityInterface | Failure:
+        """Read the settings file of this process."""
+        settings = read_settings()
+        return settings if failed(settings) else cls(settings)
+
+    async def open(self) -> None:
+        """Open the connections."""
+        await self._store_http.open()
+        await self._worker_http.open()
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._worker_http.close()
+        await self._store_http.close()
+
+    def build_server(self, calls: JobCalls) -> CallerServer:
+        """Return the server of callers' calls."""
+        return CallerServer(calls, MAX_BODY_BYTES)
+
+    def parse_config(self, row: StoredRow) -> SchedulingConfig | Failure:
+        """Decode the operator's configuration."""
+        return parse_config(row)
+
+    def parse_worker(self, row: StoredRow) -> WorkerEntry | Failure:
+        """Decode a worker's entry."""
+        return parse_worker(row)
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/platform/settings.py
@@ -0,0 +1,77 @@
+"""The settings file of a process, decoded into the scheduler's settings."""
+
+from __future__ import annotations
+
+import json
+import os
+from pathlib import Path
+
+from fulmarlever.outcomes import Failure
+from fulmarleverd.scheduling.specs import Bounds, SchedulingSettings
+
+SETTINGS_VARIABLE = "FULMARLEVER_BOOT"
+
+
+class BadSettings(Failure):
+    """The settings file is missing, unreadable or incomplete."""
+
+    __slots__ = ()
+
+
+def read_settings() -> SchedulingSettings | BadSettings:
+    """Read the settings file named by the environment."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        return BadSettings(f"the variable {SETTINGS_VARIABLE} is not set")
+    try:
+        return parse_settings(json.loads(Path(path).read_bytes()))
+    except (OSError, ValueError) as exc:
+        return BadSettings(f"{path}: {type(exc).__name__}: {exc}")
+
+
+def parse_settings(data: object) -> SchedulingSettings | BadSettings:
+    """Decode the settings; unknown fields are ignored."""
+    try:
+        return _parse(data)
+    except KeyError as exc:
+        return BadSettings(f"the settings have no field {exc.args[0]!r}")
+    except (TypeError, ValueError, AttributeError) as exc:
+        return BadSettings(f"the settings are malformed: {exc}")
+
+
+def _parse(data: dict) -> SchedulingSettings:
+    addresses = data["listenAddrs"]
+    return SchedulingSettings(
+        vm=data["nodeName"],
+        zone=data["zone"],
+        address=data["ip"],
+        caller_address=addresses["front"],
+        ready_address=addresses["readyAddr"],
+        metrics_port=int(data["portRange"][0]),
+        store_address=data["platform"]["address"],
+        memory_mb=int(data.get("limits", {}).get("memoryMb", 300)),
+        bounds=parse_bounds(data.get("bounds", {})),
+    )
+
+
+def parse_bounds(data: dict) -> Bounds:
+    """Decode the bounds; those that are missing keep their defaults."""
+    default = Bounds()
+    return Bounds(
+        # The longest lease of a running task.
+        worker_lease_s=_ms(data, "holdMaxMs", default.worker_lease_s),
+        stop_s=_ms(data, "stopTimeoutMs", default.stop_s),
+        cancel_s=_ms(data, "cancel_ms", default.cancel_s),
+        drain_s=_ms(data, "drainMs", default.drain_s),
+        grace_s=float(data.get("graceS", default.grace_s)),
+        config_apply_s=_ms(data, "configApplyMs", default.config_apply_s),
+        status_kept_s=float(data.get("status_s", default.status_kept_s)),
+        harm_s=_ms(data, "harmMs", default.harm_s),
+        early_s=_ms(data, "early_ms", default.early_s),
+        remote_factor=float(data.get("remoteFactor", default.remote_factor)),
+        gang_wait_s=_ms(data, "gangTimeoutMs", default.gang_wait_s),
+    )
+
+
+def _ms(data: dict, name: str, default_s: float) -> float:
+    return float(data[name]) / 1000.0 if name in data else default_s
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/platform/workers.py
@@ -0,0 +1,152 @@
+"""Calls to workers: start, stop and pace a task, extend the lease and read runs."""
+
+from __future__ import annotations
+
+from fulmarlever.outcomes import OutcomeUnknown, Unavailable, failed
+from fulmarleverd.platform.http import CallResult, HTTPClient
+from fulmarleverd.scheduling.ports import (
+    REJECT_INVALID,
+    REJECT_LATE,
+    REJECT_LIFE,
+    REJECT_ROOM,
+    REJECT_RUN,
+    REJECT_TOKEN,
+    REJECT_UNHEALTHY,
+    Accepted,
+    EndedTask,
+    Order,
+    OrderResult,
+    Rejected,
+    RunningTask,
+    WorkerReport,
+)
+from fulmarleverd.scheduling.specs import WorkerEntry
+
+MAX_CONNECTIONS_PER_WORKER = 24
+ORDER_TIMEOUT_S = 0.5
+REPORT_MARGIN_S = 0.6
+# Names the life of the worker that a call is meant for.
+LIFE_HEADER = "X-Target-Instance"
+
+REASONS = {
+    "fence": REJECT_TOKEN,
+    "old": REJECT_RUN,
+    "late": REJECT_LATE,
+    "room": REJECT_ROOM,
+    "ticket": REJECT_INVALID,
+}
+STATUS_REASONS = {
+    400: REJECT_INVALID,
+    421: REJECT_LIFE,
+    429: REJECT_UNHEALTHY,
+    503: REJECT_UNHEALTHY,
+}
+
+
+class AuthorityWorkers:
+    """The client of all workers."""
+
+    __slots__ = ("_http",)
+
+    def __init__(self, http: HTTPClient) -> None:
+        self._http = http
+
+    async def start(self, worker: WorkerEntry, order: Order) -> OrderResult:
+        """Start a run."""
+        body = _order_body(order)
+        body["spec"] = order.payload
+        # The end of the lease of everything on the worker, on the worker's clock.
+        body["deadlineMs"] = order.lease_until_ms
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        return await self._order(worker, "/run-start", body)
+
+    async def stop(self, worker: WorkerEntry, order: Order) -> OrderResult:
+        """Stop a run."""
+        return await self._order(worker, "/run-stop", _order_body(order))
+
+    async def pace(
+        self, worker: WorkerEntry, order: Order, percent: int
+    ) -> OrderResult:
+        """Let a run work at a share of its speed."""
+        body = {**_order_body(order), "percent": percent}
+        return await self._order(worker, "/pace", body)
+
+    async def extend_lease(
+        self,
+        worker: WorkerEntry,
+        token: int,
+        lease_until_ms: int,
+        ends_known: int,
+        wait_s: float,
+    ) -> WorkerReport | Rejected | Unavailable | OutcomeUnknown:
+        """Extend the lease of all runs and wait for an end."""
+        body = {"fencingToken": token, "lastSeen": ends_known}
+        if lease_until_ms:
+            body["deadlineMs"] = lease_until_ms
+        if wait_s:
+            body["waitMs"] = int(wait_s * 1000)
+        timeout_s = wait_s + REPORT_MARGIN_S
+        reply = await self._post(worker, "/hold", body, timeout_s)
+        if failed(reply):
+            return reply
+        if reply.status != 200:
+            return _rejected(reply.status, reply.body)
+        try:
+            return _report(reply.body)
+        except (KeyError, TypeError, ValueError, IndexError) as exc:
+            return OutcomeUnknown(f"malformed report of the worker: {exc!r}")
+
+    async def _order(self, worker: WorkerEntry, path: str, body: dict) -> OrderResult:
+        reply = await self._post(worker, path, body, ORDER_TIMEOUT_S)
+        if failed(reply):
+            return reply
+        if reply.status == 200:
+            return Accepted(_clock_ms(reply.body))
+        return _rejected(reply.status, reply.body)
+
+    async def _post(
+        self, worker: WorkerEntry, path: str, body: dict, timeout_s: float
+    ) -> CallResult:
+        url = f"http://{worker.address}{path}"
+        headers = {LIFE_HEADER: worker.id}
+        return await self._http.call("POST", url, timeout_s, body, headers)
+
+
+def _order_body(order: Order) -> dict:
+    return {"task": order.task, "run": order.run, "fencingToken": order.token}
+
+
+def _rejected(status: int, body: object) -> Rejected:
+    fields = body if isinstance(body, dict) else {}
+    reason = REASONS.get(fields.get("reason", ""))
+    if reason is None:
+        reason = STATUS_REASONS.get(status, f"the worker answers {status}: {body}")
+    return Rejected(reason, _clock_ms(fields))
+
+
+def _clock_ms(body: object) -> int:
+    value = body.get("clockMs", 0) if isinstance(body, dict) else 0
+    return value if isinstance(value, int) else 0
+
+
+def _report(body: dict) -> WorkerReport:
+    return WorkerReport(
+        int(body["clockMs"]),
+        # The Unix time at which this life of the worker started.
+        str(body.get("born", "")),
+        tuple(_running(row) for row in body.get("running") or ()),
+        tuple(_ended(row) for row in body.get("finished") or ()),
+    )
+
+
+def _running(row: list) -> RunningTask:
+    task, run, saved, percent, *rest = row
+    # A tail latency in ms for serving tasks, cores in use for all others.
+    usage = float(rest[0]) if rest and rest[0] is not None else 0.0
+    return RunningTask(task, int(run), saved or "", float(percent or 0), usage)
+
+
+def _ended(row: list) -> EndedTask:
+    number, task, run, how, saved = row[:5]
+    return EndedTask(int(number), task, int(run), how, saved or "")
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling of jobs made of steps: intake, ownership, placement and recovery."""
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/api.py
@@ -0,0 +1,93 @@
+"""The calls of callers, decided here and translated by the platform's interface."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from loguru import logger as log
+
+from fulmarlever.clock import Clock
+from fulmarlever.outcomes import NotRun, OutcomeUnknown, Refused, Unavailable, failed
+from fulmarleverd.scheduling.intake import Intake, JobStatus, UnknownJob
+from fulmarleverd.scheduling.queues import QueueBook
+from fulmarleverd.scheduling.specs import JobSpec, QueueSpec
+
+# The answer has to be under way before the caller stops waiting for it.
+ANSWER_MARGIN_S = 0.1
+MAX_WAIT_S = 3.0
+
+
+class NoQueue(Refused):
+    """No queue of the configuration matches a request."""
+
+    __slots__ = ()
+
+
+class JobCalls:
+    """Finds the queue of a call and carries the call out."""
+
+    def __init__(
+        self,
+        intake: Intake,
+        queues: QueueBook,
+        clock: Clock,
+        is_draining: Callable[[], bool] = lambda: False,
+    ) -> None:
+        self._intake = intake
+        self._queues = queues
+        self._clock = clock
+        self._is_draining = is_draining
+
+    def is_ready(self) -> bool:
+        """Return whether new connections should come to this daemon."""
+        return self._queues.is_fresh() and not self._is_draining()
+
+    def max_body_bytes(self) -> int:
+        """Return the size limit of a submitted job."""
+        return self._queues.config.max_body_bytes
+
+    def find_queue(self, host: str, path: str) -> QueueSpec | NoQueue | NotRun:
+        """Return the queue of a request by the configuration in force."""
+        if not self._queues.is_fresh():
+            reason = f"no answer of the store for {self._queues.age_s():.1f} s"
+            return NotRun(reason, self._queues.retry_after_s)
+        found = self._queues.config.find_queue(host, path)
+        return found or NoQueue(f"no queue at {host}{path}")
+
+    def until_s(self, queue: QueueSpec, wait_s: float) -> float:
+        """Return the end of the attempts on the steady clock."""
+        limits = [queue.timeout_s, MAX_WAIT_S]
+        if wait_s:
+            limits.append(wait_s)
+        return self._clock.monotonic() + max(0.0, min(limits) - ANSWER_MARGIN_S)
+
+    async def submit(
+        self, job: JobSpec, queue: QueueSpec, until_s: float
+    ) -> None | NotRun | OutcomeUnknown | Refused:
+        """Accept a job."""
+        result = await self._intake.submit(job, queue, until_s)
+        if not failed(result):
+            log.bind(
+                event="job-accepted",
+                job=job.id,
+                queue=queue.name,
+                config_version=self._queues.config.version,
+                config_age_s=round(self._queues.age_s(), 2),
+            ).info("")
+        return result
+
+    async def status(self, job_id: str) -> JobStatus | UnknownJob | Unavailable:
+        """Return the state of a job."""
+        return await self._intake.status(job_id)
+
+    async def cancel(
+        self, job_id: str, until_s: float
+    ) -> JobStatus | UnknownJob | NotRun | OutcomeUnknown | Unavailable:
+        """Cancel a job."""
+        result = await self._intake.cancel(job_id, until_s)
+        log.bind(event="job-cancel", job=job_id).info(repr(result))
+        return result
+
+    async def pending(self, queue: QueueSpec) -> int | Unavailable:
+        """Return how many jobs of a queue have not begun."""
+        return await self._intake.pending(queue.name)
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
@@ -0,0 +1,165 @@
+"""Callers' jobs: accepted, looked up and cancelled on any daemon, through the store."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from loguru import logger as log
+
+from fulmarlever.clock import Clock
+from fulmarlever.outcomes import (
+    NotRun,
+    OutcomeUnknown,
+    Refused,
+    Unavailable,
+    failed,
+)
+from fulmarleverd.scheduling.ports import (
+    Committed,
+    ConditionFailed,
+    RowSet,
+    Store,
+    StoredRow,
+    Transaction,
+)
+from fulmarleverd.scheduling.rows import (
+    SUMMARY_KEY,
+    SUMMARY_TABLE,
+    JobRow,
+    cancel_row,
+    job_row,
+    pack_job,
+    progress_row,
+    unpack,
+)
+from fulmarleverd.scheduling.specs import JobSpec, QueueSpec
+from fulmarleverd.scheduling.tasks import FINAL_STATES, Job, JobState, unpack_state
+
+CALL_TIMEOUT_S = 0.9
+RETRY_S = 0.05
+# A caller comes back after this many seconds; an outage of the store lasts seconds.
+RETRY_AFTER_S = 1.0
+PENDING_CACHE_S = 0.4
+MAX_CACHED_STATES = 5000
+
+
+@dataclass(slots=True, frozen=True)
+class JobStatus:
+    """What a caller is told about a job."""
+
+    state: JobState
+    cause: str = ""
+
+
+class UnknownJob(Refused):
+    """There is no job of that id."""
+
+    __slots__ = ()
+
+
+class Intake:
+    """The calls of callers about jobs."""
+
+    def __init__(self, store: Store, clock: Clock) -> None:
+        self._store = store
+        self._clock = clock
+        self._final: dict[str, JobStatus] = {}
+        self._pending: dict[str, int] = {}
+        self._pending_read_s = -1.0
+
+    async def submit(
+        self, spec: JobSpec, queue: QueueSpec, until_s: float
+    ) -> None | NotRun | OutcomeUnknown | Refused:
+        """Store a job once. ``until_s`` on the steady clock ends the attempts."""
+        error = spec.find_error()
+        if error:
+            return Refused(error)
+        row = JobRow(spec, queue, self._clock.wall())
+        tx = Transaction(
+            [job_row(spec.id), progress_row(spec.id)],
+            [
+                job_row(spec.id, pack_job(row)),
+                progress_row(spec.id, Job(row).pack()),
+            ],
+        )
+        return await self._insert(tx, spec, until_s)
+
+    async def _insert(
+        self, tx: Transaction, spec: JobSpec, until_s: float
+    ) -> None | NotRun | OutcomeUnknown:
+        may_have_happened = False
+        while True:
+            left_s = until_s - self._clock.monotonic()
+            if left_s <= 0.0:
+                return self._give_up("the store did not answer in time", True)
+            result = await self._store.transact(tx, min(CALL_TIMEOUT_S, left_s))
+            if isinstance(result, Committed | ConditionFailed):
+                # A row under the same id is this job, handed in before.
+                return None
+            if isinstance(result, Unavailable):
+                return self._give_up(result.reason, may_have_happened)
+            may_have_happened = True
+            log.bind(event="submit-retry", job=spec.id).info(result.reason)
+            await asyncio.sleep(RETRY_S)
+
+    def _give_up(self, reason: str, may_have_happened: bool) -> NotRun | OutcomeUnknown:
+        if may_have_happened:
+            return OutcomeUnknown(reason)
+        return NotRun(reason, RETRY_AFTER_S)
+
+    async def status(self, job_id: str) -> JobStatus | UnknownJob | Unavailable:
+        """Return the state of a job as the store has it now."""
+        if job_id in self._final:
+            return self._final[job_id]
+        rows = await self._read_one(progress_row(job_id))
+        if failed(rows):
+            return rows
+        if not rows.rows:
+            return UnknownJob(f"no job {job_id}")
+        state = unpack_state(rows.rows[0].value)
+        if failed(state):
+            log.bind(event="progress-unreadable", job=job_id).error(state.reason)
+            return Unavailable(state.reason)
+        status = JobStatus(*state)
+        if status.state in FINAL_STATES:
+            self._remember(job_id, status)
+        return status
+
+    async def _read_one(self, row: StoredRow) -> RowSet | Unavailable:
+        return await self._store.read(
+            row.table, row.key, row.key + "\0", CALL_TIMEOUT_S
+        )
+
+    def _remember(self, job_id: str, status: JobStatus) -> None:
+        if len(self._final) >= MAX_CACHED_STATES:
+            self._final.pop(next(iter(self._final)))
+        self._final[job_id] = status
+
+    async def cancel(
+        self, job_id: str, until_s: float
+    ) -> JobStatus | UnknownJob | NotRun | OutcomeUnknown | Unavailable:
+        """Ask for the cancellation of a job."""
+        status = await self.status(job_id)
+        if failed(status) or status.state in FINAL_STATES:
+            return status
+        tx = Transaction([], [cancel_row(job_id)])
+        while True:
+            result = await self._store.transact(tx, CALL_TIMEOUT_S)
+            if isinstance(result, Committed):
+                return status
+            if self._clock.monotonic() >= until_s:
+                return self._give_up(result.reason, True)
+            log.bind(event="cancel-retry", job=job_id).info(result.reason)
+            await asyncio.sleep(RETRY_S)
+
+    async def pending(self, queue: str) -> int | Unavailable:
+        """Return how many jobs of a queue have not begun, at most a second old."""
+        now = self._clock.monotonic()
+        if self._pending_read_s < 0 or now - self._pending_read_s > PENDING_CACHE_S:
+            rows = await self._read_one(StoredRow(SUMMARY_TABLE, SUMMARY_KEY))
+            if failed(rows):
+                return rows
+            self._pending = unpack(rows.rows[0].value) if rows.rows else {}
+            self._pending_read_s = now
+        return self._pending.get(queue, 0)
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/lease.py
@@ -0,0 +1,181 @@
+"""The lease of the one daemon that schedules: taken, renewed and lost.
+
+The holder renews with every commit. Another daemon takes the lease once the row has
+kept one version for ``LEASE_S`` of its own clock. The holder counts ``LEASE_S`` from
+before it sent the renewal, so its own time is always over first. Both use a clock
+that counts suspensions.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from uuid import uuid4
+
+from loguru import logger as log
+
+from fulmarlever.clock import Clock
+from fulmarlever.outcomes import Unavailable, failed
+from fulmarleverd.scheduling.ports import (
+    ABSENT,
+    Committed,
+    ConditionFailed,
+    Store,
+    StoredRow,
+    Transaction,
+)
+from fulmarleverd.scheduling.rows import (
+    LEASE_KEY,
+    LEASE_TABLE,
+    LeaseRow,
+    lease_row,
+    pack_lease,
+    unpack_lease,
+)
+
+LEASE_S = 1.8
+RENEW_S = 0.5
+POLL_S = 0.4
+CALL_TIMEOUT_S = 1.0
+# How long an owner may extend the leases of what runs after its own lease is over.
+EXTEND_GRACE_S = 3.0
+
+
+class SchedulerLease:
+    """The scheduler's lease as seen by one daemon."""
+
+    __slots__ = (
+        "token",
+        "version",
+        "valid_until_s",
+        "is_held",
+        "_store",
+        "_clock",
+        "_vm",
+        "_life",
+        "_sequence",
+        "_watched",
+        "_watched_since_s",
+        "_tried_at_s",
+    )
+
+    def __init__(self, store: Store, clock: Clock, vm: str) -> None:
+        self.token = 0
+        self.version = ABSENT
+        self.valid_until_s = 0.0
+        self.is_held = False
+        self._store = store
+        self._clock = clock
+        self._vm = vm
+        self._life = uuid4().hex[:12]
+        self._sequence = 0
+        self._watched = -1
+        self._watched_since_s = 0.0
+        self._tried_at_s = 0.0
+
+    @property
+    def is_valid(self) -> bool:
+        """Return whether new runs may be started now."""
+        return self.is_held and self.clock_s() < self.valid_until_s
+
+    @property
+    def may_extend(self) -> bool:
+        """Return whether the leases of running tasks may be extended now."""
+        return self.is_held and self.clock_s() < self.valid_until_s + EXTEND_GRACE_S
+
+    def clock_s(self) -> float:
+        """Return seconds on the clock that the lease is measured with."""
+        return self._clock.boot()
+
+    async def acquire(self) -> None:
+        """Wait until this daemon holds the lease."""
+        while not await self.try_acquire():
+            await asyncio.sleep(POLL_S * random.uniform(0.8, 1.2))
+
+    async def try_acquire(self) -> bool:
+        """Read the lease and take it if it is free; return whether it is held now."""
+        rows = await self._store.read(
+            LEASE_TABLE, LEASE_KEY, LEASE_KEY + "\0", CALL_TIMEOUT_S
+        )
+        if failed(rows):
+            # Nothing is known about the row while it cannot be read.
+            self._watched = -1
+            return False
+        row = rows.rows[0] if rows.rows else lease_row()
+        holder = unpack_lease(row) if rows.rows else LeaseRow("", "", 0, 0)
+        if failed(holder):
+            log.bind(event="lease-unreadable").error(holder.reason)
+            holder = LeaseRow("", "", 0, 0)
+        if self._adopt_late_answer(row, holder):
+            return True
+        if not self._is_free(row, holder):
+            return False
+        return await self._take(row, holder)
+
+    def _adopt_late_answer(self, row: StoredRow, holder: LeaseRow) -> bool:
+        if holder.life != self._life or not holder.vm or self._tried_at_s == 0.0:
+            return False
+        self._hold(holder.token, row.version, self._tried_at_s)
+        return True
+
+    def _is_free(self, row: StoredRow, holder: LeaseRow) -> bool:
+        now = self.clock_s()
+        if holder.vm in ("", self._vm):
+            # Released, or held by an earlier process of this VM, which has ended.
+            return True
+        if row.version != self._watched:
+            self._watched = row.version
+            self._watched_since_s = now
+        return now - self._watched_since_s >= LEASE_S
+
+    async def _take(self, row: StoredRow, holder: LeaseRow) -> bool:
+        token = holder.token + 1
+        value = pack_lease(LeaseRow(self._vm, self._life, token, 0))
+        tx = Transaction([lease_row(version=row.version)], [lease_row(value)])
+        self._tried_at_s = sent_s = self.clock_s()
+        result = await self._store.transact(tx, CALL_TIMEOUT_S)
+        if isinstance(result, Committed):
+            self._hold(token, result.version, sent_s)
+            log.bind(
+                event="lease-taken",
+                token=token,
+                from_vm=holder.vm,
+                silent_s=round(sent_s - self._watched_since_s, 2),
+            ).info("took the scheduler's lease")
+            return True
+        if isinstance(result, Unavailable | ConditionFailed):
+            self._tried_at_s = 0.0
+        return False
+
+    def _hold(self, token: int, version: int, since_s: float) -> None:
+        self.token = token
+        self.version = version
+        self.valid_until_s = since_s + LEASE_S
+        self.is_held = True
+
+    def next_value(self) -> bytes:
+        """Return the lease's row value for the next commit."""
+        self._sequence += 1
+        return pack_lease(LeaseRow(self._vm, self._life, self.token, self._sequence))
+
+    def renewed(self, version: int, sent_s: float) -> None:
+        """Take note of a commit that was sent at ``sent_s`` on the lease's clock."""
+        self.version = version
+        self.valid_until_s = max(self.valid_until_s, sent_s + LEASE_S)
+
+    def lost(self) -> None:
+        """Take note that another daemon holds the lease."""
+        self.is_held = False
+        self._watched = -1
+        self._tried_at_s = 0.0
+
+    async def release(self) -> None:
+        """Give the lease up so that another daemon may take it at once."""
+        if not self.is_held:
+            return
+        value = pack_lease(LeaseRow("", self._life, self.token, self._sequence + 1))
+        tx = Transaction([lease_row(version=self.version)], [lease_row(value)])
+        self.lost()
+        result = await self._store.transact(tx, CALL_TIMEOUT_S)
+        outcome = "released" if isinstance(result, Committed) else repr(result)
+        log.bind(event="lease-released", token=self.token).info(outcome)
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/metrics.py
@@ -0,0 +1,39 @@
+"""Counters and histograms of the scheduler, by bounded labels."""
+
+from __future__ import annotations
+
+from prometheus_client import Counter, Gauge, Histogram
+
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
+
+REQUESTS = Counter(
+    "fulmarlever_job_requests_total", "Calls of callers.", ["call", "status"]
+)
+REQUEST_SECONDS = Histogram(
+    "fulmarlever_job_request_seconds",
+    "Time to answer a caller.",
+    ["call"],
+    buckets=LATENCY_BUCKETS_S,
+)
+STORE_CALLS = Counter(
+    "fulmarlever_store_calls_total", "Calls to the store.", ["call", "outcome"]
+)
+COMMITS = Counter(
+    "fulmarlever_commits_total", "Transactions of the scheduler.", ["outcome"]
+)
+COMMIT_SECONDS = Histogram(
+    "fulmarlever_commit_seconds", "Time of a transaction.", buckets=LATENCY_BUCKETS_S
+)
+STARTS = Counter("fulmarlever_starts_total", "Orders to start a run.", ["outcome"])
+ENDS = Counter("fulmarlever_ends_total", "Runs that ended.", ["how"])
+FIRST_START_SECONDS = Histogram(
+    "fulmarlever_first_start_seconds",
+    "Time from the acceptance of a job to its first running task.",
+    buckets=LATENCY_BUCKETS_S,
+)
+JOBS_OPEN = Gauge("fulmarlever_jobs_open", "Accepted jobs that have not ended.")
+WORKERS = Gauge("fulmarlever_workers", "Workers by state.", ["state"])
+LEASE_HELD = Gauge("fulmarlever_lease_held", "Whether this daemon schedules.")
+LOG_LINES_DROPPED = Gauge(
+    "fulmarlever_log_lines_dropped", "Log lines left out because the writer lagged."
+)
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -0,0 +1,353 @@
+"""What the holder of the lease knows and changes: jobs, runs and workers.
+
+The methods are called by the feeds, the worker loops and the housekeeping. Everything
+that must last is staged in the commit log; orders are sent after the commit.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from loguru import logger as log
+
+from fulmarlever.clock import Clock
+from fulmarlever.outcomes import failed
+from fulmarleverd.scheduling.commits import CommitLog
+from fulmarleverd.scheduling.decisions import record, record_run
+from fulmarleverd.scheduling.fleet import SLOWEST_CLOCK, Fleet, Worker
+from fulmarleverd.scheduling.lease import EXTEND_GRACE_S, LEASE_S, SchedulerLease
+from fulmarleverd.scheduling.metrics import ENDS, FIRST_START_SECONDS, JOBS_OPEN
+from fulmarleverd.scheduling.ports import EndedTask, RunningTask, WorkerReport
+from fulmarleverd.scheduling.rows import JobRow
+from fulmarleverd.scheduling.specs import Bounds, WorkerEntry
+from fulmarleverd.scheduling.tasks import (
+    Job,
+    Run,
+    RunState,
+    Task,
+    WorkerKey,
+    parse_task_name,
+)
+
+if TYPE_CHECKING:
+    from fulmarleverd.scheduling.orders import WorkerOrders
+
+END_DONE = "done"
+END_FAILED = "failed"
+# Beside the computed end of a lease, for timers and rounding.
+LEASE_MARGIN_S = 0.3
+
+
+class Owner:
+    """The state of the scheduler during one tenure of the lease."""
+
+    def __init__(
+        self, lease: SchedulerLease, commits: CommitLog, clock: Clock, bounds: Bounds
+    ) -> None:
+        self.lease = lease
+        self.commits = commits
+        self.clock = clock
+        self.bounds = bounds
+        self.fleet = Fleet(clock)
+        self.jobs: dict[str, Job] = {}
+        self.final: dict[str, float] = {}
+        self.orphans: set[Run] = set()
+        self.orders: WorkerOrders | None = None
+        self.changed = asyncio.Event()
+        self.on_worker_added: Callable[[Worker], None] = lambda worker: None
+        self.taken_s = clock.boot()
+        # Whatever an earlier owner started has ended by then, unless it is seen here.
+        self.earlier_leases_end_s = (
+            self.taken_s + LEASE_S + EXTEND_GRACE_S + self._lease_length_s()
+        )
+
+    def now_s(self) -> float:
+        """Return seconds on the clock of the leases."""
+        return self.clock.boot()
+
+    def _lease_length_s(self) -> float:
+        return self.bounds.worker_lease_s / SLOWEST_CLOCK + LEASE_MARGIN_S
+
+    def lease_end_s(self, worker: Worker) -> float:
+        """Return the time after which nothing runs on a worker that stays silent."""
+        return max(self.earlier_leases_end_s, worker.granted_s + self._lease_length_s())
+
+    # Jobs
+
+    def add_job(self, row: JobRow, progress: bytes = b"") -> None:
+        """Take over a job with the progress that is committed."""
+        if row.spec.id in self.jobs or row.spec.id in self.final:
+            return
+        job = Job(row)
+        error = job.restore(progress) if progress else None
+        if failed(error):
+            log.bind(event="progress-unreadable", job=job.id).error(error.reason)
+            return
+        if job.is_final:
+            self.final[job.id] = self.now_s()
+            return
+        self.jobs[job.id] = job
+        JOBS_OPEN.set(len(self.jobs))
+        self.open_due_occurrences(job)
+        for run in job.runs():
+            run.state = RunState.RUNNING
+            self._attach(run)
+        record("job-known", job=job.id, queue=job.queue.name, state=str(job.state))
+        self.changed.set()
+
+    def open_due_occurrences(self, job: Job) -> None:
+        """Create the steps of the occurrences whose time has come."""
+        for occurrence in range(len(job.occurrences), job.spec.occurrences):
+            if job.spec.due_s(occurrence) > self.clock.wall():
+                break
+            job.open_occurrence(occurrence)
+            self.changed.set()
+
+    def _attach(self, run: Run) -> None:
+        worker = self.fleet.find(run.worker_key)
+        if worker is None:
+            self.orphans.add(run)
+        else:
+            worker.add(run)
+
+    def cancel_job(self, job_id: str) -> None:
+        """Cancel a job and stop its runs."""
+        job = self.jobs.get(job_id)
+        if job is not None and not job.is_final:
+            job.is_cancelled = True
+            self._finish(job, "cancelled by its caller")
+
+    def _fail_job(self, job: Job, cause: str) -> None:
+        if not job.is_final:
+            job.has_failed = True
+            self._finish(job, cause)
+
+    def _finish(self, job: Job, cause: str) -> None:
+        job.cause = cause
+        job.final_at_s = self.now_s()
+        self.final[job.id] = job.final_at_s
+        del self.jobs[job.id]
+        JOBS_OPEN.set(len(self.jobs))
+        self.commits.stage(job)
+        age_s = round(self.clock.wall() - job.accepted_s, 3)
+        record("job-ended", cause, job=job.id, state=str(job.state), age_s=age_s)
+        for run in list(job.runs()):
+            self.stop_run(run, "job ended")
+
+    # Runs
+
+    def assign(self, task: Task, worker: Worker, number: int = 0) -> Run:
+        """Give a task to a worker; the order is sent once this is committed."""
+        run = task.add_run(worker.key, number)
+        worker.add(run)
+        job = task.step.job
+        task.step.refresh(task)
+        self._note_begin(job)
+        self.commits.stage(job)
+        self.commits.after_commit(lambda: self.orders.send_start(run))
+        return run
+
+    def _note_begin(self, job: Job) -> None:
+        if not job.has_begun:
+            job.has_begun = True
+            FIRST_START_SECONDS.observe(max(0.0, self.clock.wall() - job.accepted_s))
+
+    def drop_run(self, run: Run, why: str) -> None:
+        """Take note that a run is certainly not there, and plan its task again."""
+        task = run.task
+        if task.runs.pop(run.number, None) is None:
+            return
+        if run.worker is not None:
+            run.worker.remove(run)
+        self.orphans.discard(run)
+        task.step.refresh(task)
+        record_run("run-dropped", run, why)
+        if not task.step.job.is_final:
+            self.commits.stage(task.step.job)
+        self.changed.set()
+
+    def stop_run(self, run: Run, why: str) -> None:
+        """Stop a run; its room is free once the worker lists the end."""
+        if run.state is RunState.PLANNED:
+            self.drop_run(run, why)
+        elif run.state is not RunState.STOPPING and run.worker is not None:
+            run.state = RunState.STOPPING
+            run.stop_reason = why
+            record_run("run-stop", run, why)
+            self.orders.send_stop(run)
+
+    # Workers
+
+    def add_worker(self, entry: WorkerEntry) -> Worker:
+        """Add a worker or bring it up to date; other lives under its id are over."""
+        is_new = self.fleet.find(WorkerKey(entry.id, entry.life)) is None
+        worker = self.fleet.add(entry)
+        if entry.is_draining and not worker.drain_until_s:
+            worker.drain_until_s = self.now_s() + entry.remaining_s
+            record("worker-draining", worker=worker.id, remaining_s=entry.remaining_s)
+        if is_new:
+            self._replace_earlier_lives(worker)
+            self._adopt_orphans(worker)
+            self.on_worker_added(worker)
+            record("worker-known", worker=worker.id, life=entry.life, zone=entry.zone)
+        self.changed.set()
+        return worker
+
+    def _replace_earlier_lives(self, worker: Worker) -> None:
+        for other in self.fleet.lives_of(worker.id):
+            if other is not worker:
+                self.lose_worker(other, "started again")
+        for run in list(self.orphans):
+            if run.worker_key.id == worker.id and run.worker_key != worker.key:
+                self.drop_run(run, "its worker has started again")
+
+    def _adopt_orphans(self, worker: Worker) -> None:
+        for run in [run for run in self.orphans if run.worker_key == worker.key]:
+            self.orphans.discard(run)
+            worker.add(run)
+
+    def remove_worker(self, worker_id: str) -> None:
+        """Take note that a worker is no longer listed; it may still run tasks."""
+        for worker in self.fleet.lives_of(worker_id):
+            if worker.is_listed:
+                worker.is_listed = False
+                worker.missing_since_s = self.now_s()
+                record("worker-unlisted", worker=worker.id, runs=len(worker.runs))
+
+    def lose_worker(self, worker: Worker, why: str) -> None:
+        """Forget a life of a worker that certainly runs nothing any more."""
+        record("worker-lost", why, worker=worker.id, runs=len(worker.runs))
+        for run in list(worker.runs.values()):
+            self.drop_run(run, "its worker is gone: " + why)
+        self.fleet.drop(worker)
+
+    def expire_silent(self, worker: Worker) -> None:
+        """Plan the runs of a worker anew after its lease has certainly lapsed."""
+        record("worker-lease-lapsed", worker=worker.id, runs=len(worker.runs))
+        worker.is_reconciled = False
+        for run in list(worker.runs.values()):
+            self.drop_run(run, "the lease of its unreachable worker has lapsed")
+
+    def expire_orphans(self) -> None:
+        """Plan runs anew whose worker never showed up within their lease."""
+        if self.orphans and self.now_s() >= self.earlier_leases_end_s:
+            for run in list(self.orphans):
+                self.drop_run(run, "its worker has been away longer than its lease")
+
+    # Reports
+
+    def take_report(self, worker: Worker, report: WorkerReport, asked_s: float) -> None:
+        """Bring runs up to date; ``asked_s`` is when the worker was asked."""
+        now = self.now_s()
+        worker.note_clock(report.clock_ms, now)
+        worker.is_reachable = True
+        self._take_ends(worker, report)
+        present = {(item.task, item.run): item for item in report.running}
+        for key, item in present.items():
+            self._take_running(worker, key, item)
+        for key, run in list(worker.runs.items()):
+            is_certain = run.state in (RunState.RUNNING, RunState.STOPPING)
+            if is_certain and key not in present and run.seen_at_s <= asked_s:
+                self.drop_run(run, "its worker no longer has it")
+        if not worker.is_reconciled:
+            worker.is_reconciled = True
+            record("worker-reconciled", worker=worker.id, runs=len(worker.runs))
+            self.changed.set()
+
+    def _take_ends(self, worker: Worker, report: WorkerReport) -> None:
+        last = worker.ends_seen
+        for ended in report.ended:
+            if ended.number > worker.ends_seen:
+                worker.ends_seen = ended.number
+                self._take_end(worker, ended)
+        if worker.ends_seen > last:
+            number = worker.ends_seen
+            self.commits.after_commit(lambda: setattr(worker, "ends_known", number))
+            self.changed.set()
+
+    def _take_end(self, worker: Worker, ended: EndedTask) -> None:
+        run = worker.runs.get((ended.task, ended.run))
+        ENDS.labels(ended.how).inc()
+        if run is None:
+            self._take_unknown_end(worker, ended)
+            return
+        task = run.task
+        worker.remove(run)
+        task.runs.pop(run.number, None)
+        if ended.checkpoint:
+            task.checkpoint = ended.checkpoint
+        record_run("run-ended", run, ended.how, number=ended.number)
+        if ended.how == END_DONE and not task.step.spec.is_long_running:
+            self._take_done(worker, run)
+        elif ended.how == END_FAILED:
+            self._take_failed(worker, task)
+        task.step.refresh(task)
+        if not task.step.job.is_final:
+            self.commits.stage(task.step.job)
+
+    def _take_unknown_end(self, worker: Worker, ended: EndedTask) -> None:
+        record(
+            "end-ignored",
+            "no such run is given to this worker",
+            task=ended.task,
+            run=ended.run,
+            worker=worker.id,
+            how=ended.how,
+        )
+
+    def _take_done(self, worker: Worker, run: Run) -> None:
+        task = run.task
+        worker.note_success()
+        step = task.step
+        tasks = step.tasks if step.spec.is_gang else [task]
+        for member in tasks:
+            step.complete(member)
+        for copy in [run for member in tasks for run in member.runs.values()]:
+            if not step.spec.is_gang:
+                self.stop_run(copy, "another copy is done")
+        job = step.job
+        if job.id in self.jobs and job.is_complete:
+            self._finish(job, "all tasks done")
+
+    def _take_failed(self, worker: Worker, task: Task) -> None:
+        task.failures += 1
+        task.avoid.add(worker.id)
+        if worker.note_failure(self.now_s()):
+            record("worker-distrusted", worker=worker.id, failures=worker.failures)
+        job = task.step.job
+        is_limited = not task.step.spec.is_long_running
+        if is_limited and task.failures >= job.queue.max_attempts:
+            self._fail_job(job, f"task {task.name} has failed {task.failures} times")
+
+    def _take_running(
+        self, worker: Worker, key: tuple[str, int], item: RunningTask
+    ) -> None:
+        run = worker.runs.get(key)
+        if run is None:
+            self._stop_unknown(worker, item)
+            return
+        if run.state is RunState.SENT:
+            run.state = RunState.RUNNING
+            run.started_s = run.started_s or self.now_s()
+        run.percent = item.percent
+        run.usage = item.usage
+        if item.checkpoint:
+            run.task.checkpoint = item.checkpoint
+
+    def _stop_unknown(self, worker: Worker, item: RunningTask) -> None:
+        record(
+            "run-unknown",
+            "stopped: it is not given to this worker",
+            task=item.task,
+            run=item.run,
+            worker=worker.id,
+        )
+        self.orders.send_stop_unknown(worker, item.task, item.run)
+
+    def find_task(self, name: str) -> Task | None:
+        """Return a task of an open job by the name that workers use."""
+        parts = parse_task_name(name)
+        job = self.jobs.get(parts[0]) if parts else None
+        return job.find_task(*parts[1:]) if job else None
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/rows.py
@@ -0,0 +1,118 @@
+"""The rows that the scheduler keeps in the store, and their msgpack forms."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import msgpack
+
+from fulmarlever.outcomes import Failure
+from fulmarleverd.scheduling.ports import StoredRow
+from fulmarleverd.scheduling.specs import (
+    JobSpec,
+    QueueSpec,
+    pack_fields,
+    unpack_step,
+)
+
+JOBS_TABLE = "jobs"
+PROGRESS_TABLE = "progress"
+LEASE_TABLE = "lease"
+LEASE_KEY = "scheduler"
+SUMMARY_TABLE = "summary"
+SUMMARY_KEY = "pending"
+CANCEL_SUFFIX = "/cancel"
+
+FORMAT_ERRORS = (ValueError, TypeError, KeyError, msgpack.UnpackException)
+
+
+class BadRow(Failure):
+    """A row of the scheduler's tables could not be decoded."""
+
+    __slots__ = ()
+
+
+@dataclass(slots=True, frozen=True)
+class JobRow:
+    """An accepted job with its queue as it was at that time."""
+
+    spec: JobSpec
+    queue: QueueSpec
+    accepted_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class LeaseRow:
+    """The holder of the scheduler's lease.
+
+    ``sequence`` makes each commit of the holder distinct from all others.
+    """
+
+    vm: str
+    life: str
+    token: int
+    sequence: int
+
+
+def pack(value: Any) -> bytes:
+    """Return the stored form of plain data."""
+    return msgpack.packb(value)
+
+
+def unpack(data: bytes) -> Any:
+    """Return plain data from its stored form."""
+    return msgpack.unpackb(data, strict_map_key=False)
+
+
+def pack_job(row: JobRow) -> bytes:
+    """Return the value of a job's row."""
+    spec = row.spec
+    timing = (spec.repetitions, spec.start_at_s, spec.interval_s)
+    steps = [pack_fields(step) for step in spec.steps]
+    queue = pack_fields(row.queue)
+    return pack([queue, row.accepted_s, spec.payload, steps, timing])
+
+
+def unpack_job(stored: StoredRow) -> JobRow | BadRow:
+    """Return a job from its row."""
+    try:
+        queue, accepted_s, payload, steps, timing = unpack(stored.value)
+        unpacked = tuple(unpack_step(step) for step in steps)
+        spec = JobSpec(stored.key, payload, unpacked, *timing)
+        return JobRow(spec, QueueSpec(**queue), accepted_s)
+    except FORMAT_ERRORS as exc:
+        return BadRow(f"job row {stored.key!r}: {type(exc).__name__}: {exc}")
+
+
+def pack_lease(row: LeaseRow) -> bytes:
+    """Return the value of the lease's row."""
+    return pack([row.vm, row.life, row.token, row.sequence])
+
+
+def unpack_lease(stored: StoredRow) -> LeaseRow | BadRow:
+    """Return the lease from its row."""
+    try:
+        return LeaseRow(*unpack(stored.value))
+    except FORMAT_ERRORS as exc:
+        return BadRow(f"lease row: {type(exc).__name__}: {exc}")
+
+
+def job_row(job_id: str, value: bytes = b"") -> StoredRow:
+    """Return the row of an accepted job."""
+    return StoredRow(JOBS_TABLE, job_id, value)
+
+
+def cancel_row(job_id: str) -> StoredRow:
+    """Return the row that asks for the cancellation of a job."""
+    return StoredRow(JOBS_TABLE, job_id + CANCEL_SUFFIX, b"\x01")
+
+
+def progress_row(job_id: str, value: bytes = b"") -> StoredRow:
+    """Return the row with a job's state and progress."""
+    return StoredRow(PROGRESS_TABLE, job_id, value)
+
+
+def lease_row(value: bytes = b"", version: int = 0) -> StoredRow:
+    """Return the row of the scheduler's lease."""
+    return StoredRow(LEASE_TABLE, LEASE_KEY, value, version)
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
@@ -0,0 +1,198 @@
+"""What callers and operators declare: jobs, their steps, queues and limits.
+
+Names ending in ``_s`` are seconds, ``_mb`` megabytes and ``_m`` thousandths of a core.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field, fields
+
+
+@dataclass(slots=True, frozen=True)
+class StepSpec:
+    """One step of a job: equal tasks that run after the steps in ``after``.
+
+    ``is_best_effort`` tasks use what the other tasks of a worker leave unused.
+    ``max_per_worker`` 0 means no limit; ``latency_target_s`` 0 means none.
+    """
+
+    count: int = 1
+    cpu_m: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
+    estimate_s: float = 0.0
+    after: tuple[int, ...] = ()
+    checkpoints: bool = False
+    is_gang: bool = False
+    is_rack_bound: bool = False
+    required_label: str = ""
+    preferred_rack: str = ""
+    max_per_worker: int = 0
+    is_speculative: bool = False
+    is_long_running: bool = False
+    image: str = ""
+    latency_target_s: float = 0.0
+    is_best_effort: bool = False
+    max_unavailable: int | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class QueueSpec:
+    """A queue of jobs. Priority 0 is the most urgent."""
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target_latency_s: float = 0.0
+    timeout_s: float = 3.0
+
+
+@dataclass(slots=True, frozen=True)
+class JobSpec:
+    """A job as its caller submitted it. ``interval_s`` separates its occurrences."""
+
+    id: str
+    payload: str
+    steps: tuple[StepSpec, ...]
+    repetitions: int = 0
+    start_at_s: float = 0.0
+    interval_s: float = 0.0
+
+    @property
+    def occurrences(self) -> int:
+        """Return how many times the steps run."""
+        return self.repetitions or 1
+
+    def due_s(self, occurrence: int) -> float:
+        """Return the Unix time from which an occurrence may start, 0 for at once."""
+        if not self.repetitions:
+            return 0.0
+        return self.start_at_s + occurrence * self.interval_s
+
+    def find_error(self) -> str:
+        """Return what is wrong with the job, or an empty text."""
+        if not self.steps:
+            return "the job has no step"
+        for number, step in enumerate(self.steps):
+            if step.count < 1:
+                return f"step {number} has no task"
+            if any(not 0 <= earlier < number for earlier in step.after):
+                return f"step {number} waits for a step that is not before it"
+        return ""
+
+
+@dataclass(slots=True, frozen=True)
+class ServiceSpec:
+    """A group of workers. With ``guards_capacity`` they reject what does not fit."""
+
+    name: str
+    guards_capacity: bool = True
+    health_path: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class SchedulingConfig:
+    """One version of the operator's configuration."""
+
+    version: int
+    queues: tuple[QueueSpec, ...] = ()
+    services: tuple[ServiceSpec, ...] = ()
+    max_body_bytes: int = 262144
+
+    def find_queue(self, host: str, path: str) -> QueueSpec | None:
+        """Return the queue of a host with the longest prefix of a path."""
+        matching = (
+            queue
+            for queue in self.queues
+            if queue.host == host and path.startswith(queue.path_prefix)
+        )
+        return max(matching, key=lambda q: len(q.path_prefix), default=None)
+
+    def queue_named(self, name: str) -> QueueSpec | None:
+        """Return a queue by name."""
+        return next((queue for queue in self.queues if queue.name == name), None)
+
+    def service_named(self, name: str) -> ServiceSpec | None:
+        """Return a service by name."""
+        return next((item for item in self.services if item.name == name), None)
+
+
+@dataclass(slots=True, frozen=True)
+class WorkerEntry:
+    """A worker as the platform's list shows it.
+
+    ``life`` differs between two lives of one worker, also under the same id.
+    ``remaining_s`` is the least time that a draining worker still runs.
+    """
+
+    id: str
+    life: str
+    service: str
+    address: str
+    zone: str
+    cpu_m: int
+    memory_mb: int
+    gpus: int = 0
+    labels: tuple[str, ...] = ()
+    machine: str = ""
+    is_draining: bool = False
+    remaining_s: float = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class Bounds:
+    """Time limits of the deployment, in seconds."""
+
+    worker_lease_s: float = 10.0
+    stop_s: float = 0.4
+    cancel_s: float = 3.0
+    drain_s: float = 2.0
+    grace_s: float = 6.0
+    config_apply_s: float = 2.0
+    status_kept_s: float = 120.0
+    harm_s: float = 4.0
+    early_s: float = 0.25
+    remote_factor: float = 2.0
+    gang_wait_s: float = 3.0
+
+
+@dataclass(slots=True, frozen=True)
+class SchedulingSettings:
+    """Everything that the daemon learns from the platform's settings file."""
+
+    vm: str
+    zone: str
+    address: str
+    caller_address: str
+    ready_address: str
+    metrics_port: int
+    store_address: str
+    memory_mb: int = 300
+    bounds: Bounds = field(default_factory=Bounds)
+    drain_limit_s: float = 5.0
+
+
+def pack_fields(item: object, skip: Iterable[str] = ()) -> dict[str, object]:
+    """Return the fields of a spec that differ from their defaults, by name."""
+    return {
+        option.name: getattr(item, option.name)
+        for option in fields(item)
+        if option.name not in skip and getattr(item, option.name) != option.default
+    }
+
+
+def unpack_step(data: dict) -> StepSpec:
+    """Build a step from its packed fields."""
+    after = tuple(data.get("after", ()))
+    return StepSpec(**{**data, "after": after})
+
+
+def iterate_names(job_id: str, occurrence: int, step: int, count: int) -> Iterator[str]:
+    """Yield the names of the tasks of one step."""
+    for index in range(count):
+        yield f"{job_id}.{occurrence}.{step}.{index}"
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -0,0 +1,351 @@
+"""The state of accepted jobs: occurrences, steps, tasks and their runs."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from fulmarleverd.scheduling.rows import FORMAT_ERRORS, BadRow, JobRow, pack, unpack
+from fulmarleverd.scheduling.specs import StepSpec
+
+if TYPE_CHECKING:
+    from fulmarleverd.scheduling.fleet import Worker
+
+
+class JobState(StrEnum):
+    """What a caller is told about a job."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+FINAL_STATES = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
+
+
+class RunState(StrEnum):
+    """How far the start of a run has come."""
+
+    PLANNED = "planned"
+    SENT = "sent"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class Run:
+    """One run of a task on one life of a worker.
+
+    ``may_arrive_late`` is set once a start got no answer. ``started_s`` is on the
+    steady clock.
+    """
+
+    __slots__ = (
+        "task",
+        "number",
+        "worker",
+        "worker_key",
+        "state",
+        "started_s",
+        "percent",
+        "usage",
+        "pace",
+        "may_arrive_late",
+        "stop_reason",
+        "seen_at_s",
+    )
+
+    def __init__(self, task: Task, number: int, worker_key: WorkerKey) -> None:
+        self.task = task
+        self.number = number
+        self.worker_key = worker_key
+        self.worker: Worker | None = None
+        self.state = RunState.PLANNED
+        self.started_s = 0.0
+        self.seen_at_s = 0.0
+        self.percent = 0.0
+        self.usage = 0.0
+        self.pace = 100
+        self.may_arrive_late = False
+        self.stop_reason = ""
+
+    def __repr__(self) -> str:
+        return f"Run({self.task.name}, {self.number}, {self.state})"
+
+
+class WorkerKey:
+    """The id and the life of the worker that a run was given to."""
+
+    __slots__ = ("id", "life")
+
+    def __init__(self, id: str, life: str) -> None:
+        self.id = id
+        self.life = life
+
+    def __eq__(self, other: object) -> bool:
+        return (
+            isinstance(other, WorkerKey)
+            and self.id == other.id
+            and self.life == other.life
+        )
+
+    def __hash__(self) -> int:
+        return hash((self.id, self.life))
+
+    def __repr__(self) -> str:
+        return f"{self.id}/{self.life}"
+
+
+class Task:
+    """One task of a step of an occurrence."""
+
+    __slots__ = (
+        "step",
+        "index",
+        "is_done",
+        "failures",
+        "last_run",
+        "checkpoint",
+        "runs",
+        "avoid",
+        "free_at_s",
+    )
+
+    def __init__(self, step: Step, index: int) -> None:
+        self.step = step
+        self.index = index
+        self.is_done = False
+        self.failures = 0
+        self.last_run = 0
+        self.checkpoint = ""
+        self.runs: dict[int, Run] = {}
+        self.avoid: set[str] = set()
+        self.free_at_s = 0.0
+
+    @property
+    def name(self) -> str:
+        """Return the name that workers know the task by."""
+        step = self.step
+        return f"{step.job.id}.{step.occurrence}.{step.number}.{self.index}"
+
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether the task needs a run."""
+        return not self.is_done and not self.runs
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether a worker has reported a run as present."""
+        return any(run.state is RunState.RUNNING for run in self.runs.values())
+
+    def add_run(self, worker_key: WorkerKey, number: int = 0) -> Run:
+        """Add the next run of the task."""
+        self.last_run = number or self.last_run + 1
+        run = Run(self, self.last_run, worker_key)
+        self.runs[run.number] = run
+        return run
+
+
+class Step:
+    """One step of one occurrence of a job."""
+
+    __slots__ = ("job", "occurrence", "number", "spec", "tasks", "waiting", "left")
+
+    def __init__(self, job: Job, occurrence: int, number: int, spec: StepSpec) -> None:
+        self.job = job
+        self.occurrence = occurrence
+        self.number = number
+        self.spec = spec
+        self.tasks = [Task(self, index) for index in range(spec.count)]
+        self.waiting: dict[int, Task] = dict(enumerate(self.tasks))
+        self.left = spec.count
+
+    @property
+    def is_done(self) -> bool:
+        """Return whether every task has ended as done."""
+        return self.left == 0
+
+    def refresh(self, task: Task) -> None:
+        """Bring the set of waiting tasks up to date after a change of one task."""
+        if task.is_waiting:
+            self.waiting[task.index] = task
+        else:
+            self.waiting.pop(task.index, None)
+
+    def complete(self, task: Task) -> None:
+        """Take note that a task has ended as done."""
+        if not task.is_done:
+            task.is_done = True
+            self.left -= 1
+        self.refresh(task)
+
+    def work_left_s(self) -> float:
+        """Return the estimated core-seconds of the tasks that are not done."""
+        return self.left * self.spec.estimate_s * self.spec.cpu_m / 1000.0
+
+
+class Job:
+    """An accepted job with everything that is known about its progress."""
+
+    __slots__ = (
+        "id",
+        "spec",
+        "queue",
+        "accepted_s",
+        "occurrences",
+        "is_cancelled",
+        "has_failed",
+        "has_begun",
+        "is_dirty",
+        "final_at_s",
+        "cause",
+    )
+
+    def __init__(self, row: JobRow) -> None:
+        self.id = row.spec.id
+        self.spec = row.spec
+        self.queue = row.queue
+        self.accepted_s = row.accepted_s
+        self.occurrences: dict[int, list[Step]] = {}
+        self.is_cancelled = False
+        self.has_failed = False
+        self.has_begun = False
+        self.is_dirty = False
+        self.final_at_s = 0.0
+        self.cause = ""
+
+    @property
+    def state(self) -> JobState:
+        """Return what a caller may be told about the job."""
+        if self.is_cancelled:
+            return JobState.CANCELLED
+        if self.has_failed:
+            return JobState.FAILED
+        if self.is_complete:
+            return JobState.COMPLETED
+        return JobState.RUNNING if self.has_begun else JobState.QUEUED
+
+    @property
+    def is_final(self) -> bool:
+        """Return whether the state will never change again."""
+        return self.is_cancelled or self.has_failed or self.is_complete
+
+    @property
+    def is_complete(self) -> bool:
+        """Return whether every task of every occurrence has ended as done."""
+        if len(self.occurrences) < self.spec.occurrences:
+            return False
+        return all(step.is_done for step in self.steps())
+
+    def steps(self) -> Iterator[Step]:
+        """Yield the steps of all occurrences that exist so far."""
+        for steps in self.occurrences.values():
+            yield from steps
+
+    def tasks(self) -> Iterator[Task]:
+        """Yield the tasks of all occurrences that exist so far."""
+        for step in self.steps():
+            yield from step.tasks
+
+    def runs(self) -> Iterator[Run]:
+        """Yield every active run."""
+        for task in self.tasks():
+            yield from task.runs.values()
+
+    def open_occurrence(self, occurrence: int) -> list[Step]:
+        """Create the steps of an occurrence, once."""
+        if occurrence not in self.occurrences:
+            self.occurrences[occurrence] = [
+                Step(self, occurrence, number, spec)
+                for number, spec in enumerate(self.spec.steps)
+            ]
+        return self.occurrences[occurrence]
+
+    def ready_steps(self) -> Iterator[Step]:
+        """Yield the steps with waiting tasks whose earlier steps are all done."""
+        if self.is_final:
+            return
+        for steps in self.occurrences.values():
+            for step in steps:
+                if step.waiting and all(steps[n].is_done for n in step.spec.after):
+                    yield step
+
+    def find_task(self, occurrence: int, step: int, index: int) -> Task | None:
+        """Return a task by its numbers."""
+        steps = self.occurrences.get(occurrence)
+        if steps is None or step >= len(steps) or index >= len(steps[step].tasks):
+            return None
+        return steps[step].tasks[index]
+
+    def pack(self) -> bytes:
+        """Return the value of the job's progress row."""
+        keys: dict[WorkerKey, int] = {}
+        touched = [packed for task in self.tasks() for packed in _pack_task(task, keys)]
+        lives = [(key.id, key.life) for key in keys]
+        state = str(self.state)
+        return pack([state, self.has_begun, self.cause, lives, touched])
+
+    def restore(self, data: bytes) -> BadRow | None:
+        """Take over the progress that an earlier owner committed."""
+        try:
+            state, self.has_begun, self.cause, lives, touched = unpack(data)
+            self.is_cancelled = state == JobState.CANCELLED
+            self.has_failed = state == JobState.FAILED
+            keys = [WorkerKey(*life) for life in lives]
+            for packed in touched:
+                self._restore_task(packed, keys)
+        except FORMAT_ERRORS as exc:
+            return BadRow(f"progress of job {self.id}: {type(exc).__name__}: {exc}")
+        return None
+
+    def _restore_task(self, packed: list, keys: list[WorkerKey]) -> None:
+        occurrence, number, index, is_done, failures, last_run, ckpt, runs = packed
+        step = self.open_occurrence(occurrence)[number]
+        task = step.tasks[index]
+        task.failures = failures
+        task.last_run = last_run
+        task.checkpoint = ckpt
+        for run_number, key in runs:
+            task.runs[run_number] = Run(task, run_number, keys[key])
+        if is_done:
+            step.complete(task)
+        step.refresh(task)
+
+
+def _pack_task(task: Task, keys: dict[WorkerKey, int]) -> Iterator[list]:
+    """Yield the packed form of a task that has ever run."""
+    if not task.last_run:
+        return
+    runs = [
+        (run.number, keys.setdefault(run.worker_key, len(keys)))
+        for run in task.runs.values()
+    ]
+    yield [
+        task.step.occurrence,
+        task.step.number,
+        task.index,
+        task.is_done,
+        task.failures,
+        task.last_run,
+        task.checkpoint,
+        runs,
+    ]
+
+
+def unpack_state(data: bytes) -> tuple[JobState, str] | BadRow:
+    """Return the state and its cause from a progress row."""
+    try:
+        fields = unpack(data)
+        return JobState(fields[0]), fields[2]
+    except FORMAT_ERRORS as exc:
+        return BadRow(f"progress row: {type(exc).__name__}: {exc}")
+
+
+def parse_task_name(name: str) -> tuple[str, int, int, int] | None:
+    """Return job id, occurrence, step and index of a task's name."""
+    parts = name.rsplit(".", 3)
+    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+        return None
+    return (parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
@@ -0,0 +1,94 @@
+"""One loop a worker: extend its lease, wait for ends, take its reports."""
+
+from __future__ import annotations
+
+import asyncio
+
+from fulmarlever.outcomes import failed
+from fulmarleverd.scheduling.decisions import record
+from fulmarleverd.scheduling.fleet import Worker, has_other_life
+from fulmarleverd.scheduling.owner import Owner
+from fulmarleverd.scheduling.ports import (
+    REJECT_LIFE,
+    Rejected,
+    WorkerCalls,
+    WorkerReport,
+)
+
+WAIT_WITH_RUNS_S = 1.0
+WAIT_WITH_SERVING_S = 0.5
+WAIT_IDLE_S = 2.0
+PAUSE_AFTER_ENDS_S = 0.01
+RETRY_S = 0.2
+LEASE_POLL_S = 0.05
+
+
+class WorkerLoop:
+    """Keeps one worker's lease and its reports coming."""
+
+    __slots__ = ("_owner", "_worker", "_calls", "_failures")
+
+    def __init__(self, owner: Owner, worker: Worker, calls: WorkerCalls) -> None:
+        self._owner = owner
+        self._worker = worker
+        self._calls = calls
+        self._failures = 0
+
+    async def run(self) -> None:
+        """Ask the worker until it is forgotten or the lease is lost."""
+        worker = self._worker
+        while self._owner.fleet.find(worker.key) is worker:
+            if not self._owner.lease.may_extend:
+                await asyncio.sleep(LEASE_POLL_S)
+                continue
+            await self._ask()
+
+    def _wait_s(self) -> float:
+        worker = self._worker
+        if not worker.is_reconciled:
+            return 0.0
+        if worker.has_serving:
+            return WAIT_WITH_SERVING_S
+        return WAIT_WITH_RUNS_S if worker.runs else WAIT_IDLE_S
+
+    async def _ask(self) -> None:
+        worker = self._worker
+        owner = self._owner
+        asked_s = owner.now_s()
+        until_ms = 0
+        worker.granted_s = asked_s
+        if worker.clock_ms:
+            until_ms = worker.lease_until_ms(asked_s, owner.bounds.worker_lease_s)
+        report = await self._calls.extend_lease(
+            worker.entry,
+            owner.lease.token,
+            until_ms,
+            worker.ends_known,
+            self._wait_s(),
+        )
+        if isinstance(report, WorkerReport):
+            await self._take(report, asked_s)
+        elif failed(report):
+            await self._take_failure(report)
+
+    async def _take(self, report: WorkerReport, asked_s: float) -> None:
+        if has_other_life(self._worker, report):
+            self._owner.lose_worker(self._worker, "another life answers")
+            return
+        if not self._worker.is_reachable:
+            record("worker-reached", worker=self._worker.id, failures=self._failures)
+        self._failures = 0
+        self._owner.take_report(self._worker, report, asked_s)
+        if report.ended:
+            await asyncio.sleep(PAUSE_AFTER_ENDS_S)
+
+    async def _take_failure(self, failure: object) -> None:
+        worker = self._worker
+        if isinstance(failure, Rejected) and failure.reason == REJECT_LIFE:
+            self._owner.lose_worker(worker, failure.reason)
+            return
+        self._failures += 1
+        if worker.is_reachable:
+            worker.is_reachable = False
+            record("worker-unreachable", failure.reason, worker=worker.id)
+        await asyncio.sleep(RETRY_S)
--- a/packages/fulmarleverd/fulmarleverd/services/__init__.py
+++ b/packages/fulmarleverd/fulmarleverd/services/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from importlib import import_module
 
 # The order of the start. Membership comes first of those that listen and so stops
@@ -22,8 +23,12 @@
     "admin",
 )
 
+# The daemon as a scheduler of jobs on a platform of the registry of interfaces. The
+# ingress comes last and so drains first; the scheduler drains before the clients close.
+SCHEDULING_ORDER = ("queues", "scheduler", "metrics", "ingress")
 
-def load_services() -> None:
-    """Import the module of every service so that it registers itself."""
-    for name in SERVICE_ORDER:
+
+def load_services(names: Iterable[str] = SERVICE_ORDER) -> None:
+    """Import the modules of services so that they register themselves."""
+    for name in names:
         import_module(f"fulmarleverd.services.{name}")
--- a/packages/fulmarleverd/fulmarleverd/services/platform.py
+++ b/packages/fulmarleverd/fulmarleverd/services/platform.py
@@ -14,9 +14,9 @@
 from fulmarlever.structure.fleet import VM
 from fulmarlever.structure.table import Change, Lane, Row
 from fulmarleverd.kernel import SERVICES, Kernel, Service
-from fulmarleverd.platform.commits import GroupCommits, WriteBudget
-from fulmarleverd.platform.http import PlatformHTTP
-from fulmarleverd.platform.table import Table, WriteResult
+from fulmarleverd.storage.commits import GroupCommits, WriteBudget
+from fulmarleverd.storage.http import PlatformHTTP
+from fulmarleverd.storage.table import Table, WriteResult
 
 FLUSH_LIMIT_S = 2.0
 
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/services/scheduler.py
@@ -0,0 +1,35 @@
+"""The service ``scheduler``: waits for the lease and schedules while it holds it."""
+
+from __future__ import annotations
+
+from fulmarleverd.kernel import SERVICES, Kernel, Service
+from fulmarleverd.scheduling.lease import SchedulerLease
+from fulmarleverd.scheduling.ports import Interface
+from fulmarleverd.scheduling.tenure import Tenure
+
+
+@SERVICES.register("scheduler")
+class SchedulerService(Service):
+    """Competes for the lease of the scheduler."""
+
+    name = "scheduler"
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel)
+        self.lease: SchedulerLease | None = None
+
+    async def start(self) -> None:
+        """Start to compete."""
+        interface = self.kernel.find("interface").interface
+        self.lease = SchedulerLease(interface.store, self.clock, self.settings.vm)
+        self.spawn(self._compete(interface), "scheduler")
+
+    async def _compete(self, interface: Interface) -> None:
+        while True:
+            await self.lease.acquire()
+            await Tenure(interface, self.lease, self.clock).run()
+
+    async def drain(self) -> None:
+        """Stop scheduling and give the lease up, so that another daemon takes over."""
+        await Service.stop(self)
+        await self.lease.release()
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/storage/__init__.py
@@ -0,0 +1,1 @@
+"""The client of the product's own table, object store and VM list."""
--- a/packages/fulmarleverd/fulmarleverd/platform/commits.py
+++ b/packages/fulmarleverd/fulmarleverd/storage/commits.py
@@ -9,7 +9,7 @@
 from fulmarlever.clock import Clock
 from fulmarlever.outcomes import Conflict, Unavailable
 from fulmarlever.structure.table import Applied, Change, Lane
-from fulmarleverd.platform.table import WriteResult
+from fulmarleverd.storage.table import WriteResult
 
 MAX_ROWS_PER_COMMIT = 150
 MAX_COMMITS_IN_FLIGHT = 4
--- a/packages/fulmarleverd/fulmarleverd/platform/table.py
+++ b/packages/fulmarleverd/fulmarleverd/storage/table.py
@@ -8,7 +8,7 @@
 
 from fulmarlever.outcomes import Conflict, OutcomeUnknown, Unavailable, failed
 from fulmarlever.structure.table import ABSENT, Applied, Change, Row
-from fulmarleverd.platform.http import PlatformHTTP, Reply
+from fulmarleverd.storage.http import PlatformHTTP, Reply
 
 MARKER_TTL_S = 600.0
 MARKER_APPLIED = "applied"
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of ``fulmarleverd.platform``."""
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/base.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/storage/base.py
@@ -10,7 +10,7 @@
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable
 from fulmarlever.structure.table import Applied, Change
 from fulmarlever_standins.table import MemoryTable
-from fulmarleverd.platform.http import Reply
+from fulmarleverd.storage.http import Reply
 
 
 class Fault(StrEnum):
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/commits_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/storage/commits_tests.py
@@ -10,7 +10,7 @@
 from fulmarlever.outcomes import Conflict
 from fulmarlever.structure.table import ABSENT, Applied, Change, Lane
 from fulmarlever_standins.table import MemoryTable
-from fulmarleverd.platform.commits import GroupCommits, WriteBudget
+from fulmarleverd.storage.commits import GroupCommits, WriteBudget
 
 LINGER_S = 0.001
 WRITES_PER_S = 10000.0
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/table_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/storage/table_tests.py
@@ -9,7 +9,7 @@
 from fulmarlever.outcomes import Conflict, OutcomeUnknown, Unavailable
 from fulmarlever.structure.table import ABSENT, Applied, Change
 from fulmarlever.tests.base import TableTestCase
-from fulmarleverd.platform.table import UNKNOWN_VERSION, Table
+from fulmarleverd.storage.table import UNKNOWN_VERSION, Table
 from fulmarleverd.tests.platform.base import FakeHTTP, Fault
 
 INSERT = Change(conditions={"k": ABSENT}, writes={"k": "mine"})
