--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
@@ -0,0 +1,141 @@
+"""The stand-in of the network: calls in one process, with faults between addresses."""
+
+from __future__ import annotations
+
+import asyncio
+from urllib.parse import urlsplit
+
+from fulmarlever.outcomes import OutcomeUnknown, Unavailable
+from fulmarlever_standins.authority.store import StoreCore
+from fulmarlever_standins.authority.worker import WorkerCore
+from fulmarleverd.platform.http import CallResult, Reply
+
+STORE_ADDRESS = "store:1"
+ONE_WAY_S = 0.001
+LATE_ORDER_S = 3.0
+
+
+class Network:
+    """Carries calls from VMs to the store and to workers.
+
+    ``cuts`` holds pairs of a VM and an address that no byte passes between;
+    ``refusing`` VMs are answered 503 by the store. ``lose_answers`` counts the next
+    transactions that take effect unanswered, ``late_transactions`` those that take
+    effect ``LATE_ORDER_S`` later, and ``late_orders`` the same for starts.
+    """
+
+    def __init__(self) -> None:
+        self.store = StoreCore()
+        self.workers: dict[str, WorkerCore] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self.refusing: set[str] = set()
+        self.frozen: set[str] = set()
+        self.lose_answers = 0
+        self.late_transactions = 0
+        self.late_orders = 0
+        self.is_store_down = False
+        self._late: set[asyncio.Task] = set()
+
+    def add_worker(self, worker: WorkerCore) -> None:
+        """Add a worker and its entry."""
+        self.workers[worker.address] = worker
+        self.store.put_json("servers", worker.id, worker.entry())
+
+    def cut(self, vm: str, *addresses: str) -> None:
+        """Cut a VM off from addresses."""
+        self.cuts.update((vm, address) for address in addresses)
+
+    def heal(self) -> None:
+        """Remove every cut."""
+        self.cuts.clear()
+
+    def client(self, vm: str) -> NetworkClient:
+        """Return the HTTP client of a VM."""
+        return NetworkClient(self, vm)
+
+    async def call(
+        self, vm: str, method: str, url: str, body: dict | None, target: str
+    ) -> CallResult:
+        """Carry one call; a cut one never returns."""
+        address = urlsplit(url).netloc
+        await asyncio.sleep(ONE_WAY_S)
+        if (vm, address) in self.cuts or (
+            address == STORE_ADDRESS and self.is_store_down
+        ):
+            await asyncio.Event().wait()
+        if address == STORE_ADDRESS:
+            return await self._call_store(vm, method, url, body)
+        return await self._call_worker(address, url, body, target)
+
+    async def _call_store(
+        self, vm: str, method: str, url: str, body: dict | None
+    ) -> CallResult:
+        if vm in self.refusing:
+            return Reply(503, None)
+        is_write = url.endswith("/rows-tx")
+        if is_write and self.late_transactions > 0:
+            self.late_transactions -= 1
+            self._do_late(self.store.handle(method, url, body))
+            await asyncio.Event().wait()
+        status, answer = await self.store.handle(method, url, body)
+        if is_write and self.lose_answers > 0:
+            self.lose_answers -= 1
+            await asyncio.Event().wait()
+        await asyncio.sleep(ONE_WAY_S)
+        return Reply(status, answer)
+
+    async def _call_worker(
+        self, address: str, url: str, body: dict, target: str
+    ) -> CallResult:
+        worker = self.workers.get(address)
+        if worker is None:
+            return Unavailable("connection refused")
+        path = urlsplit(url).path
+        if path == "/run-start" and self.late_orders > 0:
+            self.late_orders -= 1
+            self._do_late(worker.handle(path, body, target))
+            await asyncio.Event().wait()
+        status, answer = await worker.handle(path, body, target)
+        await asyncio.sleep(ONE_WAY_S)
+        return Reply(status, answer)
+
+    def _do_late(self, work: object) -> None:
+        async def wait_and_do() -> None:
+            await asyncio.sleep(LATE_ORDER_S)
+            await work
+
+        task = asyncio.get_running_loop().create_task(wait_and_do())
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
+
+class NetworkClient:
+    """The calls of one VM, in place of the HTTP client."""
+
+    __slots__ = ("_network", "_vm")
+
+    def __init__(self, network: Network, vm: str) -> None:
+        self._network = network
+        self._vm = vm
+
+    async def open(self) -> None:
+        """Do nothing; there are no connections."""
+
+    async def close(self) -> None:
+        """Do nothing; there are no connections."""
+
+    async def call(
+        self,
+        method: str,
+        url: str,
+        timeout_s: float,
+        body: dict | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> CallResult:
+        """Send one request and return the whole answer."""
+        target = (headers or {}).get("X-Target-Instance", "")
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._network.call(self._vm, method, url, body, target)
+        except TimeoutError:
+            return OutcomeUnknown("no answer")
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/site.py
@@ -0,0 +1,179 @@
+"""A whole deployment in one process: daemons, workers, store and callers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+from fulmarlever.outcomes import Failure
+from fulmarlever_standins.authority.network import STORE_ADDRESS, Network
+from fulmarlever_standins.authority.virtual_time import VirtualClock
+from fulmarlever_standins.authority.worker import WorkerCore
+from fulmarleverd.platform.formats import (
+    CONFIG_KEY,
+    OPERATOR_TABLE,
+    WORKERS_TABLE,
+    parse_config,
+    parse_worker,
+)
+from fulmarleverd.platform.store import AuthorityStore
+from fulmarleverd.platform.workers import AuthorityWorkers
+from fulmarleverd.scheduling.intake import Intake, JobStatus
+from fulmarleverd.scheduling.lease import SchedulerLease
+from fulmarleverd.scheduling.specs import (
+    Bounds,
+    JobSpec,
+    QueueSpec,
+    SchedulingSettings,
+    StepSpec,
+)
+from fulmarleverd.scheduling.tenure import Tenure
+
+QUEUE = QueueSpec("labels", "a.example", "/labels/", "desk", 0, 2, 1.5, 0.25)
+FILLING = QueueSpec("plans", "a.example", "/plans/", "desk", 2, 4, 2.0, 1.0)
+SUBMIT_S = 2.5
+
+
+class DaemonView:
+    """What one daemon sees of the platform."""
+
+    config_table = OPERATOR_TABLE
+    config_key = CONFIG_KEY
+    workers_table = WORKERS_TABLE
+    parse_config = staticmethod(parse_config)
+    parse_worker = staticmethod(parse_worker)
+
+    def __init__(self, network: Network, vm: str, bounds: Bounds) -> None:
+        http = network.client(vm)
+        self.settings = SchedulingSettings(
+            vm, "z", "", "", "", 0, STORE_ADDRESS, bounds=bounds
+        )
+        self.store = AuthorityStore(STORE_ADDRESS, http)
+        self.workers = AuthorityWorkers(http)
+
+
+class Daemon:
+    """One daemon without its HTTP server."""
+
+    def __init__(self, site: Site, vm: str) -> None:
+        self.vm = vm
+        self.clock = VirtualClock()
+        self.view = DaemonView(site.network, vm, site.bounds)
+        self.intake = Intake(self.view.store, self.clock)
+        self.lease = SchedulerLease(self.view.store, self.clock, vm)
+        self.tenure: Tenure | None = None
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def _run(self) -> None:
+        while True:
+            await self.lease.acquire()
+            self.tenure = Tenure(self.view, self.lease, self.clock)
+            await self.tenure.run()
+
+    async def submit(self, spec: JobSpec, queue: QueueSpec = QUEUE) -> None | Failure:
+        """Hand a job in at this daemon."""
+        until_s = self.clock.monotonic() + SUBMIT_S
+        return await self.intake.submit(spec, queue, until_s)
+
+    async def state(self, job_id: str) -> JobStatus | Failure:
+        """Ask this daemon for the state of a job."""
+        return await self.intake.status(job_id)
+
+    async def kill(self) -> None:
+        """End the process without a goodbye."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+
+class Site:
+    """Daemons and workers around one store, with a record of every run."""
+
+    def __init__(self, bounds: Bounds | None = None) -> None:
+        self.bounds = bounds or Bounds()
+        self.network = Network()
+        self.daemons: dict[str, Daemon] = {}
+        self.starts: Counter[str] = Counter()
+        self.done: Counter[str] = Counter()
+        self.overlaps: list[str] = []
+        self.restarted_after_done: list[str] = []
+        self._active: Counter[str] = Counter()
+
+    def add_daemons(self, *vms: str) -> None:
+        """Start daemons."""
+        for vm in vms:
+            self.daemons[vm] = Daemon(self, vm)
+
+    def add_workers(self, count: int, prefix: str = "w") -> list[WorkerCore]:
+        """Add workers with their entries."""
+        return [self.add_worker(f"{prefix}{number}") for number in range(count)]
+
+    def add_worker(self, worker_id: str, born: int = 1) -> WorkerCore:
+        """Add one worker, or a new life of one under the same id."""
+        worker = WorkerCore(worker_id, f"{worker_id}:1", "z", born)
+        worker.on_start = self._note_start
+        worker.on_end = self._note_end
+        self.network.add_worker(worker)
+        return worker
+
+    def crash_worker(self, worker: WorkerCore) -> None:
+        """End a worker and all that it runs, without an end that anyone sees."""
+        del self.network.workers[worker.address]
+        for task, _ in list(worker.running):
+            self._active[task] -= 1
+        worker.on_end = lambda w, key, how: None
+        worker.on_start = lambda w, key: None
+
+    def _note_start(self, worker: WorkerCore, key: tuple[str, int]) -> None:
+        task = key[0]
+        self.starts[task] += 1
+        if self._active[task]:
+            self.overlaps.append(task)
+        if self.done[task]:
+            self.restarted_after_done.append(task)
+        self._active[task] += 1
+
+    def _note_end(self, worker: WorkerCore, key: tuple[str, int], how: str) -> None:
+        task = key[0]
+        self._active[task] -= 1
+        if how == "done":
+            self.done[task] += 1
+
+    def owner(self) -> Daemon | None:
+        """Return the daemon that holds the lease by its own clock."""
+        valid = [d for d in self.daemons.values() if d.lease.is_valid]
+        return valid[0] if valid else None
+
+    def owners(self) -> int:
+        """Return how many daemons believe that they may start tasks."""
+        return sum(daemon.lease.is_valid for daemon in self.daemons.values())
+
+    async def until_owned(self) -> Daemon:
+        """Wait until a daemon holds the lease and has found every worker."""
+        while True:
+            daemon = self.owner()
+            if daemon and daemon.tenure and self._is_ready(daemon.tenure):
+                return daemon
+            await asyncio.sleep(0.05)
+
+    def _is_ready(self, tenure: Tenure) -> bool:
+        fleet = list(tenure.owner.fleet)
+        return bool(fleet) and all(worker.is_reconciled for worker in fleet)
+
+    async def until_state(
+        self, daemon: Daemon, job_id: str, state: str, limit_s: float = 60.0
+    ) -> float:
+        """Wait for a job's state; return the virtual seconds it took."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        while loop.time() - began_s < limit_s:
+            status = await daemon.state(job_id)
+            if isinstance(status, JobStatus) and status.state == state:
+                return loop.time() - began_s
+            await asyncio.sleep(0.05)
+        raise AssertionError(f"{job_id} is not {state} after {limit_s} s: {status}")
+
+
+def job(job_id: str, *steps: StepSpec) -> JobSpec:
+    """Return a job; without steps it has one of two tasks."""
+    default = StepSpec(count=2, cpu_m=1000, memory_mb=100, estimate_s=0.5)
+    return JobSpec(job_id, "payload", steps or (default,))
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/store.py
@@ -0,0 +1,145 @@
+"""The stand-in of the metadata store: versioned rows, transactions and a feed."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from collections.abc import Iterable
+from urllib.parse import parse_qs, urlsplit
+
+HISTORY_ROWS = 5000
+PAGE_ROWS = 500
+MAX_ENTRIES = 100
+
+Name = tuple[str, str, str]
+
+
+class StoreCore:
+    """Rows by table, part and key; ``version`` grows with each transaction."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self._rows: dict[Name, tuple[str, int]] = {}
+        self._history: list[tuple[int, Name, str | None]] = []
+        self._oldest = 0
+        self._changed = asyncio.Event()
+        self.calls = 0
+
+    async def handle(self, method: str, url: str, body: dict | None) -> tuple:
+        """Answer one call with a status and a body."""
+        self.calls += 1
+        parts = urlsplit(url)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        if (method, parts.path) == ("POST", "/rows-tx"):
+            return self.transact(body)
+        if (method, parts.path) == ("GET", "/rows-get"):
+            return self.read(query)
+        if (method, parts.path) == ("GET", "/rows-feed"):
+            return await self.feed(query)
+        return 404, None
+
+    def transact(self, body: dict) -> tuple:
+        """Apply a transaction if all its conditions hold."""
+        entries = body["expected"] + body["setKeys"] + body["remove"]
+        if len(entries) > MAX_ENTRIES:
+            return 400, {"reason": "too many entries"}
+        named = [_name(row) for row in body["expected"]]
+        held = all(
+            self._version_of(name) == row["ver"]
+            for name, row in zip(named, body["expected"], strict=True)
+        )
+        if not held:
+            return 412, {"rows": [self._wire(n) for n in named if n in self._rows]}
+        writes = [(_name(row), row["value"]) for row in body["setKeys"]]
+        removed = [(_name(row), None) for row in body["remove"]]
+        self._apply([*writes, *removed])
+        return 200, {"ver": self.version}
+
+    def put_json(self, table: str, key: str, value: object) -> None:
+        """Write a row as the operator or a worker does."""
+        encoded = base64.b64encode(json.dumps(value).encode()).decode()
+        self._apply([((table, "", key), encoded)])
+
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row."""
+        self._apply([((table, "", key), None)])
+
+    def value(self, table: str, key: str) -> bytes | None:
+        """Return a row's value."""
+        found = self._rows.get((table, "", key))
+        return None if found is None else base64.b64decode(found[0])
+
+    def keys(self, table: str) -> list[str]:
+        """Return the keys of a table."""
+        return sorted(name[2] for name in self._rows if name[0] == table)
+
+    def forget_history(self) -> None:
+        """Drop the history of changes, as the platform may."""
+        self._history = []
+        self._oldest = self.version
+
+    def _apply(self, changes: Iterable[tuple[Name, str | None]]) -> None:
+        self.version += 1
+        for name, value in changes:
+            if value is None:
+                self._rows.pop(name, None)
+            else:
+                self._rows[name] = (value, self.version)
+            self._history.append((self.version, name, value))
+        del self._history[:-HISTORY_ROWS]
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    def _version_of(self, name: Name) -> int:
+        return self._rows[name][1] if name in self._rows else 0
+
+    def _wire(self, name: Name) -> dict:
+        value, version = self._rows[name]
+        return {**_fields(name), "value": value, "ver": version}
+
+    def read(self, query: dict) -> tuple:
+        """Return a page of rows."""
+        first, end = query.get("from", ""), query.get("target")
+        names = sorted(
+            name
+            for name in self._rows
+            if name[:2] == (query["table"], query.get("part", ""))
+            and name[2] >= first
+            and (end is None or name[2] < end)
+        )
+        limit = min(PAGE_ROWS, int(query.get("limit", PAGE_ROWS)))
+        rows = [self._wire(name) for name in names[:limit]]
+        more = len(names) > limit
+        return 200, {"rows": rows, "hasMore": more, "ver": self.version}
+
+    async def feed(self, query: dict) -> tuple:
+        """Wait for changes of a table."""
+        after = int(query["after"])
+        if after < self._oldest:
+            return 410, None
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + int(query["waitMs"]) / 1000.0
+        while not (rows := self._changes(query["table"], after)):
+            try:
+                async with asyncio.timeout_at(until_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                break
+        return 200, {"rows": rows, "ver": self.version}
+
+    def _changes(self, table: str, after: int) -> list[dict]:
+        return [
+            {**_fields(name), "value": value or "", "ver": version}
+            | ({"tombstone": True} if value is None else {})
+            for version, name, value in self._history
+            if version > after and name[0] == table
+        ]
+
+
+def _name(row: dict) -> Name:
+    return (row["table"], row.get("part", ""), row["key"])
+
+
+def _fields(name: Name) -> dict:
+    return {"table": name[0], "part": name[1], "key": name[2]}
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/worker.py
@@ -0,0 +1,190 @@
+"""The stand-in of a worker: leases, fencing tokens, room, ends and late orders."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+MAX_LEASE_S = 10.0
+STOP_S = 0.1
+
+RunKey = tuple[str, int]
+
+
+class WorkerRun:
+    """One run on a worker."""
+
+    __slots__ = ("key", "began_s", "work_s", "timer", "cpu", "checkpoint", "pace")
+
+    def __init__(self, key: RunKey, began_s: float, work_s: float, cpu: int) -> None:
+        self.key = key
+        self.began_s = began_s
+        self.work_s = work_s
+        self.cpu = cpu
+        self.timer: asyncio.TimerHandle | None = None
+        self.checkpoint = ""
+        self.pace = 100
+
+
+class WorkerCore:
+    """One life of a worker.
+
+    ``work_s`` tells how long a task takes, ``None`` for ever; ``fails`` whether it
+    fails. ``on_start`` and ``on_end`` are told of each run.
+    """
+
+    def __init__(self, id: str, address: str, zone: str, born: int = 1) -> None:
+        self.id = id
+        self.address = address
+        self.zone = zone
+        self.born = born
+        self.cpu = 32000
+        self.memory_mb = 128000
+        self.state = "ready"
+        self.work_s: Callable[[str], float | None] = lambda task: 0.5
+        self.fails: Callable[[str], bool] = lambda task: False
+        self.usage: Callable[[str], float] = lambda task: 0.0
+        self.on_start: Callable[[WorkerCore, RunKey], None] = lambda worker, key: None
+        self.on_end: Callable[[WorkerCore, RunKey, str], None] = lambda w, key, how: (
+            None
+        )
+        self.running: dict[RunKey, WorkerRun] = {}
+        self.ends: list[list] = []
+        self.token = 0
+        self.lease_until_s = 0.0
+        self.last_seen = 0
+        self._ended: dict[str, int] = {}
+        self._number = 0
+        self._changed = asyncio.Event()
+        self._lease_timer: asyncio.TimerHandle | None = None
+        self._loop = asyncio.get_running_loop()
+        self._began_s = self._loop.time()
+
+    def entry(self) -> dict:
+        """Return the worker's entry in the list of workers."""
+        return {
+            "service": "desk",
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": self.state,
+            "remainingMs": 4000,
+            "coldLeftMs": 0,
+            "capacity": {"cpu": self.cpu, "memMb": self.memory_mb, "gpus": 0},
+            "labels": ["a", "r1-1"],
+            "born": self.born,
+            "clockMs": self.clock_ms(),
+            "sequence": 1,
+        }
+
+    def clock_ms(self) -> int:
+        """Return the worker's own clock."""
+        return int((self._loop.time() - self._began_s) * 1000) + 1000
+
+    async def handle(self, path: str, body: dict, target: str) -> tuple:
+        """Answer one call with a status and a body."""
+        if target != self.id:
+            return 421, None
+        if body.get("fencingToken", 0) < self.token:
+            return 409, {"clockMs": self.clock_ms(), "reason": "fence"}
+        self.token = body.get("fencingToken", 0)
+        handler = {
+            "/run-start": self._start,
+            "/run-stop": self._stop,
+            "/pace": self._pace,
+        }.get(path)
+        if handler is not None:
+            return handler(body)
+        return await self._hold(body)
+
+    def _answer(self, reason: str = "") -> tuple:
+        if reason:
+            return 409, {"clockMs": self.clock_ms(), "reason": reason}
+        return 200, {"clockMs": self.clock_ms()}
+
+    def _start(self, body: dict) -> tuple:
+        key = (body["task"], body["run"])
+        self._extend(body.get("deadlineMs", 0))
+        if key in self.running:
+            return self._answer()
+        if body["run"] <= self._ended.get(body["task"], 0):
+            return self._answer("old")
+        if body.get("deadlineMs", 0) <= self.clock_ms():
+            return self._answer("late")
+        run = WorkerRun(key, self._loop.time(), self.work_s(body["task"]) or 0.0, 0)
+        run.checkpoint = body.get("checkpoint", "")
+        self.running[key] = run
+        self.on_start(self, key)
+        if self.work_s(body["task"]) is not None:
+            how = "failed" if self.fails(body["task"]) else "done"
+            run.timer = self._loop.call_later(run.work_s, self._end, key, how)
+        return self._answer()
+
+    def _stop(self, body: dict) -> tuple:
+        key = (body["task"], body["run"])
+        task, run = key
+        self._ended[task] = max(run, self._ended.get(task, 0))
+        if key in self.running:
+            self._loop.call_later(STOP_S, self._end, key, "stopped")
+        return self._answer()
+
+    def _pace(self, body: dict) -> tuple:
+        run = self.running.get((body["task"], body["run"]))
+        if run is not None:
+            run.pace = body["percent"]
+        return self._answer()
+
+    def _extend(self, deadline_ms: int) -> None:
+        """Extend the lease; it never becomes shorter nor longer than its maximum."""
+        left_s = min((deadline_ms - self.clock_ms()) / 1000.0, MAX_LEASE_S)
+        until_s = self._loop.time() + left_s
+        if until_s > self.lease_until_s:
+            self.lease_until_s = until_s
+            if self._lease_timer is not None:
+                self._lease_timer.cancel()
+            self._lease_timer = self._loop.call_at(until_s, self._lapse)
+
+    def _lapse(self) -> None:
+        for key in list(self.running):
+            self._end(key, "lapsed")
+
+    def _end(self, key: RunKey, how: str) -> None:
+        run = self.running.pop(key, None)
+        if run is None:
+            return
+        if run.timer is not None:
+            run.timer.cancel()
+        task, number = key
+        self._ended[task] = max(number, self._ended.get(task, 0))
+        self._number += 1
+        self.ends.append([self._number, task, number, how, run.checkpoint])
+        self.on_end(self, key, how)
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    async def _hold(self, body: dict) -> tuple:
+        self._extend(body.get("deadlineMs", 0))
+        self.last_seen = max(self.last_seen, body["lastSeen"])
+        self.ends = [end for end in self.ends if end[0] > self.last_seen]
+        if not self.ends and body.get("waitMs"):
+            try:
+                async with asyncio.timeout(body["waitMs"] / 1000.0):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+        running = [
+            [*key, run.checkpoint, self._percent(run), self.usage(key[0])]
+            for key, run in self.running.items()
+        ]
+        return 200, {
+            "clockMs": self.clock_ms(),
+            "born": self.born,
+            "running": running,
+            "finished": self.ends[:500],
+        }
+
+    def _percent(self, run: WorkerRun) -> int:
+        if not run.work_s:
+            return 100
+        return int(100 * min(1.0, (self._loop.time() - run.began_s) / run.work_s))
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the scheduler against the stand-in of the Authority platform."""
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/base.py
@@ -0,0 +1,31 @@
+"""Test cases in virtual time against a whole deployment."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Coroutine
+
+from loguru import logger as log
+
+from fulmarlever.tests.base import TableTestCase
+from fulmarlever_standins.authority.site import Site
+from fulmarlever_standins.authority.virtual_time import run_virtual
+
+
+class SiteTestCase(TableTestCase):
+    """Plays a scenario and checks what workers have seen."""
+
+    def setUp(self):
+        log.remove()
+
+    def play(self, scenario: Callable[[Site], Coroutine]) -> Site:
+        """Run a scenario on a new site and check that no task ran twice."""
+
+        async def run() -> Site:
+            site = Site()
+            await scenario(site)
+            return site
+
+        site = run_virtual(run())
+        self.assertEqual(site.overlaps, [], "two runs of a task at the same time")
+        self.assertEqual(site.restarted_after_done, [], "started again after done")
+        return site
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/faults_tests.py
@@ -0,0 +1,178 @@
+from __future__ import annotations
+
+import asyncio
+
+from fulmarlever.outcomes import failed
+from fulmarlever_standins.authority.site import FILLING, job
+from fulmarlever_standins.tests.authority.base import SiteTestCase
+from fulmarleverd.scheduling.intake import UnknownJob
+from fulmarleverd.scheduling.specs import StepSpec
+
+LASTING = StepSpec(count=2, cpu_m=1000, estimate_s=0.5, is_long_running=True)
+
+
+class StoreFaultTests(SiteTestCase):
+    ROWS = (
+        ("answers lost", {"lose_answers": 3}),
+        ("late writes", {"late_transactions": 2}),
+        ("both", {"lose_answers": 2, "late_transactions": 2}),
+    )
+
+    def test_lost_answers_do_not_run_anything_twice(self):
+        for _, faults in self.each(self.ROWS):
+
+            async def scenario(site, faults=faults):
+                site.add_daemons("vm-1", "vm-2")
+                site.add_workers(2)
+                owner = await site.until_owned()
+                for number in range(5):
+                    for name, count in faults.items():
+                        setattr(site.network, name, count)
+                    result = await owner.submit(job(f"j{number}"))
+                    if failed(result):
+                        await owner.submit(job(f"j{number}"))
+                for number in range(5):
+                    await site.until_state(owner, f"j{number}", "completed")
+
+            site = self.play(scenario)
+            self.assertEqual(sum(site.done.values()), 10)
+
+    def test_the_same_id_at_two_daemons_is_one_job(self):
+        async def scenario(site):
+            site.add_daemons("vm-1", "vm-2")
+            site.add_workers(2)
+            await site.until_owned()
+            daemons = site.daemons.values()
+            results = await asyncio.gather(*(d.submit(job("j")) for d in daemons))
+            self.assertEqual(results, [None, None])
+            await site.until_state(site.daemons["vm-1"], "j", "completed")
+
+        site = self.play(scenario)
+        self.assertEqual(sum(site.starts.values()), 2)
+
+    def test_lost_history_is_read_anew(self):
+        async def scenario(site):
+            site.add_daemons("vm-1")
+            site.add_workers(1)
+            owner = await site.until_owned()
+            site.network.refusing.add("vm-1")
+            await asyncio.sleep(0.5)
+            site.network.store.put_json("servers", "w9", {"state": "ready"})
+            site.network.store.forget_history()
+            site.network.refusing.clear()
+            while failed(await owner.submit(job("j"))):
+                await asyncio.sleep(0.1)
+            await site.until_state(owner, "j", "completed")
+
+        self.play(scenario)
+
+    def test_an_outage_of_the_store_keeps_what_runs(self):
+        async def scenario(site):
+            site.add_daemons("vm-1", "vm-2")
+            for worker in site.add_workers(2):
+                worker.work_s = lambda task: None
+            owner = await site.until_owned()
+            await owner.submit(job("j", LASTING))
+            await asyncio.sleep(1.0)
+            site.network.is_store_down = True
+            await asyncio.sleep(6.0)
+            site.network.is_store_down = False
+            await asyncio.sleep(6.0)
+
+        site = self.play(scenario)
+        self.assertEqual(sum(site.starts.values()), 2)
+
+
+class WorkerFaultTests(SiteTestCase):
+    def test_an_order_carried_out_late_runs_once(self):
+        async def scenario(site):
+            site.add_daemons("vm-1")
+            site.add_workers(2)
+            owner = await site.until_owned()
+            site.network.late_orders = 2
+            await owner.submit(job("j"))
+            await site.until_state(owner, "j", "completed")
+            await asyncio.sleep(5.0)
+
+        site = self.play(scenario)
+        self.assertEqual(sum(site.done.values()), 2)
+
+    def test_a_worker_that_starts_again_under_its_id_loses_its_runs(self):
+        for row in self.each((("reborn", 2), ("gone", 0))):
+
+            async def scenario(site, born=row[1]):
+                site.add_daemons("vm-1")
+                worker, spare = site.add_workers(2)
+                worker.work_s = spare.work_s = lambda task: 2.0
+                owner = await site.until_owned()
+                await owner.submit(job("j", StepSpec(count=6, cpu_m=1000)))
+                await asyncio.sleep(0.5)
+                site.crash_worker(worker)
+                if born:
+                    site.add_worker(worker.id, born)
+                else:
+                    site.network.store.remove("servers", worker.id)
+                limit_s = 6.0 if born else 25.0
+                await site.until_state(owner, "j", "completed", limit_s)
+
+            self.play(scenario)
+
+    def test_a_cut_worker_keeps_its_tasks_until_its_lease_is_over(self):
+        async def scenario(site):
+            site.add_daemons("vm-1")
+            worker, spare = site.add_workers(2)
+            worker.work_s = spare.work_s = lambda task: 4.0
+            owner = await site.until_owned()
+            await owner.submit(job("j", StepSpec(count=4, cpu_m=1000)))
+            await asyncio.sleep(0.5)
+            site.network.cut("vm-1", worker.address)
+            await asyncio.sleep(6.0)
+            self.assertEqual(sum(site.starts.values()), 4)
+            site.network.heal()
+            await site.until_state(owner, "j", "completed", 5.0)
+
+        site = self.play(scenario)
+        self.assertEqual(set(site.starts.values()), {1})
+
+    def test_a_task_that_always_fails_ends_its_job_after_its_attempts(self):
+        async def scenario(site):
+            site.add_daemons("vm-1")
+            for worker in site.add_workers(3):
+                worker.fails = lambda task: True
+            owner = await site.until_owned()
+            await owner.submit(job("j", StepSpec(count=1, cpu_m=1000)), FILLING)
+            await site.until_state(owner, "j", "failed")
+            await asyncio.sleep(3.0)
+
+        site = self.play(scenario)
+        self.assertEqual(sum(site.starts.values()), FILLING.max_attempts)
+
+
+class CancelTests(SiteTestCase):
+    def test_a_cancelled_job_runs_no_longer(self):
+        async def scenario(site):
+            site.add_daemons("vm-1", "vm-2")
+            workers = site.add_workers(2)
+            for worker in workers:
+                worker.work_s = lambda task: None
+            await site.until_owned()
+            daemon = site.daemons["vm-2"]
+            await daemon.submit(job("j", LASTING))
+            await asyncio.sleep(0.5)
+            self.assertEqual(sum(len(w.running) for w in workers), 2)
+            self.assertFalse(failed(await daemon.intake.cancel("j", 100.0)))
+            await site.until_state(daemon, "j", "cancelled", 1.0)
+            await asyncio.sleep(1.0)
+            self.assertEqual(sum(len(w.running) for w in workers), 0)
+
+        self.play(scenario)
+
+    def test_an_unknown_job_is_said_to_be_unknown(self):
+        async def scenario(site):
+            site.add_daemons("vm-1")
+            daemon = site.daemons["vm-1"]
+            self.assertIsInstance(await daemon.state("none"), UnknownJob)
+            result = await daemon.intake.cancel("none", 100.0)
+            self.assertIsInstance(result, UnknownJob)
+
+        self.play(scenario)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
@@ -4,77 +4,137 @@
 
 from collections.abc import Iterator
 
-from fulmarleverd.scheduling.decisions import record
+from fulmarleverd.scheduling.decisions import record, record_run
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.owner import Owner
+from fulmarleverd.scheduling.pressure import PressureModel
+from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.scheduling.tasks import Run, RunState
 
-# Shares of the latency target.
-RELAX_BELOW = 0.6
-RESTRAIN_ABOVE = 0.85
-STOP_ABOVE = 1.0
-RESTRAIN_FACTOR = 0.8
-RELAX_FACTOR = 1.1
-MIN_LIMIT = 0.05
-RESTRAINED_PERCENT = 40
-# How long over the target before best-effort tasks are stopped, as a share of the
-# time after which the platform counts harm.
-STOP_AFTER_SHARE = 0.35
+# Shares of the latency target: a new task may raise the latency up to the first, a
+# paced task gets its speed back below the second, and above the third tasks are paced.
+ADMIT_UP_TO = 0.75
+RESTORE_BELOW = 0.6
+RESTRAIN_ABOVE = 0.92
+RESTRAIN_TO = 0.75
+PAUSED_PERCENT = 0
+FULL_PERCENT = 100
 
 
 class InterferenceGuard:
-    """Restrains best-effort work beside serving tasks that near their target."""
+    """Admits, paces and restores best-effort work beside serving tasks."""
 
-    def __init__(self, owner: Owner) -> None:
+    def __init__(self, owner: Owner, model: PressureModel | None = None) -> None:
         self._owner = owner
-        self._over_since_s: dict[Worker, float] = {}
-
-    def tick(self) -> None:
-        """Look at every worker that serves."""
-        for worker in self._owner.fleet:
-            if worker.has_serving:
-                self._check(worker)
-            else:
-                self._over_since_s.pop(worker, None)
-
-    def _check(self, worker: Worker) -> None:
-        worker.pressure = max(_ratios(worker), default=0.0)
-        if worker.pressure > STOP_ABOVE:
-            self._over(worker)
+        self.model = model or PressureModel()
+
+    def learn(self, worker: Worker) -> None:
+        """Learn from a report that has just been taken."""
+        loads = [
+            (run.task.step.spec.image, load_of(run, worker))
+            for run in best_effort_runs(worker)
+        ]
+        for run in serving_runs(worker):
+            if run.usage:
+                self.model.observe(run.task.step.spec.image, loads, ratio_of(run))
+
+    def check(self, worker: Worker) -> None:
+        """Pace best-effort tasks down while a serving task nears its target."""
+        worst = max(serving_runs(worker), key=ratio_of, default=None)
+        if worst is None:
+            self._restore_all(worker)
             return
-        self._over_since_s.pop(worker, None)
+        worker.pressure = ratio_of(worst)
         if worker.pressure > RESTRAIN_ABOVE:
-            self._limit(worker, RESTRAIN_FACTOR)
-        elif worker.pressure < RELAX_BELOW:
-            self._limit(worker, RELAX_FACTOR)
-            self._pace(worker, 100)
-
-    def _limit(self, worker: Worker, factor: float) -> None:
-        limit = worker.best_effort_limit * factor
-        worker.best_effort_limit = min(1.0, max(MIN_LIMIT, limit))
-
-    def _over(self, worker: Worker) -> None:
-        now = self._owner.now_s()
-        since_s = self._over_since_s.setdefault(worker, now)
-        self._limit(worker, RESTRAIN_FACTOR)
-        if now - since_s >= STOP_AFTER_SHARE * self._owner.bounds.harm_s:
-            self._stop_all(worker)
-        else:
-            self._pace(worker, RESTRAINED_PERCENT)
-
-    def _pace(self, worker: Worker, percent: int) -> None:
+            self._restrain(worker, worst)
+        elif worker.pressure < RESTORE_BELOW:
+            self._restore_one(worker)
+
+    def _rise(self, serving: Run, spec: StepSpec, load: float) -> float:
+        return self.model.rise(serving.task.step.spec.image, spec.image, load)
+
+    def _restrain(self, worker: Worker, serving: Run) -> None:
+        """Pause the tasks that raise the latency most, until it should be in bounds."""
+        excess = worker.pressure - RESTRAIN_TO
+        by_rise = [
+            (self._rise(serving, run.task.step.spec, load_of(run, worker)), run)
+            for run in best_effort_runs(worker)
+            if run.pace != PAUSED_PERCENT
+        ]
+        by_rise.sort(key=lambda pair: -pair[0])
+        for rise, run in by_rise:
+            if excess <= 0.0:
+                break
+            excess -= rise
+            self._pace(run, PAUSED_PERCENT, worker, rise)
+
+    def _restore_one(self, worker: Worker) -> None:
         for run in best_effort_runs(worker):
-            if run.pace != percent:
-                self._owner.orders.send_pace(run, percent)
+            if run.pace != FULL_PERCENT and self.admits(run.task.step.spec, worker):
+                self._pace(run, FULL_PERCENT, worker, 0.0)
+                return
 
-    def _stop_all(self, worker: Worker) -> None:
-        record(
-            "best-effort-stopped",
-            worker=worker.id,
+    def _restore_all(self, worker: Worker) -> None:
+        for run in best_effort_runs(worker):
+            if run.pace != FULL_PERCENT:
+                self._pace(run, FULL_PERCENT, worker, 0.0)
+
+    def _pace(self, run: Run, percent: int, worker: Worker, rise: float) -> None:
+        record_run(
+            "run-paced",
+            run,
+            percent=percent,
             pressure=round(worker.pressure, 2),
+            rise=round(rise, 2),
+        )
+        self._owner.orders.send_pace(run, percent)
+
+    def admits(self, spec: StepSpec, worker: Worker) -> bool:
+        """Return whether a best-effort task fits beside the serving tasks."""
+        return self.cost(spec, worker) is not None
+
+    def cost(self, spec: StepSpec, worker: Worker) -> float | None:
+        """Return the rise of the latency by one more task, None if it is too much."""
+        load = spec.cpu_m / worker.entry.cpu_m
+        highest = 0.0
+        for serving in serving_runs(worker):
+            rise = self._rise(serving, spec, load)
+            expected = ratio_of(serving) + rise + self._unseen_rise(serving, worker)
+            if expected > ADMIT_UP_TO:
+                return None
+            highest = max(highest, rise)
+        return highest
+
+    def _unseen_rise(self, serving: Run, worker: Worker) -> float:
+        """Return the rise by runs that no report shows at work yet."""
+        return sum(
+            self._rise(serving, run.task.step.spec, nominal_load(run, worker))
+            for run in worker.runs.values()
+            if run.task.step.spec.is_best_effort
+            and not run.usage
+            and run.pace == FULL_PERCENT
+            and run.state is not RunState.STOPPING
         )
-        for run in list(best_effort_runs(worker)):
-            self._owner.stop_run(run, "serving tasks beside it miss their target")
+
+    def describe(self) -> None:
+        """Log what has been learned."""
+        for serving, image, value in self.model.describe():
+            record("pressure", serving=serving, image=image, rise=round(value, 2))
+
+
+def ratio_of(run: Run) -> float:
+    """Return the tail latency of a serving run as a share of its target."""
+    return run.usage / 1000.0 / run.task.step.spec.latency_target_s
+
+
+def nominal_load(run: Run, worker: Worker) -> float:
+    """Return a run's declared cores as a share of its worker."""
+    return run.task.step.spec.cpu_m / worker.entry.cpu_m
+
+
+def load_of(run: Run, worker: Worker) -> float:
+    """Return a run's cores in use as a share of its worker."""
+    return run.usage / worker.entry.cpu_m
 
 
 def best_effort_runs(worker: Worker) -> Iterator[Run]:
@@ -84,9 +144,8 @@
             yield run
 
 
-def _ratios(worker: Worker) -> Iterator[float]:
-    """Yield the tail latency of each serving run as a share of its target."""
+def serving_runs(worker: Worker) -> Iterator[Run]:
+    """Yield the serving runs of a worker."""
     for run in worker.runs.values():
-        target_s = run.task.step.spec.latency_target_s
-        if target_s and run.state is RunState.RUNNING:
-            yield run.usage / 1000.0 / target_s
+        if run.task.step.spec.latency_target_s and run.state is RunState.RUNNING:
+            yield run
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
@@ -45,7 +45,7 @@
 
     def _wait_s(self) -> float:
         worker = self._worker
-        if not worker.is_reconciled:
+        if not worker.is_reconciled or not worker.is_reachable:
             return 0.0
         if worker.has_serving:
             return WAIT_WITH_SERVING_S
@@ -56,8 +56,10 @@
         owner = self._owner
         asked_s = owner.now_s()
         until_ms = 0
-        worker.granted_s = asked_s
-        if worker.clock_ms:
+        # A silent worker is only asked: a lease extended by a call without an answer
+        # would put off the time at which its tasks may run elsewhere.
+        if worker.is_reachable:
+            worker.granted_s = asked_s
             until_ms = worker.lease_until_ms(asked_s, owner.bounds.worker_lease_s)
         report = await self._calls.extend_lease(
             worker.entry,
--- a/packages/fulmarleverd/fulmarleverd/tests/storage/table_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/storage/table_tests.py
@@ -10,7 +10,7 @@
 from fulmarlever.structure.table import ABSENT, Applied, Change
 from fulmarlever.tests.base import TableTestCase
 from fulmarleverd.storage.table import UNKNOWN_VERSION, Table
-from fulmarleverd.tests.platform.base import FakeHTTP, Fault
+from fulmarleverd.tests.storage.base import FakeHTTP, Fault
 
 INSERT = Change(conditions={"k": ABSENT}, writes={"k": "mine"})
 
