--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/takeover_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/takeover_tests.py
@@ -61,6 +61,24 @@
             site = self.play(scenario)
             self.assertEqual(sum(site.done.values()), 6)
 
+    def test_a_job_cancelled_between_two_owners_is_stopped(self):
+        async def scenario(site):
+            site.add_daemons("vm-1")
+            worker = site.add_workers(1)[0]
+            worker.work_s = lambda task: None
+            owner = await site.until_owned()
+            await owner.submit(job("j", LONG))
+            await asyncio.sleep(0.5)
+            await kill_owner(site)
+            self.assertEqual(len(worker.running), 4)
+            await owner.intake.cancel("j", 100.0)
+            site.add_daemons("vm-2")
+            await site.until_owned()
+            await asyncio.sleep(1.0)
+            self.assertEqual(len(worker.running), 0)
+
+        self.play(scenario)
+
     def test_two_daemons_never_hold_the_lease_at_once(self):
         async def scenario(site):
             site.add_daemons("vm-1", "vm-2", "vm-3")
--- a/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
@@ -14,6 +14,8 @@
 # A worker that failed this many runs in a row gets one run at a time.
 FAILURES_TO_DISTRUST = 2
 DISTRUST_S = 6.0
+# The part of a serving task's reservation that it uses on average.
+SERVING_USE = 0.55
 
 
 class Worker:
@@ -31,7 +33,7 @@
         "reserved_memory_mb",
         "reserved_gpus",
         "best_effort_cpu_m",
-        "best_effort_limit",
+        "reserved_serving_m",
         "is_reconciled",
         "is_listed",
         "is_reachable",
@@ -56,7 +58,7 @@
         self.reserved_memory_mb = 0
         self.reserved_gpus = 0
         self.best_effort_cpu_m = 0
-        self.best_effort_limit = 1.0
+        self.reserved_serving_m = 0
         self.is_reconciled = False
         self.is_listed = True
         self.is_reachable = False
@@ -125,21 +127,39 @@
         if key not in self.runs:
             self.runs[key] = run
             self._reserve(run.task.step.spec, 1)
+            self._count_best_effort(run, run.pace)
 
     def remove(self, run: Run) -> None:
         """Release the room of a run that is certainly over."""
         if self.runs.pop((run.task.name, run.number), None) is not None:
             self._reserve(run.task.step.spec, -1)
+            self._count_best_effort(run, -run.pace)
 
     def _reserve(self, step: StepSpec, sign: int) -> None:
         self.reserved_memory_mb += sign * step.memory_mb
         self.reserved_gpus += sign * step.gpus
-        if step.is_best_effort:
-            self.best_effort_cpu_m += sign * step.cpu_m
-        else:
+        if not step.is_best_effort:
             self.reserved_cpu_m += sign * step.cpu_m
         if step.latency_target_s:
             self.has_serving += sign
+            self.reserved_serving_m += sign * step.cpu_m
+
+    def set_pace(self, run: Run, percent: int) -> None:
+        """Count a run's cores at the share of its speed that it may work at."""
+        change = percent - run.pace
+        run.pace = percent
+        if (run.task.name, run.number) in self.runs:
+            self._count_best_effort(run, change)
+
+    def _count_best_effort(self, run: Run, percent: int) -> None:
+        step = run.task.step.spec
+        if step.is_best_effort:
+            self.best_effort_cpu_m += step.cpu_m * percent // 100
+
+    def best_effort_room_m(self) -> float:
+        """Return the thousandths of a core that are likely left for best effort."""
+        unused_m = (1.0 - SERVING_USE) * self.reserved_serving_m
+        return self.free_cpu_m() + unused_m - self.best_effort_cpu_m
 
     def note_clock(self, clock_ms: int, now_s: float) -> None:
         """Remember the worker's clock as of an answer."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
@@ -19,6 +19,7 @@
 RESTRAIN_TO = 0.75
 PAUSED_PERCENT = 0
 FULL_PERCENT = 100
+MAX_PAUSE_S = 1.5
 
 
 class InterferenceGuard:
@@ -28,8 +29,12 @@
         self._owner = owner
         self.model = model or PressureModel()
 
-    def learn(self, worker: Worker) -> None:
-        """Learn from a report that has just been taken."""
+    def take_report(self, worker: Worker) -> None:
+        """Learn from a report that has just been taken, and act on it."""
+        self._learn(worker)
+        self._check(worker)
+
+    def _learn(self, worker: Worker) -> None:
         loads = [
             (run.task.step.spec.image, load_of(run, worker))
             for run in best_effort_runs(worker)
@@ -38,8 +43,7 @@
             if run.usage:
                 self.model.observe(run.task.step.spec.image, loads, ratio_of(run))
 
-    def check(self, worker: Worker) -> None:
-        """Pace best-effort tasks down while a serving task nears its target."""
+    def _check(self, worker: Worker) -> None:
         worst = max(serving_runs(worker), key=ratio_of, default=None)
         if worst is None:
             self._restore_all(worker)
@@ -49,6 +53,14 @@
             self._restrain(worker, worst)
         elif worker.pressure < RESTORE_BELOW:
             self._restore_one(worker)
+        self._move_paused(worker)
+
+    def _move_paused(self, worker: Worker) -> None:
+        """Stop tasks that have been paused for long; they go on elsewhere."""
+        limit_s = self._owner.now_s() - MAX_PAUSE_S
+        for run in list(best_effort_runs(worker)):
+            if run.pace == PAUSED_PERCENT and run.paced_at_s < limit_s:
+                self._owner.stop_run(run, "paused for too long")
 
     def _rise(self, serving: Run, spec: StepSpec, load: float) -> float:
         return self.model.rise(serving.task.step.spec.image, spec.image, load)
@@ -70,7 +82,10 @@
 
     def _restore_one(self, worker: Worker) -> None:
         for run in best_effort_runs(worker):
-            if run.pace != FULL_PERCENT and self.admits(run.task.step.spec, worker):
+            if (
+                run.pace != FULL_PERCENT
+                and self.rise_of(run.task.step.spec, worker) is not None
+            ):
                 self._pace(run, FULL_PERCENT, worker, 0.0)
                 return
 
@@ -87,13 +102,10 @@
             pressure=round(worker.pressure, 2),
             rise=round(rise, 2),
         )
+        run.paced_at_s = self._owner.now_s()
         self._owner.orders.send_pace(run, percent)
 
-    def admits(self, spec: StepSpec, worker: Worker) -> bool:
-        """Return whether a best-effort task fits beside the serving tasks."""
-        return self.cost(spec, worker) is not None
-
-    def cost(self, spec: StepSpec, worker: Worker) -> float | None:
+    def rise_of(self, spec: StepSpec, worker: Worker) -> float | None:
         """Return the rise of the latency by one more task, None if it is too much."""
         load = spec.cpu_m / worker.entry.cpu_m
         highest = 0.0
--- a/packages/fulmarleverd/fulmarleverd/scheduling/orders.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/orders.py
@@ -182,7 +182,7 @@
 
     def send_pace(self, run: Run, percent: int) -> None:
         """Let a run work at a share of its speed."""
-        run.pace = percent
+        run.worker.set_pace(run, percent)
         self._spawn(self._pace(run, percent))
 
     async def _pace(self, run: Run, percent: int) -> None:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -57,6 +57,7 @@
         self.orders: WorkerOrders | None = None
         self.changed = asyncio.Event()
         self.on_worker_added: Callable[[Worker], None] = lambda worker: None
+        self.on_report: Callable[[Worker], None] = lambda worker: None
         self.taken_s = clock.boot()
         # Whatever an earlier owner started has ended by then, unless it is seen here.
         self.earlier_leases_end_s = (
@@ -207,6 +208,8 @@
         for run in [run for run in self.orphans if run.worker_key == worker.key]:
             self.orphans.discard(run)
             worker.add(run)
+            if run.task.step.job.is_final:
+                self.stop_run(run, "its job ended before its worker was known")
 
     def remove_worker(self, worker_id: str) -> None:
         """Take note that a worker is no longer listed; it may still run tasks."""
@@ -255,6 +258,7 @@
             worker.is_reconciled = True
             record("worker-reconciled", worker=worker.id, runs=len(worker.runs))
             self.changed.set()
+        self.on_report(worker)
 
     def _take_ends(self, worker: Worker, report: WorkerReport) -> None:
         last = worker.ends_seen
--- a/packages/fulmarleverd/fulmarleverd/scheduling/placement.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/placement.py
@@ -9,14 +9,17 @@
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.scheduling.tasks import Task
 
-Chooser = Callable[[Task, Iterable[Worker]], Worker | None]
+# The rise of serving tasks' latency by one more best-effort task, as a share of their
+# target; None if it is too much.
+RiseOf = Callable[[StepSpec, Worker], float | None]
+Chooser = Callable[[Task, Iterable[Worker], RiseOf], Worker | None]
 
 PLACEMENTS: Registry[Chooser] = Registry("placement of tasks")
 
-# Best-effort work on a worker, as a share of its unreserved cores: more than all of
-# them keeps the cores busy when a task waits, less keeps serving tasks quick.
-BEST_EFFORT_SHARE = 1.2
-BEST_EFFORT_SHARE_BESIDE_SERVING = 0.75
+# A best-effort task may press over the cores that are left by this share of its own.
+OVERCOMMIT_SHARE = 0.3
+# A rise of the latency, as a share of its target, that is worth no other worker.
+LIGHT_RISE = 0.1
 
 
 def candidates(task: Task, workers: Iterable[Worker]) -> Iterator[Worker]:
@@ -34,18 +37,18 @@
 
 
 @PLACEMENTS.register("spread")
-def spread(task: Task, workers: Iterable[Worker]) -> Worker | None:
+def spread(task: Task, workers: Iterable[Worker], rise_of: RiseOf) -> Worker | None:
     """Choose the worker with the most unreserved cores; the naive placement."""
     return max(candidates(task, workers), key=Worker.free_cpu_m, default=None)
 
 
 @PLACEMENTS.register("apart")
-def keep_apart(task: Task, workers: Iterable[Worker]) -> Worker | None:
-    """Pack serving tasks on few workers and keep best-effort work away from them."""
+def keep_apart(task: Task, workers: Iterable[Worker], rise_of: RiseOf) -> Worker | None:
+    """Pack serving tasks on few workers and keep harmful best-effort work away."""
     spec = task.step.spec
     found = candidates(task, workers)
     if spec.is_best_effort:
-        return _for_best_effort(spec, found)
+        return _for_best_effort(spec, found, rise_of)
     if spec.latency_target_s:
         return min(found, key=lambda w: _serving_cost(spec, w), default=None)
     return min(found, key=lambda w: _batch_cost(spec, w), default=None)
@@ -68,28 +71,26 @@
     return (is_remote, worker.has_serving == 0, -worker.free_cpu_m())
 
 
-def best_effort_limit_m(worker: Worker) -> float:
-    """Return how much best-effort work a worker may have, in thousandths of a core."""
-    share = (
-        BEST_EFFORT_SHARE_BESIDE_SERVING * worker.best_effort_limit
-        if worker.has_serving
-        else BEST_EFFORT_SHARE
-    )
-    return share * max(0, worker.free_cpu_m())
-
-
-def _for_best_effort(spec: StepSpec, workers: Iterable[Worker]) -> Worker | None:
-    fitting = (
-        worker
-        for worker in workers
-        if worker.best_effort_cpu_m + spec.cpu_m <= best_effort_limit_m(worker)
-    )
-    return min(fitting, key=lambda w: _best_effort_cost(spec, w), default=None)
+def _for_best_effort(
+    spec: StepSpec, workers: Iterable[Worker], rise_of: RiseOf
+) -> Worker | None:
+    need_m = spec.cpu_m * (1.0 - OVERCOMMIT_SHARE)
+    fitting = (worker for worker in workers if worker.best_effort_room_m() >= need_m)
+    costs = ((_best_effort_cost(spec, w, rise_of), w) for w in fitting)
+    possible = ((cost, w) for cost, w in costs if cost is not None)
+    best = min(possible, key=lambda pair: pair[0], default=None)
+    return best[1] if best else None
 
 
-def _best_effort_cost(spec: StepSpec, worker: Worker) -> tuple:
+def _best_effort_cost(spec: StepSpec, worker: Worker, rise_of: RiseOf) -> tuple | None:
+    """Prefer serving workers for tasks that hardly disturb them, else the others."""
     is_remote = bool(spec.preferred_rack) and (
         spec.preferred_rack not in worker.entry.labels
     )
-    left = best_effort_limit_m(worker) - worker.best_effort_cpu_m
-    return (worker.has_serving > 0, is_remote, -left)
+    if not worker.has_serving:
+        return (is_remote, 1, -worker.best_effort_room_m())
+    rise = rise_of(spec, worker)
+    if rise is None:
+        return None
+    group = 0 if rise < LIGHT_RISE else 2
+    return (is_remote, group, -worker.best_effort_room_m())
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -8,11 +8,13 @@
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.order import ORDERS
 from fulmarleverd.scheduling.owner import Owner
-from fulmarleverd.scheduling.placement import PLACEMENTS
+from fulmarleverd.scheduling.placement import PLACEMENTS, RiseOf
 from fulmarleverd.scheduling.tasks import Step, Task
 
 # Starts planned in one go; the next go follows their commit without a pause.
 MAX_STARTS_PER_PLAN = 200
+# Best-effort steps without a worker after which the rest of them is not tried.
+MAX_MISSES = 6
 
 
 class Planner:
@@ -22,6 +24,7 @@
         self,
         owner: Owner,
         clock: Clock,
+        rise_of: RiseOf,
         order: str = "objective",
         placement: str = "apart",
     ) -> None:
@@ -29,11 +32,14 @@
         self._clock = clock
         self._sort = ORDERS.find(order)
         self._choose = PLACEMENTS.find(placement)
+        self._rise_of = rise_of
+        self._misses = 0
         self._usable: dict[str, list[Worker]] = {}
 
     def plan(self) -> int:
         """Give tasks to workers and return how many got one."""
         self._usable = {}
+        self._misses = 0
         started = 0
         for step in self._sort(self._ready_steps(), self._clock.wall()):
             started += sum(1 for _ in self._start_step(step))
@@ -55,13 +61,16 @@
         return self._usable[service]
 
     def _start_step(self, step: Step) -> Iterator[Task]:
+        if step.spec.is_best_effort and self._misses >= MAX_MISSES:
+            return
         if step.spec.is_gang:
             yield from self._start_gang(step)
             return
         for task in list(step.waiting.values()):
-            worker = self._choose(task, self._open_workers(step, task))
+            worker = self._choose(task, self._open_workers(step, task), self._rise_of)
             if worker is None:
                 # The other tasks are of the same size.
+                self._misses += step.spec.is_best_effort
                 return
             self._owner.assign(task, worker)
             yield task
@@ -110,7 +119,7 @@
     ) -> list[tuple[Task, Worker]]:
         chosen: list[tuple[Task, Worker]] = []
         for task in tasks:
-            worker = self._choose(task, workers)
+            worker = self._choose(task, workers, self._rise_of)
             if worker is None:
                 break
             run = task.add_run(worker.key)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -52,6 +52,7 @@
         "percent",
         "usage",
         "pace",
+        "paced_at_s",
         "may_arrive_late",
         "stop_reason",
         "seen_at_s",
@@ -68,6 +69,7 @@
         self.percent = 0.0
         self.usage = 0.0
         self.pace = 100
+        self.paced_at_s = 0.0
         self.may_arrive_late = False
         self.stop_reason = ""
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tenure.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tenure.py
@@ -46,9 +46,10 @@
         self.owner = Owner(lease, commits, clock, interface.settings.bounds)
         self.owner.orders = WorkerOrders(self.owner, interface.workers)
         self.owner.on_worker_added = self._start_loop
-        self._planner = Planner(self.owner, clock)
-        self._housekeeping = Housekeeping(self.owner)
         self._guard = InterferenceGuard(self.owner)
+        self.owner.on_report = self._guard.take_report
+        self._planner = Planner(self.owner, clock, self._guard.rise_of)
+        self._housekeeping = Housekeeping(self.owner)
         self._tasks: set[asyncio.Task] = set()
         self._has_jobs = asyncio.Event()
         self._has_workers = asyncio.Event()
@@ -167,6 +168,5 @@
         while True:
             await asyncio.sleep(TICK_S)
             self._housekeeping.tick()
-            self._guard.tick()
             # Time alone makes workers usable again and jobs late.
             self.owner.changed.set()
