Learn the interference of each pair of images on the inverse latency

Cause: best-effort tasks were admitted beside serving ones by a fixed share; 129 paces and stops of all of them when one serving task was over its target. The slope of target/latency is the same at both.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
@@ -47,7 +47,6 @@
         "avoid_until_s",
         "missing_since_s",
         "has_serving",
-        "pressure",
         "drain_until_s",
     )
 
@@ -72,7 +71,6 @@
         self.avoid_until_s = 0.0
         self.missing_since_s = 0.0
         self.has_serving = 0
-        self.pressure = 0.0
         self.drain_until_s = 0.0
 
     @property
@@ -116,6 +114,13 @@
         """Return the thousandths of a core that are not reserved."""
         return self.entry.cpu_m - self.reserved_cpu_m
 
+    def serving_images(self) -> set[str]:
+        """Return the images of the serving tasks given to the worker."""
+        if not self.has_serving:
+            return set()
+        specs = (run.task.step.spec for run in self.runs.values())
+        return {spec.image for spec in specs if spec.latency_target_s}
+
     def count_of(self, step: Step) -> int:
         """Return how many runs of a step the worker has."""
         return sum(1 for run in self.runs.values() if run.task.step is step)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
@@ -4,26 +4,33 @@
 
 from collections.abc import Iterator
 
-from fulmarleverd.scheduling.decisions import record, record_run
+from fulmarleverd.scheduling.decisions import record_run
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.owner import Owner
-from fulmarleverd.scheduling.pressure import PressureModel
+from fulmarleverd.scheduling.pressure import PressureModel, sum_loads
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.scheduling.tasks import Run, RunState
 
-# Shares of the latency target: a new task may raise the latency up to the first, a
-# paced task gets its speed back below the second, and above the third tasks are paced.
-ADMIT_UP_TO = 0.75
-RESTORE_BELOW = 0.6
-RESTRAIN_ABOVE = 0.92
-RESTRAIN_TO = 0.75
+# Headroom is the latency target divided by the latency: 1 is just at the target.
+# A new task has to leave the first; below the second, tasks are paused until the
+# headroom should be back at the third; a paused task goes on if that leaves the last.
+ADMIT_ABOVE = 1.35
+PAUSE_BELOW = 1.1
+PAUSE_UNTIL = 1.35
+RESUME_ABOVE = 1.5
+# How far ahead the trend of a serving task's headroom is followed.
+LOOK_AHEAD_S = 1.0
+TREND_WEIGHT = 0.4
+MAX_HEADROOM = 10.0
 PAUSED_PERCENT = 0
 FULL_PERCENT = 100
-MAX_PAUSE_S = 1.5
+MAX_PAUSE_S = 2.5
+# Tasks that take less headroom are not the cause of a lack of it.
+LEAST_TAKEN = 0.03
 
 
 class InterferenceGuard:
-    """Admits, paces and restores best-effort work beside serving tasks."""
+    """Admits, pauses and resumes best-effort work beside serving tasks."""
 
     def __init__(self, owner: Owner, model: PressureModel | None = None) -> None:
         self._owner = owner
@@ -31,96 +38,117 @@
 
     def take_report(self, worker: Worker) -> None:
         """Learn from a report that has just been taken, and act on it."""
-        self._learn(worker)
-        self._check(worker)
+        if worker.has_serving:
+            self._learn(worker)
+            self._check(worker)
+        else:
+            self._resume_all(worker)
 
     def _learn(self, worker: Worker) -> None:
-        loads = [
+        now = self._owner.now_s()
+        loads = sum_loads(
             (run.task.step.spec.image, load_of(run, worker))
             for run in best_effort_runs(worker)
-        ]
+        )
         for run in serving_runs(worker):
-            if run.usage:
-                self.model.observe(run.task.step.spec.image, loads, ratio_of(run))
+            if not run.usage:
+                continue
+            headroom = headroom_of(run)
+            sample = run.sample
+            if sample is not None and now > sample.at_s:
+                self._compare(run, sample, loads, headroom, now)
+            run.sample = ServingSample(now, headroom, loads, run.sample)
+
+    def _compare(
+        self,
+        run: Run,
+        sample: ServingSample,
+        loads: dict[str, float],
+        headroom: float,
+        now_s: float,
+    ) -> None:
+        image = run.task.step.spec.image
+        fall = sample.headroom - headroom
+        self.model.observe(image, sample.loads, loads, fall)
+        taken = self.model.taken_by_all(image, loads)
+        taken -= self.model.taken_by_all(image, sample.loads)
+        slope = (taken - fall) / (now_s - sample.at_s)
+        sample.trend += TREND_WEIGHT * (slope - sample.trend)
 
     def _check(self, worker: Worker) -> None:
-        worst = max(serving_runs(worker), key=ratio_of, default=None)
-        if worst is None:
-            self._restore_all(worker)
+        """Pause best-effort tasks while a serving task comes near its target."""
+        lowest = min(serving_runs(worker), key=headroom_of, default=None)
+        if lowest is None:
             return
-        worker.pressure = ratio_of(worst)
-        if worker.pressure > RESTRAIN_ABOVE:
-            self._restrain(worker, worst)
-        elif worker.pressure < RESTORE_BELOW:
-            self._restore_one(worker)
+        if headroom_of(lowest) < PAUSE_BELOW:
+            self._pause(worker, lowest)
+        else:
+            self._resume_one(worker)
         self._move_paused(worker)
 
-    def _move_paused(self, worker: Worker) -> None:
-        """Stop tasks that have been paused for long; they go on elsewhere."""
-        limit_s = self._owner.now_s() - MAX_PAUSE_S
-        for run in list(best_effort_runs(worker)):
-            if run.pace == PAUSED_PERCENT and run.paced_at_s < limit_s:
-                self._owner.stop_run(run, "paused for too long")
-
-    def _rise(self, serving: Run, spec: StepSpec, load: float) -> float:
-        return self.model.rise(serving.task.step.spec.image, spec.image, load)
+    def _taken(self, serving: Run, spec: StepSpec, load: float) -> float:
+        return self.model.taken(serving.task.step.spec.image, spec.image, load)
 
-    def _restrain(self, worker: Worker, serving: Run) -> None:
-        """Pause the tasks that raise the latency most, until it should be in bounds."""
-        excess = worker.pressure - RESTRAIN_TO
-        by_rise = [
-            (self._rise(serving, run.task.step.spec, load_of(run, worker)), run)
+    def _pause(self, worker: Worker, serving: Run) -> None:
+        """Pause the tasks that take most headroom, until enough should be left."""
+        missing = PAUSE_UNTIL - headroom_of(serving)
+        by_taken = [
+            (self._taken(serving, run.task.step.spec, nominal_load(run, worker)), run)
             for run in best_effort_runs(worker)
             if run.pace != PAUSED_PERCENT
         ]
-        by_rise.sort(key=lambda pair: -pair[0])
-        for rise, run in by_rise:
-            if excess <= 0.0:
+        by_taken.sort(key=lambda pair: -pair[0])
+        for taken, run in by_taken:
+            if missing <= 0.0 or taken < LEAST_TAKEN:
                 break
-            excess -= rise
-            self._pace(run, PAUSED_PERCENT, worker, rise)
+            missing -= taken
+            self._pace(run, PAUSED_PERCENT, worker, taken)
 
-    def _restore_one(self, worker: Worker) -> None:
+    def _resume_one(self, worker: Worker) -> None:
         for run in best_effort_runs(worker):
-            if (
-                run.pace != FULL_PERCENT
-                and self.rise_of(run.task.step.spec, worker) is not None
-            ):
-                self._pace(run, FULL_PERCENT, worker, 0.0)
-                return
+            if run.pace != FULL_PERCENT:
+                spec = run.task.step.spec
+                taken = self._most_taken(spec, worker, RESUME_ABOVE)
+                if taken is not None:
+                    self._pace(run, FULL_PERCENT, worker, taken)
+                    return
 
-    def _restore_all(self, worker: Worker) -> None:
+    def _resume_all(self, worker: Worker) -> None:
         for run in best_effort_runs(worker):
             if run.pace != FULL_PERCENT:
                 self._pace(run, FULL_PERCENT, worker, 0.0)
 
-    def _pace(self, run: Run, percent: int, worker: Worker, rise: float) -> None:
-        record_run(
-            "run-paced",
-            run,
-            percent=percent,
-            pressure=round(worker.pressure, 2),
-            rise=round(rise, 2),
-        )
+    def _move_paused(self, worker: Worker) -> None:
+        """Stop tasks that have been paused for long; they go on elsewhere."""
+        limit_s = self._owner.now_s() - MAX_PAUSE_S
+        for run in list(best_effort_runs(worker)):
+            if run.pace == PAUSED_PERCENT and run.paced_at_s < limit_s:
+                self._owner.stop_run(run, "paused for too long")
+
+    def _pace(self, run: Run, percent: int, worker: Worker, taken: float) -> None:
         run.paced_at_s = self._owner.now_s()
+        record_run("run-paced", run, percent=percent, headroom_taken=round(taken, 2))
         self._owner.orders.send_pace(run, percent)
 
-    def rise_of(self, spec: StepSpec, worker: Worker) -> float | None:
-        """Return the rise of the latency by one more task, None if it is too much."""
+    def headroom_taken(self, spec: StepSpec, worker: Worker) -> float | None:
+        """Return the headroom that one more task takes, None if it is too much."""
+        return self._most_taken(spec, worker, ADMIT_ABOVE)
+
+    def _most_taken(self, spec: StepSpec, worker: Worker, limit: float) -> float | None:
         load = spec.cpu_m / worker.entry.cpu_m
-        highest = 0.0
+        most = 0.0
         for serving in serving_runs(worker):
-            rise = self._rise(serving, spec, load)
-            expected = ratio_of(serving) + rise + self._unseen_rise(serving, worker)
-            if expected > ADMIT_UP_TO:
+            taken = self._taken(serving, spec, load)
+            left = expected_headroom(serving) - self._unseen(serving, worker)
+            if left - taken < limit and taken >= LEAST_TAKEN:
                 return None
-            highest = max(highest, rise)
-        return highest
+            most = max(most, taken)
+        return most
 
-    def _unseen_rise(self, serving: Run, worker: Worker) -> float:
-        """Return the rise by runs that no report shows at work yet."""
+    def _unseen(self, serving: Run, worker: Worker) -> float:
+        """Return the headroom taken by runs that no report shows at work yet."""
         return sum(
-            self._rise(serving, run.task.step.spec, nominal_load(run, worker))
+            self._taken(serving, run.task.step.spec, nominal_load(run, worker))
             for run in worker.runs.values()
             if run.task.step.spec.is_best_effort
             and not run.usage
@@ -128,15 +156,38 @@
             and run.state is not RunState.STOPPING
         )
 
-    def describe(self) -> None:
-        """Log what has been learned."""
-        for serving, image, value in self.model.describe():
-            record("pressure", serving=serving, image=image, rise=round(value, 2))
+
+class ServingSample:
+    """What one report told of a serving run; ``trend`` is headroom a second."""
+
+    __slots__ = ("at_s", "headroom", "loads", "trend")
+
+    def __init__(
+        self,
+        at_s: float,
+        headroom: float,
+        loads: dict[str, float],
+        earlier: ServingSample | None,
+    ) -> None:
+        self.at_s = at_s
+        self.headroom = headroom
+        self.loads = loads
+        self.trend = earlier.trend if earlier else 0.0
+
+
+def headroom_of(run: Run) -> float:
+    """Return the latency target of a serving run divided by its tail latency."""
+    if not run.usage:
+        return MAX_HEADROOM
+    target_ms = run.task.step.spec.latency_target_s * 1000.0
+    return min(MAX_HEADROOM, target_ms / run.usage)
 
 
-def ratio_of(run: Run) -> float:
-    """Return the tail latency of a serving run as a share of its target."""
-    return run.usage / 1000.0 / run.task.step.spec.latency_target_s
+def expected_headroom(run: Run) -> float:
+    """Return the headroom that a serving run will have soon by its own load."""
+    if run.sample is None:
+        return headroom_of(run)
+    return headroom_of(run) + min(0.0, run.sample.trend) * LOOK_AHEAD_S
 
 
 def nominal_load(run: Run, worker: Worker) -> float:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/placement.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/placement.py
@@ -9,17 +9,17 @@
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.scheduling.tasks import Task
 
-# The rise of serving tasks' latency by one more best-effort task, as a share of their
-# target; None if it is too much.
-RiseOf = Callable[[StepSpec, Worker], float | None]
-Chooser = Callable[[Task, Iterable[Worker], RiseOf], Worker | None]
+# The headroom that one more best-effort task takes from the serving tasks of a worker;
+# None if it is too much.
+HeadroomTaken = Callable[[StepSpec, Worker], float | None]
+Chooser = Callable[[Task, Iterable[Worker], HeadroomTaken], Worker | None]
 
 PLACEMENTS: Registry[Chooser] = Registry("placement of tasks")
 
 # A best-effort task may press over the cores that are left by this share of its own.
 OVERCOMMIT_SHARE = 0.3
-# A rise of the latency, as a share of its target, that is worth no other worker.
-LIGHT_RISE = 0.1
+# Headroom taken by a task that hardly disturbs.
+LIGHT = 0.15
 
 
 def candidates(task: Task, workers: Iterable[Worker]) -> Iterator[Worker]:
@@ -37,30 +37,37 @@
 
 
 @PLACEMENTS.register("spread")
-def spread(task: Task, workers: Iterable[Worker], rise_of: RiseOf) -> Worker | None:
+def spread(
+    task: Task, workers: Iterable[Worker], headroom_taken: HeadroomTaken
+) -> Worker | None:
     """Choose the worker with the most unreserved cores; the naive placement."""
     return max(candidates(task, workers), key=Worker.free_cpu_m, default=None)
 
 
 @PLACEMENTS.register("apart")
-def keep_apart(task: Task, workers: Iterable[Worker], rise_of: RiseOf) -> Worker | None:
+def keep_apart(
+    task: Task, workers: Iterable[Worker], headroom_taken: HeadroomTaken
+) -> Worker | None:
     """Pack serving tasks on few workers and keep harmful best-effort work away."""
     spec = task.step.spec
     found = candidates(task, workers)
     if spec.is_best_effort:
-        return _for_best_effort(spec, found, rise_of)
+        return _for_best_effort(spec, found, headroom_taken)
     if spec.latency_target_s:
         return min(found, key=lambda w: _serving_cost(spec, w), default=None)
     return min(found, key=lambda w: _batch_cost(spec, w), default=None)
 
 
 def _serving_cost(spec: StepSpec, worker: Worker) -> tuple:
-    """Prefer workers that serve already, then those with little best-effort work."""
-    return (
-        worker.has_serving == 0,
-        worker.best_effort_cpu_m if not worker.has_serving else 0,
-        worker.free_cpu_m(),
-    )
+    """Prefer workers that serve the same image, then empty ones, then the fullest.
+
+    Best-effort images disturb only some serving images, so a worker with one serving
+    image leaves room for most of them.
+    """
+    images = worker.serving_images()
+    group = 0 if images == {spec.image} else 1 if not images else 2
+    foreign = len(images - {spec.image})
+    return (group, foreign, worker.best_effort_cpu_m, worker.free_cpu_m())
 
 
 def _batch_cost(spec: StepSpec, worker: Worker) -> tuple:
@@ -72,25 +79,27 @@
 
 
 def _for_best_effort(
-    spec: StepSpec, workers: Iterable[Worker], rise_of: RiseOf
+    spec: StepSpec, workers: Iterable[Worker], headroom_taken: HeadroomTaken
 ) -> Worker | None:
     need_m = spec.cpu_m * (1.0 - OVERCOMMIT_SHARE)
     fitting = (worker for worker in workers if worker.best_effort_room_m() >= need_m)
-    costs = ((_best_effort_cost(spec, w, rise_of), w) for w in fitting)
+    costs = ((_best_effort_cost(spec, w, headroom_taken), w) for w in fitting)
     possible = ((cost, w) for cost, w in costs if cost is not None)
     best = min(possible, key=lambda pair: pair[0], default=None)
     return best[1] if best else None
 
 
-def _best_effort_cost(spec: StepSpec, worker: Worker, rise_of: RiseOf) -> tuple | None:
+def _best_effort_cost(
+    spec: StepSpec, worker: Worker, headroom_taken: HeadroomTaken
+) -> tuple | None:
     """Prefer serving workers for tasks that hardly disturb them, else the others."""
     is_remote = bool(spec.preferred_rack) and (
         spec.preferred_rack not in worker.entry.labels
     )
     if not worker.has_serving:
         return (is_remote, 1, -worker.best_effort_room_m())
-    rise = rise_of(spec, worker)
-    if rise is None:
+    taken = headroom_taken(spec, worker)
+    if taken is None:
         return None
-    group = 0 if rise < LIGHT_RISE else 2
+    group = 0 if taken < LIGHT else 2
     return (is_remote, group, -worker.best_effort_room_m())
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -8,7 +8,7 @@
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.order import ORDERS
 from fulmarleverd.scheduling.owner import Owner
-from fulmarleverd.scheduling.placement import PLACEMENTS, RiseOf
+from fulmarleverd.scheduling.placement import PLACEMENTS, HeadroomTaken
 from fulmarleverd.scheduling.tasks import Step, Task
 
 # Starts planned in one go; the next go follows their commit without a pause.
@@ -24,7 +24,7 @@
         self,
         owner: Owner,
         clock: Clock,
-        rise_of: RiseOf,
+        headroom_taken: HeadroomTaken,
         order: str = "objective",
         placement: str = "apart",
     ) -> None:
@@ -32,7 +32,7 @@
         self._clock = clock
         self._sort = ORDERS.find(order)
         self._choose = PLACEMENTS.find(placement)
-        self._rise_of = rise_of
+        self._headroom_taken = headroom_taken
         self._misses = 0
         self._usable: dict[str, list[Worker]] = {}
 
@@ -67,7 +67,9 @@
             yield from self._start_gang(step)
             return
         for task in list(step.waiting.values()):
-            worker = self._choose(task, self._open_workers(step, task), self._rise_of)
+            worker = self._choose(
+                task, self._open_workers(step, task), self._headroom_taken
+            )
             if worker is None:
                 # The other tasks are of the same size.
                 self._misses += step.spec.is_best_effort
@@ -119,7 +121,7 @@
     ) -> list[tuple[Task, Worker]]:
         chosen: list[tuple[Task, Worker]] = []
         for task in tasks:
-            worker = self._choose(task, workers, self._rise_of)
+            worker = self._choose(task, workers, self._headroom_taken)
             if worker is None:
                 break
             run = task.add_run(worker.key)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/pressure.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/pressure.py
@@ -1,45 +1,45 @@
-"""Learns how much best-effort images raise the tail latency of serving images."""
+"""Learns how much best-effort images take from the headroom of serving images.
+
+The headroom of a serving task is its latency target divided by its tail latency. It
+falls linearly with the load of a best-effort image on the worker, by a coefficient of
+the pair of images, whatever the serving task's own load is. So the coefficients are
+learned from the changes between two reports of one task.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
 
-# Weight of a sample halves after about 200 newer ones of the same serving image.
-FORGETTING = 0.9965
+# Weight of a sample halves after about 700 newer ones of the same serving image.
+FORGETTING = 0.999
 # How strongly an unseen pair is held to the prior.
-PRIOR_WEIGHT = 0.02
-# Rise of the latency, as a share of its target, by an unknown image that uses all
-# cores of a worker.
-PRIOR_COEFFICIENT = 1.5
-PRIOR_BASE = 0.35
-# Latencies above this share of the target tell no more about the cause.
-MAX_RATIO = 3.0
-MIN_LOAD = 0.005
-SAMPLES_PER_SOLUTION = 40
+PRIOR_WEIGHT = 0.01
+# Headroom that an unknown image takes if it uses all cores of a worker.
+PRIOR_COEFFICIENT = 3.0
+MIN_CHANGE = 0.01
+SAMPLES_PER_SOLUTION = 20
 
+Loads = dict[str, float]
 
-class Regression:
-    """Ridge regression of one serving image on the loads of best-effort images.
 
-    Column 0 is the latency without best-effort work. Older samples count less.
-    """
+class Regression:
+    """Ridge regression of one serving image on the loads of best-effort images."""
 
     __slots__ = ("_columns", "_products", "_targets", "_solution", "_fresh")
 
     def __init__(self) -> None:
-        self._columns: dict[str, int] = {"": 0}
-        self._products: list[list[float]] = [[0.0]]
-        self._targets: list[float] = [0.0]
-        self._solution: list[float] = [PRIOR_BASE]
+        self._columns: dict[str, int] = {}
+        self._products: list[list[float]] = []
+        self._targets: list[float] = []
+        self._solution: list[float] = []
         self._fresh = 0
 
-    def add(self, loads: dict[str, float], ratio: float) -> None:
-        """Add a sample: loads by image, as shares of a worker, and the latency."""
-        row = [(0, 1.0)]
-        row += [(self._column(image), load) for image, load in loads.items()]
+    def add(self, changes: Loads, fall: float) -> None:
+        """Add a sample: changes of load by image, and the fall of the headroom."""
+        row = [(self._column(image), change) for image, change in changes.items()]
         self._forget()
         for i, x in row:
-            self._targets[i] += x * min(ratio, MAX_RATIO)
+            self._targets[i] += x * fall
             for j, y in row:
                 self._products[i][j] += x * y
         self._fresh += 1
@@ -61,23 +61,24 @@
                 line[column] *= FORGETTING
 
     def coefficient(self, image: str) -> float:
-        """Return the rise of the latency by one worker's worth of an image."""
-        self._solve_if_due()
-        column = self._columns.get(image)
-        return PRIOR_COEFFICIENT if column is None else self._solution[column]
-
-    def _solve_if_due(self) -> None:
+        """Return the headroom taken by one worker's worth of an image."""
         if self._fresh >= SAMPLES_PER_SOLUTION:
             self._fresh = 0
             self._solution = self._solve()
+        column = self._columns.get(image)
+        return PRIOR_COEFFICIENT if column is None else self._solution[column]
+
+    def items(self) -> Iterator[tuple[str, float]]:
+        """Yield the images with their coefficients."""
+        for image in self._columns:
+            yield image, self.coefficient(image)
 
     def _solve(self) -> list[float]:
-        prior = [PRIOR_BASE] + [PRIOR_COEFFICIENT] * (len(self._columns) - 1)
         matrix = [list(line) for line in self._products]
         right = list(self._targets)
-        for column, value in enumerate(prior):
+        for column in range(len(right)):
             matrix[column][column] += PRIOR_WEIGHT
-            right[column] += PRIOR_WEIGHT * value
+            right[column] += PRIOR_WEIGHT * PRIOR_COEFFICIENT
         return [max(0.0, value) for value in solve_linear(matrix, right)]
 
 
@@ -109,25 +110,42 @@
         self._regressions: dict[str, Regression] = {}
 
     def observe(
-        self, serving_image: str, loads: Iterable[tuple[str, float]], ratio: float
+        self, serving_image: str, before: Loads, after: Loads, fall: float
     ) -> None:
-        """Learn from one report; ``ratio`` is the latency as a share of its target."""
-        total: dict[str, float] = {}
-        for image, load in loads:
-            total[image] = total.get(image, 0.0) + load
-        kept = {image: load for image, load in total.items() if load >= MIN_LOAD}
-        regression = self._regressions.setdefault(serving_image, Regression())
-        regression.add(kept, ratio)
-
-    def rise(self, serving_image: str, image: str, load: float) -> float:
-        """Return the expected rise of a serving image's latency by a load."""
+        """Learn from two reports of one serving task."""
+        changes = {
+            image: change
+            for image in before.keys() | after.keys()
+            if abs(change := after.get(image, 0.0) - before.get(image, 0.0))
+            >= MIN_CHANGE
+        }
+        if changes:
+            regression = self._regressions.setdefault(serving_image, Regression())
+            regression.add(changes, fall)
+
+    def taken(self, serving_image: str, image: str, load: float) -> float:
+        """Return the headroom that a load takes from a serving image."""
         regression = self._regressions.get(serving_image)
         if regression is None:
             return PRIOR_COEFFICIENT * load
         return regression.coefficient(image) * load
 
+    def taken_by_all(self, serving_image: str, loads: Loads) -> float:
+        """Return the headroom that all loads of a worker take."""
+        return sum(
+            self.taken(serving_image, image, load) for image, load in loads.items()
+        )
+
     def describe(self) -> Iterator[tuple[str, str, float]]:
         """Yield serving image, best-effort image and learned coefficient."""
         for serving_image, regression in self._regressions.items():
-            for image in list(regression._columns):
-                yield serving_image, image, regression.coefficient(image)
+            for image, value in regression.items():
+                yield serving_image, image, value
+
+
+def sum_loads(loads: Iterable[tuple[str, float]]) -> Loads:
+    """Return the total load of each image."""
+    total: Loads = {}
+    for image, load in loads:
+        total[image] = total.get(image, 0.0) + load
+    return total
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from fulmarleverd.scheduling.fleet import Worker
+    from fulmarleverd.scheduling.interference import ServingSample
 
 
 class JobState(StrEnum):
@@ -38,6 +39,8 @@
 class Run:
     """One run of a task on one life of a worker.
 
+    ``sample`` is the last report of a serving run's latency.
+
     ``may_arrive_late`` is set once a start got no answer. ``started_s`` is on the
     steady clock.
     """
@@ -53,6 +56,7 @@
         "usage",
         "pace",
         "paced_at_s",
+        "sample",
         "may_arrive_late",
         "stop_reason",
         "seen_at_s",
@@ -70,6 +74,7 @@
         self.usage = 0.0
         self.pace = 100
         self.paced_at_s = 0.0
+        self.sample: ServingSample | None = None
         self.may_arrive_late = False
         self.stop_reason = ""
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tenure.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tenure.py
@@ -48,7 +48,7 @@
         self.owner.on_worker_added = self._start_loop
         self._guard = InterferenceGuard(self.owner)
         self.owner.on_report = self._guard.take_report
-        self._planner = Planner(self.owner, clock, self._guard.rise_of)
+        self._planner = Planner(self.owner, clock, self._guard.headroom_taken)
         self._housekeeping = Housekeeping(self.owner)
         self._tasks: set[asyncio.Task] = set()
         self._has_jobs = asyncio.Event()
