--- /dev/null
+++ b/packages/fulmarlever/fulmarlever/log_story.py
@@ -0,0 +1,208 @@
+"""The story of one job or request, read from the structured logs of all daemons.
+
+A log line is one JSON object, optionally after other text on its line. The cause of a
+failure is found by rules of a registry: each looks at the lines of the job and returns
+a sentence, or nothing if it does not apply.
+"""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+from datetime import datetime
+
+from fulmarlever.registry import Registry
+
+CAUSES: Registry[Callable[[Story], str]] = Registry("cause of a failure")
+
+# Changes of what a daemon believes this long before a line may be its cause.
+CONTEXT_S = 5.0
+BELIEF_EVENTS = frozenset(
+    {
+        "commit-retry",
+        "config-in-force",
+        "feed-history-gone",
+        "feed-lost",
+        "feed-regained",
+        "lease-lost",
+        "lease-released",
+        "lease-taken",
+        "recovered",
+        "reload",
+        "started",
+        "stopping",
+        "worker-distrusted",
+        "worker-draining",
+        "worker-lease-lapsed",
+        "worker-lost",
+        "worker-reached",
+        "worker-slow",
+        "worker-unreachable",
+    }
+)
+REPEATING_ENDS = ("failed", "lapsed", "broken", "alone", "stopped")
+
+
+@dataclass(slots=True)
+class LogLine:
+    """One line of a daemon's log. ``at_s`` is the Unix time."""
+
+    at_s: float
+    vm: str
+    event: str
+    outcome: str
+    fields: dict[str, object]
+
+    @classmethod
+    def from_text(cls, text: str) -> LogLine | None:
+        """Parse a line of a log file; return nothing for other text."""
+        start = text.find('{"time"')
+        if start < 0:
+            return None
+        try:
+            data = json.loads(text[start:])
+            at_s = datetime.fromisoformat(data.pop("time")).timestamp()
+        except (ValueError, TypeError):
+            return None
+        skipped = ("level", "zone", "life")
+        fields = {name: value for name, value in data.items() if name not in skipped}
+        vm = str(fields.pop("vm", ""))
+        event = str(fields.pop("event", ""))
+        return cls(at_s, vm, event, str(fields.pop("outcome", "")), fields)
+
+    def about(self, job: str) -> bool:
+        """Return whether the line names a job or one of its tasks."""
+        task = str(self.fields.get("task", ""))
+        return self.fields.get("job") == job or task.startswith(job + ".")
+
+    def describe(self) -> str:
+        """Return the line as text."""
+        inputs = " ".join(f"{name}={value}" for name, value in self.fields.items())
+        moment = datetime.fromtimestamp(self.at_s).strftime("%H:%M:%S.%f")[:-3]
+        return f"{moment} {self.vm} {self.event} {self.outcome} {inputs}".rstrip()
+
+
+@dataclass(slots=True)
+class Story:
+    """The lines about one job, and what daemons came to believe around them."""
+
+    job: str
+    lines: list[LogLine] = field(default_factory=list)
+    beliefs: list[LogLine] = field(default_factory=list)
+
+    @classmethod
+    def from_lines(cls, job: str, texts: Iterable[str]) -> Story:
+        """Collect the lines of a job from log files, in the order of time."""
+        parsed = [line for line in map(LogLine.from_text, texts) if line]
+        parsed.sort(key=lambda line: line.at_s)
+        lines = [line for line in parsed if line.about(job)]
+        beliefs = [line for line in parsed if line.event in BELIEF_EVENTS]
+        return cls(job, lines, beliefs)
+
+    def find(self, event: str) -> Iterator[LogLine]:
+        """Yield the job's lines of an event."""
+        return (line for line in self.lines if line.event == event)
+
+    def beliefs_before(self, line: LogLine) -> Iterator[LogLine]:
+        """Yield what the daemon of a line came to believe shortly before it."""
+        for belief in self.beliefs:
+            if belief.vm == line.vm and 0.0 <= line.at_s - belief.at_s <= CONTEXT_S:
+                yield belief
+
+    def causes(self) -> list[str]:
+        """Return a sentence for each rule that applies."""
+        found = (CAUSES.find(name)(self) for name in CAUSES)
+        return [sentence for sentence in found if sentence]
+
+    def describe(self) -> str:
+        """Return the causes, then the lines of the job."""
+        if not self.lines:
+            return f"no line about {self.job}"
+        causes = [f"cause: {sentence}" for sentence in self.causes()]
+        texts = [line.describe() for line in self.lines]
+        return "\n".join([*(causes or ["no failure found"]), *texts])
+
+
+def _with_context(story: Story, line: LogLine, sentence: str) -> str:
+    """Add what the daemon of a line came to believe before it."""
+    context = [f"{b.event}: {b.outcome}" for b in story.beliefs_before(line)]
+    return (
+        f"{sentence}; before that: {' | '.join(context[-3:])}" if context else sentence
+    )
+
+
+@CAUSES.register("1 refused")
+def explain_refusal(story: Story) -> str:
+    """Explain answers that refused the job or left its outcome open."""
+    refused = [
+        line
+        for line in story.find("caller-refused")
+        if line.fields.get("method") == "POST"
+    ]
+    if not refused:
+        return ""
+    last = refused[-1]
+    accepted = any(story.find("job-accepted"))
+    ending = "accepted later" if accepted else "never accepted"
+    statuses = Counter(str(line.fields.get("status")) for line in refused)
+    counts = ", ".join(f"{count} x {status}" for status, count in statuses.items())
+    sentence = f"refused on {last.vm} ({counts}), {ending}: {last.outcome}"
+    return _with_context(story, last, sentence)
+
+
+@CAUSES.register("2 repeated runs")
+def explain_repeats(story: Story) -> str:
+    """Explain runs that did not end as done."""
+    ends = [line for line in story.find("run-ended") if line.outcome in REPEATING_ENDS]
+    dropped = list(story.find("run-dropped"))
+    if not ends and not dropped:
+        return ""
+    counts = Counter(line.outcome for line in [*ends, *dropped])
+    reasons = Counter(line.outcome for line in story.find("run-stop"))
+    workers = sorted({str(line.fields.get("worker")) for line in [*ends, *dropped]})
+    parts = [f"{count} x {how}" for how, count in counts.most_common()]
+    parts += [f"{count} stopped as {why}" for why, count in reasons.most_common()]
+    return f"runs repeated on {', '.join(workers)}: {'; '.join(parts)}"
+
+
+@CAUSES.register("3 not started")
+def explain_rejected_starts(story: Story) -> str:
+    """Explain starts that workers did not carry out."""
+    counts = Counter(line.outcome for line in story.find("run-not-started"))
+    if not counts:
+        return ""
+    parts = [f"{count} x {why}" for why, count in counts.most_common()]
+    return f"starts not carried out: {'; '.join(parts)}"
+
+
+@CAUSES.register("4 owner changed")
+def explain_takeover(story: Story) -> str:
+    """Explain a change of the owner while the job was open."""
+    if not story.lines:
+        return ""
+    first, last = story.lines[0].at_s, story.lines[-1].at_s
+    taken = [
+        line
+        for line in story.beliefs
+        if line.event == "lease-taken" and first < line.at_s < last
+    ]
+    if not taken:
+        return ""
+    names = ", ".join(f"{line.vm} after {line.fields.get('from_vm')}" for line in taken)
+    return f"the scheduler's lease moved while the job was open: {names}"
+
+
+@CAUSES.register("5 ended")
+def explain_end(story: Story) -> str:
+    """Explain a job that ended other than completed, or its age at the end."""
+    ended = list(story.find("job-ended"))
+    if not ended:
+        return "no end of the job is logged" if any(story.find("job-known")) else ""
+    last = ended[-1]
+    state = last.fields.get("state")
+    age = last.fields.get("age_s")
+    if state == "completed":
+        return ""
+    return f"ended as {state} after {age} s: {last.outcome}"
--- /dev/null
+++ b/packages/fulmarlever/fulmarlever/tests/log_story_tests.py
@@ -0,0 +1,79 @@
+from __future__ import annotations
+
+import json
+
+from fulmarlever.log_story import LogLine, Story
+from fulmarlever.tests.base import TableTestCase
+
+
+def line(at_s: float, event: str, outcome: str = "", **fields: object) -> str:
+    """Return a line as the daemons write it."""
+    minutes, seconds = divmod(at_s, 60.0)
+    time = f"2026-01-01T00:{int(minutes):02}:{seconds:06.3f}+00:00"
+    data = {"time": time, "level": "INFO", "vm": "vm-1", "event": event, **fields}
+    return json.dumps({**data, "outcome": outcome}) + "\n"
+
+
+KNOWN = line(1, "job-known", job="j")
+DONE = line(9, "job-ended", "all tasks done", job="j", state="completed", age_s=8)
+
+
+class StoryTests(TableTestCase):
+    ROWS = (
+        ("nothing wrong", [KNOWN, DONE], []),
+        (
+            "refused while the store was away",
+            [
+                line(2, "feed-lost", "the store answers 503", table="op"),
+                line(
+                    3, "caller-refused", "no answer", job="j", method="POST", status=503
+                ),
+            ],
+            ["refused on vm-1 (1 x 503), never accepted", "feed-lost"],
+        ),
+        (
+            "failed by its own fault",
+            [
+                KNOWN,
+                line(2, "run-ended", "failed", task="j.0.0.1", run=1, worker="w1"),
+                line(3, "run-ended", "failed", task="j.0.0.1", run=2, worker="w2"),
+                line(3, "job-ended", "failed 2 times", job="j", state="failed"),
+            ],
+            ["runs repeated on w1, w2: 2 x failed", "ended as failed"],
+        ),
+        (
+            "late as its runs were stopped and the owner changed",
+            [
+                KNOWN,
+                line(2, "run-stop", "no progress", task="j.0.0.1", worker="w1"),
+                line(3, "run-ended", "stopped", task="j.0.0.1", worker="w1"),
+                line(4, "lease-taken", from_vm="vm-9", token=3),
+                line(5, "run-not-started", "no room", task="j.0.0.1", worker="w2"),
+                DONE,
+            ],
+            ["1 stopped as no progress", "1 x no room", "vm-1 after vm-9"],
+        ),
+        ("never ended", [KNOWN], ["no end of the job is logged"]),
+    )
+
+    def test_causes(self):
+        for _, lines, expected in self.each(self.ROWS):
+            story = Story.from_lines("j", reversed(lines))
+            causes = " / ".join(story.causes())
+            for part in expected:
+                self.assertIn(part, causes)
+            if not expected:
+                self.assertEqual(causes, "")
+
+    def test_other_jobs_and_other_text_are_left_out(self):
+        lines = [KNOWN, line(1, "job-known", job="jj"), "text\n", '{"time": 1}\n']
+        lines.append(line(1, "run-started", task="jj.0.0.0"))
+        story = Story.from_lines("j", lines)
+        self.assertEqual([item.event for item in story.lines], ["job-known"])
+
+    def test_a_line_after_a_prefix_is_read(self):
+        found = LogLine.from_text("  1.5 edge-1 " + KNOWN)
+        self.assertEqual((found.event, found.vm), ("job-known", "vm-1"))
+
+    def test_the_story_of_an_unknown_job_says_so(self):
+        self.assertEqual(Story.from_lines("j", []).describe(), "no line about j")
--- a/packages/fulmarlever_cli/fulmarlever_cli/arguments.py
+++ b/packages/fulmarlever_cli/fulmarlever_cli/arguments.py
@@ -19,6 +19,18 @@
     file: Annotated[Path, cappa.Arg(help="The YAML configuration file.")]
 
 
+@cappa.command(name="explain", help="Tell from log files what happened to a job.")
+@dataclass
+class Explain:
+    """Explain a job from log files."""
+
+    job: Annotated[str, cappa.Arg(help="The id of the job.")]
+    files: Annotated[
+        list[Path],
+        cappa.Arg(help="Log files of all daemons; without any, standard input."),
+    ] = field(default_factory=list)
+
+
 @cappa.command(name="apply", help="Bring a configuration file into force as a whole.")
 @dataclass
 class Apply:
@@ -140,6 +152,7 @@
 
 Command = (
     Check
+    | Explain
     | Apply
     | Status
     | Services
--- a/packages/fulmarlever_cli/fulmarlever_cli/commands/__init__.py
+++ b/packages/fulmarlever_cli/fulmarlever_cli/commands/__init__.py
@@ -9,6 +9,7 @@
 from fulmarlever_cli.commands.cancel import cancel
 from fulmarlever_cli.commands.check import check
 from fulmarlever_cli.commands.drain import drain
+from fulmarlever_cli.commands.explain import explain
 from fulmarlever_cli.commands.handover import handover
 from fulmarlever_cli.commands.jobs import jobs
 from fulmarlever_cli.commands.report import report
@@ -22,6 +23,7 @@
     arguments.Cancel: cancel,
     arguments.Check: check,
     arguments.Drain: drain,
+    arguments.Explain: explain,
     arguments.Handover: handover,
     arguments.Jobs: jobs,
     arguments.Report: report,
--- /dev/null
+++ b/packages/fulmarlever_cli/fulmarlever_cli/commands/explain.py
@@ -0,0 +1,35 @@
+"""The command ``explain``."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+from fulmarlever.log_story import Story
+from fulmarlever.outcomes import Refused
+from fulmarlever_cli.arguments import Explain
+from fulmarlever_cli.context import Context
+
+
+async def explain(args: Explain, context: Context) -> int:
+    """Show the story of a job from log files, with the causes of its failure."""
+    try:
+        story = Story.from_lines(args.job, read_lines(args.files))
+    except OSError as exc:
+        return context.display.fail(Refused(f"{exc.filename}: {exc.strerror}"))
+    data = {
+        "job": story.job,
+        "causes": story.causes(),
+        "lines": [line.describe() for line in story.lines],
+    }
+    return context.display.show(data, story.describe())
+
+
+def read_lines(files: list[Path]) -> Iterator[str]:
+    """Yield the lines of the files, or of the standard input if there are none."""
+    if not files:
+        yield from sys.stdin
+    for path in files:
+        with path.open(encoding="utf-8", errors="replace") as stream:
+            yield from stream
--- a/packages/fulmarleverd/fulmarleverd/__main__.py
+++ b/packages/fulmarleverd/fulmarleverd/__main__.py
@@ -45,7 +45,7 @@
     loop = asyncio.get_running_loop()
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, _note_reload)
+    loop.add_signal_handler(signal.SIGHUP, kernel.reload)
     await kernel.start()
     log.bind(event="started").info("started")
     await stopping.wait()
@@ -54,10 +54,6 @@
     log.bind(event="stopped").info("stopped")
 
 
-def _note_reload() -> None:
-    log.bind(event="reload").info("settings take effect at the next start")
-
-
 def fail(reason: str) -> None:
     """Print why the daemon cannot start and end the process."""
     print(reason, file=sys.stderr)
--- a/packages/fulmarleverd/fulmarleverd/kernel.py
+++ b/packages/fulmarleverd/fulmarleverd/kernel.py
@@ -41,6 +41,9 @@
     async def start(self) -> None:
         """Start the service; every earlier service has been started."""
 
+    def reload(self) -> None:
+        """Read again what may change while the daemon runs."""
+
     async def drain(self) -> None:
         """Prepare for the stop: take no new work and finish what is in progress."""
 
@@ -120,6 +123,11 @@
             await self._guard(service.drain(), service, "drain")
         await self._stop_started()
 
+    def reload(self) -> None:
+        """Let every service read again what may change while the daemon runs."""
+        for service in self._started:
+            service.reload()
+
     def drain_left_s(self) -> float:
         """Return the seconds left for the drain of all services together."""
         now = self.clock.monotonic()
--- a/packages/fulmarleverd/fulmarleverd/platform/interface.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/interface.py
@@ -12,7 +12,7 @@
     parse_worker,
 )
 from fulmarleverd.platform.http import HTTPClient
-from fulmarleverd.platform.settings import read_settings
+from fulmarleverd.platform.settings import find_changes, read_settings
 from fulmarleverd.platform.store import MAX_CONNECTIONS, AuthorityStore
 from fulmarleverd.platform.workers import (
     MAX_CONNECTIONS_PER_WORKER,
@@ -50,6 +50,19 @@
         settings = read_settings()
         return settings if failed(settings) else cls(settings)
 
+    def reload(self) -> tuple[str, ...] | Failure:
+        """Read the settings file again; return the names of changed settings.
+
+        Addresses that this process listens on keep until its next start.
+        """
+        settings = read_settings()
+        if failed(settings):
+            return settings
+        changed = find_changes(self.settings, settings)
+        self.settings = settings
+        self.store.move(settings.store_address)
+        return changed
+
     async def open(self) -> None:
         """Open the connections."""
         await self._store_http.open()
--- a/packages/fulmarleverd/fulmarleverd/platform/settings.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/settings.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+from dataclasses import fields
 from pathlib import Path
 
 from fulmarlever.outcomes import Failure
@@ -54,6 +55,15 @@
     )
 
 
+def find_changes(old: SchedulingSettings, new: SchedulingSettings) -> tuple[str, ...]:
+    """Return the names of the settings that differ."""
+    return tuple(
+        option.name
+        for option in fields(new)
+        if getattr(old, option.name) != getattr(new, option.name)
+    )
+
+
 def parse_bounds(data: dict) -> Bounds:
     """Decode the bounds; those that are missing keep their defaults."""
     default = Bounds()
--- a/packages/fulmarleverd/fulmarleverd/platform/store.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/store.py
@@ -35,6 +35,10 @@
         self._base = f"http://{address}"
         self._http = http
 
+    def move(self, address: str) -> None:
+        """Use another address from the next call on."""
+        self._base = f"http://{address}"
+
     async def transact(self, tx: Transaction, timeout_s: float) -> CommitResult:
         """Apply a transaction."""
         body = {
--- a/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
@@ -47,6 +47,8 @@
         "avoid_until_s",
         "missing_since_s",
         "has_serving",
+        "speed",
+        "is_slow",
         "drain_until_s",
     )
 
@@ -71,6 +73,8 @@
         self.avoid_until_s = 0.0
         self.missing_since_s = 0.0
         self.has_serving = 0
+        self.speed = 1.0
+        self.is_slow = False
         self.drain_until_s = 0.0
 
     @property
--- a/packages/fulmarleverd/fulmarleverd/scheduling/order.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/order.py
@@ -50,17 +50,15 @@
 @ORDERS.register("fifo")
 def by_age(steps: Iterable[Step], now_s: float) -> list[Step]:
     """Order by priority, then by age; the naive order."""
-    return sorted(
-        steps, key=lambda step: (step.job.queue.priority, step.job.accepted_s)
-    )
+    return sorted(steps, key=lambda step: (step.job.queue.priority, step.job.since_s))
 
 
 @ORDERS.register("objective")
 def by_objective(steps: Iterable[Step], now_s: float) -> list[Step]:
     """Order by priority, then jobs that can be in time, then the least work left.
 
-    ``now_s`` is the Unix time. Jobs that can only be late come after those that can
-    be in time, and jobs that are too late to be of use come last.
+    ``now_s`` is on the owner's clock. Jobs that can only be late come after those that
+    can be in time, and jobs that are too late to be of use come last.
     """
     keys: dict[str, tuple] = {}
     for step in (steps := list(steps)):
@@ -70,11 +68,11 @@
 
 
 def _objective_key(job: Job, now_s: float) -> tuple:
-    age_s = now_s - job.accepted_s
+    age_s = now_s - job.since_s
     expected_s = age_s + chain_left_s(job)
     limit_s = objective_s(job)
     if job.spec.repetitions or expected_s <= limit_s:
         lateness = 0
     else:
         lateness = 1 if expected_s <= USELESS_AFTER_OBJECTIVES * limit_s else 2
-    return (job.queue.priority, lateness, work_left(job), job.accepted_s)
+    return (job.queue.priority, lateness, work_left(job), job.since_s)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -38,6 +38,8 @@
 END_FAILED = "failed"
 # Beside the computed end of a lease, for timers and rounding.
 LEASE_MARGIN_S = 0.3
+# Older jobs are late in any case; clocks of VMs may differ by more than that.
+MAX_KNOWN_AGE_S = 60.0
 
 
 class Owner:
@@ -77,8 +79,11 @@
 
     # Jobs
 
-    def add_job(self, row: JobRow, progress: bytes = b"") -> None:
-        """Take over a job with the progress that is committed."""
+    def add_job(self, row: JobRow, progress: bytes = b"", is_new: bool = True) -> None:
+        """Take over a job with the progress that is committed.
+
+        The age of a job that is not new is known only by the Unix times of two VMs.
+        """
         if row.spec.id in self.jobs or row.spec.id in self.final:
             return
         job = Job(row)
@@ -89,11 +94,14 @@
         if job.is_final:
             self.final[job.id] = self.now_s()
             return
+        age_s = 0.0 if is_new else self.clock.wall() - job.accepted_s
+        job.since_s = self.now_s() - min(max(0.0, age_s), MAX_KNOWN_AGE_S)
         self.jobs[job.id] = job
         JOBS_OPEN.set(len(self.jobs))
         self.open_due_occurrences(job)
         for run in job.runs():
             run.state = RunState.RUNNING
+            run.is_pace_known = False
             self._attach(run)
         record("job-known", job=job.id, queue=job.queue.name, state=str(job.state))
         self.changed.set()
@@ -132,7 +140,7 @@
         del self.jobs[job.id]
         JOBS_OPEN.set(len(self.jobs))
         self.commits.stage(job)
-        age_s = round(self.clock.wall() - job.accepted_s, 3)
+        age_s = round(job.final_at_s - job.since_s, 3)
         record("job-ended", cause, job=job.id, state=str(job.state), age_s=age_s)
         for run in list(job.runs()):
             self.stop_run(run, "job ended")
@@ -153,7 +161,7 @@
     def _note_begin(self, job: Job) -> None:
         if not job.has_begun:
             job.has_begun = True
-            FIRST_START_SECONDS.observe(max(0.0, self.clock.wall() - job.accepted_s))
+            FIRST_START_SECONDS.observe(self.now_s() - job.since_s)
 
     def drop_run(self, run: Run, why: str) -> None:
         """Take note that a run is certainly not there, and plan its task again."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Iterable, Iterator
 
-from fulmarlever.clock import Clock
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.order import ORDERS
 from fulmarleverd.scheduling.owner import Owner
@@ -23,13 +22,11 @@
     def __init__(
         self,
         owner: Owner,
-        clock: Clock,
         headroom_taken: HeadroomTaken,
         order: str = "objective",
         placement: str = "apart",
     ) -> None:
         self._owner = owner
-        self._clock = clock
         self._sort = ORDERS.find(order)
         self._choose = PLACEMENTS.find(placement)
         self._headroom_taken = headroom_taken
@@ -41,7 +38,7 @@
         self._usable = {}
         self._misses = 0
         started = 0
-        for step in self._sort(self._ready_steps(), self._clock.wall()):
+        for step in self._sort(self._ready_steps(), self._owner.now_s()):
             started += sum(1 for _ in self._start_step(step))
             if started >= MAX_STARTS_PER_PLAN:
                 self._owner.changed.set()
--- a/packages/fulmarleverd/fulmarleverd/scheduling/ports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/ports.py
@@ -222,6 +222,9 @@
     async def close(self) -> None:
         """Close the connections."""
 
+    def reload(self) -> tuple[str, ...] | Failure:
+        """Read the settings again and return the names of those that have changed."""
+
     def parse_config(self, row: StoredRow) -> SchedulingConfig | Failure:
         """Decode the operator's configuration."""
 
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
@@ -0,0 +1,113 @@
+"""Finds runs that stand still and workers that are much slower than the others."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from fulmarleverd.scheduling.decisions import record, record_run
+from fulmarleverd.scheduling.fleet import Worker
+from fulmarleverd.scheduling.owner import Owner
+from fulmarleverd.scheduling.tasks import Run, RunState
+
+# A run without any progress for this long stands still; long-running tasks take some
+# time to start up.
+STALL_S = 1.6
+STARTUP_S = 4.0
+# Speeds are shares of the estimated speed, smoothed over reports.
+SPEED_WEIGHT = 0.3
+FLEET_WEIGHT = 0.02
+MIN_INTERVAL_S = 0.2
+# Below this share of the fleet's speed a worker is slow; above the second no longer.
+SLOW_SHARE = 0.4
+SOUND_SHARE = 0.6
+SLOW_PAUSE_S = 1.5
+STALLED_PAUSE_S = 3.0
+# A run is moved only if it would otherwise take this much longer.
+MIN_GAIN_S = 0.8
+COMPLETE_PERCENT = 100.0
+
+
+class ProgressWatch:
+    """Follows the progress of runs from report to report."""
+
+    def __init__(self, owner: Owner) -> None:
+        self._owner = owner
+        self._fleet_speed = 1.0
+
+    def take_report(self, worker: Worker) -> None:
+        """Look at the runs of a worker after its report."""
+        now = self._owner.now_s()
+        for run in list(worker.runs.values()):
+            if run.state is RunState.RUNNING:
+                self._follow(worker, run, now)
+        self._judge(worker, now)
+        for run in list(self._stalled(worker, now)):
+            self._stop_stalled(worker, run, now)
+        if worker.is_slow:
+            for run in list(self._worth_moving(worker)):
+                self._owner.stop_run(run, "its worker is slow")
+
+    def _follow(self, worker: Worker, run: Run, now_s: float) -> None:
+        if run.progress_at_s == 0.0 or run.pace < COMPLETE_PERCENT:
+            run.progress_at_s = now_s
+            run.progress = run.percent
+            return
+        interval_s = now_s - run.progress_at_s
+        if interval_s < MIN_INTERVAL_S or run.percent <= run.progress:
+            return
+        gained = (run.percent - run.progress) / COMPLETE_PERCENT
+        run.progress = run.percent
+        run.progress_at_s = now_s
+        spec = run.task.step.spec
+        if spec.estimate_s and not spec.is_long_running:
+            self._note_speed(worker, run, gained * spec.estimate_s / interval_s)
+
+    def _note_speed(self, worker: Worker, run: Run, speed: float) -> None:
+        run.speed = speed if not run.speed else (run.speed + speed) / 2.0
+        worker.speed += SPEED_WEIGHT * (speed - worker.speed)
+        self._fleet_speed += FLEET_WEIGHT * (speed - self._fleet_speed)
+
+    def _judge(self, worker: Worker, now_s: float) -> None:
+        share = worker.speed / max(self._fleet_speed, 0.01)
+        if not worker.is_slow and share < SLOW_SHARE:
+            worker.is_slow = True
+            record("worker-slow", worker=worker.id, speed=round(worker.speed, 2))
+        elif worker.is_slow and share > SOUND_SHARE:
+            worker.is_slow = False
+            record("worker-sound", worker=worker.id, speed=round(worker.speed, 2))
+        if worker.is_slow:
+            worker.avoid_until_s = max(worker.avoid_until_s, now_s + SLOW_PAUSE_S)
+            # Without new runs there are no new figures, so trust comes back in time.
+            worker.speed += 0.02 * (self._fleet_speed - worker.speed)
+
+    def _stalled(self, worker: Worker, now_s: float) -> Iterator[Run]:
+        for run in worker.runs.values():
+            if run.state is not RunState.RUNNING or not run.progress_at_s:
+                continue
+            is_lasting = run.task.step.spec.is_long_running
+            if is_lasting and run.percent >= COMPLETE_PERCENT:
+                continue
+            limit_s = STARTUP_S if is_lasting else STALL_S
+            if now_s - run.progress_at_s > limit_s:
+                yield run
+
+    def _stop_stalled(self, worker: Worker, run: Run, now_s: float) -> None:
+        record_run("run-stalled", run, percent=run.percent)
+        run.task.avoid.add(worker.id)
+        worker.avoid_until_s = max(worker.avoid_until_s, now_s + STALLED_PAUSE_S)
+        self._owner.stop_run(run, "no progress")
+
+    def _worth_moving(self, worker: Worker) -> Iterator[Run]:
+        """Yield the runs that would end sooner on a sound worker."""
+        for run in worker.runs.values():
+            spec = run.task.step.spec
+            if run.state is not RunState.RUNNING or spec.is_long_running:
+                continue
+            if not run.speed or not spec.estimate_s:
+                continue
+            left = 1.0 - run.percent / COMPLETE_PERCENT
+            here_s = left * spec.estimate_s / run.speed
+            again = left if spec.checkpoints and run.task.checkpoint else 1.0
+            there_s = again * spec.estimate_s / max(self._fleet_speed, 0.01)
+            if here_s > there_s + MIN_GAIN_S:
+                yield run
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -39,7 +39,8 @@
 class Run:
     """One run of a task on one life of a worker.
 
-    ``sample`` is the last report of a serving run's latency.
+    ``sample`` is the last report of a serving run's latency. ``progress`` is the
+    percentage as of ``progress_at_s``, ``speed`` a share of the estimated speed.
 
     ``may_arrive_late`` is set once a start got no answer. ``started_s`` is on the
     steady clock.
@@ -55,8 +56,12 @@
         "percent",
         "usage",
         "pace",
-        "paced_at_s",
+        "is_pace_known",
+        "slow_since_s",
         "sample",
+        "progress",
+        "progress_at_s",
+        "speed",
         "may_arrive_late",
         "stop_reason",
         "seen_at_s",
@@ -73,8 +78,12 @@
         self.percent = 0.0
         self.usage = 0.0
         self.pace = 100
-        self.paced_at_s = 0.0
+        self.is_pace_known = True
+        self.slow_since_s = 0.0
         self.sample: ServingSample | None = None
+        self.progress = 0.0
+        self.progress_at_s = 0.0
+        self.speed = 0.0
         self.may_arrive_late = False
         self.stop_reason = ""
 
@@ -194,13 +203,18 @@
 
 
 class Job:
-    """An accepted job with everything that is known about its progress."""
+    """An accepted job with everything that is known about its progress.
+
+    ``accepted_s`` is the Unix time of the daemon that accepted it, ``since_s`` the same
+    moment on the clock of the owner.
+    """
 
     __slots__ = (
         "id",
         "spec",
         "queue",
         "accepted_s",
+        "since_s",
         "occurrences",
         "is_cancelled",
         "has_failed",
@@ -215,6 +229,7 @@
         self.spec = row.spec
         self.queue = row.queue
         self.accepted_s = row.accepted_s
+        self.since_s = 0.0
         self.occurrences: dict[int, list[Step]] = {}
         self.is_cancelled = False
         self.has_failed = False
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tenure.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tenure.py
@@ -21,6 +21,7 @@
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.planner import Planner
 from fulmarleverd.scheduling.ports import Interface, StoredRow
+from fulmarleverd.scheduling.progress import ProgressWatch
 from fulmarleverd.scheduling.rows import (
     CANCEL_SUFFIX,
     JOBS_TABLE,
@@ -47,8 +48,9 @@
         self.owner.orders = WorkerOrders(self.owner, interface.workers)
         self.owner.on_worker_added = self._start_loop
         self._guard = InterferenceGuard(self.owner)
-        self.owner.on_report = self._guard.take_report
-        self._planner = Planner(self.owner, clock, self._guard.headroom_taken)
+        self._progress = ProgressWatch(self.owner)
+        self.owner.on_report = self._look_at
+        self._planner = Planner(self.owner, self._guard.headroom_taken)
         self._housekeeping = Housekeeping(self.owner)
         self._tasks: set[asyncio.Task] = set()
         self._has_jobs = asyncio.Event()
@@ -81,6 +83,10 @@
         if not task.cancelled() and task.exception() is not None:
             log.opt(exception=task.exception()).error("a part of the scheduler ended")
 
+    def _look_at(self, worker: Worker) -> None:
+        self._guard.take_report(worker)
+        self._progress.take_report(worker)
+
     def _start_loop(self, worker: Worker) -> None:
         loop = WorkerLoop(self.owner, worker, self._interface.workers)
         self._spawn(loop.run())
@@ -144,17 +150,19 @@
         rows = [row for row in batch.rows if not row.is_deleted]
         for row in rows:
             if not row.key.endswith(CANCEL_SUFFIX):
-                self._take_job(row, progress)
+                self._take_job(row, progress, not batch.is_snapshot)
         for row in rows:
             if row.key.endswith(CANCEL_SUFFIX):
                 self.owner.cancel_job(row.key.removesuffix(CANCEL_SUFFIX))
 
-    def _take_job(self, row: StoredRow, progress: dict[str, bytes]) -> None:
+    def _take_job(
+        self, row: StoredRow, progress: dict[str, bytes], is_new: bool
+    ) -> None:
         job = unpack_job(row)
         if failed(job):
             log.bind(event="job-unreadable", job=row.key).error(job.reason)
             return
-        self.owner.add_job(job, progress.get(row.key, b""))
+        self.owner.add_job(job, progress.get(row.key, b""), is_new)
 
     async def _keep_planning(self) -> None:
         while True:
--- a/packages/fulmarleverd/fulmarleverd/services/interface.py
+++ b/packages/fulmarleverd/fulmarleverd/services/interface.py
@@ -2,13 +2,24 @@
 
 from __future__ import annotations
 
+import asyncio
+
+from loguru import logger as log
+
+from fulmarlever.outcomes import failed
 from fulmarleverd.kernel import SERVICES, Kernel, Service
 from fulmarleverd.scheduling.ports import Interface
 
+# Settings may change without a signal.
+RELOAD_PERIOD_S = 1.0
+
 
 @SERVICES.register("interface")
 class InterfaceService(Service):
-    """Opens and closes the platform's clients. ``interface`` is set by the binary."""
+    """Opens and closes the platform's clients and follows its settings.
+
+    ``interface`` is set by the binary.
+    """
 
     name = "interface"
 
@@ -19,6 +30,20 @@
     async def start(self) -> None:
         """Open the connections."""
         await self.interface.open()
+        self.spawn(self._follow_settings(), "settings")
+
+    async def _follow_settings(self) -> None:
+        while True:
+            await asyncio.sleep(RELOAD_PERIOD_S)
+            self.reload()
+
+    def reload(self) -> None:
+        """Read the settings again and apply those that may change while running."""
+        changed = self.interface.reload()
+        if failed(changed):
+            log.bind(event="reload").error(changed.reason)
+        elif changed:
+            log.bind(event="reload", changed=changed).info("settings applied")
 
     async def stop(self) -> None:
         """Close the connections."""
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/callers_tests.py
@@ -0,0 +1,153 @@
+from __future__ import annotations
+
+import asyncio
+import socket
+import unittest
+
+import aiohttp
+from loguru import logger as log
+
+from fulmarlever.outcomes import NotRun, OutcomeUnknown, Refused, Unavailable
+from fulmarlever.tests.base import TableTestCase
+from fulmarleverd.platform.callers import CallerServer
+from fulmarleverd.scheduling.api import NoQueue
+from fulmarleverd.scheduling.intake import JobStatus, UnknownJob
+from fulmarleverd.scheduling.specs import QueueSpec
+from fulmarleverd.scheduling.tasks import JobState
+
+QUEUE = QueueSpec("r", "a.example", "/p/", "desk")
+JOB = {"spec": "s", "phases": [{"count": 1}]}
+LIMIT = 300
+
+
+class FakeCalls:
+    """Answers every call with a prepared result."""
+
+    def __init__(self):
+        self.result: object = None
+        self.queue: object = QUEUE
+        self.ready = True
+        self.seen: list[tuple] = []
+
+    def is_ready(self) -> bool:
+        return self.ready
+
+    def max_body_bytes(self) -> int:
+        return LIMIT
+
+    def find_queue(self, host: str, path: str) -> object:
+        self.seen.append((host, path))
+        return self.queue
+
+    def until_s(self, queue: QueueSpec, wait_s: float) -> float:
+        return wait_s
+
+    async def submit(self, job: object, queue: QueueSpec, until_s: float) -> object:
+        self.seen.append((job.id, until_s))
+        return self.result
+
+    async def status(self, job_id: str) -> object:
+        return self.result
+
+    async def cancel(self, job_id: str, until_s: float) -> object:
+        return self.result
+
+    async def pending(self, queue: QueueSpec) -> object:
+        return self.result
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class CallerServerTests(TableTestCase, unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        log.remove()
+        self.calls = FakeCalls()
+        self.server = CallerServer(self.calls, 1 << 20)
+        port, ready = free_port(), free_port()
+        await self.server.open(f"127.0.0.1:{port}", f"127.0.0.1:{ready}")
+        self.base = f"http://127.0.0.1:{port}"
+        self.ready = f"http://127.0.0.1:{ready}"
+        self.session = aiohttp.ClientSession()
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        await self.server.close()
+
+    async def ask(self, method: str, path: str, **options: object) -> tuple:
+        headers = {"Host": "a.example:80", **options.pop("headers", {})}
+        async with self.session.request(
+            method, self.base + path, headers=headers, **options
+        ) as resp:
+            return resp.status, await resp.json(), resp.headers
+
+    async def test_results_become_answers(self):
+        running = JobStatus(JobState.RUNNING)
+        rows = (
+            ("accepted", "POST", "/p/j", None, 200, {}),
+            ("state", "GET", "/p/j", running, 200, {"state": "running"}),
+            ("pending", "GET", "/p/", 3, 200, {"pending": 3}),
+            ("cancelled", "DELETE", "/p/j", running, 200, {"state": "running"}),
+        )
+        for _, method, path, result, status, body in self.each(rows):
+            self.calls.result = result
+            found = await self.ask(method, path, json=JOB)
+            self.assertEqual(found[:2], (status, body))
+
+    async def test_failures_become_answers_with_their_reason(self):
+        rows = (
+            ("unknown", "GET", UnknownJob("no job"), 410, None),
+            ("refused", "POST", Refused("bad"), 400, None),
+            ("not run", "POST", NotRun("store away", 0.4), 503, "1"),
+            ("unknown outcome", "POST", OutcomeUnknown("lost"), 504, None),
+            ("store away", "GET", Unavailable("away"), 503, "1"),
+        )
+        for _, method, result, status, retry_after in self.each(rows):
+            self.calls.result = result
+            found = await self.ask(method, "/p/j", json=JOB)
+            self.assertEqual(found[0], status)
+            self.assertEqual(found[1], {"error": result.reason})
+            self.assertEqual(found[2].get("Retry-After"), retry_after)
+
+    async def test_no_queue_is_not_found(self):
+        self.calls.queue = NoQueue("none")
+        found = await self.ask("GET", "/q/")
+        self.assertEqual(found[0], 404)
+        self.assertEqual(self.calls.seen, [("a.example", "/q/")])
+
+    async def test_bad_bodies_are_refused(self):
+        rows = (
+            ("no json", b"{"),
+            ("too long", b" " * (LIMIT + 1)),
+            ("no phases", b"{}"),
+        )
+        for _, body in self.each(rows):
+            found = await self.ask("POST", "/p/j", data=body)
+            self.assertEqual(found[0], 400)
+
+    async def test_a_half_sent_request_stops_nothing(self):
+        host, port = self.base[7:].split(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"POST /p/j HTTP/1.1\r\nHost: a\r\nContent-Length: 50\r\n\r\n{")
+        await writer.drain()
+        writer.close()
+        self.assertEqual((await self.ask("POST", "/p/j", json=JOB))[0], 200)
+
+    async def test_the_callers_patience_is_passed_on(self):
+        headers = {"X-Deadline-Ms": "1500"}
+        await self.ask("POST", "/p/j", json=JOB, headers=headers)
+        self.assertIn(("j", 1.5), self.calls.seen)
+
+    async def test_readiness(self):
+        for _, ready, status in self.each((("yes", True, 200), ("no", False, 503))):
+            self.calls.ready = ready
+            async with self.session.get(self.ready + "/readiness") as resp:
+                self.assertEqual(resp.status, status)
+
+    async def test_a_closing_server_closes_connections_after_answers(self):
+        self.server.is_closing = True
+        found = await self.ask("POST", "/p/j", json=JOB)
+        self.assertEqual(found[2].get("Connection"), "close")
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/formats_tests.py
@@ -0,0 +1,150 @@
+from __future__ import annotations
+
+import json
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fulmarlever.outcomes import failed
+from fulmarlever.tests.base import TableTestCase
+from fulmarleverd.platform.formats import parse_config, parse_job, parse_worker
+from fulmarleverd.scheduling.ports import StoredRow
+
+ENTRY = {
+    "service": "desk",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "state": "ready",
+    "capacity": {"cpu": 16000, "memMb": 32768, "gpus": 0},
+    "labels": ["a", "r1-3"],
+    "born": 1700000000123,
+    "machine": "m-1",
+    "sequence": 4,
+}
+ROUTE = {
+    "name": "r-1",
+    "host": "a.example",
+    "pathPrefix": "/p/",
+    "timeoutMs": 3000,
+    "targetLatencyMs": 250,
+    "priority": 2,
+    "service": "desk",
+    "maxAttempts": 4,
+    "stretch": 2.2,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [ROUTE, {**ROUTE, "name": "r-2", "pathPrefix": "/p/long/"}],
+    "services": [{"name": "desk", "admissionCheck": True, "healthPath": "/health"}],
+    "limits": {"maxBodyBytes": 1000},
+}
+STEP = {"count": 4, "cpu": 500, "memMb": 256, "estimateMs": 900}
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(sorted({*ENTRY, *CONFIG, *STEP, "phases"})), inner
+        )
+    ),
+    max_leaves=12,
+)
+
+
+def row(value: object) -> StoredRow:
+    raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return StoredRow("t", "i-1", raw, 1)
+
+
+class WorkerEntryTests(TableTestCase):
+    def test_an_entry_is_decoded(self):
+        entry = parse_worker(row(ENTRY))
+        self.assertEqual((entry.id, entry.life), ("i-1", "1700000000123"))
+        self.assertEqual((entry.cpu_m, entry.memory_mb), (16000, 32768))
+        self.assertEqual(entry.labels, ("a", "r1-3"))
+        self.assertFalse(entry.is_draining)
+
+    def test_a_draining_entry_tells_how_long_it_stays(self):
+        leaving = {**ENTRY, "state": "draining", "remainingMs": 1500}
+        entry = parse_worker(row(leaving))
+        self.assertTrue(entry.is_draining)
+        self.assertEqual(entry.remaining_s, 1.5)
+
+    def test_a_foreign_entry_names_no_worker(self):
+        rows = (
+            ("bytes", b"\xff\xfe\x00"),
+            ("no object", [1, 2]),
+            ("unknown state", {**ENTRY, "state": "odd"}),
+            ("no capacity", {k: v for k, v in ENTRY.items() if k != "capacity"}),
+            ("capacity of text", {**ENTRY, "capacity": {"cpu": "1", "memMb": 1}}),
+            ("service of number", {**ENTRY, "service": 5}),
+            ("labels of numbers", {**ENTRY, "labels": [1]}),
+            ("birth of text", {**ENTRY, "born": "now"}),
+        )
+        for _, value in self.each(rows):
+            self.assertTrue(failed(parse_worker(row(value))))
+
+    @given(JSON_VALUES)
+    def test_nothing_breaks_the_decoders(self, value):
+        parse_worker(row(value))
+        parse_config(row(value))
+        parse_job("0" * 16, json.dumps(value).encode())
+
+
+class ConfigTests(TableTestCase):
+    def test_the_longest_prefix_of_the_host_wins(self):
+        cfg = parse_config(row(CONFIG))
+        rows = (
+            ("short", "a.example", "/p/1", "r-1"),
+            ("long", "a.example", "/p/long/1", "r-2"),
+            ("other host", "b.example", "/p/1", None),
+            ("other path", "a.example", "/q/1", None),
+        )
+        for _, host, path, expected in self.each(rows):
+            found = cfg.find_queue(host, path)
+            self.assertEqual(found.name if found else None, expected)
+
+    def test_fields_are_decoded_into_seconds(self):
+        queue = parse_config(row(CONFIG)).queues[0]
+        self.assertEqual(
+            (queue.target_latency_s, queue.timeout_s, queue.stretch), (0.25, 3.0, 2.2)
+        )
+
+
+class JobTests(TableTestCase):
+    def parse(self, value: object) -> object:
+        return parse_job("0" * 16, json.dumps(value).encode())
+
+    def test_a_job_is_decoded(self):
+        fields = {"fills": True, "targetMs": 50, "antiAffinity": 2, "mayMiss": 1}
+        job = self.parse(
+            {"spec": "s", "phases": [STEP, {**STEP, "after": [0]} | fields]}
+        )
+        first, second = job.steps
+        self.assertEqual((first.count, first.cpu_m, first.estimate_s), (4, 500, 0.9))
+        self.assertEqual((second.after, second.max_per_worker), ((0,), 2))
+        self.assertTrue(second.is_best_effort)
+        self.assertEqual((second.latency_target_s, second.max_unavailable), (0.05, 1))
+
+    def test_bad_jobs_are_refused(self):
+        rows = (
+            ("no object", [1]),
+            ("no steps", {"spec": "s"}),
+            ("count of text", {"phases": [{**STEP, "count": "4"}]}),
+            ("long specification", {"spec": "x" * 4001, "phases": [STEP]}),
+            ("too many tasks", {"phases": [{**STEP, "count": 1_000_000}]}),
+        )
+        for _, value in self.each(rows):
+            self.assertTrue(failed(self.parse(value)))
+
+    def test_steps_that_wait_for_later_ones_are_found(self):
+        rows = (
+            ("itself", [{**STEP, "after": [0]}], True),
+            ("later", [{**STEP, "after": [1]}, STEP], True),
+            ("none", [{**STEP, "count": 0}], True),
+            ("earlier", [STEP, {**STEP, "after": [0]}], False),
+        )
+        for _, phases, expected in self.each(rows):
+            job = self.parse({"phases": phases})
+            self.assertEqual(bool(job.find_error()), expected)
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/settings_tests.py
@@ -0,0 +1,71 @@
+from __future__ import annotations
+
+import json
+import os
+import tempfile
+from pathlib import Path
+from unittest import mock
+
+from fulmarlever.outcomes import failed
+from fulmarlever.tests.base import TableTestCase
+from fulmarleverd.platform.settings import (
+    SETTINGS_VARIABLE,
+    find_changes,
+    parse_settings,
+    read_settings,
+)
+
+SETTINGS = {
+    "nodeName": "edge-1",
+    "zone": "z",
+    "ip": "10.0.0.1",
+    "listenAddrs": {"front": "10.0.0.1:1", "readyAddr": "10.0.0.1:2"},
+    "portRange": [7720, 7735],
+    "platform": {"address": "10.0.0.9:3"},
+    "limits": {"memoryMb": 200},
+    "bounds": {"holdMaxMs": 6000, "graceS": 5, "unknown": 1},
+    "unknown": {},
+}
+
+
+class SettingsTests(TableTestCase):
+    def test_fields_are_decoded(self):
+        settings = parse_settings(SETTINGS)
+        self.assertEqual((settings.vm, settings.metrics_port), ("edge-1", 7720))
+        self.assertEqual(settings.bounds.worker_lease_s, 6.0)
+        self.assertEqual(settings.bounds.grace_s, 5.0)
+
+    def test_what_is_wrong_is_named(self):
+        rows = [
+            (name, {k: v for k, v in SETTINGS.items() if k != name}, name)
+            for name in ("nodeName", "zone", "ip", "listenAddrs", "platform")
+        ]
+        rows += [
+            ("no object", [], "malformed"),
+            ("bounds of text", {**SETTINGS, "bounds": {"holdMaxMs": "x"}}, "malformed"),
+        ]
+        for _, data, expected in self.each(rows):
+            found = parse_settings(data)
+            self.assertTrue(failed(found))
+            self.assertIn(expected, found.reason)
+
+    def test_the_file_is_found_by_the_variable(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "node.json"
+            rows = (
+                ("good", json.dumps(SETTINGS), False),
+                ("cut", json.dumps(SETTINGS)[:50], True),
+                ("empty", "", True),
+            )
+            for _, text, expected in self.each(rows):
+                path.write_text(text)
+                with mock.patch.dict(os.environ, {SETTINGS_VARIABLE: str(path)}):
+                    self.assertEqual(failed(read_settings()), expected)
+        with mock.patch.dict(os.environ, {SETTINGS_VARIABLE: ""}):
+            self.assertIn(SETTINGS_VARIABLE, read_settings().reason)
+
+    def test_changes_are_named(self):
+        old = parse_settings(SETTINGS)
+        new = parse_settings({**SETTINGS, "bounds": {"holdMaxMs": 7000}})
+        self.assertEqual(find_changes(old, new), ("bounds",))
+        self.assertEqual(find_changes(old, old), ())
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/progress_tests.py
@@ -0,0 +1,56 @@
+"""Workers on which tasks stand still or crawl, while others are sound."""
+
+from __future__ import annotations
+
+from fulmarleverd.scheduling.progress import ProgressWatch
+from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.tests.scheduling.base import OwnerTestCase
+
+SAVED = StepSpec(count=4, cpu_m=1000, estimate_s=2.0, checkpoints=True)
+PLAIN = StepSpec(count=4, cpu_m=1000, estimate_s=2.0)
+UNKNOWN = StepSpec(count=4, cpu_m=1000)
+LASTING = StepSpec(count=1, cpu_m=1000, estimate_s=0.5, is_long_running=True)
+
+
+class ProgressTests(OwnerTestCase):
+    def setUp(self):
+        super().setUp()
+        self.watch = ProgressWatch(self.owner)
+        self.owner.on_report = self.watch.take_report
+        self.slow, self.sound = self.workers
+
+    def run_at(self, run: object, percents: tuple[float, ...], step_s: float) -> None:
+        for percent in percents:
+            self.clock.advance(step_s)
+            self.report(run.worker, (run, percent, 500.0))
+
+    def test_a_run_without_progress_is_stopped(self):
+        rows = (
+            ("stands still", PLAIN, (10.0,) * 6, True),
+            (
+                "crawls, no estimate",
+                UNKNOWN,
+                (10.0, 11.0, 12.0, 13.0, 14.0, 15.0),
+                False,
+            ),
+            ("lasting at work", LASTING, (100.0,) * 20, False),
+            ("lasting never at work", LASTING, (0.0,) * 12, True),
+        )
+        for name, spec, percents, expected in self.each(rows):
+            run = self.start(self.add_job(name, spec), self.slow)
+            self.run_at(run, percents, 0.5)
+            self.assertEqual(run in self.orders.stops, expected)
+            self.assertEqual("w1" in run.task.avoid, expected)
+            self.report(self.slow, ends=((run, "stopped"),))
+
+    def test_a_slow_worker_gets_no_more_and_gives_its_work_back(self):
+        job = self.add_job("j", SAVED)
+        sound = self.start(job, self.sound, index=1)
+        self.run_at(sound, (25.0, 50.0, 75.0), 0.5)
+        slow = self.start(job, self.slow)
+        self.run_at(slow, tuple(float(5 + 4 * n) for n in range(8)), 0.5)
+        self.assertTrue(self.slow.is_slow)
+        self.assertFalse(self.slow.takes_starts(self.clock.now))
+        self.assertIn(slow, self.orders.stops)
+        self.assertNotIn(sound, self.orders.stops)
+        self.assertTrue(self.sound.takes_starts(self.clock.now))
