--- a/packages/fulmarleverd/fulmarleverd/scheduling/orders.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/orders.py
@@ -142,7 +142,7 @@
         return True
 
     def _give_up(self, run: Run, worker: Worker) -> None:
-        worker.is_reachable = False
+        self._owner.note_unreachable(worker, "starts get no answer")
         self._withdraw(run, "its worker does not answer")
 
     def _withdraw(self, run: Run, why: str) -> None:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -56,6 +56,7 @@
         self.jobs: dict[str, Job] = {}
         self.final: dict[str, float] = {}
         self.orphans: set[Run] = set()
+        self.wanted_copies: dict[Task, None] = {}
         self.orders: WorkerOrders | None = None
         self.changed = asyncio.Event()
         self.on_worker_added: Callable[[Worker], None] = lambda worker: None
@@ -187,6 +188,17 @@
             record_run("run-stop", run, why)
             self.orders.send_stop(run)
 
+    def want_copy(self, run: Run, why: str) -> bool:
+        """Ask for a second run of a task beside a doubtful one, if its step allows."""
+        task = run.task
+        if not task.step.spec.is_speculative or len(task.runs) > 1:
+            return False
+        if task not in self.wanted_copies:
+            self.wanted_copies[task] = None
+            record_run("copy-wanted", run, why)
+            self.changed.set()
+        return True
+
     # Workers
 
     def add_worker(self, entry: WorkerEntry) -> Worker:
@@ -227,6 +239,15 @@
                 worker.missing_since_s = self.now_s()
                 record("worker-unlisted", worker=worker.id, runs=len(worker.runs))
 
+    def note_unreachable(self, worker: Worker, why: str) -> None:
+        """Take note that a worker does not answer."""
+        if not worker.is_reachable:
+            return
+        worker.is_reachable = False
+        record("worker-unreachable", why, worker=worker.id, runs=len(worker.runs))
+        for run in worker.runs.values():
+            self.want_copy(run, "its worker does not answer")
+
     def lose_worker(self, worker: Worker, why: str) -> None:
         """Forget a life of a worker that certainly runs nothing any more."""
         record("worker-lost", why, worker=worker.id, runs=len(worker.runs))
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -37,7 +37,7 @@
         """Give tasks to workers and return how many got one."""
         self._usable = {}
         self._misses = 0
-        started = 0
+        started = sum(1 for _ in self._start_copies())
         for step in self._sort(self._ready_steps(), self._owner.now_s()):
             started += sum(1 for _ in self._start_step(step))
             if started >= MAX_STARTS_PER_PLAN:
@@ -57,6 +57,22 @@
             )
         return self._usable[service]
 
+    def _start_copies(self) -> Iterator[Task]:
+        """Start the wanted second runs; a task without a worker is not asked again."""
+        wanted = list(self._owner.wanted_copies)
+        self._owner.wanted_copies.clear()
+        for task in wanted:
+            if task.is_done or len(task.runs) != 1 or task.step.job.is_final:
+                continue
+            used = {run.worker_key.id for run in task.runs.values()}
+            workers = [
+                w for w in self._open_workers(task.step, task) if w.id not in used
+            ]
+            worker = self._choose(task, workers, self._headroom_taken)
+            if worker is not None:
+                self._owner.assign(task, worker)
+                yield task
+
     def _start_step(self, step: Step) -> Iterator[Task]:
         if step.spec.is_best_effort and self._misses >= MAX_MISSES:
             return
--- a/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
@@ -45,7 +45,8 @@
             self._stop_stalled(worker, run, now)
         if worker.is_slow:
             for run in list(self._worth_moving(worker)):
-                self._owner.stop_run(run, "its worker is slow")
+                if not self._owner.want_copy(run, "its worker is slow"):
+                    self._owner.stop_run(run, "its worker is slow")
 
     def _follow(self, worker: Worker, run: Run, now_s: float) -> None:
         if run.progress_at_s == 0.0 or run.pace < COMPLETE_PERCENT:
@@ -95,7 +96,8 @@
         record_run("run-stalled", run, percent=run.percent)
         run.task.avoid.add(worker.id)
         worker.avoid_until_s = max(worker.avoid_until_s, now_s + STALLED_PAUSE_S)
-        self._owner.stop_run(run, "no progress")
+        if not self._owner.want_copy(run, "no progress"):
+            self._owner.stop_run(run, "no progress")
 
     def _worth_moving(self, worker: Worker) -> Iterator[Run]:
         """Yield the runs that would end sooner on a sound worker."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
@@ -90,7 +90,5 @@
             self._owner.lose_worker(worker, failure.reason)
             return
         self._failures += 1
-        if worker.is_reachable:
-            worker.is_reachable = False
-            record("worker-unreachable", failure.reason, worker=worker.id)
+        self._owner.note_unreachable(worker, failure.reason)
         await asyncio.sleep(RETRY_S)
