Sample latencies once a half second; pause, wait for the effect, then move

Cause: reports come at every end, but a latency is the tail of the last half second; the same value was learned from and reacted to several times in 100 ms.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
@@ -23,7 +23,8 @@
 
     ``room`` figures are reservations of the runs given to it. ``ends_known`` is the
     number of the last end whose effect is committed, ``granted_s`` the time of the
-    last order that could extend the worker's lease.
+    last order that could extend the worker's lease, ``settled_at_s`` when reports
+    show the effect of the last change of pace.
     """
 
     __slots__ = (
@@ -47,6 +48,7 @@
         "avoid_until_s",
         "missing_since_s",
         "has_serving",
+        "settled_at_s",
         "speed",
         "is_slow",
         "drain_until_s",
@@ -73,6 +75,7 @@
         self.avoid_until_s = 0.0
         self.missing_since_s = 0.0
         self.has_serving = 0
+        self.settled_at_s = 0.0
         self.speed = 1.0
         self.is_slow = False
         self.drain_until_s = 0.0
--- a/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
@@ -12,20 +12,26 @@
 from fulmarleverd.scheduling.tasks import Run, RunState
 
 # Headroom is the latency target divided by the latency: 1 is just at the target.
-# A new task has to leave the first; tasks are slowed down until the second is kept, and
-# get speed back while the third is left.
-ADMIT_ABOVE = 1.35
-KEEP_ABOVE = 1.2
-RESUME_ABOVE = 1.35
+# A new task has to leave the first; below the second, tasks are paused until the third
+# should be reached; a paused task goes on if that leaves the last.
+ADMIT_ABOVE = 1.3
+PAUSE_BELOW = 1.1
+PAUSE_UNTIL = 1.4
+RESUME_ABOVE = 1.4
+# Margin on what a new task is expected to take.
+TAKEN_MARGIN = 1.3
+# A latency is the tail of the last half second: newer reports repeat it, and a change
+# of pace shows only in the one after.
+SAMPLE_S = 0.45
+SETTLE_S = 0.7
 # How far ahead the trend of a serving task's headroom is followed.
-LOOK_AHEAD_S = 0.8
+LOOK_AHEAD_S = 1.0
 TREND_WEIGHT = 0.4
+MAX_TREND = 0.5
 MAX_HEADROOM = 10.0
+PAUSED_PERCENT = 0
 FULL_PERCENT = 100
-MIN_STEP_PERCENT = 10
-# A task that is slower than this for so long goes on elsewhere.
-SLOW_PERCENT = 30
-MAX_SLOW_S = 2.5
+MAX_PAUSE_S = 2.0
 # Tasks that take less headroom are not the cause of a lack of it.
 LEAST_TAKEN = 0.03
 
@@ -60,13 +66,13 @@
             for run in best_effort_runs(worker)
         )
         for run in serving_runs(worker):
-            if not run.usage:
+            sample = run.sample
+            if not run.usage or (sample and now - sample.at_s < SAMPLE_S):
                 continue
             headroom = headroom_of(run)
-            sample = run.sample
-            if sample is not None and now > sample.at_s:
+            if sample is not None:
                 self._compare(run, sample, loads, headroom, now)
-            run.sample = ServingSample(now, headroom, loads, run.sample)
+            run.sample = ServingSample(now, headroom, loads, sample)
 
     def _compare(
         self,
@@ -82,84 +88,66 @@
         taken = self.model.taken_by_all(image, loads)
         taken -= self.model.taken_by_all(image, sample.loads)
         slope = (taken - fall) / (now_s - sample.at_s)
+        slope = max(-MAX_TREND, min(MAX_TREND, slope))
         sample.trend += TREND_WEIGHT * (slope - sample.trend)
 
     def _check(self, worker: Worker) -> None:
-        """Slow best-effort tasks down while a serving task comes near its target."""
-        lowest = min(serving_runs(worker), key=expected_headroom, default=None)
+        """Pause best-effort tasks while a serving task comes near its target."""
+        now = self._owner.now_s()
+        lowest = min(serving_runs(worker), key=headroom_of, default=None)
         if lowest is None:
             return
-        if expected_headroom(lowest) < KEEP_ABOVE:
-            self._slow_down(worker, lowest)
-        else:
-            self._speed_up(worker)
-        self._move_slow(worker)
+        if now >= worker.settled_at_s:
+            if headroom_of(lowest) < PAUSE_BELOW:
+                self._pause(worker, lowest)
+            else:
+                self._resume_one(worker)
+        self._move_paused(worker, now)
 
     def _taken(self, serving: Run, spec: StepSpec, load: float) -> float:
         return self.model.taken(serving.task.step.spec.image, spec.image, load)
 
-    def _slow_down(self, worker: Worker, serving: Run) -> None:
-        """Slow the tasks that take most headroom, until enough should be left."""
-        missing = KEEP_ABOVE - expected_headroom(serving)
+    def _pause(self, worker: Worker, serving: Run) -> None:
+        """Pause the tasks that take most headroom, until enough should be left."""
+        missing = PAUSE_UNTIL - headroom_of(serving)
         by_taken = [
-            (self._taken(serving, run.task.step.spec, paced_load(run, worker)), run)
+            (self._taken(serving, run.task.step.spec, nominal_load(run, worker)), run)
             for run in best_effort_runs(worker)
+            if run.pace != PAUSED_PERCENT
         ]
         by_taken.sort(key=lambda pair: -pair[0])
         for taken, run in by_taken:
             if missing <= 0.0 or taken < LEAST_TAKEN:
                 break
-            kept = max(0.0, 1.0 - missing / taken)
             missing -= taken
-            self._pace(run, int(run.pace * kept), worker, taken)
+            self._pace(run, PAUSED_PERCENT, worker, taken)
 
-    def _speed_up(self, worker: Worker) -> None:
-        """Give speed back to slowed tasks, as far as the headroom allows."""
-        slowed = [run for run in best_effort_runs(worker) if run.pace < FULL_PERCENT]
-        if not slowed:
-            return
-        spare = [
-            (serving, expected_headroom(serving) - RESUME_ABOVE)
-            for serving in serving_runs(worker)
-        ]
-        for run in slowed:
-            share = self._affordable_share(run, worker, spare)
-            percent = min(FULL_PERCENT, run.pace + int(share * FULL_PERCENT))
-            if percent - run.pace >= MIN_STEP_PERCENT or percent == FULL_PERCENT:
-                self._pace(run, percent, worker, 0.0)
-                return
-
-    def _affordable_share(
-        self, run: Run, worker: Worker, spare: list[tuple[Run, float]]
-    ) -> float:
-        """Return the share of its full speed that a run may gain."""
-        share = 1.0
-        for serving, left in spare:
-            taken = self._taken(serving, run.task.step.spec, nominal_load(run, worker))
-            if taken >= LEAST_TAKEN:
-                share = min(share, max(0.0, left) / taken)
-        return share
+    def _resume_one(self, worker: Worker) -> None:
+        for run in best_effort_runs(worker):
+            if run.pace != FULL_PERCENT:
+                spec = run.task.step.spec
+                taken = self._most_taken(spec, worker, RESUME_ABOVE)
+                if taken is not None:
+                    self._pace(run, FULL_PERCENT, worker, taken)
+                    return
 
     def _resume_all(self, worker: Worker) -> None:
         for run in best_effort_runs(worker):
             if run.pace != FULL_PERCENT:
                 self._pace(run, FULL_PERCENT, worker, 0.0)
 
-    def _move_slow(self, worker: Worker) -> None:
-        """Stop tasks that have been slow for long; they go on elsewhere."""
-        now = self._owner.now_s()
+    def _move_paused(self, worker: Worker, now_s: float) -> None:
+        """Stop tasks that have been paused for long; they go on elsewhere."""
         for run in list(best_effort_runs(worker)):
-            is_slow = run.pace < SLOW_PERCENT
-            if is_slow and now - run.slow_since_s > MAX_SLOW_S:
-                self._owner.stop_run(run, "slowed down for too long")
+            is_paused = run.pace == PAUSED_PERCENT
+            if is_paused and now_s - run.paused_at_s > MAX_PAUSE_S:
+                self._owner.stop_run(run, "paused for too long")
 
     def _pace(self, run: Run, percent: int, worker: Worker, taken: float) -> None:
-        if abs(percent - run.pace) < MIN_STEP_PERCENT and percent != FULL_PERCENT:
-            percent = max(0, run.pace - MIN_STEP_PERCENT)
-        if percent == run.pace:
-            return
-        if percent < SLOW_PERCENT <= run.pace:
-            run.slow_since_s = self._owner.now_s()
+        now = self._owner.now_s()
+        worker.settled_at_s = now + SETTLE_S
+        if percent == PAUSED_PERCENT:
+            run.paused_at_s = now
         record_run("run-paced", run, percent=percent, headroom_taken=round(taken, 2))
         self._owner.orders.send_pace(run, percent)
 
@@ -228,11 +216,6 @@
     return run.task.step.spec.cpu_m / worker.entry.cpu_m
 
 
-def paced_load(run: Run, worker: Worker) -> float:
-    """Return a run's declared cores at its present pace, as a share of its worker."""
-    return nominal_load(run, worker) * run.pace / FULL_PERCENT
-
-
 def load_of(run: Run, worker: Worker) -> float:
     """Return a run's cores in use as a share of its worker."""
     return run.usage / worker.entry.cpu_m
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -57,7 +57,7 @@
         "usage",
         "pace",
         "is_pace_known",
-        "slow_since_s",
+        "paused_at_s",
         "sample",
         "progress",
         "progress_at_s",
@@ -79,7 +79,7 @@
         self.usage = 0.0
         self.pace = 100
         self.is_pace_known = True
-        self.slow_since_s = 0.0
+        self.paused_at_s = 0.0
         self.sample: ServingSample | None = None
         self.progress = 0.0
         self.progress_at_s = 0.0
