--- a/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
@@ -13,14 +13,19 @@
 # time to start up.
 STALL_S = 1.6
 STARTUP_S = 4.0
-# Speeds are shares of the estimated speed, smoothed over reports.
-SPEED_WEIGHT = 0.3
-FLEET_WEIGHT = 0.02
+# A worker's speed is the progress of its runs as a share of that of the other runs of
+# their steps, as the estimates of two jobs may be far apart; smoothed over reports.
+SPEED_WEIGHT = 0.2
 MIN_INTERVAL_S = 0.2
-# Below this share of the fleet's speed a worker is slow; above the second no longer.
-SLOW_SHARE = 0.4
-SOUND_SHARE = 0.6
+MIN_STEP_SAMPLES = 3
+MAX_SHARE = 2.0
+# Below this speed a worker is slow; above the second no longer.
+SLOW_SHARE = 0.35
+SOUND_SHARE = 0.55
+# A best-effort run that gets few cores is slow for that reason alone.
+MIN_CORES_SHARE = 0.1
 SLOW_PAUSE_S = 1.5
+RECOVERY_WEIGHT = 0.02
 STALLED_PAUSE_S = 3.0
 # A run is moved only if it would otherwise take this much longer.
 MIN_GAIN_S = 0.8
@@ -32,7 +37,6 @@
 
     def __init__(self, owner: Owner) -> None:
         self._owner = owner
-        self._fleet_speed = 1.0
 
     def take_report(self, worker: Worker) -> None:
         """Look at the runs of a worker after its report."""
@@ -59,27 +63,32 @@
         gained = (run.percent - run.progress) / COMPLETE_PERCENT
         run.progress = run.percent
         run.progress_at_s = now_s
-        spec = run.task.step.spec
-        if spec.estimate_s and not spec.is_long_running:
-            self._note_speed(worker, run, gained * spec.estimate_s / interval_s)
+        if not run.task.step.spec.is_long_running:
+            self._note_speed(worker, run, gained / interval_s)
 
     def _note_speed(self, worker: Worker, run: Run, speed: float) -> None:
+        """Take note of a run's speed, as a share of its work a second."""
         run.speed = speed if not run.speed else (run.speed + speed) / 2.0
-        worker.speed += SPEED_WEIGHT * (speed - worker.speed)
-        self._fleet_speed += FLEET_WEIGHT * (speed - self._fleet_speed)
+        step = run.task.step
+        spec = step.spec
+        if spec.is_best_effort and spec.cpu_m:
+            speed /= max(MIN_CORES_SHARE, min(1.0, run.usage / spec.cpu_m))
+        if step.speed_samples >= MIN_STEP_SAMPLES:
+            share = min(MAX_SHARE, speed / step.speed)
+            worker.speed += SPEED_WEIGHT * (share - worker.speed)
+        step.note_speed(speed)
 
     def _judge(self, worker: Worker, now_s: float) -> None:
-        share = worker.speed / max(self._fleet_speed, 0.01)
-        if not worker.is_slow and share < SLOW_SHARE:
+        if not worker.is_slow and worker.speed < SLOW_SHARE:
             worker.is_slow = True
             record("worker-slow", worker=worker.id, speed=round(worker.speed, 2))
-        elif worker.is_slow and share > SOUND_SHARE:
+        elif worker.is_slow and worker.speed > SOUND_SHARE:
             worker.is_slow = False
             record("worker-sound", worker=worker.id, speed=round(worker.speed, 2))
         if worker.is_slow:
             worker.avoid_until_s = max(worker.avoid_until_s, now_s + SLOW_PAUSE_S)
             # Without new runs there are no new figures, so trust comes back in time.
-            worker.speed += 0.02 * (self._fleet_speed - worker.speed)
+            worker.speed += RECOVERY_WEIGHT * (1.0 - worker.speed)
 
     def _stalled(self, worker: Worker, now_s: float) -> Iterator[Run]:
         for run in worker.runs.values():
@@ -102,14 +111,13 @@
     def _worth_moving(self, worker: Worker) -> Iterator[Run]:
         """Yield the runs that would end sooner on a sound worker."""
         for run in worker.runs.values():
-            spec = run.task.step.spec
-            if run.state is not RunState.RUNNING or spec.is_long_running:
+            step = run.task.step
+            if run.state is not RunState.RUNNING or step.spec.is_long_running:
                 continue
-            if not run.speed or not spec.estimate_s:
+            if not run.speed or not step.speed:
                 continue
             left = 1.0 - run.percent / COMPLETE_PERCENT
-            here_s = left * spec.estimate_s / run.speed
-            again = left if spec.checkpoints and run.task.checkpoint else 1.0
-            there_s = again * spec.estimate_s / max(self._fleet_speed, 0.01)
-            if here_s > there_s + MIN_GAIN_S:
+            is_saved = step.spec.checkpoints and run.task.checkpoint
+            there_s = (left if is_saved else 1.0) / step.speed
+            if left / run.speed > there_s + MIN_GAIN_S:
                 yield run
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -14,6 +14,12 @@
     from fulmarleverd.scheduling.interference import ServingSample
 
 
+# Weights of a sample above and below the present mean: the speed of a step is that of
+# its faster runs.
+FAST_WEIGHT = 0.3
+SLOW_WEIGHT = 0.05
+
+
 class JobState(StrEnum):
     """What a caller is told about a job."""
 
@@ -40,7 +46,8 @@
     """One run of a task on one life of a worker.
 
     ``sample`` is the last report of a serving run's latency. ``progress`` is the
-    percentage as of ``progress_at_s``, ``speed`` a share of the estimated speed.
+    percentage as of ``progress_at_s``, ``speed`` a share of its work a
+    second.
 
     ``may_arrive_late`` is set once a start got no answer. ``started_s`` is on the
     steady clock.
@@ -167,7 +174,17 @@
 class Step:
     """One step of one occurrence of a job."""
 
-    __slots__ = ("job", "occurrence", "number", "spec", "tasks", "waiting", "left")
+    __slots__ = (
+        "job",
+        "occurrence",
+        "number",
+        "spec",
+        "tasks",
+        "waiting",
+        "left",
+        "speed",
+        "speed_samples",
+    )
 
     def __init__(self, job: Job, occurrence: int, number: int, spec: StepSpec) -> None:
         self.job = job
@@ -177,6 +194,8 @@
         self.tasks = [Task(self, index) for index in range(spec.count)]
         self.waiting: dict[int, Task] = dict(enumerate(self.tasks))
         self.left = spec.count
+        self.speed = 0.0
+        self.speed_samples = 0
 
     @property
     def is_done(self) -> bool:
@@ -197,6 +216,13 @@
             self.left -= 1
         self.refresh(task)
 
+    def note_speed(self, speed: float) -> None:
+        """Add the speed of a run, a share of its work a second, to the mean."""
+        self.speed_samples += 1
+        weight = FAST_WEIGHT if speed > self.speed else SLOW_WEIGHT
+        weight = max(weight, 1.0 / self.speed_samples)
+        self.speed += weight * (speed - self.speed)
+
     def work_left_s(self) -> float:
         """Return the estimated core-seconds of the tasks that are not done."""
         return self.left * self.spec.estimate_s * self.spec.cpu_m / 1000.0
