Wait for the store by its latency; awaited jobs first; shorter task leases

Cause: intake gave up on a slow store (0.7 s a transaction) three times within a caller's patience; lasting jobs took cores from jobs that callers wait for; tasks of a lost worker waited for leases of 10 s.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/commits.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/commits.py
@@ -13,9 +13,12 @@
 
 from loguru import logger as log
 
+from fulmarlever.outcomes import OutcomeUnknown
 from fulmarleverd.scheduling.lease import RENEW_S, SchedulerLease
 from fulmarleverd.scheduling.metrics import COMMIT_SECONDS, COMMITS
+from fulmarleverd.scheduling.patience import Patience
 from fulmarleverd.scheduling.ports import (
+    CommitResult,
     Committed,
     ConditionFailed,
     Store,
@@ -30,7 +33,6 @@
 MAX_BYTES = 700_000
 LINGER_S = 0.003
 RETRY_S = 0.1
-COMMIT_TIMEOUT_S = 0.9
 
 Action = Callable[[], None]
 
@@ -41,7 +43,15 @@
     ``actions`` run once everything staged before them is committed.
     """
 
-    __slots__ = ("_store", "_lease", "_dirty", "_extra", "_actions", "_wake")
+    __slots__ = (
+        "_store",
+        "_lease",
+        "_dirty",
+        "_extra",
+        "_actions",
+        "_wake",
+        "_patience",
+    )
 
     def __init__(self, store: Store, lease: SchedulerLease) -> None:
         self._store = store
@@ -50,6 +60,7 @@
         self._extra: dict[tuple[str, str], StoredRow] = {}
         self._actions: list[Action] = []
         self._wake = asyncio.Event()
+        self._patience = Patience()
 
     def stage(self, job: Job) -> None:
         """Write a job's progress with the next commit."""
@@ -104,9 +115,8 @@
         first_sent_s = lease.clock_s()
         while lease.is_held:
             sent_s = lease.clock_s()
-            result = await self._store.transact(tx, COMMIT_TIMEOUT_S)
-            COMMITS.labels(type(result).__name__).inc()
-            COMMIT_SECONDS.observe(lease.clock_s() - sent_s)
+            result = await self._store.transact(tx, self._patience.timeout_s)
+            self._note_time(result, lease.clock_s() - sent_s)
             if isinstance(result, Committed):
                 lease.renewed(result.version, sent_s)
                 return True
@@ -116,6 +126,14 @@
             await asyncio.sleep(RETRY_S)
         return False
 
+    def _note_time(self, result: CommitResult, took_s: float) -> None:
+        COMMITS.labels(type(result).__name__).inc()
+        COMMIT_SECONDS.observe(took_s)
+        if isinstance(result, OutcomeUnknown):
+            self._patience.unanswered()
+        else:
+            self._patience.answered(took_s)
+
     def _settle(self, conflict: ConditionFailed, value: bytes, sent_s: float) -> bool:
         """Find out from the lease's current row who has written it."""
         for row in conflict.rows:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
@@ -15,7 +15,9 @@
     Unavailable,
     failed,
 )
+from fulmarleverd.scheduling.patience import Patience
 from fulmarleverd.scheduling.ports import (
+    CommitResult,
     Committed,
     ConditionFailed,
     RowSet,
@@ -36,11 +38,12 @@
 from fulmarleverd.scheduling.specs import JobSpec, QueueSpec
 from fulmarleverd.scheduling.tasks import FINAL_STATES, Job, JobState, unpack_state
 
-CALL_TIMEOUT_S = 0.9
+CALL_TIMEOUT_S = 1.2
 RETRY_S = 0.05
 # A caller comes back after this many seconds; an outage of the store lasts seconds.
 RETRY_AFTER_S = 1.0
 PENDING_CACHE_S = 0.4
+MIN_CANCEL_S = 0.2
 MAX_CACHED_STATES = 5000
 
 
@@ -67,6 +70,7 @@
         self._final: dict[str, JobStatus] = {}
         self._pending: dict[str, int] = {}
         self._pending_read_s = -1.0
+        self._patience = Patience()
 
     async def submit(
         self, spec: JobSpec, queue: QueueSpec, until_s: float
@@ -93,7 +97,7 @@
             left_s = until_s - self._clock.monotonic()
             if left_s <= 0.0:
                 return self._give_up("the store did not answer in time", True)
-            result = await self._store.transact(tx, min(CALL_TIMEOUT_S, left_s))
+            result = await self._transact(tx, left_s)
             if isinstance(result, Committed | ConditionFailed):
                 # A row under the same id is this job, handed in before.
                 return None
@@ -103,6 +107,16 @@
             log.bind(event="submit-retry", job=spec.id).info(result.reason)
             await asyncio.sleep(RETRY_S)
 
+    async def _transact(self, tx: Transaction, left_s: float) -> CommitResult:
+        sent_s = self._clock.monotonic()
+        timeout_s = min(self._patience.timeout_s, left_s)
+        result = await self._store.transact(tx, timeout_s)
+        if isinstance(result, OutcomeUnknown):
+            self._patience.unanswered()
+        else:
+            self._patience.answered(self._clock.monotonic() - sent_s)
+        return result
+
     def _give_up(self, reason: str, may_have_happened: bool) -> NotRun | OutcomeUnknown:
         if may_have_happened:
             return OutcomeUnknown(reason)
@@ -145,7 +159,8 @@
             return status
         tx = Transaction([], [cancel_row(job_id)])
         while True:
-            result = await self._store.transact(tx, CALL_TIMEOUT_S)
+            left_s = until_s - self._clock.monotonic()
+            result = await self._transact(tx, max(MIN_CANCEL_S, left_s))
             if isinstance(result, Committed):
                 return status
             if self._clock.monotonic() >= until_s:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/order.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/order.py
@@ -71,8 +71,11 @@
     age_s = now_s - job.since_s
     expected_s = age_s + chain_left_s(job)
     limit_s = objective_s(job)
-    if job.spec.repetitions or expected_s <= limit_s:
+    if any(step.is_long_running for step in job.spec.steps):
+        # It earns by staying, so a job that is awaited goes first.
+        lateness = 1
+    elif job.spec.repetitions or expected_s <= limit_s:
         lateness = 0
     else:
-        lateness = 1 if expected_s <= USELESS_AFTER_OBJECTIVES * limit_s else 2
+        lateness = 2 if expected_s <= USELESS_AFTER_OBJECTIVES * limit_s else 3
     return (job.queue.priority, lateness, work_left(job), job.since_s)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/orders.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/orders.py
@@ -60,7 +60,7 @@
 
     def _order(self, run: Run, worker: Worker) -> Order:
         owner = self._owner
-        until_ms = worker.lease_until_ms(owner.now_s(), owner.bounds.worker_lease_s)
+        until_ms = worker.lease_until_ms(owner.now_s(), owner.worker_lease_s)
         return Order(
             task=run.task.name,
             run=run.number,
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -38,6 +38,7 @@
 END_FAILED = "failed"
 # Beside the computed end of a lease, for timers and rounding.
 LEASE_MARGIN_S = 0.3
+MAX_WORKER_LEASE_S = 7.5
 # Older jobs are late in any case; clocks of VMs may differ by more than that.
 MAX_KNOWN_AGE_S = 60.0
 
@@ -71,8 +72,17 @@
         """Return seconds on the clock of the leases."""
         return self.clock.boot()
 
+    @property
+    def worker_lease_s(self) -> float:
+        """Return the length of the leases of running tasks.
+
+        Long enough for what runs to outlive a partition of some seconds, short enough
+        for the tasks of a lost worker to run elsewhere soon.
+        """
+        return min(self.bounds.worker_lease_s, MAX_WORKER_LEASE_S)
+
     def _lease_length_s(self) -> float:
-        return self.bounds.worker_lease_s / SLOWEST_CLOCK + LEASE_MARGIN_S
+        return self.worker_lease_s / SLOWEST_CLOCK + LEASE_MARGIN_S
 
     def lease_end_s(self, worker: Worker) -> float:
         """Return the time after which nothing runs on a worker that stays silent."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -219,8 +219,9 @@
     def note_speed(self, speed: float) -> None:
         """Add the speed of a run, a share of its work a second, to the mean."""
         self.speed_samples += 1
+        if self.speed_samples == 1:
+            self.speed = speed
         weight = FAST_WEIGHT if speed > self.speed else SLOW_WEIGHT
-        weight = max(weight, 1.0 / self.speed_samples)
         self.speed += weight * (speed - self.speed)
 
     def work_left_s(self) -> float:
