--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/worker.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/worker.py
@@ -53,6 +53,7 @@
         self.token = 0
         self.lease_until_s = 0.0
         self.last_seen = 0
+        self.asked = 0
         self._ended: dict[str, int] = {}
         self._number = 0
         self._changed = asyncio.Event()
@@ -164,6 +165,7 @@
         changed.set()
 
     async def _hold(self, body: dict) -> tuple:
+        self.asked += 1
         self._extend(body.get("deadlineMs", 0))
         self.last_seen = max(self.last_seen, body["lastSeen"])
         self.ends = [end for end in self.ends if end[0] > self.last_seen]
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/faults_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/faults_tests.py
@@ -66,6 +66,24 @@
 
         self.play(scenario)
 
+    def test_workers_are_not_asked_without_end_while_commits_wait(self):
+        """Pattern: ends pile up while the store is away for two seconds."""
+
+        async def scenario(site):
+            site.add_daemons("vm-1")
+            worker = site.add_workers(1)[0]
+            owner = await site.until_owned()
+            await owner.submit(job("j"))
+            await asyncio.sleep(0.3)
+            site.network.is_store_down = True
+            asked = worker.asked
+            await asyncio.sleep(1.6)
+            self.assertLess(worker.asked - asked, 12)
+            site.network.is_store_down = False
+            await site.until_state(owner, "j", "completed")
+
+        self.play(scenario)
+
     def test_an_outage_of_the_store_keeps_what_runs(self):
         async def scenario(site):
             site.add_daemons("vm-1", "vm-2")
--- a/packages/fulmarleverd/fulmarleverd/platform/callers.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/callers.py
@@ -132,21 +132,21 @@
         retry_after_s=retry_after_s,
     ).info(failure.reason)
     headers = {}
-    if retry_after_s:
+    if retry_after_s is not None:
         headers["Retry-After"] = str(math.ceil(retry_after_s))
     return web.json_response({"error": failure.reason}, status=status, headers=headers)
 
 
-def _failure_status(failure: Failure) -> tuple[int, float]:
+def _failure_status(failure: Failure) -> tuple[int, float | None]:
     """Return the HTTP status of a failure and when to come back, in seconds."""
     if isinstance(failure, NoQueue):
-        return 404, 0.0
+        return 404, None
     if isinstance(failure, UnknownJob):
-        return 410, 0.0
+        return 410, None
     if isinstance(failure, NotRun):
         return failure.status, failure.retry_after_s
     if isinstance(failure, OutcomeUnknown):
-        return 504, 0.0
+        return 504, None
     if isinstance(failure, Refused):
-        return 400, 0.0
+        return 400, None
     return 503, RETRY_AFTER_UNAVAILABLE_S
--- a/packages/fulmarleverd/fulmarleverd/scheduling/api.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/api.py
@@ -40,7 +40,7 @@
 
     def is_ready(self) -> bool:
         """Return whether new connections should come to this daemon."""
-        return self._queues.is_fresh() and not self._is_draining()
+        return self._queues.is_ready() and not self._is_draining()
 
     def max_body_bytes(self) -> int:
         """Return the size limit of a submitted job."""
@@ -50,7 +50,7 @@
         """Return the queue of a request by the configuration in force."""
         if not self._queues.is_fresh():
             reason = f"no answer of the store for {self._queues.age_s():.1f} s"
-            return NotRun(reason, self._queues.retry_after_s)
+            return NotRun(reason, self._queues.retry_after_s())
         found = self._queues.config.find_queue(host, path)
         return found or NoQueue(f"no queue at {host}{path}")
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/feeds.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/feeds.py
@@ -30,7 +30,9 @@
     asked_s: float
 
 
-async def follow(store: Store, table: str, clock: Clock) -> AsyncIterator[Batch]:
+async def follow(
+    store: Store, table: str, clock: Clock, wait_s: float = FEED_WAIT_S
+) -> AsyncIterator[Batch]:
     """Yield the rows of a table, then every change; a batch may be empty."""
     while True:
         asked_s = clock.boot()
@@ -40,17 +42,17 @@
             await asyncio.sleep(RETRY_S)
             continue
         yield Batch(snapshot.rows, True, asked_s)
-        async for batch in _changes(store, table, snapshot.version, clock):
+        async for batch in _changes(store, table, snapshot.version, clock, wait_s):
             yield batch
 
 
 async def _changes(
-    store: Store, table: str, version: int, clock: Clock
+    store: Store, table: str, version: int, clock: Clock, wait_s: float
 ) -> AsyncIterator[Batch]:
     is_lost = False
     while True:
         asked_s = clock.boot()
-        found = await store.changes(table, version, FEED_WAIT_S)
+        found = await store.changes(table, version, wait_s)
         if isinstance(found, HistoryGone):
             log.bind(event="feed-history-gone", table=table, version=version).info(
                 found.reason
--- a/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
@@ -10,7 +10,9 @@
 from fulmarleverd.scheduling.metrics import WORKERS
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.ports import StoredRow
+from fulmarleverd.scheduling.pressure import PressureModel
 from fulmarleverd.scheduling.rows import (
+    PRESSURE_KEY,
     SUMMARY_KEY,
     SUMMARY_TABLE,
     cancel_row,
@@ -27,13 +29,17 @@
 LEAVE_MARGIN_S = 1.0
 SUMMARY_PERIOD_S = 0.8
 LOAD_PERIOD_S = 1.0
+LEARNED_PERIOD_S = 4.0
 
 
 class Housekeeping:
     """One tick of the owner's regular work."""
 
-    def __init__(self, owner: Owner) -> None:
+    def __init__(self, owner: Owner, model: PressureModel) -> None:
         self._owner = owner
+        self._model = model
+        self._learned: dict = {}
+        self._learned_at_s = owner.now_s()
         self._summary: dict[str, int] = {}
         self._summary_at_s = 0.0
         self._load_at_s = 0.0
@@ -47,6 +53,7 @@
             self._check_worker(worker)
         owner.expire_orphans()
         self._publish_summary()
+        self._publish_learned()
         self._remove_old_rows()
         self._count_workers()
         self._record_load()
@@ -94,6 +101,18 @@
             row = StoredRow(SUMMARY_TABLE, SUMMARY_KEY, pack(self._summary))
             owner.commits.stage_row(row)
 
+    def _publish_learned(self) -> None:
+        """Keep what was learned of interference for a later owner."""
+        now = self._owner.now_s()
+        if now - self._learned_at_s < LEARNED_PERIOD_S:
+            return
+        self._learned_at_s = now
+        learned = self._model.to_data()
+        if learned != self._learned:
+            self._learned = learned
+            row = StoredRow(SUMMARY_TABLE, PRESSURE_KEY, pack(learned))
+            self._owner.commits.stage_row(row)
+
     def _remove_old_rows(self) -> None:
         owner = self._owner
         kept_s = owner.bounds.status_kept_s + STATUS_MARGIN_S
--- a/packages/fulmarleverd/fulmarleverd/scheduling/pressure.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/pressure.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 
 # Weight of a sample halves after about 700 newer ones of the same serving image.
 FORGETTING = 0.999
@@ -25,9 +25,10 @@
 class Regression:
     """Ridge regression of one serving image on the loads of best-effort images."""
 
-    __slots__ = ("_columns", "_products", "_targets", "_solution", "_fresh")
+    __slots__ = ("_columns", "_products", "_targets", "_solution", "_fresh", "_prior")
 
-    def __init__(self) -> None:
+    def __init__(self, prior: Loads | None = None) -> None:
+        self._prior = prior or {}
         self._columns: dict[str, int] = {}
         self._products: list[list[float]] = []
         self._targets: list[float] = []
@@ -51,9 +52,13 @@
                 line.append(0.0)
             self._products.append([0.0] * len(self._columns))
             self._targets.append(0.0)
-            self._solution.append(PRIOR_COEFFICIENT)
+            self._solution.append(self._expected(image))
         return self._columns[image]
 
+    def _expected(self, image: str) -> float:
+        """Return the coefficient of an image without any sample."""
+        return self._prior.get(image, PRIOR_COEFFICIENT)
+
     def _forget(self) -> None:
         self._targets = [value * FORGETTING for value in self._targets]
         for line in self._products:
@@ -66,19 +71,19 @@
             self._fresh = 0
             self._solution = self._solve()
         column = self._columns.get(image)
-        return PRIOR_COEFFICIENT if column is None else self._solution[column]
+        return self._expected(image) if column is None else self._solution[column]
 
-    def items(self) -> Iterator[tuple[str, float]]:
-        """Yield the images with their coefficients."""
-        for image in self._columns:
-            yield image, self.coefficient(image)
+    def coefficients(self) -> Loads:
+        """Return the coefficients of all images, rounded."""
+        images = {*self._columns, *self._prior}
+        return {image: round(self.coefficient(image), 2) for image in sorted(images)}
 
     def _solve(self) -> list[float]:
         matrix = [list(line) for line in self._products]
         right = list(self._targets)
-        for column in range(len(right)):
+        for image, column in self._columns.items():
             matrix[column][column] += PRIOR_WEIGHT
-            right[column] += PRIOR_WEIGHT * PRIOR_COEFFICIENT
+            right[column] += PRIOR_WEIGHT * self._expected(image)
         return [max(0.0, value) for value in solve_linear(matrix, right)]
 
 
@@ -136,11 +141,17 @@
             self.taken(serving_image, image, load) for image, load in loads.items()
         )
 
-    def describe(self) -> Iterator[tuple[str, str, float]]:
-        """Yield serving image, best-effort image and learned coefficient."""
-        for serving_image, regression in self._regressions.items():
-            for image, value in regression.items():
-                yield serving_image, image, value
+    def to_data(self) -> dict[str, Loads]:
+        """Return what has been learned, as plain data for the store."""
+        return {
+            image: regression.coefficients()
+            for image, regression in self._regressions.items()
+        }
+
+    def take_data(self, data: dict[str, Loads]) -> None:
+        """Begin with what an earlier owner has learned."""
+        for image, coefficients in data.items():
+            self._regressions.setdefault(image, Regression(dict(coefficients)))
 
 
 def sum_loads(loads: Iterable[tuple[str, float]]) -> Loads:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/queues.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/queues.py
@@ -13,6 +13,12 @@
 NO_CONFIG = SchedulingConfig(version=-1)
 # Without an answer of the store for this long, a newer configuration may be in force.
 FRESH_S = 2.2
+# New callers are sent elsewhere a little earlier.
+READY_S = 1.8
+FEED_WAIT_S = 0.5
+# Early in an outage other daemons may well reach the store, so a caller comes back at
+# once, to another daemon; later the store itself is likely away.
+LONG_OUTAGE_S = 5.0
 RETRY_AFTER_S = 1.0
 
 
@@ -21,7 +27,6 @@
 
     def __init__(self, interface: Interface, clock: Clock) -> None:
         self.config = NO_CONFIG
-        self.retry_after_s = RETRY_AFTER_S
         self._interface = interface
         self._clock = clock
         self._checked_s = float("-inf")
@@ -34,11 +39,19 @@
         """Return whether the configuration is known and certainly recent."""
         return self.config is not NO_CONFIG and self.age_s() <= FRESH_S
 
+    def is_ready(self) -> bool:
+        """Return whether callers should come to this daemon."""
+        return self.config is not NO_CONFIG and self.age_s() <= READY_S
+
+    def retry_after_s(self) -> float:
+        """Return when a caller should come back whose call was not carried out."""
+        return 0.0 if self.age_s() < LONG_OUTAGE_S else RETRY_AFTER_S
+
     async def run(self) -> None:
         """Follow the configuration until cancelled."""
         interface = self._interface
         table = interface.config_table
-        async for batch in follow(interface.store, table, self._clock):
+        async for batch in follow(interface.store, table, self._clock, FEED_WAIT_S):
             self._checked_s = batch.asked_s
             for row in batch.rows:
                 if row.key == interface.config_key and not row.is_deleted:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/rows.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/rows.py
@@ -22,6 +22,7 @@
 LEASE_KEY = "scheduler"
 SUMMARY_TABLE = "summary"
 SUMMARY_KEY = "pending"
+PRESSURE_KEY = "pressure"
 CANCEL_SUFFIX = "/cancel"
 
 FORMAT_ERRORS = (ValueError, TypeError, KeyError, msgpack.UnpackException)
@@ -85,6 +86,18 @@
         return BadRow(f"job row {stored.key!r}: {type(exc).__name__}: {exc}")
 
 
+def unpack_learned(stored: StoredRow) -> dict[str, dict[str, float]] | BadRow:
+    """Return the learned interference: coefficients by serving and other image."""
+    try:
+        data = unpack(stored.value)
+        return {
+            serving: {image: float(value) for image, value in coefficients.items()}
+            for serving, coefficients in data.items()
+        }
+    except (*FORMAT_ERRORS, AttributeError) as exc:
+        return BadRow(f"learned interference: {type(exc).__name__}: {exc}")
+
+
 def pack_lease(row: LeaseRow) -> bytes:
     """Return the value of the lease's row."""
     return pack([row.vm, row.life, row.token, row.sequence])
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tenure.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tenure.py
@@ -25,8 +25,11 @@
 from fulmarleverd.scheduling.rows import (
     CANCEL_SUFFIX,
     JOBS_TABLE,
+    PRESSURE_KEY,
     PROGRESS_TABLE,
+    SUMMARY_TABLE,
     unpack_job,
+    unpack_learned,
 )
 from fulmarleverd.scheduling.worker_loop import WorkerLoop
 
@@ -51,7 +54,7 @@
         self._progress = ProgressWatch(self.owner)
         self.owner.on_report = self._look_at
         self._planner = Planner(self.owner, self._guard.headroom_taken)
-        self._housekeeping = Housekeeping(self.owner)
+        self._housekeeping = Housekeeping(self.owner, self._guard.model)
         self._tasks: set[asyncio.Task] = set()
         self._has_jobs = asyncio.Event()
         self._has_workers = asyncio.Event()
@@ -81,7 +84,10 @@
     def _finished(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            log.opt(exception=task.exception()).error("a part of the scheduler ended")
+            log.bind(event="scheduler-fault").opt(exception=task.exception()).error(
+                "a part of the scheduler failed; the lease is given up"
+            )
+            self._lease.lost()
 
     def _look_at(self, worker: Worker) -> None:
         self._guard.take_report(worker)
@@ -94,6 +100,7 @@
     async def _recover(self, started_s: float) -> None:
         """Read what earlier owners committed, then follow jobs and workers."""
         progress = await self._read_progress()
+        await self._read_learned()
         # Jobs come before workers: a report of an end is of use only once the run
         # that it is about is known.
         self._spawn(self._follow_jobs(progress))
@@ -117,6 +124,21 @@
             log.bind(event="progress-unread").warning(rows.reason)
             await asyncio.sleep(PROGRESS_RETRY_S)
 
+    async def _read_learned(self) -> None:
+        """Begin with the interference that an earlier owner has learned, if any."""
+        rows = await self._interface.store.read(
+            SUMMARY_TABLE, PRESSURE_KEY, PRESSURE_KEY + "\0"
+        )
+        if failed(rows):
+            log.bind(event="learned-unread").warning(rows.reason)
+            return
+        for row in rows.rows:
+            learned = unpack_learned(row)
+            if failed(learned):
+                log.bind(event="learned-unread").warning(learned.reason)
+            else:
+                self._guard.model.take_data(learned)
+
     async def _follow_workers(self) -> None:
         store = self._interface.store
         table = self._interface.workers_table
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
@@ -19,6 +19,7 @@
 WAIT_WITH_SERVING_S = 0.5
 WAIT_IDLE_S = 2.0
 PAUSE_AFTER_ENDS_S = 0.01
+MAX_COMMIT_WAIT_S = 0.4
 RETRY_S = 0.2
 LEASE_POLL_S = 0.05
 
@@ -81,7 +82,16 @@
             record("worker-reached", worker=self._worker.id, failures=self._failures)
         self._failures = 0
         self._owner.take_report(self._worker, report, asked_s)
-        if report.ended:
+        await self._wait_for_commit()
+
+    async def _wait_for_commit(self) -> None:
+        """Wait until reported ends are committed, for a bounded time.
+
+        A worker answers at once while it has ends that it was not told to be known.
+        """
+        worker = self._worker
+        until_s = self._owner.now_s() + MAX_COMMIT_WAIT_S
+        while worker.ends_known < worker.ends_seen and self._owner.now_s() < until_s:
             await asyncio.sleep(PAUSE_AFTER_ENDS_S)
 
     async def _take_failure(self, failure: object) -> None:
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/callers_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/callers_tests.py
@@ -102,6 +102,7 @@
             ("unknown", "GET", UnknownJob("no job"), 410, None),
             ("refused", "POST", Refused("bad"), 400, None),
             ("not run", "POST", NotRun("store away", 0.4), 503, "1"),
+            ("not run, go elsewhere", "POST", NotRun("cut off", 0.0), 503, "0"),
             ("unknown outcome", "POST", OutcomeUnknown("lost"), 504, None),
             ("store away", "GET", Unavailable("away"), 503, "1"),
         )
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/pressure_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/pressure_tests.py
@@ -37,6 +37,15 @@
         model.observe("s", {}, {"g": 0.2}, 0.1)
         self.assertEqual(model.taken("s", "f", 0.5), PRIOR_COEFFICIENT * 0.5)
 
+    def test_a_later_owner_begins_with_what_was_learned(self):
+        first, later = PressureModel(), PressureModel()
+        for number in range(60):
+            load = 0.1 * (number % 2)
+            first.observe("s", {"f": 0.0}, {"f": load}, 7.0 * load)
+        later.take_data(first.to_data())
+        self.assertAlmostEqual(later.taken("s", "f", 1.0), 7.0, 0)
+        self.assertEqual(later.taken("s", "g", 1.0), PRIOR_COEFFICIENT)
+
     @given(st.lists(st.floats(-5.0, 5.0), min_size=1, max_size=5), st.data())
     def test_elimination_solves_what_it_was_given(self, wanted, data):
         size = len(wanted)
