Admit best-effort tasks by the lowest headroom of each serving image

Cause: admission looked at each serving run of each worker and at all its runs again; with a backlog that is the owner's largest cost. Change: the lowest headrooms are kept at each report.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
@@ -24,7 +24,8 @@
     ``room`` figures are reservations of the runs given to it. ``ends_known`` is the
     number of the last end whose effect is committed, ``granted_s`` the time of the
     last order that could extend the worker's lease, ``settled_at_s`` when reports
-    show the effect of the last change of pace.
+    show the effect of the last change of pace, ``headrooms`` the lowest headroom by
+    serving image.
     """
 
     __slots__ = (
@@ -48,6 +49,7 @@
         "avoid_until_s",
         "missing_since_s",
         "has_serving",
+        "headrooms",
         "settled_at_s",
         "speed",
         "is_slow",
@@ -75,6 +77,7 @@
         self.avoid_until_s = 0.0
         self.missing_since_s = 0.0
         self.has_serving = 0
+        self.headrooms: dict[str, float] = {}
         self.settled_at_s = 0.0
         self.speed = 1.0
         self.is_slow = False
--- a/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
@@ -48,8 +48,10 @@
         self._reset_unknown_paces(worker)
         if worker.has_serving:
             self._learn(worker)
+            worker.headrooms = lowest_headrooms(worker)
             self._check(worker)
         else:
+            worker.headrooms = {}
             self._resume_all(worker)
 
     def _reset_unknown_paces(self, worker: Worker) -> None:
@@ -156,26 +158,38 @@
         return self._most_taken(spec, worker, ADMIT_ABOVE)
 
     def _most_taken(self, spec: StepSpec, worker: Worker, limit: float) -> float | None:
-        load = spec.cpu_m / worker.entry.cpu_m
+        load = TAKEN_MARGIN * spec.cpu_m / worker.entry.cpu_m
+        unseen = unseen_loads(worker)
         most = 0.0
-        for serving in serving_runs(worker):
-            taken = self._taken(serving, spec, load)
-            left = expected_headroom(serving) - self._unseen(serving, worker)
+        for image, headroom in worker.headrooms.items():
+            taken = self.model.taken(image, spec.image, load)
+            left = headroom - self.model.taken_by_all(image, unseen)
             if left - taken < limit and taken >= LEAST_TAKEN:
                 return None
             most = max(most, taken)
         return most
 
-    def _unseen(self, serving: Run, worker: Worker) -> float:
-        """Return the headroom taken by runs that no report shows at work yet."""
-        return sum(
-            self._taken(serving, run.task.step.spec, nominal_load(run, worker))
-            for run in worker.runs.values()
-            if run.task.step.spec.is_best_effort
-            and not run.usage
-            and run.pace == FULL_PERCENT
-            and run.state is not RunState.STOPPING
-        )
+
+def unseen_loads(worker: Worker) -> dict[str, float]:
+    """Return the loads of best-effort runs that no report shows at work yet."""
+    return sum_loads(
+        (run.task.step.spec.image, nominal_load(run, worker))
+        for run in worker.runs.values()
+        if run.task.step.spec.is_best_effort
+        and not run.usage
+        and run.pace == FULL_PERCENT
+        and run.state is not RunState.STOPPING
+    )
+
+
+def lowest_headrooms(worker: Worker) -> dict[str, float]:
+    """Return the lowest expected headroom of each serving image of a worker."""
+    lowest: dict[str, float] = {}
+    for run in serving_runs(worker):
+        image = run.task.step.spec.image
+        headroom = expected_headroom(run)
+        lowest[image] = min(headroom, lowest.get(image, MAX_HEADROOM))
+    return lowest
 
 
 class ServingSample:
