--- a/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
@@ -18,8 +18,6 @@
 PAUSE_BELOW = 1.1
 PAUSE_UNTIL = 1.4
 RESUME_ABOVE = 1.4
-# Margin on what a new task is expected to take.
-TAKEN_MARGIN = 1.3
 # A latency is the tail of the last half second: newer reports repeat it, and a change
 # of pace shows only in the one after.
 SAMPLE_S = 0.45
@@ -158,7 +156,7 @@
         return self._most_taken(spec, worker, ADMIT_ABOVE)
 
     def _most_taken(self, spec: StepSpec, worker: Worker, limit: float) -> float | None:
-        load = TAKEN_MARGIN * spec.cpu_m / worker.entry.cpu_m
+        load = spec.cpu_m / worker.entry.cpu_m
         unseen = unseen_loads(worker)
         most = 0.0
         for image, headroom in worker.headrooms.items():
