--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -1,6 +1,6 @@
 """What the holder of the lease knows and changes: jobs, runs and workers.
 
-The methods are called by the feeds, the worker loops and the housekeeping. Everything
+The methods are called by the feeds, the reports and the housekeeping. Everything
 that must last is staged in the commit log; orders are sent after the commit.
 """
 
@@ -18,8 +18,7 @@
 from fulmarleverd.scheduling.decisions import record, record_run
 from fulmarleverd.scheduling.fleet import SLOWEST_CLOCK, Fleet, Worker
 from fulmarleverd.scheduling.lease import EXTEND_GRACE_S, LEASE_S, SchedulerLease
-from fulmarleverd.scheduling.metrics import ENDS, FIRST_START_SECONDS, JOBS_OPEN
-from fulmarleverd.scheduling.ports import EndedTask, RunningTask, WorkerReport
+from fulmarleverd.scheduling.metrics import FIRST_START_SECONDS, JOBS_OPEN
 from fulmarleverd.scheduling.rows import JobRow
 from fulmarleverd.scheduling.specs import Bounds, WorkerEntry
 from fulmarleverd.scheduling.tasks import (
@@ -28,14 +27,11 @@
     RunState,
     Task,
     WorkerKey,
-    parse_task_name,
 )
 
 if TYPE_CHECKING:
     from fulmarleverd.scheduling.orders import WorkerOrders
 
-END_DONE = "done"
-END_FAILED = "failed"
 # Beside the computed end of a lease, for timers and rounding.
 LEASE_MARGIN_S = 0.3
 MAX_WORKER_LEASE_S = 7.5
@@ -61,7 +57,6 @@
         self.orders: WorkerOrders | None = None
         self.changed = asyncio.Event()
         self.on_worker_added: Callable[[Worker], None] = lambda worker: None
-        self.on_report: Callable[[Worker], None] = lambda worker: None
         self.taken_s = clock.boot()
         # Whatever an earlier owner started has ended by then, unless it is seen here.
         self.earlier_leases_end_s = (
@@ -137,14 +132,16 @@
         job = self.jobs.get(job_id)
         if job is not None and not job.is_final:
             job.is_cancelled = True
-            self._finish(job, "cancelled by its caller")
+            self.finish_job(job, "cancelled by its caller")
 
-    def _fail_job(self, job: Job, cause: str) -> None:
+    def fail_job(self, job: Job, cause: str) -> None:
+        """End a job as failed and stop its runs."""
         if not job.is_final:
             job.has_failed = True
-            self._finish(job, cause)
+            self.finish_job(job, cause)
 
-    def _finish(self, job: Job, cause: str) -> None:
+    def finish_job(self, job: Job, cause: str) -> None:
+        """Take note that a job has ended and stop what still runs of it."""
         job.cause = cause
         job.final_at_s = self.now_s()
         self.final[job.id] = job.final_at_s
@@ -277,120 +274,3 @@
         if self.orphans and self.now_s() >= self.earlier_leases_end_s:
             for run in list(self.orphans):
                 self.drop_run(run, "its worker has been away longer than its lease")
-
-    # Reports
-
-    def take_report(self, worker: Worker, report: WorkerReport, asked_s: float) -> None:
-        """Bring runs up to date; ``asked_s`` is when the worker was asked."""
-        now = self.now_s()
-        worker.note_clock(report.clock_ms, now)
-        worker.is_reachable = True
-        self._take_ends(worker, report)
-        present = {(item.task, item.run): item for item in report.running}
-        for key, item in present.items():
-            self._take_running(worker, key, item)
-        for key, run in list(worker.runs.items()):
-            is_certain = run.state in (RunState.RUNNING, RunState.STOPPING)
-            if is_certain and key not in present and run.seen_at_s <= asked_s:
-                self.drop_run(run, "its worker no longer has it")
-        if not worker.is_reconciled:
-            worker.is_reconciled = True
-            record("worker-reconciled", worker=worker.id, runs=len(worker.runs))
-            self.changed.set()
-        self.on_report(worker)
-
-    def _take_ends(self, worker: Worker, report: WorkerReport) -> None:
-        last = worker.ends_seen
-        for ended in report.ended:
-            if ended.number > worker.ends_seen:
-                worker.ends_seen = ended.number
-                self._take_end(worker, ended)
-        if worker.ends_seen > last:
-            number = worker.ends_seen
-            self.commits.after_commit(lambda: setattr(worker, "ends_known", number))
-            self.changed.set()
-
-    def _take_end(self, worker: Worker, ended: EndedTask) -> None:
-        run = worker.runs.get((ended.task, ended.run))
-        ENDS.labels(ended.how).inc()
-        if run is None:
-            self._take_unknown_end(worker, ended)
-            return
-        task = run.task
-        worker.remove(run)
-        task.runs.pop(run.number, None)
-        if ended.checkpoint:
-            task.checkpoint = ended.checkpoint
-        record_run("run-ended", run, ended.how, number=ended.number)
-        if ended.how == END_DONE and not task.step.spec.is_long_running:
-            self._take_done(worker, run)
-        elif ended.how == END_FAILED:
-            self._take_failed(worker, task)
-        task.step.refresh(task)
-        if not task.step.job.is_final:
-            self.commits.stage(task.step.job)
-
-    def _take_unknown_end(self, worker: Worker, ended: EndedTask) -> None:
-        record(
-            "end-ignored",
-            "no such run is given to this worker",
-            task=ended.task,
-            run=ended.run,
-            worker=worker.id,
-            how=ended.how,
-        )
-
-    def _take_done(self, worker: Worker, run: Run) -> None:
-        task = run.task
-        worker.note_success()
-        step = task.step
-        tasks = step.tasks if step.spec.is_gang else [task]
-        for member in tasks:
-            step.complete(member)
-        for copy in [run for member in tasks for run in member.runs.values()]:
-            if not step.spec.is_gang:
-                self.stop_run(copy, "another copy is done")
-        job = step.job
-        if job.id in self.jobs and job.is_complete:
-            self._finish(job, "all tasks done")
-
-    def _take_failed(self, worker: Worker, task: Task) -> None:
-        task.failures += 1
-        task.avoid.add(worker.id)
-        if worker.note_failure(self.now_s()):
-            record("worker-distrusted", worker=worker.id, failures=worker.failures)
-        job = task.step.job
-        is_limited = not task.step.spec.is_long_running
-        if is_limited and task.failures >= job.queue.max_attempts:
-            self._fail_job(job, f"task {task.name} has failed {task.failures} times")
-
-    def _take_running(
-        self, worker: Worker, key: tuple[str, int], item: RunningTask
-    ) -> None:
-        run = worker.runs.get(key)
-        if run is None:
-            self._stop_unknown(worker, item)
-            return
-        if run.state is RunState.SENT:
-            run.state = RunState.RUNNING
-            run.started_s = run.started_s or self.now_s()
-        run.percent = item.percent
-        run.usage = item.usage
-        if item.checkpoint:
-            run.task.checkpoint = item.checkpoint
-
-    def _stop_unknown(self, worker: Worker, item: RunningTask) -> None:
-        record(
-            "run-unknown",
-            "stopped: it is not given to this worker",
-            task=item.task,
-            run=item.run,
-            worker=worker.id,
-        )
-        self.orders.send_stop_unknown(worker, item.task, item.run)
-
-    def find_task(self, name: str) -> Task | None:
-        """Return a task of an open job by the name that workers use."""
-        parts = parse_task_name(name)
-        job = self.jobs.get(parts[0]) if parts else None
-        return job.find_task(*parts[1:]) if job else None
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tenure.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tenure.py
@@ -22,6 +22,7 @@
 from fulmarleverd.scheduling.planner import Planner
 from fulmarleverd.scheduling.ports import Interface, StoredRow
 from fulmarleverd.scheduling.progress import ProgressWatch
+from fulmarleverd.scheduling.reports import Reports
 from fulmarleverd.scheduling.rows import (
     CANCEL_SUFFIX,
     JOBS_TABLE,
@@ -52,7 +53,7 @@
         self.owner.on_worker_added = self._start_loop
         self._guard = InterferenceGuard(self.owner)
         self._progress = ProgressWatch(self.owner)
-        self.owner.on_report = self._look_at
+        self._reports = Reports(self.owner, self._look_at)
         self._planner = Planner(self.owner, self._guard.headroom_taken)
         self._housekeeping = Housekeeping(self.owner, self._guard.model)
         self._tasks: set[asyncio.Task] = set()
@@ -94,7 +95,7 @@
         self._progress.take_report(worker)
 
     def _start_loop(self, worker: Worker) -> None:
-        loop = WorkerLoop(self.owner, worker, self._interface.workers)
+        loop = WorkerLoop(self.owner, worker, self._interface.workers, self._reports)
         self._spawn(loop.run())
 
     async def _recover(self, started_s: float) -> None:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
@@ -14,6 +14,7 @@
     WorkerCalls,
     WorkerReport,
 )
+from fulmarleverd.scheduling.reports import Reports
 
 WAIT_WITH_RUNS_S = 1.0
 WAIT_WITH_SERVING_S = 0.5
@@ -27,12 +28,15 @@
 class WorkerLoop:
     """Keeps one worker's lease and its reports coming."""
 
-    __slots__ = ("_owner", "_worker", "_calls", "_failures")
+    __slots__ = ("_owner", "_worker", "_calls", "_reports", "_failures")
 
-    def __init__(self, owner: Owner, worker: Worker, calls: WorkerCalls) -> None:
+    def __init__(
+        self, owner: Owner, worker: Worker, calls: WorkerCalls, reports: Reports
+    ) -> None:
         self._owner = owner
         self._worker = worker
         self._calls = calls
+        self._reports = reports
         self._failures = 0
 
     async def run(self) -> None:
@@ -81,7 +85,7 @@
         if not self._worker.is_reachable:
             record("worker-reached", worker=self._worker.id, failures=self._failures)
         self._failures = 0
-        self._owner.take_report(self._worker, report, asked_s)
+        self._reports.take(self._worker, report, asked_s)
         await self._wait_for_commit()
 
     async def _wait_for_commit(self) -> None:
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/base.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/base.py
@@ -9,6 +9,7 @@
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.ports import EndedTask, RunningTask, WorkerReport
+from fulmarleverd.scheduling.reports import Reports
 from fulmarleverd.scheduling.rows import JobRow
 from fulmarleverd.scheduling.specs import (
     Bounds,
@@ -71,8 +72,12 @@
         self.commits = RecordedCommits()
         self.owner = Owner(None, self.commits, self.clock, Bounds())
         self.owner.orders = self.orders = RecordedOrders()
+        self.reports = Reports(self.owner, self.look_at)
         self.workers = [self.add_worker(name) for name in ("w1", "w2")]
 
+    def look_at(self, worker: Worker) -> None:
+        """Do nothing after a report; test cases of watchers replace this."""
+
     def add_worker(self, name: str, life: str = "1", **options: object) -> Worker:
         defaults = {"cpu_m": 32000, "memory_mb": 100000, "labels": ("a", "r1")}
         fields = {**defaults, **options}
@@ -105,4 +110,4 @@
             for number, (run, how) in enumerate(ends, start=first)
         )
         report = WorkerReport(1000, worker.entry.life, running, ended)
-        self.owner.take_report(worker, report, self.clock.now)
+        self.reports.take(worker, report, self.clock.now)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/interference_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/interference_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from fulmarleverd.scheduling.interference import InterferenceGuard
+from fulmarleverd.scheduling.reports import Reports
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
@@ -19,7 +20,7 @@
     def setUp(self):
         super().setUp()
         self.guard = InterferenceGuard(self.owner)
-        self.owner.on_report = self.guard.take_report
+        self.reports = Reports(self.owner, self.guard.take_report)
         self.worker = self.workers[0]
         self.serving = self.start(self.add_job("s", SERVING), self.worker)
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/progress_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/progress_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from fulmarleverd.scheduling.progress import ProgressWatch
+from fulmarleverd.scheduling.reports import Reports
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
@@ -16,7 +17,7 @@
     def setUp(self):
         super().setUp()
         self.watch = ProgressWatch(self.owner)
-        self.owner.on_report = self.watch.take_report
+        self.reports = Reports(self.owner, self.watch.take_report)
         self.slow, self.sound = self.workers
 
     def run_at(self, run: object, percents: tuple[float, ...], step_s: float) -> None:
