--- a/packages/fulmarleverd/fulmarleverd/scheduling/api.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/api.py
@@ -9,7 +9,7 @@
 from fulmarlever.clock import Clock
 from fulmarlever.outcomes import NotRun, OutcomeUnknown, Refused, Unavailable, failed
 from fulmarleverd.scheduling.intake import Intake, JobStatus, UnknownJob
-from fulmarleverd.scheduling.queues import QueueBook
+from fulmarleverd.scheduling.queues import RETRY_AFTER_S, QueueBook
 from fulmarleverd.scheduling.specs import JobSpec, QueueSpec
 
 # The answer has to be under way before the caller stops waiting for it.
@@ -50,7 +50,7 @@
         """Return the queue of a request by the configuration in force."""
         if not self._queues.is_fresh():
             reason = f"no answer of the store for {self._queues.age_s():.1f} s"
-            return NotRun(reason, self._queues.retry_after_s())
+            return NotRun(reason, RETRY_AFTER_S)
         found = self._queues.config.find_queue(host, path)
         return found or NoQueue(f"no queue at {host}{path}")
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
@@ -25,6 +25,7 @@
     StoredRow,
     Transaction,
 )
+from fulmarleverd.scheduling.queues import RETRY_AFTER_S
 from fulmarleverd.scheduling.rows import (
     SUMMARY_KEY,
     SUMMARY_TABLE,
@@ -40,8 +41,6 @@
 
 CALL_TIMEOUT_S = 1.2
 RETRY_S = 0.05
-# A caller comes back after this many seconds; an outage of the store lasts seconds.
-RETRY_AFTER_S = 1.0
 PENDING_CACHE_S = 0.4
 MIN_CANCEL_S = 0.2
 MAX_CACHED_STATES = 5000
--- a/packages/fulmarleverd/fulmarleverd/scheduling/queues.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/queues.py
@@ -16,9 +16,7 @@
 # New callers are sent elsewhere a little earlier.
 READY_S = 1.8
 FEED_WAIT_S = 0.5
-# Early in an outage other daemons may well reach the store, so a caller comes back at
-# once, to another daemon; later the store itself is likely away.
-LONG_OUTAGE_S = 5.0
+# An outage of the store lasts some seconds; a caller's patience covers a few tries.
 RETRY_AFTER_S = 1.0
 
 
@@ -43,10 +41,6 @@
         """Return whether callers should come to this daemon."""
         return self.config is not NO_CONFIG and self.age_s() <= READY_S
 
-    def retry_after_s(self) -> float:
-        """Return when a caller should come back whose call was not carried out."""
-        return 0.0 if self.age_s() < LONG_OUTAGE_S else RETRY_AFTER_S
-
     async def run(self) -> None:
         """Follow the configuration until cancelled."""
         interface = self._interface
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/order_tests.py
@@ -0,0 +1,77 @@
+"""A burst of jobs, more than the workers can do in time."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fulmarleverd.scheduling.order import (
+    by_age,
+    by_objective,
+    chain_s,
+    objective_s,
+    work_left,
+)
+from fulmarleverd.scheduling.specs import JobSpec, QueueSpec, StepSpec
+from fulmarleverd.tests.scheduling.base import OwnerTestCase
+
+URGENT = QueueSpec("labels", "h", "/l/", "desk", 0, 2, 1.5, 0.25)
+PLANS = QueueSpec("plans", "h", "/p/", "desk", 2, 4, 2.0, 1.0)
+
+
+def step(seconds: float, count: int = 1, **options: object) -> StepSpec:
+    return StepSpec(count=count, cpu_m=1000, estimate_s=seconds, **options)
+
+
+class OrderTests(OwnerTestCase):
+    def names(self, order: object) -> list[str]:
+        steps = [s for job in self.owner.jobs.values() for s in job.ready_steps()]
+        return [item.job.id for item in order(steps, self.owner.now_s())]
+
+    def test_the_order_in_a_burst(self):
+        self.add_job("late", step(2.0), queue=PLANS)
+        self.owner.jobs["late"].since_s -= 4.0
+        self.add_job("hopeless", step(2.0), queue=PLANS)
+        self.owner.jobs["hopeless"].since_s -= 30.0
+        self.add_job("large", step(2.0, count=9), queue=PLANS)
+        self.add_job("small", step(2.0), queue=PLANS)
+        lasting = step(0.5, is_long_running=True)
+        self.add_job("lasting", lasting, queue=URGENT)
+        self.add_job("awaited", step(0.6), queue=URGENT)
+        expected = ["awaited", "lasting", "small", "large", "late", "hopeless"]
+        self.assertEqual(self.names(by_objective), expected)
+        naive = ["lasting", "awaited", "hopeless", "late", "large", "small"]
+        self.assertEqual(self.names(by_age), naive)
+
+    @given(st.lists(st.tuples(st.floats(0, 50), st.integers(1, 5)), max_size=8))
+    def test_both_orders_keep_every_step_and_the_priorities(self, jobs):
+        self.setUp()
+        for number, (age_s, count) in enumerate(jobs):
+            queue = (URGENT, PLANS)[number % 2]
+            self.add_job(f"j{number}", step(1.0, count), queue=queue)
+            self.owner.jobs[f"j{number}"].since_s -= age_s
+        steps = [s for job in self.owner.jobs.values() for s in job.ready_steps()]
+        for order in (by_age, by_objective):
+            found = order(steps, self.owner.now_s())
+            self.assertCountEqual(found, steps)
+            priorities = [item.job.queue.priority for item in found]
+            self.assertEqual(priorities, sorted(priorities))
+
+    def test_chain_and_objective(self):
+        rows = (
+            ("one", (step(2.0),), 2.0),
+            ("in a row", (step(2.0), step(1.0, after=(0,))), 3.0),
+            ("beside", (step(2.0), step(1.0)), 2.0),
+            ("diamond", (step(1.0), step(3.0), step(1.0, after=(0, 1))), 4.0),
+        )
+        for name, steps, expected in self.each(rows):
+            self.assertEqual(chain_s(JobSpec("j", "", steps)), expected)
+            job = self.add_job(name, *steps, queue=PLANS)
+            self.assertEqual(objective_s(job), 2.0 * expected + 1.0)
+
+    def test_work_left_shrinks_with_the_tasks(self):
+        job = self.add_job("j", step(2.0, count=3))
+        self.assertEqual(work_left(job), 6.0)
+        run = self.start(job, self.workers[0])
+        self.report(self.workers[0], ends=((run, "done"),))
+        self.assertEqual(work_left(job), 4.0)
