--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/faults_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/faults_tests.py
@@ -165,6 +165,29 @@
         site = self.play(scenario)
         self.assertEqual(sum(site.starts.values()), FILLING.max_attempts)
 
+    def test_a_copy_dropped_before_its_commit_never_starts(self):
+        """Pattern: the store is away while a copy waits for its commit."""
+
+        async def scenario(site):
+            site.add_daemons("vm-1")
+            first, second = site.add_workers(2)
+            first.work_s = second.work_s = lambda task: 1.0
+            owner = await site.until_owned()
+            spec = StepSpec(count=1, cpu_m=1000, is_speculative=True)
+            later = StepSpec(count=1, cpu_m=1000, after=(0,))
+            await owner.submit(job("j", spec, later))
+            await asyncio.sleep(0.3)
+            site.network.is_store_down = True
+            state = owner.tenure.owner
+            run = next(state.jobs["j"].runs())
+            state.want_copy(run, "test")
+            await asyncio.sleep(1.4)
+            site.network.is_store_down = False
+            await site.until_state(owner, "j", "completed")
+
+        site = self.play(scenario)
+        self.assertEqual(set(site.starts.values()), {1})
+
 
 class CancelTests(SiteTestCase):
     def test_a_cancelled_job_runs_no_longer(self):
--- a/packages/fulmarleverd/fulmarleverd/scheduling/orders.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/orders.py
@@ -78,7 +78,7 @@
 
     def send_start(self, run: Run) -> None:
         """Send the start of a committed run."""
-        if run.state is not RunState.PLANNED or run.worker is None:
+        if run.state is not RunState.PLANNED or not run.is_active:
             return
         if run.task.step.job.is_final:
             self._owner.drop_run(run, "its job has ended before the start")
@@ -90,7 +90,7 @@
         worker = run.worker
         for _ in range(START_TRIES):
             await self._wait_for_lease()
-            if run.state is not RunState.SENT or run.worker is None:
+            if run.state is not RunState.SENT or not run.is_active:
                 return
             worker.granted_s = max(worker.granted_s, self._owner.now_s())
             result = await self._calls.start(worker.entry, self._order(run, worker))
@@ -161,7 +161,7 @@
     async def _stop(self, run: Run) -> None:
         worker = run.worker
         run.seen_at_s = float("inf")
-        while run.worker is not None and run.number in run.task.runs:
+        while run.is_active:
             if not self._owner.lease.may_extend:
                 await asyncio.sleep(LEASE_POLL_S)
                 continue
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -94,6 +94,11 @@
         self.may_arrive_late = False
         self.stop_reason = ""
 
+    @property
+    def is_active(self) -> bool:
+        """Return whether the run has been neither dropped nor ended."""
+        return self.task.runs.get(self.number) is self
+
     def __repr__(self) -> str:
         return f"Run({self.task.name}, {self.number}, {self.state})"
 
