--- a/packages/fulmarleverd/fulmarleverd/platform/settings.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/settings.py
@@ -42,6 +42,7 @@
 
 def _parse(data: dict) -> SchedulingSettings:
     addresses = data["listenAddrs"]
+    limits = data.get("limits", {})
     return SchedulingSettings(
         vm=data["nodeName"],
         zone=data["zone"],
@@ -50,7 +51,9 @@
         ready_address=addresses["readyAddr"],
         metrics_port=int(data["portRange"][0]),
         store_address=data["platform"]["address"],
-        memory_mb=int(data.get("limits", {}).get("memoryMb", 300)),
+        memory_mb=int(limits.get("memoryMb", 300)),
+        # A share of one core that is this many times as fast.
+        cores=float(limits.get("cpuShare", 1.0)) * float(limits.get("cores", 1)),
         bounds=parse_bounds(data.get("bounds", {})),
     )
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/lease.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/lease.py
@@ -39,6 +39,9 @@
 CALL_TIMEOUT_S = 1.0
 # How long an owner may extend the leases of what runs after its own lease is over.
 EXTEND_GRACE_S = 3.0
+# Scheduling takes processor time, so VMs with fewer cores wait a little longer before
+# they take a free lease: (cores below, seconds).
+HANDICAPS = ((1.0, 0.6), (2.0, 0.1))
 
 
 class SchedulerLease:
@@ -57,9 +60,11 @@
         "_watched",
         "_watched_since_s",
         "_tried_at_s",
+        "_handicap_s",
+        "_free_since_s",
     )
 
-    def __init__(self, store: Store, clock: Clock, vm: str) -> None:
+    def __init__(self, store: Store, clock: Clock, vm: str, cores: float = 2.0) -> None:
         self.token = 0
         self.version = ABSENT
         self.valid_until_s = 0.0
@@ -72,6 +77,8 @@
         self._watched = -1
         self._watched_since_s = 0.0
         self._tried_at_s = 0.0
+        self._handicap_s = handicap_s(cores)
+        self._free_since_s: float | None = None
 
     @property
     def is_valid(self) -> bool:
@@ -109,6 +116,11 @@
         if self._adopt_late_answer(row, holder):
             return True
         if not self._is_free(row, holder):
+            self._free_since_s = None
+            return False
+        now = self.clock_s()
+        self._free_since_s = self._free_since_s or now
+        if now - self._free_since_s < self._handicap_s:
             return False
         return await self._take(row, holder)
 
@@ -152,6 +164,7 @@
         self.version = version
         self.valid_until_s = since_s + LEASE_S
         self.is_held = True
+        self._free_since_s = None
 
     def next_value(self) -> bytes:
         """Return the lease's row value for the next commit."""
@@ -179,3 +192,8 @@
         result = await self._store.transact(tx, CALL_TIMEOUT_S)
         outcome = "released" if isinstance(result, Committed) else repr(result)
         log.bind(event="lease-released", token=self.token).info(outcome)
+
+
+def handicap_s(cores: float) -> float:
+    """Return how long a VM with so many cores leaves a free lease to others."""
+    return next((seconds for below, seconds in HANDICAPS if cores < below), 0.0)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
@@ -173,6 +173,7 @@
     metrics_port: int
     store_address: str
     memory_mb: int = 300
+    cores: float = 1.0
     bounds: Bounds = field(default_factory=Bounds)
     drain_limit_s: float = 5.0
 
--- a/packages/fulmarleverd/fulmarleverd/services/scheduler.py
+++ b/packages/fulmarleverd/fulmarleverd/services/scheduler.py
@@ -21,7 +21,9 @@
     async def start(self) -> None:
         """Start to compete."""
         interface = self.kernel.find("interface").interface
-        self.lease = SchedulerLease(interface.store, self.clock, self.settings.vm)
+        self.lease = SchedulerLease(
+            interface.store, self.clock, self.settings.vm, self.settings.cores
+        )
         self.spawn(self._compete(interface), "scheduler")
 
     async def _compete(self, interface: Interface) -> None:
