--- a/packages/fulmarlever/fulmarlever/structured_logs.py
+++ b/packages/fulmarlever/fulmarlever/structured_logs.py
@@ -20,6 +20,7 @@
     from loguru import Message, Record
 
 MAX_QUEUED_LINES = 5000
+MAX_LINES_PER_WRITE = 500
 MAX_LINES_PER_EVENT_AND_S = 300
 WINDOW_S = 1.0
 
@@ -81,7 +82,7 @@
     def _run(self) -> None:
         while True:
             lines = [self._lines.get()]
-            while not self._lines.empty():
+            while not self._lines.empty() and len(lines) < MAX_LINES_PER_WRITE:
                 lines.append(self._lines.get())
             text = "".join(line + "\n" for line in lines if line is not None)
             try:
