Take the drain limit from the platform's grace; remove unused functions

Cause: the limit of a stop was a constant of 5 s, whatever grace the settings give; three functions had lost their callers when the reports moved. The test of named changes kept its bounds but for the one that it changes: the limit follows the grace, and so is named when the grace changes too.

--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
@@ -29,7 +29,6 @@
         self.workers: dict[str, WorkerCore] = {}
         self.cuts: set[tuple[str, str]] = set()
         self.refusing: set[str] = set()
-        self.frozen: set[str] = set()
         self.lose_answers = 0
         self.late_transactions = 0
         self.late_orders = 0
--- a/packages/fulmarleverd/fulmarleverd/platform/settings.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/settings.py
@@ -13,6 +13,11 @@
 SETTINGS_VARIABLE = "FULMARLEVER_BOOT"
 
 
+# A stop is over this long before the platform kills the process.
+KILL_MARGIN_S = 1.0
+MIN_DRAIN_S = 0.5
+
+
 class BadSettings(Failure):
     """The settings file is missing, unreadable or incomplete."""
 
@@ -41,6 +46,7 @@
 
 
 def _parse(data: dict) -> SchedulingSettings:
+    bounds = parse_bounds(data.get("bounds", {}))
     addresses = data["listenAddrs"]
     limits = data.get("limits", {})
     return SchedulingSettings(
@@ -54,7 +60,8 @@
         memory_mb=int(limits.get("memoryMb", 300)),
         # A share of one core that is this many times as fast.
         cores=float(limits.get("cpuShare", 1.0)) * float(limits.get("cores", 1)),
-        bounds=parse_bounds(data.get("bounds", {})),
+        bounds=bounds,
+        drain_limit_s=max(MIN_DRAIN_S, bounds.grace_s - KILL_MARGIN_S),
     )
 
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, field, fields
 
 
@@ -191,9 +191,3 @@
     """Build a step from its packed fields."""
     after = tuple(data.get("after", ()))
     return StepSpec(**{**data, "after": after})
-
-
-def iterate_names(job_id: str, occurrence: int, step: int, count: int) -> Iterator[str]:
-    """Yield the names of the tasks of one step."""
-    for index in range(count):
-        yield f"{job_id}.{occurrence}.{step}.{index}"
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -326,13 +326,6 @@
                 if step.waiting and all(steps[n].is_done for n in step.spec.after):
                     yield step
 
-    def find_task(self, occurrence: int, step: int, index: int) -> Task | None:
-        """Return a task by its numbers."""
-        steps = self.occurrences.get(occurrence)
-        if steps is None or step >= len(steps) or index >= len(steps[step].tasks):
-            return None
-        return steps[step].tasks[index]
-
     def pack(self) -> bytes:
         """Return the value of the job's progress row."""
         keys: dict[WorkerKey, int] = {}
@@ -395,11 +388,3 @@
         return JobState(fields[0]), fields[2]
     except FORMAT_ERRORS as exc:
         return BadRow(f"progress row: {type(exc).__name__}: {exc}")
-
-
-def parse_task_name(name: str) -> tuple[str, int, int, int] | None:
-    """Return job id, occurrence, step and index of a task's name."""
-    parts = name.rsplit(".", 3)
-    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
-        return None
-    return (parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/settings_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/settings_tests.py
@@ -34,6 +34,7 @@
         self.assertEqual((settings.vm, settings.metrics_port), ("edge-1", 7720))
         self.assertEqual(settings.bounds.worker_lease_s, 6.0)
         self.assertEqual(settings.bounds.grace_s, 5.0)
+        self.assertEqual(settings.drain_limit_s, 4.0)
 
     def test_what_is_wrong_is_named(self):
         rows = [
@@ -66,6 +67,6 @@
 
     def test_changes_are_named(self):
         old = parse_settings(SETTINGS)
-        new = parse_settings({**SETTINGS, "bounds": {"holdMaxMs": 7000}})
+        new = parse_settings({**SETTINGS, "bounds": {"holdMaxMs": 7000, "graceS": 5}})
         self.assertEqual(find_changes(old, new), ("bounds",))
         self.assertEqual(find_changes(old, old), ())
