--- a/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
@@ -27,6 +27,8 @@
 TREND_WEIGHT = 0.4
 MAX_TREND = 0.5
 MAX_HEADROOM = 10.0
+# After this share of the time that counts as harm, all best-effort tasks are paused.
+LONG_OVER_SHARE = 0.4
 PAUSED_PERCENT = 0
 FULL_PERCENT = 100
 MAX_PAUSE_S = 2.0
@@ -97,13 +99,30 @@
         lowest = min(serving_runs(worker), key=headroom_of, default=None)
         if lowest is None:
             return
-        if now >= worker.settled_at_s:
+        if self._is_long_over(worker, lowest, now):
+            self._pause_all(worker)
+        elif now >= worker.settled_at_s:
             if headroom_of(lowest) < PAUSE_BELOW:
                 self._pause(worker, lowest)
             else:
                 self._resume_one(worker)
         self._move_paused(worker, now)
 
+    def _is_long_over(self, worker: Worker, lowest: Run, now_s: float) -> bool:
+        """Return whether serving tasks have been over their target for long."""
+        if headroom_of(lowest) >= 1.0:
+            worker.over_since_s = 0.0
+            return False
+        worker.over_since_s = worker.over_since_s or now_s
+        limit_s = LONG_OVER_SHARE * self._owner.bounds.harm_s
+        return now_s - worker.over_since_s >= limit_s
+
+    def _pause_all(self, worker: Worker) -> None:
+        """Pause every best-effort task, as what was learned did not find the cause."""
+        for run in best_effort_runs(worker):
+            if run.pace != PAUSED_PERCENT:
+                self._pace(run, PAUSED_PERCENT, worker, 0.0)
+
     def _taken(self, serving: Run, spec: StepSpec, load: float) -> float:
         return self.model.taken(serving.task.step.spec.image, spec.image, load)
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/interference_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/interference_tests.py
@@ -92,6 +92,17 @@
             self.clock.advance(0.5)
         self.assertIn(heavy, self.orders.stops)
 
+    def test_all_is_paused_before_harm_though_nothing_was_learned(self):
+        """Pattern: a serving task stays over its target beside a seemingly light image."""
+        self.teach("light", 0.0)
+        light = self.start(self.add_job("l", filling("light")), self.worker)
+        for _ in range(4):
+            self.serve_at(0.7, light)
+            self.assertEqual(light.pace, 100)
+            self.clock.advance(0.5)
+        self.serve_at(0.7, light)
+        self.assertEqual(light.pace, 0)
+
     def test_an_earlier_owners_pace_is_reset(self):
         run = self.start(self.add_job("l", filling("light")), self.worker)
         run.is_pace_known = False
