--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/interference_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/interference_tests.py
@@ -93,7 +93,7 @@
         self.assertIn(heavy, self.orders.stops)
 
     def test_all_is_paused_before_harm_though_nothing_was_learned(self):
-        """Pattern: a serving task stays over its target beside a seemingly light image."""
+        """Pattern: a serving task stays over its target beside a light image."""
         self.teach("light", 0.0)
         light = self.start(self.add_job("l", filling("light")), self.worker)
         for _ in range(4):
