Replace aiohttp's client in the platform's adapter by a pool on httptools

Cause: the owner makes some hundreds of short calls a second, and each cost 0.36 ms of processor time through aiohttp's client against 0.07 ms through plain streams (a micro-benchmark of 3,000 calls on loopback, server included). VMs have 0.5 to 2 cores. Ruled out: JSON (0.017 ms for a report of ten rows). Change: one connection is an asyncio protocol with httptools' parser; a pool an address. New besides: when an answer does not come in time, the idle connections to that address are dropped too, as open ones go silent together; answers are bounded at 4 MB; bytes that were not sent yet are dropped with an aborted connection, so a cut delivers fewer late orders. Tests against a scripted server, each kind of answer in a table.

--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from urllib.parse import urlsplit
 
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable
 from fulmarlever_standins.authority.store import StoreCore
@@ -53,30 +52,35 @@
         return NetworkClient(self, vm)
 
     async def call(
-        self, vm: str, method: str, url: str, body: dict | None, target: str
+        self,
+        vm: str,
+        method: str,
+        address: str,
+        path: str,
+        body: dict | None,
+        target: str,
     ) -> CallResult:
         """Carry one call; a cut one never returns."""
-        address = urlsplit(url).netloc
         await asyncio.sleep(ONE_WAY_S)
         if (vm, address) in self.cuts or (
             address == STORE_ADDRESS and self.is_store_down
         ):
             await asyncio.Event().wait()
         if address == STORE_ADDRESS:
-            return await self._call_store(vm, method, url, body)
-        return await self._call_worker(address, url, body, target)
+            return await self._call_store(vm, method, path, body)
+        return await self._call_worker(address, path, body, target)
 
     async def _call_store(
-        self, vm: str, method: str, url: str, body: dict | None
+        self, vm: str, method: str, path: str, body: dict | None
     ) -> CallResult:
         if vm in self.refusing:
             return Reply(503, None)
-        is_write = url.endswith("/rows-tx")
+        is_write = path == "/rows-tx"
         if is_write and self.late_transactions > 0:
             self.late_transactions -= 1
-            self._do_late(self.store.handle(method, url, body))
+            self._do_late(self.store.handle(method, path, body))
             await asyncio.Event().wait()
-        status, answer = await self.store.handle(method, url, body)
+        status, answer = await self.store.handle(method, path, body)
         if is_write and self.lose_answers > 0:
             self.lose_answers -= 1
             await asyncio.Event().wait()
@@ -84,12 +88,11 @@
         return Reply(status, answer)
 
     async def _call_worker(
-        self, address: str, url: str, body: dict, target: str
+        self, address: str, path: str, body: dict, target: str
     ) -> CallResult:
         worker = self.workers.get(address)
         if worker is None:
             return Unavailable("connection refused")
-        path = urlsplit(url).path
         if path == "/run-start" and self.late_orders > 0:
             self.late_orders -= 1
             self._do_late(worker.handle(path, body, target))
@@ -117,16 +120,11 @@
         self._network = network
         self._vm = vm
 
-    async def open(self) -> None:
-        """Do nothing; there are no connections."""
-
-    async def close(self) -> None:
-        """Do nothing; there are no connections."""
-
     async def call(
         self,
         method: str,
-        url: str,
+        address: str,
+        path: str,
         timeout_s: float,
         body: dict | None = None,
         headers: dict[str, str] | None = None,
@@ -135,6 +133,8 @@
         target = (headers or {}).get("X-Target-Instance", "")
         try:
             async with asyncio.timeout(timeout_s):
-                return await self._network.call(self._vm, method, url, body, target)
+                return await self._network.call(
+                    self._vm, method, address, path, body, target
+                )
         except TimeoutError:
             return OutcomeUnknown("no answer")
--- a/packages/fulmarleverd/fulmarleverd/platform/interface.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/interface.py
@@ -64,14 +64,12 @@
         return changed
 
     async def open(self) -> None:
-        """Open the connections."""
-        await self._store_http.open()
-        await self._worker_http.open()
+        """Do nothing; connections open with their first call."""
 
     async def close(self) -> None:
         """Close the connections."""
-        await self._worker_http.close()
-        await self._store_http.close()
+        self._worker_http.close()
+        self._store_http.close()
 
     def build_server(self, calls: JobCalls) -> CallerServer:
         """Return the server of callers' calls."""
--- a/packages/fulmarleverd/fulmarleverd/platform/store.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/store.py
@@ -29,15 +29,15 @@
 class AuthorityStore:
     """The store's client."""
 
-    __slots__ = ("_base", "_http")
+    __slots__ = ("_address", "_http")
 
     def __init__(self, address: str, http: HTTPClient) -> None:
-        self._base = f"http://{address}"
+        self._address = address
         self._http = http
 
     def move(self, address: str) -> None:
         """Use another address from the next call on."""
-        self._base = f"http://{address}"
+        self._address = address
 
     async def transact(self, tx: Transaction, timeout_s: float) -> CommitResult:
         """Apply a transaction."""
@@ -86,7 +86,7 @@
     async def _call(
         self, method: str, path: str, timeout_s: float, body: object = None
     ) -> CallResult:
-        reply = await self._http.call(method, self._base + path, timeout_s, body)
+        reply = await self._http.call(method, self._address, path, timeout_s, body)
         outcome = type(reply).__name__ if failed(reply) else str(reply.status)
         STORE_CALLS.labels(path.split("?")[0], outcome).inc()
         if isinstance(reply, Reply) and reply.status in (429, 503):
--- a/packages/fulmarleverd/fulmarleverd/platform/workers.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/workers.py
@@ -108,9 +108,10 @@
     async def _post(
         self, worker: WorkerEntry, path: str, body: dict, timeout_s: float
     ) -> CallResult:
-        url = f"http://{worker.address}{path}"
         headers = {LIFE_HEADER: worker.id}
-        return await self._http.call("POST", url, timeout_s, body, headers)
+        return await self._http.call(
+            "POST", worker.address, path, timeout_s, body, headers
+        )
 
 
 def _order_body(order: Order) -> dict:
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/http_tests.py
@@ -0,0 +1,166 @@
+"""Tests of the platform's HTTP client against a scripted server."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from fulmarlever.outcomes import OutcomeUnknown, Unavailable
+from fulmarleverd.platform.connection import MAX_ANSWER_BYTES
+from fulmarleverd.platform.http import HTTPClient, Reply
+
+LOOPBACK = "127.0.0.1"
+EMPTY_OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+TOO_LONG = MAX_ANSWER_BYTES + 1
+
+
+class ScriptedServer(asyncio.Protocol):
+    """Answers the n-th request of all connections with the n-th script.
+
+    A script is bytes to send, ``None`` for silence from then on, or an empty text to
+    close the connection.
+    """
+
+    scripts: list[bytes | None]
+    connections: int
+    requests: list[bytes]
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        type(self).connections += 1
+        self._transport = transport
+        self._is_silent = False
+
+    def data_received(self, data: bytes) -> None:
+        self.requests.append(data)
+        script = self.scripts.pop(0) if self.scripts else EMPTY_OK
+        self._is_silent |= script is None
+        if self._is_silent:
+            return
+        if script:
+            self._transport.write(script)
+        if not script or b"Connection: close" in script:
+            self._transport.close()
+
+
+class HTTPClientTests(unittest.IsolatedAsyncioTestCase):
+    """One client and one server, each test with its own script."""
+
+    async def asyncSetUp(self) -> None:
+        self.client = HTTPClient("", 2)
+        self.addCleanup(self.client.close)
+
+    async def serve(self, *scripts: bytes | None) -> str:
+        """Start a server with a script and return its address."""
+        fields = {"scripts": list(scripts), "connections": 0, "requests": []}
+        self.server = type("Server", (ScriptedServer,), fields)
+        loop = asyncio.get_running_loop()
+        listener = await loop.create_server(self.server, LOOPBACK, 0)
+        self.addCleanup(listener.close)
+        return f"{LOOPBACK}:{listener.sockets[0].getsockname()[1]}"
+
+    async def call(self, address: str, timeout_s: float = 0.5) -> object:
+        """Make one call."""
+        return await self.client.call("POST", address, "/x", timeout_s, {"a": 1})
+
+    async def test_each_kind_of_answer_has_its_outcome(self) -> None:
+        ok = b"HTTP/1.1 200 OK\r\n"
+        table = [
+            ("body", ok + b'Content-Length: 7\r\n\r\n{"b":2}', Reply(200, {"b": 2})),
+            ("no body", EMPTY_OK, Reply(200, None)),
+            (
+                "chunks",
+                ok
+                + b"Transfer-Encoding: chunked\r\n\r\n2\r\n[3\r\n1\r\n]\r\n0\r\n\r\n",
+                Reply(200, [3]),
+            ),
+            ("until the end", ok + b"Connection: close\r\n\r\n[4]", Reply(200, [4])),
+            (
+                "interim",
+                b"HTTP/1.1 100 Continue\r\n\r\n" + EMPTY_OK,
+                Reply(200, None),
+            ),
+            ("status", EMPTY_OK.replace(b"200", b"503"), Reply(503, None)),
+            ("not JSON", ok + b"Content-Length: 1\r\n\r\n{", OutcomeUnknown),
+            ("not HTTP", b"hello\r\n\r\n", OutcomeUnknown),
+            (
+                "cut short",
+                ok + b"Content-Length: 9\r\nConnection: close\r\n\r\n{",
+                None,
+            ),
+            ("closed", b"", OutcomeUnknown),
+            ("silent", None, OutcomeUnknown),
+            (
+                "oversized",
+                ok + b"Content-Length: %d\r\n\r\n" % TOO_LONG + b"1" * TOO_LONG,
+                OutcomeUnknown,
+            ),
+        ]
+        for name, script, expected in table:
+            with self.subTest(name):
+                result = await self.call(await self.serve(script))
+                if isinstance(expected, Reply):
+                    self.assertEqual(result, expected)
+                else:
+                    self.assertIsInstance(result, expected or OutcomeUnknown)
+
+    async def test_a_refused_connection_was_not_sent(self) -> None:
+        self.assertIsInstance(await self.call(f"{LOOPBACK}:1"), Unavailable)
+
+    async def test_the_request_is_whole(self) -> None:
+        address = await self.serve()
+        headers = {"X-Target-Instance": "w1"}
+        await self.client.call("POST", address, "/hold?a=b", 0.5, {"c": [1]}, headers)
+        head, body = self.server.requests[0].split(b"\r\n\r\n")
+        lines = head.split(b"\r\n")
+        self.assertEqual(lines[0], b"POST /hold?a=b HTTP/1.1")
+        self.assertIn(b"Host: " + address.encode(), lines)
+        self.assertIn(b"X-Target-Instance: w1", lines)
+        self.assertIn(b"Content-Length: 9", lines)
+        self.assertEqual(body, b'{"c":[1]}')
+
+    async def test_connections_are_used_again(self) -> None:
+        address = await self.serve()
+        for _ in range(5):
+            await self.call(address)
+        self.assertEqual(self.server.connections, 1)
+
+    async def test_a_connection_that_the_server_ended_is_not_used_again(self) -> None:
+        address = await self.serve(
+            EMPTY_OK.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+        )
+        await self.call(address)
+        self.assertEqual(await self.call(address), Reply(200, None))
+        self.assertEqual(self.server.connections, 2)
+
+    async def test_calls_wait_for_a_free_connection(self) -> None:
+        address = await self.serve()
+        results = await asyncio.gather(*[self.call(address) for _ in range(9)])
+        self.assertEqual(results, [Reply(200, None)] * 9)
+        self.assertLessEqual(self.server.connections, 2)
+
+    async def test_a_call_without_a_free_connection_was_not_sent(self) -> None:
+        address = await self.serve(None, None)
+        calls = [self.call(address, 0.3) for _ in range(2)]
+        pending = asyncio.gather(*calls)
+        await asyncio.sleep(0.05)
+        self.assertIsInstance(await self.call(address, 0.1), Unavailable)
+        await pending
+
+    async def test_silence_of_one_connection_drops_the_idle_ones(self) -> None:
+        """Open connections go silent for good, all at once, while new ones work."""
+        address = await self.serve()
+        await asyncio.gather(self.call(address), self.call(address))
+        self.server.scripts[:] = [None]
+        self.assertIsInstance(await self.call(address, 0.1), OutcomeUnknown)
+        await self.call(address)
+        self.assertEqual(self.server.connections, 3)
+
+    async def test_a_cancelled_call_ends_its_connection(self) -> None:
+        address = await self.serve(None)
+        for _ in range(3):
+            call = asyncio.create_task(self.call(address))
+            await asyncio.sleep(0.02)
+            call.cancel()
+            await asyncio.gather(call, return_exceptions=True)
+        self.assertEqual(await self.call(address), Reply(200, None))
+        self.assertEqual(self.server.connections, 2)
