Log a refusal with its job also before the queue is known

Cause: while the store is away no queue is looked up, and the line of such a refusal named no job; so the most frequent refusals could not be found by the job's id. Ruled out: the rate limit of the log (the lines were there, with an empty id). Change: the id is the last part of the path. Test: each refusal is logged with its job (fails before).

--- a/packages/fulmarleverd/fulmarleverd/platform/callers.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/callers.py
@@ -73,7 +73,8 @@
         host = req.headers.get("Host", "").partition(":")[0]
         found = self._calls.find_queue(host, req.path)
         if failed(found):
-            return _failure(found, "", req.method)
+            # The queue and so its prefix is not known; an id has no slash.
+            return _failure(found, req.path.rpartition("/")[2], req.method)
         job_id = req.path[len(found.path_prefix) :]
         until_s = self._calls.until_s(found, _deadline_s(req))
         if req.method == "POST":
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/callers_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/callers_tests.py
@@ -113,6 +113,20 @@
             self.assertEqual(found[1], {"error": result.reason})
             self.assertEqual(found[2].get("Retry-After"), retry_after)
 
+    async def test_each_refusal_is_logged_with_its_job(self):
+        rows = (
+            ("by the store", QUEUE, NotRun("store away", 1.0)),
+            ("before its queue is known", NotRun("no config", 1.0), None),
+        )
+        for _, queue, result in self.each(rows):
+            self.calls.queue, self.calls.result = queue, result
+            lines: list[dict] = []
+            sink = log.add(lambda m, kept=lines: kept.append(m.record["extra"]))
+            await self.ask("POST", "/p/0123456789abcdef", json=JOB)
+            log.remove(sink)
+            self.assertEqual(lines[0]["event"], "caller-refused")
+            self.assertEqual(lines[0]["job"], "0123456789abcdef")
+
     async def test_no_queue_is_not_found(self):
         self.calls.queue = NoQueue("none")
         found = await self.ask("GET", "/q/")
