Ask the admission service for tickets where a queue needs them

Change: the planner takes only workers with a ticket for the step; a book of tickets asks for the most urgent waiting steps, one call at a time as the service does, about 8 to 30 workers a call, first those that it has admitted before. What it forbids is not asked again. A ticket is used until half a second before its end; one that a worker refuses is asked for again. The stand-in has the service with turns, forbidden workers and tickets that end; its record of runs is a module of its own.

--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
@@ -5,6 +5,10 @@
 import asyncio
 
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable
+from fulmarlever_standins.authority.admission import (
+    ADMISSION_ADDRESS,
+    AdmissionCore,
+)
 from fulmarlever_standins.authority.store import StoreCore
 from fulmarlever_standins.authority.worker import WorkerCore
 from fulmarleverd.platform.http import CallResult, Reply
@@ -25,6 +29,7 @@
 
     def __init__(self) -> None:
         self.store = StoreCore()
+        self.admission = AdmissionCore()
         self.workers: dict[str, WorkerCore] = {}
         self.cuts: set[tuple[str, str]] = set()
         self.refusing: set[str] = set()
@@ -68,6 +73,8 @@
             await asyncio.Event().wait()
         if address == STORE_ADDRESS:
             return await self._call_store(vm, method, path, body)
+        if address == ADMISSION_ADDRESS:
+            return Reply(*await self.admission.handle(body))
         return await self._call_worker(address, path, body, target)
 
     async def _call_store(
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/record.py
@@ -0,0 +1,62 @@
+"""What workers saw: starts, ends, and runs that should not have been."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+
+from fulmarlever_standins.authority.worker import RunKey, WorkerCore
+
+
+class RunRecord:
+    """Counts the runs of each task over all workers.
+
+    ``overlaps`` names tasks that ran twice at the same time, ``restarted_after_done``
+    tasks that started although a run had ended as done.
+    """
+
+    def __init__(self) -> None:
+        self.starts: Counter[str] = Counter()
+        self.done: Counter[str] = Counter()
+        self.overlaps: list[str] = []
+        self.restarted_after_done: list[str] = []
+        self._active: Counter[str] = Counter()
+        # Per task, the ends as done: the worker's life and the number of the end there.
+        self._ends: defaultdict[str, list[tuple[WorkerCore, int]]] = defaultdict(list)
+        self._restarts: list[tuple[str, WorkerCore, int]] = []
+
+    def watch(self, worker: WorkerCore) -> None:
+        """Take note of the runs of a life of a worker from now on."""
+        worker.on_start = self._note_start
+        worker.on_end = self._note_end
+
+    def forget(self, worker: WorkerCore) -> None:
+        """Take note that a life of a worker is over with all that it runs."""
+        for task, _ in list(worker.running):
+            self._active[task] -= 1
+        worker.on_end = lambda w, key, how: None
+        worker.on_start = lambda w, key: None
+
+    def restarted_after_known_end(self) -> list[str]:
+        """Return tasks that started again after an end that the scheduler knew of."""
+        return [task for task, worker, end in self._restarts if end <= worker.last_seen]
+
+    def running(self) -> set[str]:
+        """Return the names of the tasks that run now."""
+        return {task for task, count in self._active.items() if count > 0}
+
+    def _note_start(self, worker: WorkerCore, key: RunKey) -> None:
+        task = key[0]
+        self.starts[task] += 1
+        if self._active[task]:
+            self.overlaps.append(task)
+        if self.done[task]:
+            self.restarted_after_done.append(task)
+        self._restarts += [(task, *end) for end in self._ends[task]]
+        self._active[task] += 1
+
+    def _note_end(self, worker: WorkerCore, key: RunKey, how: str) -> None:
+        task = key[0]
+        self._active[task] -= 1
+        if how == "done":
+            self.done[task] += 1
+            self._ends[task].append((worker, worker.ends[-1][0]))
--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/site.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/site.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
 
 from fulmarlever.outcomes import Failure
+from fulmarlever_standins.authority.admission import ADMISSION_ADDRESS
 from fulmarlever_standins.authority.network import STORE_ADDRESS, Network
+from fulmarlever_standins.authority.record import RunRecord
 from fulmarlever_standins.authority.virtual_time import VirtualClock
 from fulmarlever_standins.authority.worker import WorkerCore
+from fulmarleverd.platform.admission import AuthorityAdmission
 from fulmarleverd.platform.formats import (
     CONFIG_KEY,
     OPERATOR_TABLE,
@@ -30,6 +32,7 @@
 from fulmarleverd.scheduling.tenure import Tenure
 
 QUEUE = QueueSpec("labels", "a.example", "/labels/", "desk", 0, 2, 1.5, 0.25)
+GUARDED = QueueSpec("seals", "a.example", "/seals/", "desk", needs_ticket=True)
 FILLING = QueueSpec("plans", "a.example", "/plans/", "desk", 2, 4, 2.0, 1.0)
 SUBMIT_S = 2.5
 
@@ -50,6 +53,7 @@
         )
         self.store = AuthorityStore(STORE_ADDRESS, http)
         self.workers = AuthorityWorkers(http)
+        self.admission = AuthorityAdmission(ADMISSION_ADDRESS, http)
 
 
 class Daemon:
@@ -92,11 +96,7 @@
         self.bounds = bounds or Bounds()
         self.network = Network()
         self.daemons: dict[str, Daemon] = {}
-        self.starts: Counter[str] = Counter()
-        self.done: Counter[str] = Counter()
-        self.overlaps: list[str] = []
-        self.restarted_after_done: list[str] = []
-        self._active: Counter[str] = Counter()
+        self.record = RunRecord()
 
     def add_daemons(self, *vms: str) -> None:
         """Start daemons."""
@@ -110,33 +110,14 @@
     def add_worker(self, worker_id: str, born: int = 1) -> WorkerCore:
         """Add one worker, or a new life of one under the same id."""
         worker = WorkerCore(worker_id, f"{worker_id}:1", "z", born)
-        worker.on_start = self._note_start
-        worker.on_end = self._note_end
+        self.record.watch(worker)
         self.network.add_worker(worker)
         return worker
 
     def crash_worker(self, worker: WorkerCore) -> None:
         """End a worker and all that it runs, without an end that anyone sees."""
         del self.network.workers[worker.address]
-        for task, _ in list(worker.running):
-            self._active[task] -= 1
-        worker.on_end = lambda w, key, how: None
-        worker.on_start = lambda w, key: None
-
-    def _note_start(self, worker: WorkerCore, key: tuple[str, int]) -> None:
-        task = key[0]
-        self.starts[task] += 1
-        if self._active[task]:
-            self.overlaps.append(task)
-        if self.done[task]:
-            self.restarted_after_done.append(task)
-        self._active[task] += 1
-
-    def _note_end(self, worker: WorkerCore, key: tuple[str, int], how: str) -> None:
-        task = key[0]
-        self._active[task] -= 1
-        if how == "done":
-            self.done[task] += 1
+        self.record.forget(worker)
 
     def owner(self) -> Daemon | None:
         """Return the daemon that holds the lease by its own clock."""
--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/worker.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/worker.py
@@ -48,6 +48,8 @@
         self.on_end: Callable[[WorkerCore, RunKey, str], None] = lambda w, key, how: (
             None
         )
+        # Whether the ticket of a start is good; most queues need none.
+        self.takes_ticket: Callable[[str, str], bool] = lambda ticket, task: True
         self.running: dict[RunKey, WorkerRun] = {}
         self.ends: list[list] = []
         self.token = 0
@@ -113,6 +115,8 @@
             return self._answer("old")
         if body.get("deadlineMs", 0) <= self.clock_ms():
             return self._answer("late")
+        if not self.takes_ticket(body.get("ticket", ""), body["task"]):
+            return self._answer("ticket")
         run = WorkerRun(key, self._loop.time(), self.work_s(body["task"]) or 0.0, 0)
         run.checkpoint = body.get("checkpoint", "")
         self.running[key] = run
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/base.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/base.py
@@ -26,6 +26,10 @@
             return site
 
         site = run_virtual(run())
-        self.assertEqual(site.overlaps, [], "two runs of a task at the same time")
-        self.assertEqual(site.restarted_after_done, [], "started again after done")
+        self.assertEqual(
+            site.record.overlaps, [], "two runs of a task at the same time"
+        )
+        self.assertEqual(
+            site.record.restarted_after_done, [], "started again after done"
+        )
         return site
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/faults_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/faults_tests.py
@@ -35,7 +35,7 @@
                     await site.until_state(owner, f"j{number}", "completed")
 
             site = self.play(scenario)
-            self.assertEqual(sum(site.done.values()), 10)
+            self.assertEqual(sum(site.record.done.values()), 10)
 
     def test_the_same_id_at_two_daemons_is_one_job(self):
         async def scenario(site):
@@ -48,7 +48,7 @@
             await site.until_state(site.daemons["vm-1"], "j", "completed")
 
         site = self.play(scenario)
-        self.assertEqual(sum(site.starts.values()), 2)
+        self.assertEqual(sum(site.record.starts.values()), 2)
 
     def test_lost_history_is_read_anew(self):
         async def scenario(site):
@@ -98,7 +98,7 @@
             await asyncio.sleep(6.0)
 
         site = self.play(scenario)
-        self.assertEqual(sum(site.starts.values()), 2)
+        self.assertEqual(sum(site.record.starts.values()), 2)
 
 
 class WorkerFaultTests(SiteTestCase):
@@ -113,7 +113,7 @@
             await asyncio.sleep(5.0)
 
         site = self.play(scenario)
-        self.assertEqual(sum(site.done.values()), 2)
+        self.assertEqual(sum(site.record.done.values()), 2)
 
     def test_a_worker_that_starts_again_under_its_id_loses_its_runs(self):
         for row in self.each((("reborn", 2), ("gone", 0))):
@@ -145,12 +145,12 @@
             await asyncio.sleep(0.5)
             site.network.cut("vm-1", worker.address)
             await asyncio.sleep(6.0)
-            self.assertEqual(sum(site.starts.values()), 4)
+            self.assertEqual(sum(site.record.starts.values()), 4)
             site.network.heal()
             await site.until_state(owner, "j", "completed", 5.0)
 
         site = self.play(scenario)
-        self.assertEqual(set(site.starts.values()), {1})
+        self.assertEqual(set(site.record.starts.values()), {1})
 
     def test_a_task_that_always_fails_ends_its_job_after_its_attempts(self):
         async def scenario(site):
@@ -163,7 +163,7 @@
             await asyncio.sleep(3.0)
 
         site = self.play(scenario)
-        self.assertEqual(sum(site.starts.values()), FILLING.max_attempts)
+        self.assertEqual(sum(site.record.starts.values()), FILLING.max_attempts)
 
     def test_a_copy_dropped_before_its_commit_never_starts(self):
         """Pattern: the store is away while a copy waits for its commit."""
@@ -186,7 +186,7 @@
             await site.until_state(owner, "j", "completed")
 
         site = self.play(scenario)
-        self.assertEqual(set(site.starts.values()), {1})
+        self.assertEqual(set(site.record.starts.values()), {1})
 
 
 class CancelTests(SiteTestCase):
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/takeover_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/takeover_tests.py
@@ -59,7 +59,7 @@
                 self.assertLess(took_s, 8.0)
 
             site = self.play(scenario)
-            self.assertEqual(sum(site.done.values()), 6)
+            self.assertEqual(sum(site.record.done.values()), 6)
 
     def test_a_job_cancelled_between_two_owners_is_stopped(self):
         async def scenario(site):
@@ -108,4 +108,4 @@
             await site.until_state(site.daemons["vm-2"], "j", "completed")
 
         site = self.play(scenario)
-        self.assertEqual(set(site.starts.values()), {1})
+        self.assertEqual(set(site.record.starts.values()), {1})
--- a/packages/fulmarleverd/fulmarleverd/platform/formats.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/formats.py
@@ -56,9 +56,23 @@
         stretch=float(route.get("stretch", 1.0)),
         target_latency_s=route.get("targetLatencyMs", 0) / 1000.0,
         timeout_s=route.get("timeoutMs", 3000) / 1000.0,
+        **_admission(route.get("advice")),
     )
 
 
+def _admission(advice: dict | None) -> dict[str, Any]:
+    """Decode how the admission service decides about a queue's steps."""
+    if not advice:
+        return {}
+    return {
+        "needs_ticket": True,
+        # The time of a call, and what each worker named in it adds.
+        "decision_s": advice.get("decideMs", 0) / 1000.0,
+        "decision_per_worker_s": advice.get("periodMs", 0) / 1000.0,
+        "ticket_validity_s": advice.get("validityMs", 0) / 1000.0,
+    }
+
+
 def _service(service: dict) -> ServiceSpec:
     # The workers themselves reject what does not fit.
     guards = bool(service.get("admissionCheck", False))
--- a/packages/fulmarleverd/fulmarleverd/platform/interface.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/interface.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from fulmarlever.outcomes import Failure, failed
+from fulmarleverd.platform.admission import AuthorityAdmission
 from fulmarleverd.platform.callers import CallerServer
 from fulmarleverd.platform.formats import (
     CONFIG_KEY,
@@ -43,6 +44,9 @@
         self._worker_http = HTTPClient(settings.address, MAX_CONNECTIONS_PER_WORKER)
         self.store = AuthorityStore(settings.store_address, self._store_http)
         self.workers = AuthorityWorkers(self._worker_http)
+        self.admission = AuthorityAdmission(
+            settings.admission_address, self._worker_http
+        )
 
     @classmethod
     def from_environment(cls) -> AuthorityInterface | Failure:
@@ -61,6 +65,7 @@
         changed = find_changes(self.settings, settings)
         self.settings = settings
         self.store.move(settings.store_address)
+        self.admission.move(settings.admission_address)
         return changed
 
     async def open(self) -> None:
--- a/packages/fulmarleverd/fulmarleverd/platform/settings.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/settings.py
@@ -57,6 +57,7 @@
         ready_address=addresses["readyAddr"],
         metrics_port=int(data["portRange"][0]),
         store_address=data["platform"]["address"],
+        admission_address=data.get("advice") or "",
         memory_mb=int(limits.get("memoryMb", 300)),
         # A share of one core that is this many times as fast.
         cores=float(limits.get("cpuShare", 1.0)) * float(limits.get("cores", 1)),
--- a/packages/fulmarleverd/fulmarleverd/platform/workers.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/workers.py
@@ -10,6 +10,7 @@
     REJECT_LIFE,
     REJECT_ROOM,
     REJECT_RUN,
+    REJECT_TICKET,
     REJECT_TOKEN,
     REJECT_UNHEALTHY,
     Accepted,
@@ -33,7 +34,7 @@
     "old": REJECT_RUN,
     "late": REJECT_LATE,
     "room": REJECT_ROOM,
-    "ticket": REJECT_INVALID,
+    "ticket": REJECT_TICKET,
 }
 STATUS_REASONS = {
     400: REJECT_INVALID,
@@ -59,6 +60,8 @@
         body["deadlineMs"] = order.lease_until_ms
         if order.checkpoint:
             body["checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
         return await self._order(worker, "/run-start", body)
 
     async def stop(self, worker: WorkerEntry, order: Order) -> OrderResult:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/orders.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/orders.py
@@ -18,6 +18,7 @@
     REJECT_LIFE,
     REJECT_ROOM,
     REJECT_RUN,
+    REJECT_TICKET,
     REJECT_TOKEN,
     REJECT_UNHEALTHY,
     Accepted,
@@ -61,6 +62,7 @@
     def _order(self, run: Run, worker: Worker) -> Order:
         owner = self._owner
         until_ms = worker.lease_until_ms(owner.now_s(), owner.worker_lease_s)
+        ticket = run.task.step.tickets.get(worker.key)
         return Order(
             task=run.task.name,
             run=run.number,
@@ -68,6 +70,7 @@
             lease_until_ms=until_ms,
             payload=run.task.step.job.spec.payload,
             checkpoint=run.task.checkpoint,
+            ticket=ticket.text if ticket else "",
         )
 
     async def _wait_for_lease(self) -> None:
@@ -133,6 +136,9 @@
         elif result.reason == REJECT_TOKEN:
             record("token-refused", worker=worker.id, token=owner.lease.token)
             self._withdraw(run, result.reason)
+        elif result.reason == REJECT_TICKET:
+            run.task.step.tickets.pop(worker.key, None)
+            self._withdraw(run, result.reason)
         else:
             pauses = {REJECT_ROOM: ROOM_PAUSE_S, REJECT_UNHEALTHY: UNHEALTHY_PAUSE_S}
             worker.avoid_until_s = now + pauses.get(result.reason, 0.0)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -11,6 +11,7 @@
 from fulmarleverd.scheduling.placement import PLACEMENTS, HeadroomTaken
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.scheduling.tasks import Run, Step, Task
+from fulmarleverd.scheduling.tickets import TicketBook, has_ticket
 
 # Starts planned in one go; the next go follows their commit without a pause.
 MAX_STARTS_PER_PLAN = 200
@@ -27,11 +28,13 @@
         headroom_taken: HeadroomTaken,
         order: str = "objective",
         placement: str = "apart",
+        tickets: TicketBook | None = None,
     ) -> None:
         self._owner = owner
         self._sort = ORDERS.find(order)
         self._placement = PLACEMENTS.find(placement)
         self._headroom_taken = headroom_taken
+        self._tickets = tickets
         self._misses = 0
         self._usable: dict[str, list[Worker]] = {}
 
@@ -40,11 +43,16 @@
         self._usable = {}
         self._misses = 0
         started = sum(1 for _ in self._start_copies())
+        unadmitted: list[Step] = []
         for step in self._sort(self._ready_steps(), self._owner.now_s()):
             started += sum(1 for _ in self._start_step(step))
+            if step.waiting and step.job.queue.needs_ticket:
+                unadmitted.append(step)
             if started >= MAX_STARTS_PER_PLAN:
                 self._owner.changed.set()
                 break
+        if self._tickets is not None:
+            self._tickets.want(unadmitted)
         return started
 
     def _ready_steps(self) -> Iterator[Step]:
@@ -52,7 +60,14 @@
             yield from job.ready_steps()
 
     def _workers(self, step: Step) -> list[Worker]:
-        service = step.job.queue.service
+        """Return the workers that the step may be started on, as far as is known."""
+        workers = self._usable_workers(step.job.queue.service)
+        if not step.job.queue.needs_ticket:
+            return workers
+        now = self._owner.now_s()
+        return [worker for worker in workers if has_ticket(step, worker, now)]
+
+    def _usable_workers(self, service: str) -> list[Worker]:
         if service not in self._usable:
             self._usable[service] = self._owner.fleet.usable(
                 service, self._owner.now_s()
--- a/packages/fulmarleverd/fulmarleverd/scheduling/ports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/ports.py
@@ -98,7 +98,8 @@
 class Order:
     """What a start needs beside its task. ``lease_until_ms`` is on the worker's clock.
 
-    ``token`` is the fencing token of the sender.
+    ``token`` is the fencing token of the sender, ``ticket`` that of the admission
+    service, if the queue needs one.
     """
 
     task: str
@@ -107,6 +108,7 @@
     lease_until_ms: int = 0
     payload: str = ""
     checkpoint: str = ""
+    ticket: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -166,6 +168,7 @@
 REJECT_RUN = "run number not higher"
 REJECT_LATE = "lease already over"
 REJECT_ROOM = "no room"
+REJECT_TICKET = "ticket missing or over"
 REJECT_LIFE = "another life of the worker"
 REJECT_UNHEALTHY = "worker unhealthy"
 REJECT_INVALID = "order not understood"
@@ -198,6 +201,26 @@
         """Extend the lease of all runs and wait for an end."""
 
 
+@dataclass(slots=True, frozen=True)
+class Admission:
+    """The answer of the admission service about a step.
+
+    ``tickets`` are those of the workers that may run the step, by worker id.
+    """
+
+    tickets: dict[str, str]
+    validity_s: float
+
+
+class AdmissionCalls(Protocol):
+    """Questions to the admission service."""
+
+    async def admit(
+        self, step: str, worker_ids: list[str], timeout_s: float
+    ) -> Admission | Unavailable | OutcomeUnknown:
+        """Ask which of some workers may run a step."""
+
+
 class Interface(Protocol):
     """One platform: its settings, clients and formats.
 
@@ -211,6 +234,7 @@
     settings: SchedulingSettings
     store: Store
     workers: WorkerCalls
+    admission: AdmissionCalls
 
     @classmethod
     def from_environment(cls) -> Interface | Failure:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
@@ -39,7 +39,12 @@
 
 @dataclass(slots=True, frozen=True)
 class QueueSpec:
-    """A queue of jobs. Priority 0 is the most urgent."""
+    """A queue of jobs. Priority 0 is the most urgent.
+
+    With ``needs_ticket`` an admission service decides which workers may run a step. It
+    takes ``decision_s`` and ``decision_per_worker_s`` for each worker that it is asked
+    about; its tickets hold for ``ticket_validity_s``.
+    """
 
     name: str
     host: str
@@ -50,6 +55,10 @@
     stretch: float = 1.0
     target_latency_s: float = 0.0
     timeout_s: float = 3.0
+    needs_ticket: bool = False
+    decision_s: float = 0.0
+    decision_per_worker_s: float = 0.0
+    ticket_validity_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -172,6 +181,7 @@
     ready_address: str
     metrics_port: int
     store_address: str
+    admission_address: str = ""
     memory_mb: int = 300
     cores: float = 1.0
     bounds: Bounds = field(default_factory=Bounds)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -126,6 +126,20 @@
         return f"{self.id}/{self.life}"
 
 
+class Ticket:
+    """What the admission service said of a step on one life of a worker.
+
+    An empty ``text`` forbids the worker for good. ``valid_until_s`` is on the owner's
+    clock.
+    """
+
+    __slots__ = ("text", "valid_until_s")
+
+    def __init__(self, text: str, valid_until_s: float) -> None:
+        self.text = text
+        self.valid_until_s = valid_until_s
+
+
 class Task:
     """One task of a step of an occurrence."""
 
@@ -155,8 +169,7 @@
     @property
     def name(self) -> str:
         """Return the name that workers know the task by."""
-        step = self.step
-        return f"{step.job.id}.{step.occurrence}.{step.number}.{self.index}"
+        return f"{self.step.name}.{self.index}"
 
     @property
     def is_waiting(self) -> bool:
@@ -189,6 +202,7 @@
         "left",
         "speed",
         "speed_samples",
+        "tickets",
     )
 
     def __init__(self, job: Job, occurrence: int, number: int, spec: StepSpec) -> None:
@@ -201,6 +215,12 @@
         self.left = spec.count
         self.speed = 0.0
         self.speed_samples = 0
+        self.tickets: dict[WorkerKey, Ticket] = {}
+
+    @property
+    def name(self) -> str:
+        """Return the name that the admission service knows the step by."""
+        return f"{self.job.id}.{self.occurrence}.{self.number}"
 
     @property
     def is_done(self) -> bool:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tenure.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tenure.py
@@ -32,6 +32,7 @@
     unpack_job,
     unpack_learned,
 )
+from fulmarleverd.scheduling.tickets import TicketBook
 from fulmarleverd.scheduling.worker_loop import WorkerLoop
 
 PLAN_PAUSE_S = 0.004
@@ -56,7 +57,10 @@
         self._guard = InterferenceGuard(self.owner)
         self._progress = ProgressWatch(self.owner)
         self._reports = Reports(self.owner, self._look_at)
-        self._planner = Planner(self.owner, self._guard.headroom_taken)
+        self._tickets = TicketBook(self.owner, interface.admission)
+        self._planner = Planner(
+            self.owner, self._guard.headroom_taken, tickets=self._tickets
+        )
         self._housekeeping = Housekeeping(self.owner, self._guard.model)
         self._tasks: set[asyncio.Task] = set()
         self._has_jobs = asyncio.Event()
@@ -112,6 +116,7 @@
         await self._has_workers.wait()
         self._spawn(self._keep_planning())
         self._spawn(self._keep_house())
+        self._spawn(self._tickets.run())
         record(
             "recovered",
             jobs=len(progress),
