Give runs and the stored form of progress modules of their own

Cause: tasks.py had near 420 lines and three jobs: tasks, runs on workers, and the packing of progress rows. The event of an accepted start bore a name close to one of the wire.

--- a/packages/fulmarlever/fulmarlever/tests/log_story_tests.py
+++ b/packages/fulmarlever/fulmarlever/tests/log_story_tests.py
@@ -67,7 +67,7 @@
 
     def test_other_jobs_and_other_text_are_left_out(self):
         lines = [KNOWN, line(1, "job-known", job="jj"), "text\n", '{"time": 1}\n']
-        lines.append(line(1, "run-started", task="jj.0.0.0"))
+        lines.append(line(1, "run-accepted", task="jj.0.0.0"))
         story = Story.from_lines("j", lines)
         self.assertEqual([item.event for item in story.lines], ["job-known"])
 
--- a/packages/fulmarlever/fulmarlever/tests/structured_logs_tests.py
+++ b/packages/fulmarlever/fulmarlever/tests/structured_logs_tests.py
@@ -37,14 +37,14 @@
     def test_a_line_holds_the_inputs_of_a_decision(self):
         stream = io.StringIO()
         writer = configure_structured_logs(vm="v", zone="z", life="x", stream=stream)
-        log.bind(event="run-started", job="j", run=3).info("accepted")
+        log.bind(event="run-accepted", job="j", run=3).info("accepted")
         try:
             raise ValueError("broken")
         except ValueError:
             log.bind(event="bad").exception("it failed")
         writer.close()
         first, second = self.read(stream)
-        expected = ("v", "z", "run-started", "j", "accepted")
+        expected = ("v", "z", "run-accepted", "j", "accepted")
         names = ("vm", "zone", "event", "job", "outcome")
         self.assertEqual(tuple(first[name] for name in names), expected)
         self.assertEqual(second["error"], "ValueError: broken")
--- a/packages/fulmarleverd/fulmarleverd/scheduling/commits.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/commits.py
@@ -25,6 +25,7 @@
     StoredRow,
     Transaction,
 )
+from fulmarleverd.scheduling.progress_rows import pack_progress
 from fulmarleverd.scheduling.rows import lease_row, progress_row
 from fulmarleverd.scheduling.tasks import Job
 
@@ -92,7 +93,9 @@
 
     async def _commit_all(self) -> None:
         self._wake.clear()
-        rows = [progress_row(job.id, job.pack()) for job in self._dirty.values()]
+        rows = [
+            progress_row(job.id, pack_progress(job)) for job in self._dirty.values()
+        ]
         rows += self._extra.values()
         actions = self._actions
         self._dirty = {}
--- a/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
@@ -6,8 +6,9 @@
 
 from fulmarlever.clock import Clock
 from fulmarleverd.scheduling.ports import WorkerReport
+from fulmarleverd.scheduling.runs import Run, WorkerKey
 from fulmarleverd.scheduling.specs import StepSpec, WorkerEntry
-from fulmarleverd.scheduling.tasks import Run, Step, WorkerKey
+from fulmarleverd.scheduling.tasks import Step
 
 # The slowest steady clock of a worker, as a share of true time.
 SLOWEST_CLOCK = 0.98
--- a/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
@@ -20,7 +20,7 @@
     pack,
     progress_row,
 )
-from fulmarleverd.scheduling.tasks import Run, RunState
+from fulmarleverd.scheduling.runs import Run, RunState
 
 TICK_S = 0.2
 # Kept longer than callers may ask, as their clocks and ours differ.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
@@ -25,6 +25,7 @@
     StoredRow,
     Transaction,
 )
+from fulmarleverd.scheduling.progress_rows import pack_progress, unpack_state
 from fulmarleverd.scheduling.queues import RETRY_AFTER_S
 from fulmarleverd.scheduling.rows import (
     SUMMARY_KEY,
@@ -37,7 +38,7 @@
     unpack,
 )
 from fulmarleverd.scheduling.specs import JobSpec, QueueSpec
-from fulmarleverd.scheduling.tasks import FINAL_STATES, Job, JobState, unpack_state
+from fulmarleverd.scheduling.tasks import FINAL_STATES, Job, JobState
 
 CALL_TIMEOUT_S = 1.2
 RETRY_S = 0.05
@@ -83,7 +84,7 @@
             [job_row(spec.id), progress_row(spec.id)],
             [
                 job_row(spec.id, pack_job(row)),
-                progress_row(spec.id, Job(row).pack()),
+                progress_row(spec.id, pack_progress(Job(row))),
             ],
         )
         return await self._insert(tx, spec, until_s)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
@@ -8,8 +8,8 @@
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.pressure import PressureModel, sum_loads
+from fulmarleverd.scheduling.runs import Run, RunState
 from fulmarleverd.scheduling.specs import StepSpec
-from fulmarleverd.scheduling.tasks import Run, RunState
 
 # Headroom is the latency target divided by the latency: 1 is just at the target.
 # A new task has to leave the first; below the second, tasks are paused until the third
--- a/packages/fulmarleverd/fulmarleverd/scheduling/orders.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/orders.py
@@ -27,7 +27,7 @@
     Rejected,
     WorkerCalls,
 )
-from fulmarleverd.scheduling.tasks import Run, RunState
+from fulmarleverd.scheduling.runs import Run, RunState
 
 START_TRIES = 4
 RETRY_S = 0.1
@@ -112,7 +112,7 @@
             run.started_s = run.seen_at_s = now
             if run.state is RunState.SENT:
                 run.state = RunState.RUNNING
-            record_run("run-started", run, "accepted", checkpoint=run.task.checkpoint)
+            record_run("run-accepted", run, "accepted", checkpoint=run.task.checkpoint)
             return True
         record_run("run-not-started", run, result.reason)
         if isinstance(result, Rejected):
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -19,15 +19,11 @@
 from fulmarleverd.scheduling.fleet import SLOWEST_CLOCK, Fleet, Worker
 from fulmarleverd.scheduling.lease import EXTEND_GRACE_S, LEASE_S, SchedulerLease
 from fulmarleverd.scheduling.metrics import FIRST_START_SECONDS, JOBS_OPEN
+from fulmarleverd.scheduling.progress_rows import restore_progress
 from fulmarleverd.scheduling.rows import JobRow
+from fulmarleverd.scheduling.runs import Run, RunState, WorkerKey
 from fulmarleverd.scheduling.specs import Bounds, WorkerEntry
-from fulmarleverd.scheduling.tasks import (
-    Job,
-    Run,
-    RunState,
-    Task,
-    WorkerKey,
-)
+from fulmarleverd.scheduling.tasks import Job, Task
 
 if TYPE_CHECKING:
     from fulmarleverd.scheduling.orders import WorkerOrders
@@ -93,7 +89,7 @@
         if row.spec.id in self.jobs or row.spec.id in self.final:
             return
         job = Job(row)
-        error = job.restore(progress) if progress else None
+        error = restore_progress(job, progress) if progress else None
         if failed(error):
             log.bind(event="progress-unreadable", job=job.id).error(error.reason)
             return
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -9,8 +9,9 @@
 from fulmarleverd.scheduling.order import ORDERS
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.placement import PLACEMENTS, HeadroomTaken
+from fulmarleverd.scheduling.runs import Run
 from fulmarleverd.scheduling.specs import StepSpec
-from fulmarleverd.scheduling.tasks import Run, Step, Task
+from fulmarleverd.scheduling.tasks import Step, Task
 from fulmarleverd.scheduling.tickets import TicketBook, has_ticket
 
 # Starts planned in one go; the next go follows their commit without a pause.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
@@ -7,7 +7,7 @@
 from fulmarleverd.scheduling.decisions import record, record_run
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.owner import Owner
-from fulmarleverd.scheduling.tasks import Run, RunState
+from fulmarleverd.scheduling.runs import Run, RunState
 
 # A run without any progress for this long stands still; long-running tasks take some
 # time to start up.
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/progress_rows.py
@@ -0,0 +1,74 @@
+"""The stored form of a job's progress, written by one owner and read by the next."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from fulmarleverd.scheduling.rows import FORMAT_ERRORS, BadRow, pack, unpack
+from fulmarleverd.scheduling.runs import Run, WorkerKey
+from fulmarleverd.scheduling.tasks import Job, JobState, Task
+
+
+def pack_progress(job: Job) -> bytes:
+    """Return the value of a job's progress row."""
+    keys: dict[WorkerKey, int] = {}
+    touched = [packed for task in job.tasks() for packed in _pack_task(task, keys)]
+    lives = [(key.id, key.life) for key in keys]
+    return pack([str(job.state), job.has_begun, job.cause, lives, touched])
+
+
+def restore_progress(job: Job, data: bytes) -> BadRow | None:
+    """Give a job the progress that an earlier owner committed."""
+    try:
+        state, job.has_begun, job.cause, lives, touched = unpack(data)
+        job.is_cancelled = state == JobState.CANCELLED
+        job.has_failed = state == JobState.FAILED
+        keys = [WorkerKey(*life) for life in lives]
+        for packed in touched:
+            _restore_task(job, packed, keys)
+    except FORMAT_ERRORS as exc:
+        return BadRow(f"progress of job {job.id}: {type(exc).__name__}: {exc}")
+    return None
+
+
+def _restore_task(job: Job, packed: list, keys: list[WorkerKey]) -> None:
+    occurrence, number, index, is_done, failures, last_run, ckpt, runs = packed
+    step = job.open_occurrence(occurrence)[number]
+    task = step.tasks[index]
+    task.failures = failures
+    task.last_run = last_run
+    task.checkpoint = ckpt
+    for run_number, key in runs:
+        task.runs[run_number] = Run(task, run_number, keys[key])
+    if is_done:
+        step.complete(task)
+    step.refresh(task)
+
+
+def _pack_task(task: Task, keys: dict[WorkerKey, int]) -> Iterator[list]:
+    """Yield the packed form of a task that has ever run."""
+    if not task.last_run:
+        return
+    runs = [
+        (run.number, keys.setdefault(run.worker_key, len(keys)))
+        for run in task.runs.values()
+    ]
+    yield [
+        task.step.occurrence,
+        task.step.number,
+        task.index,
+        task.is_done,
+        task.failures,
+        task.last_run,
+        task.checkpoint,
+        runs,
+    ]
+
+
+def unpack_state(data: bytes) -> tuple[JobState, str] | BadRow:
+    """Return the state and its cause from a progress row."""
+    try:
+        fields = unpack(data)
+        return JobState(fields[0]), fields[2]
+    except FORMAT_ERRORS as exc:
+        return BadRow(f"progress row: {type(exc).__name__}: {exc}")
--- a/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
@@ -9,7 +9,8 @@
 from fulmarleverd.scheduling.metrics import ENDS
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.ports import EndedTask, RunningTask, WorkerReport
-from fulmarleverd.scheduling.tasks import Run, RunState, Task
+from fulmarleverd.scheduling.runs import Run, RunState
+from fulmarleverd.scheduling.tasks import Task
 
 END_DONE = "done"
 END_FAILED = "failed"
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/runs.py
@@ -0,0 +1,104 @@
+"""One run of a task on one life of a worker."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from fulmarleverd.scheduling.fleet import Worker
+    from fulmarleverd.scheduling.interference import ServingSample
+    from fulmarleverd.scheduling.tasks import Task
+
+
+class RunState(StrEnum):
+    """How far the start of a run has come."""
+
+    PLANNED = "planned"
+    SENT = "sent"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class Run:
+    """One run of a task on one life of a worker.
+
+    ``sample`` is the last report of a serving run's latency. ``progress`` is the
+    percentage as of ``progress_at_s``, ``speed`` a share of its work a
+    second.
+
+    ``may_arrive_late`` is set once a start got no answer. ``started_s`` is on the
+    steady clock.
+    """
+
+    __slots__ = (
+        "task",
+        "number",
+        "worker",
+        "worker_key",
+        "state",
+        "started_s",
+        "percent",
+        "usage",
+        "pace",
+        "is_pace_known",
+        "paused_at_s",
+        "sample",
+        "progress",
+        "progress_at_s",
+        "speed",
+        "may_arrive_late",
+        "stop_reason",
+        "seen_at_s",
+    )
+
+    def __init__(self, task: Task, number: int, worker_key: WorkerKey) -> None:
+        self.task = task
+        self.number = number
+        self.worker_key = worker_key
+        self.worker: Worker | None = None
+        self.state = RunState.PLANNED
+        self.started_s = 0.0
+        self.seen_at_s = 0.0
+        self.percent = 0.0
+        self.usage = 0.0
+        self.pace = 100
+        self.is_pace_known = True
+        self.paused_at_s = 0.0
+        self.sample: ServingSample | None = None
+        self.progress = 0.0
+        self.progress_at_s = 0.0
+        self.speed = 0.0
+        self.may_arrive_late = False
+        self.stop_reason = ""
+
+    @property
+    def is_active(self) -> bool:
+        """Return whether the run has been neither dropped nor ended."""
+        return self.task.runs.get(self.number) is self
+
+    def __repr__(self) -> str:
+        return f"Run({self.task.name}, {self.number}, {self.state})"
+
+
+class WorkerKey:
+    """The id and the life of the worker that a run was given to."""
+
+    __slots__ = ("id", "life")
+
+    def __init__(self, id: str, life: str) -> None:
+        self.id = id
+        self.life = life
+
+    def __eq__(self, other: object) -> bool:
+        return (
+            isinstance(other, WorkerKey)
+            and self.id == other.id
+            and self.life == other.life
+        )
+
+    def __hash__(self) -> int:
+        return hash((self.id, self.life))
+
+    def __repr__(self) -> str:
+        return f"{self.id}/{self.life}"
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -4,16 +4,11 @@
 
 from collections.abc import Iterator
 from enum import StrEnum
-from typing import TYPE_CHECKING
 
-from fulmarleverd.scheduling.rows import FORMAT_ERRORS, BadRow, JobRow, pack, unpack
+from fulmarleverd.scheduling.rows import JobRow
+from fulmarleverd.scheduling.runs import Run, RunState, WorkerKey
 from fulmarleverd.scheduling.specs import StepSpec
 
-if TYPE_CHECKING:
-    from fulmarleverd.scheduling.fleet import Worker
-    from fulmarleverd.scheduling.interference import ServingSample
-
-
 # Weights of a sample above and below the present mean: the speed of a step is that of
 # its faster runs.
 FAST_WEIGHT = 0.3
@@ -33,99 +28,6 @@
 FINAL_STATES = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
 
 
-class RunState(StrEnum):
-    """How far the start of a run has come."""
-
-    PLANNED = "planned"
-    SENT = "sent"
-    RUNNING = "running"
-    STOPPING = "stopping"
-
-
-class Run:
-    """One run of a task on one life of a worker.
-
-    ``sample`` is the last report of a serving run's latency. ``progress`` is the
-    percentage as of ``progress_at_s``, ``speed`` a share of its work a
-    second.
-
-    ``may_arrive_late`` is set once a start got no answer. ``started_s`` is on the
-    steady clock.
-    """
-
-    __slots__ = (
-        "task",
-        "number",
-        "worker",
-        "worker_key",
-        "state",
-        "started_s",
-        "percent",
-        "usage",
-        "pace",
-        "is_pace_known",
-        "paused_at_s",
-        "sample",
-        "progress",
-        "progress_at_s",
-        "speed",
-        "may_arrive_late",
-        "stop_reason",
-        "seen_at_s",
-    )
-
-    def __init__(self, task: Task, number: int, worker_key: WorkerKey) -> None:
-        self.task = task
-        self.number = number
-        self.worker_key = worker_key
-        self.worker: Worker | None = None
-        self.state = RunState.PLANNED
-        self.started_s = 0.0
-        self.seen_at_s = 0.0
-        self.percent = 0.0
-        self.usage = 0.0
-        self.pace = 100
-        self.is_pace_known = True
-        self.paused_at_s = 0.0
-        self.sample: ServingSample | None = None
-        self.progress = 0.0
-        self.progress_at_s = 0.0
-        self.speed = 0.0
-        self.may_arrive_late = False
-        self.stop_reason = ""
-
-    @property
-    def is_active(self) -> bool:
-        """Return whether the run has been neither dropped nor ended."""
-        return self.task.runs.get(self.number) is self
-
-    def __repr__(self) -> str:
-        return f"Run({self.task.name}, {self.number}, {self.state})"
-
-
-class WorkerKey:
-    """The id and the life of the worker that a run was given to."""
-
-    __slots__ = ("id", "life")
-
-    def __init__(self, id: str, life: str) -> None:
-        self.id = id
-        self.life = life
-
-    def __eq__(self, other: object) -> bool:
-        return (
-            isinstance(other, WorkerKey)
-            and self.id == other.id
-            and self.life == other.life
-        )
-
-    def __hash__(self) -> int:
-        return hash((self.id, self.life))
-
-    def __repr__(self) -> str:
-        return f"{self.id}/{self.life}"
-
-
 class Ticket:
     """What the admission service said of a step on one life of a worker.
 
@@ -347,66 +249,3 @@
             for step in steps:
                 if step.waiting and all(steps[n].is_done for n in step.spec.after):
                     yield step
-
-    def pack(self) -> bytes:
-        """Return the value of the job's progress row."""
-        keys: dict[WorkerKey, int] = {}
-        touched = [packed for task in self.tasks() for packed in _pack_task(task, keys)]
-        lives = [(key.id, key.life) for key in keys]
-        state = str(self.state)
-        return pack([state, self.has_begun, self.cause, lives, touched])
-
-    def restore(self, data: bytes) -> BadRow | None:
-        """Take over the progress that an earlier owner committed."""
-        try:
-            state, self.has_begun, self.cause, lives, touched = unpack(data)
-            self.is_cancelled = state == JobState.CANCELLED
-            self.has_failed = state == JobState.FAILED
-            keys = [WorkerKey(*life) for life in lives]
-            for packed in touched:
-                self._restore_task(packed, keys)
-        except FORMAT_ERRORS as exc:
-            return BadRow(f"progress of job {self.id}: {type(exc).__name__}: {exc}")
-        return None
-
-    def _restore_task(self, packed: list, keys: list[WorkerKey]) -> None:
-        occurrence, number, index, is_done, failures, last_run, ckpt, runs = packed
-        step = self.open_occurrence(occurrence)[number]
-        task = step.tasks[index]
-        task.failures = failures
-        task.last_run = last_run
-        task.checkpoint = ckpt
-        for run_number, key in runs:
-            task.runs[run_number] = Run(task, run_number, keys[key])
-        if is_done:
-            step.complete(task)
-        step.refresh(task)
-
-
-def _pack_task(task: Task, keys: dict[WorkerKey, int]) -> Iterator[list]:
-    """Yield the packed form of a task that has ever run."""
-    if not task.last_run:
-        return
-    runs = [
-        (run.number, keys.setdefault(run.worker_key, len(keys)))
-        for run in task.runs.values()
-    ]
-    yield [
-        task.step.occurrence,
-        task.step.number,
-        task.index,
-        task.is_done,
-        task.failures,
-        task.last_run,
-        task.checkpoint,
-        runs,
-    ]
-
-
-def unpack_state(data: bytes) -> tuple[JobState, str] | BadRow:
-    """Return the state and its cause from a progress row."""
-    try:
-        fields = unpack(data)
-        return JobState(fields[0]), fields[2]
-    except FORMAT_ERRORS as exc:
-        return BadRow(f"progress row: {type(exc).__name__}: {exc}")
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/formats_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/formats_tests.py
@@ -111,6 +111,16 @@
             (queue.target_latency_s, queue.timeout_s, queue.stretch), (0.25, 3.0, 2.2)
         )
 
+    def test_a_queue_may_need_tickets(self):
+        advice = {"decideMs": 40, "periodMs": 2, "validityMs": 3000}
+        cfg = parse_config(row({**CONFIG, "routes": [{**ROUTE, "advice": advice}]}))
+        queue = cfg.queues[0]
+        self.assertTrue(queue.needs_ticket)
+        self.assertEqual(queue.decision_s, 0.04)
+        self.assertEqual(queue.decision_per_worker_s, 0.002)
+        self.assertEqual(queue.ticket_validity_s, 3.0)
+        self.assertFalse(parse_config(row(CONFIG)).queues[0].needs_ticket)
+
 
 class JobTests(TableTestCase):
     def parse(self, value: object) -> object:
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/base.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/base.py
@@ -11,6 +11,7 @@
 from fulmarleverd.scheduling.ports import EndedTask, RunningTask, WorkerReport
 from fulmarleverd.scheduling.reports import Reports
 from fulmarleverd.scheduling.rows import JobRow
+from fulmarleverd.scheduling.runs import Run, RunState
 from fulmarleverd.scheduling.specs import (
     Bounds,
     JobSpec,
@@ -18,7 +19,7 @@
     StepSpec,
     WorkerEntry,
 )
-from fulmarleverd.scheduling.tasks import Job, Run, RunState
+from fulmarleverd.scheduling.tasks import Job
 
 QUEUE = QueueSpec("plans", "h", "/p/", "desk", 2, 3, 2.0, 1.0)
 
