Soak real daemons under random faults; move runs far behind their estimate

Cause: tasks that began while a worker crawled stayed there for 60 s, as steps of one to four tasks have no other runs to be compared with. Ruled out: lost starts (all were accepted and made progress). A run that would take eight times its estimate, and over 4 s, is now moved, once a task, as estimates are rough. Cause: the stand-in; an open call to a worker that crashed still told of its later ends. It now gets no answer. Test of the stand-in.

--- a/packages/fulmarlever_standins/fulmarlever_standins/arguments.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/arguments.py
@@ -100,6 +100,22 @@
     repeats: Annotated[int, Long] = 5
 
 
+@cappa.command(name="soak", invoke=f"{COMMANDS}.soak.run_soak")
+@dataclass(slots=True)
+class SoakArguments:
+    """Disturb real daemons by random faults and check their promises.
+
+    Seed 0 draws the first seed. The logs of a seed that breaks a promise are kept.
+    """
+
+    seed: Annotated[int, Long] = 0
+    seeds: Annotated[int, Long] = 1
+    seconds: Annotated[float, Long] = 20.0
+    daemons: Annotated[int, Long] = 4
+    workers: Annotated[int, Long] = 6
+    logs: Annotated[Path, Long] = Path("results/soak")
+
+
 @cappa.command(name="fulmarlever_standins")
 @dataclass(slots=True)
 class Arguments:
@@ -115,4 +131,5 @@
         | ExperimentArguments
         | CompareArguments
         | YardstickArguments
+        | SoakArguments
     ]
--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
@@ -105,6 +105,8 @@
             self._do_late(worker.handle(path, body, target))
             await asyncio.Event().wait()
         status, answer = await worker.handle(path, body, target)
+        if self.workers.get(address) is not worker:
+            return OutcomeUnknown("the worker ended before it had answered")
         await asyncio.sleep(ONE_WAY_S)
         return Reply(status, answer)
 
--- a/packages/fulmarlever_standins/fulmarlever_standins/processes.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/processes.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import ctypes
+import os
 import signal
 from pathlib import Path
 
@@ -25,10 +26,20 @@
 
 
 class ChildProcess:
-    """One command that can be started again, with its log file."""
-
-    def __init__(self, name: str, command: list[str], directory: Path) -> None:
+    """One command that can be started again, with its log file.
+
+    ``variables`` are environment variables beside those of this process.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        command: list[str],
+        directory: Path,
+        variables: dict[str, str] | None = None,
+    ) -> None:
         self.name = name
+        self._env = {**os.environ, **(variables or {})}
         self.command = command
         self.log_path = directory / f"{name}.log"
         self.is_frozen = False
@@ -52,6 +63,7 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
+                env=self._env,
                 start_new_session=True,
                 preexec_fn=_end_with_parent,
             )
@@ -62,6 +74,10 @@
         await self._process.wait()
         self.is_frozen = False
 
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it has not ended."""
+        self._send(number)
+
     def freeze(self) -> None:
         """Suspend the process."""
         self._send(signal.SIGSTOP)
--- a/packages/fulmarlever_standins/fulmarlever_standins/relay.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/relay.py
@@ -17,13 +17,17 @@
     """What a link does with connections.
 
     ``HOLD`` accepts connections and moves no byte, as a network partition does;
-    what was sent meanwhile arrives after the link is open again.
+    what was sent meanwhile arrives after the link is open again. ``ONE_WAY`` holds
+    only what the target answers. ``SILENCE`` makes the connections that are open now
+    silent for good, while new ones work.
     """
 
     OPEN = "open"
     HOLD = "hold"
     REFUSE = "refuse"
     DELAY = "delay"
+    ONE_WAY = "one-way"
+    SILENCE = "silence"
 
 
 class Link:
@@ -38,6 +42,10 @@
         self.bytes_moved = 0
         self._moving = asyncio.Event()
         self._moving.set()
+        self._answering = asyncio.Event()
+        self._answering.set()
+        # Replaced at each silencing, so that it holds for the older connections.
+        self._silenced = [False]
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -59,23 +67,28 @@
         if self._server is not None:
             self._server.close()
             self._server = None
-        for writer in list(self._writers):
-            writer.transport.abort()
+        self.reset()
 
     async def switch(self, mode: LinkMode, delay_s: float = 0.0) -> None:
         """Change the mode."""
         was_refused = self.mode is LinkMode.REFUSE
         self.mode = mode
         self.delay_s = delay_s if mode is LinkMode.DELAY else 0.0
-        if mode is LinkMode.HOLD:
-            self._moving.clear()
-        else:
-            self._moving.set()
+        _set(self._moving, mode is not LinkMode.HOLD)
+        _set(self._answering, mode not in (LinkMode.HOLD, LinkMode.ONE_WAY))
+        if mode is LinkMode.SILENCE:
+            self._silenced[0] = True
+            self._silenced = [False]
         if mode is LinkMode.REFUSE:
             await self.stop()
         elif was_refused:
             await self.start()
 
+    def reset(self) -> None:
+        """End every open connection; new ones work."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -95,8 +108,8 @@
         far_reader, far_writer = await asyncio.open_connection(*self.target)
         self._writers.add(far_writer)
         pumps = [
-            asyncio.create_task(self._pump(reader, far_writer)),
-            asyncio.create_task(self._pump(far_reader, writer)),
+            asyncio.create_task(self._pump(reader, far_writer, self._moving)),
+            asyncio.create_task(self._pump(far_reader, writer, self._answering)),
         ]
         try:
             await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
@@ -107,17 +120,30 @@
             far_writer.transport.abort()
 
     async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        moving: asyncio.Event,
     ) -> None:
+        silenced = self._silenced
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
-                await self._moving.wait()
+                await moving.wait()
+                if silenced[0]:
+                    continue
                 if self.delay_s > 0:
                     await asyncio.sleep(self.delay_s)
                 writer.write(data)
                 self.bytes_moved += len(data)
                 await writer.drain()
-            await self._moving.wait()
+            await moving.wait()
+
+
+def _set(event: asyncio.Event, is_set: bool) -> None:
+    if is_set:
+        event.set()
+    else:
+        event.clear()
 
 
 class Relay:
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/callers.py
@@ -0,0 +1,137 @@
+"""Callers of the soak: jobs handed in, asked for and cancelled on any daemon."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from enum import StrEnum
+from random import Random
+
+from aiohttp import ClientError, ClientSession
+
+from fulmarlever_standins.soak.deployment import HOST, QUEUES, SoakDaemon
+
+ATTEMPTS = 5
+RETRY_S = 0.3
+JOBS_PER_S = 4.0
+CANCEL_SHARE = 0.1
+MAX_CANCEL_DELAY_S = 1.5
+ACCEPTED = 200
+REFUSED = (429, 503)
+# After these a request may have run; the same id comes again.
+UNCERTAIN = (502, 504)
+
+
+class Outcome(StrEnum):
+    """What a caller knows of its job."""
+
+    UNKNOWN = "unknown"
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    CANCELLED = "cancelled"
+
+
+@dataclass(slots=True)
+class CallerJob:
+    """One job of a caller. ``counts`` are the tasks of its steps, in order."""
+
+    id: str
+    queue: str
+    counts: tuple[int, ...]
+    outcome: Outcome = Outcome.UNKNOWN
+    may_be_cancelled: bool = False
+
+    @property
+    def path(self) -> str:
+        """Return the path of the job's calls."""
+        return f"/{self.queue}/{self.id}"
+
+    def body(self) -> dict:
+        """Return the body that hands the job in."""
+        steps = [
+            {"count": count, "cpu": 1000, "memMb": 100, "estimateMs": 500}
+            | ({"after": [number - 1]} if number else {})
+            for number, count in enumerate(self.counts)
+        ]
+        return {"spec": "text", "phases": steps}
+
+
+class Callers:
+    """Hands jobs in for some time; ``odd_answers`` are those that no page allows."""
+
+    def __init__(
+        self, daemons: list[SoakDaemon], session: ClientSession, dice: Random
+    ) -> None:
+        self.jobs: list[CallerJob] = []
+        self.odd_answers: list[str] = []
+        self._daemons = daemons
+        self._session = session
+        self._dice = dice
+
+    async def run(self, seconds: float) -> None:
+        """Hand jobs in and wait for the outcome of each."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + seconds
+        tasks = []
+        while loop.time() < until_s:
+            await asyncio.sleep(self._dice.expovariate(JOBS_PER_S))
+            job = self._draw()
+            self.jobs.append(job)
+            tasks.append(asyncio.create_task(self._follow(job)))
+        await asyncio.gather(*tasks)
+
+    def _draw(self) -> CallerJob:
+        counts = tuple(
+            self._dice.randint(1, 4) for _ in range(self._dice.randint(1, 3))
+        )
+        number = f"{self._dice.getrandbits(64):016x}"
+        return CallerJob(number, self._dice.choice(QUEUES), counts)
+
+    async def _follow(self, job: CallerJob) -> None:
+        await self._hand_in(job)
+        if job.outcome is Outcome.ACCEPTED and self._dice.random() < CANCEL_SHARE:
+            await asyncio.sleep(self._dice.uniform(0.0, MAX_CANCEL_DELAY_S))
+            await self._cancel(job)
+
+    async def _hand_in(self, job: CallerJob) -> None:
+        is_certain = True
+        for _ in range(ATTEMPTS):
+            status, _ = await self.call("POST", job, job.body())
+            if status == ACCEPTED:
+                job.outcome = Outcome.ACCEPTED
+                return
+            if status in REFUSED and is_certain:
+                job.outcome = Outcome.REFUSED
+                return
+            if status and status not in (*REFUSED, *UNCERTAIN):
+                self.odd_answers.append(f"POST {job.id}: {status}")
+            # After an attempt without an answer a refusal says nothing of that one.
+            is_certain &= status in REFUSED
+            await asyncio.sleep(RETRY_S)
+
+    async def _cancel(self, job: CallerJob) -> None:
+        job.may_be_cancelled = True
+        for _ in range(ATTEMPTS):
+            status, _ = await self.call("DELETE", job)
+            if status == ACCEPTED:
+                job.outcome = Outcome.CANCELLED
+                return
+            if status == 410:
+                self.odd_answers.append(f"DELETE of accepted {job.id}: {status}")
+            await asyncio.sleep(RETRY_S)
+
+    async def call(
+        self, method: str, job: CallerJob, body: dict | None = None
+    ) -> tuple[int, dict]:
+        """Make one call at any daemon; status 0 means that no answer came."""
+        daemon = self._dice.choice(self._daemons)
+        url = f"http://{daemon.callers}{job.path}"
+        headers = {"Host": HOST}
+        try:
+            async with self._session.request(
+                method, url, json=body, headers=headers
+            ) as resp:
+                is_json = resp.content_type == "application/json"
+                return resp.status, await resp.json() if is_json else {}
+        except (TimeoutError, OSError, ClientError, ValueError):
+            return 0, {}
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/deployment.py
@@ -0,0 +1,207 @@
+"""Daemons as processes of their own, around a platform in this process."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from fulmarlever_standins.authority.network import Network
+from fulmarlever_standins.authority.record import RunRecord
+from fulmarlever_standins.authority.server import PlatformServer
+from fulmarlever_standins.authority.worker import WorkerCore
+from fulmarlever_standins.processes import ChildProcess, ProcessError
+from fulmarlever_standins.relay import Link
+from fulmarlever_standins.topology import find_free_prefix
+from fulmarleverd.platform.formats import CONFIG_KEY, OPERATOR_TABLE, WORKERS_TABLE
+from fulmarleverd.platform.settings import SETTINGS_VARIABLE
+
+DAEMON = [sys.executable, "-m", "fulmarleverd", "--interface", "authority"]
+CALLER_PORT = 7100
+READY_PORT = 7101
+METRICS_PORT = 7110
+RELAY_PORT = 7300
+HOST = "desk.example"
+QUEUES = ("labels", "plans")
+READY_LIMIT_S = 20.0
+POLL_S = 0.1
+BOUNDS = {"holdMaxMs": 6000, "stopTimeoutMs": 200, "graceS": 6}
+
+
+class SoakDaemon:
+    """One daemon, its settings file and its link to the store.
+
+    ``is_in_use`` is set while a fault acts on its process.
+    """
+
+    def __init__(self, name: str, address: str, directory: Path) -> None:
+        self.name = name
+        self.address = address
+        self.settings_path = directory / f"{name}.json"
+        variables = {SETTINGS_VARIABLE: str(self.settings_path)}
+        self.process = ChildProcess(name, DAEMON, directory, variables)
+        self.link: Link | None = None
+        self.is_in_use = False
+
+    @property
+    def callers(self) -> str:
+        """Return the address for callers."""
+        return f"{self.address}:{CALLER_PORT}"
+
+    def write_settings(self, grace_s: int = BOUNDS["graceS"]) -> None:
+        """Write the settings file of the next start or reload."""
+        host, port = self.link.listen
+        settings = {
+            "nodeName": self.name,
+            "zone": "z",
+            "ip": self.address,
+            "listenAddrs": {
+                "front": self.callers,
+                "readyAddr": f"{self.address}:{READY_PORT}",
+            },
+            "portRange": [METRICS_PORT, METRICS_PORT + 5],
+            "bounds": {**BOUNDS, "graceS": grace_s},
+            "platform": {"address": f"{host}:{port}"},
+        }
+        self.settings_path.write_text(json.dumps(settings))
+
+    async def start(self) -> None:
+        """Start the process."""
+        await self.process.start()
+
+
+class Deployment:
+    """Daemons, workers, links and the record of what the workers saw."""
+
+    def __init__(self, daemons: int, workers: int, directory: Path) -> None:
+        prefix = find_free_prefix()
+        self.directory = directory
+        self.network = Network()
+        self.record = RunRecord()
+        self.daemons = [
+            SoakDaemon(f"vm{n}", f"127.{prefix}.1.{n + 1}", directory)
+            for n in range(daemons)
+        ]
+        self.workers: dict[str, WorkerCore] = {}
+        self.worker_links: dict[str, Link] = {}
+        self.config_version = 0
+        self.session: ClientSession | None = None
+        self._server = PlatformServer(self.network)
+        self._worker_count = workers
+        self._prefix = prefix
+
+    async def start(self) -> None:
+        """Start the platform, the workers and every daemon."""
+        self.session = ClientSession(timeout=ClientTimeout(total=4.0))
+        self.change_config()
+        for number in range(self._worker_count):
+            await self._add_worker(f"w{number}")
+        for daemon in self.daemons:
+            store = await self._server.serve_store(daemon.name)
+            listen = f"{daemon.address}:{RELAY_PORT}"
+            daemon.link = Link(daemon.name, listen, store)
+            await daemon.link.start()
+            daemon.write_settings()
+            await daemon.start()
+        for daemon in self.daemons:
+            await self.until_ready(daemon)
+
+    async def close(self) -> None:
+        """End every process and connection."""
+        for daemon in self.daemons:
+            await daemon.process.stop()
+        for link in self.links():
+            await link.stop()
+        if self.session is not None:
+            await self.session.close()
+        await self._server.close()
+
+    def links(self) -> list[Link]:
+        """Return every link."""
+        own = [daemon.link for daemon in self.daemons if daemon.link is not None]
+        return [*own, *self.worker_links.values()]
+
+    def log_lines(self) -> Iterator[str]:
+        """Yield the lines that all daemons have logged so far."""
+        for daemon in self.daemons:
+            with daemon.process.log_path.open(errors="replace") as lines:
+                yield from lines
+
+    def change_config(self) -> None:
+        """Write the next version of the operator's configuration."""
+        self.config_version += 3
+        routes = [
+            {
+                "name": name,
+                "host": HOST,
+                "pathPrefix": f"/{name}/",
+                "service": "desk",
+                "priority": priority,
+                "maxAttempts": 4,
+                "stretch": 2.0,
+                "targetLatencyMs": 500,
+                "timeoutMs": 3000,
+            }
+            for priority, name in enumerate(QUEUES)
+        ]
+        services = [{"name": "desk", "admissionCheck": True}]
+        config = {
+            "version": self.config_version,
+            "routes": routes,
+            "services": services,
+            "limits": {},
+        }
+        self.network.store.put_json(OPERATOR_TABLE, CONFIG_KEY, config)
+
+    async def _add_worker(self, name: str) -> None:
+        """Serve a worker behind a link of its own."""
+        listen = f"127.{self._prefix}.2.{len(self.workers) + 1}:{RELAY_PORT}"
+        link = Link(name, listen, await self._server.serve_worker(listen))
+        await link.start()
+        self.worker_links[name] = link
+        self._begin_life(WorkerCore(name, listen, "z"))
+
+    def _begin_life(self, worker: WorkerCore) -> None:
+        self.workers[worker.id] = worker
+        self.record.watch(worker)
+        self.network.add_worker(worker)
+
+    def crash_worker(self, name: str) -> None:
+        """End a life of a worker with all that it runs."""
+        worker = self.workers[name]
+        self.record.forget(worker)
+        del self.network.workers[worker.address]
+
+    def unlist_worker(self, name: str) -> None:
+        """Remove the entry of a worker that has been silent for long."""
+        self.network.store.remove(WORKERS_TABLE, name)
+
+    def restart_worker(self, name: str) -> None:
+        """Begin another life of a worker under its id and address."""
+        old = self.workers[name]
+        self._begin_life(WorkerCore(old.id, old.address, old.zone, old.born + 1))
+
+    async def until_ready(
+        self, daemon: SoakDaemon, limit_s: float = READY_LIMIT_S
+    ) -> None:
+        """Wait until a daemon is ready. Raises ``ProcessError`` if it is not."""
+        async with asyncio.timeout(limit_s):
+            while not await self.is_ready(daemon):
+                if not daemon.process.is_running:
+                    raise ProcessError(
+                        f"{daemon.name} ended: {daemon.process.log_tail()}"
+                    )
+                await asyncio.sleep(POLL_S)
+
+    async def is_ready(self, daemon: SoakDaemon) -> bool:
+        """Return what a daemon answers to the readiness probe."""
+        url = f"http://{daemon.address}:{READY_PORT}/readiness"
+        try:
+            async with self.session.get(url) as resp:
+                return resp.status == 200
+        except (TimeoutError, OSError, ClientError):
+            return False
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/promises.py
@@ -0,0 +1,90 @@
+"""What must hold after a soak, from what callers and workers saw."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Iterator
+
+from fulmarlever.log_story import Story
+from fulmarlever_standins.soak.callers import CallerJob, Callers, Outcome
+from fulmarlever_standins.soak.deployment import Deployment
+
+FINISH_LIMIT_S = 30.0
+READY_LIMIT_S = 12.0
+CANCEL_LIMIT_S = 5.0
+POLL_S = 0.3
+GONE = 410
+FINAL = ("completed", "failed", "cancelled")
+
+
+async def find_broken(deployment: Deployment, callers: Callers) -> AsyncIterator[str]:
+    """Yield a line per broken promise, once every fault is over."""
+    for daemon in deployment.daemons:
+        try:
+            await deployment.until_ready(daemon, READY_LIMIT_S)
+        except TimeoutError:
+            yield f"{daemon.name} is not ready {READY_LIMIT_S:.0f} s after the faults"
+    for line in callers.odd_answers:
+        yield f"answer that the interface does not have: {line}"
+    states = await asyncio.gather(*(final_state(callers, job) for job in callers.jobs))
+    await asyncio.sleep(CANCEL_LIMIT_S)
+    for job, state in zip(callers.jobs, states, strict=True):
+        for line in find_broken_job(job, state, deployment):
+            yield f"job {job.id} ({job.outcome}, {state}): {line}"
+    for job, state in zip(callers.jobs, states, strict=True):
+        is_refused = job.outcome is Outcome.REFUSED
+        if (is_refused or state == "failed") and not is_explained(job, deployment):
+            yield f"job {job.id} ({job.outcome}, {state}): no cause in the logs"
+    record = deployment.record
+    for task in record.overlaps:
+        yield f"task {task} ran twice at the same time"
+    for task in record.restarted_after_known_end():
+        yield f"task {task} started again after its end was known"
+
+
+def is_explained(job: CallerJob, deployment: Deployment) -> bool:
+    """Return whether the daemons' logs alone tell why a job was refused or failed."""
+    return bool(Story.from_lines(job.id, deployment.log_lines()).causes())
+
+
+async def final_state(callers: Callers, job: CallerJob) -> str:
+    """Return the last state of a job that its callers are told."""
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + FINISH_LIMIT_S
+    state = "no answer"
+    while loop.time() < until_s:
+        status, body = await callers.call("GET", job)
+        if status == GONE:
+            return "unknown"
+        state = body.get("state", state)
+        if state in FINAL:
+            return state
+        await asyncio.sleep(POLL_S)
+    return state
+
+
+def find_broken_job(
+    job: CallerJob, state: str, deployment: Deployment
+) -> Iterator[str]:
+    """Yield what is wrong with one job."""
+    record = deployment.record
+    tasks = [
+        f"{job.id}.0.{step}.{index}"
+        for step, count in enumerate(job.counts)
+        for index in range(count)
+    ]
+    started = sum(record.starts[task] > 0 for task in tasks)
+    not_done = [task for task in tasks if not record.done[task]]
+    if state == "completed" and not_done:
+        yield f"shown as completed, but {not_done[0]} has not ended as done"
+    is_owed = job.outcome is Outcome.ACCEPTED and not job.may_be_cancelled
+    if is_owed and state not in ("completed", "failed"):
+        yield "accepted, and not brought to its end"
+    if job.outcome is Outcome.REFUSED and (started or state != "unknown"):
+        yield "answered as not run, and known or run"
+    if job.outcome is Outcome.CANCELLED and state not in FINAL:
+        yield "its cancellation was acknowledged, and it has no final state"
+    if state == "unknown" and started:
+        yield "has run, and is not known"
+    if state in FINAL and record.running().intersection(tasks):
+        yield "has a final state and runs on"
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/runner.py
@@ -0,0 +1,117 @@
+"""One run of the soak: a seed draws callers and faults."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+from fulmarlever_standins.soak.callers import Callers
+from fulmarlever_standins.soak.deployment import Deployment
+from fulmarlever_standins.soak.faults import FAULTS
+from fulmarlever_standins.soak.promises import find_broken
+
+MIN_PAUSE_S = 0.1
+MAX_PAUSE_S = 1.5
+# The first jobs are handed in while nothing is disturbed.
+CALM_S = 2.0
+
+
+@dataclass(slots=True)
+class SoakResult:
+    """What one seed gave. ``faults`` are lines of time, kind and place."""
+
+    seed: int
+    jobs: int = 0
+    tasks_done: int = 0
+    faults: list[str] = field(default_factory=list)
+    broken: list[str] = field(default_factory=list)
+
+    def summary(self) -> str:
+        """Return one line."""
+        return (
+            f"seed {self.seed}: {self.jobs} jobs, {self.tasks_done} tasks done, "
+            f"{len(self.faults)} faults, {len(self.broken)} broken promises"
+        )
+
+
+class Soak:
+    """Runs one seed; the logs of the daemons stay in ``directory``."""
+
+    def __init__(
+        self, seed: int, seconds: float, daemons: int, workers: int, directory: Path
+    ) -> None:
+        self.result = SoakResult(seed)
+        self._seconds = seconds
+        self._deployment = Deployment(daemons, workers, directory)
+        # Draws of callers and faults are apart, so that one does not shift the other.
+        self._caller_dice = Random(seed)
+        self._fault_dice = Random(seed + 1)
+
+    async def run(self) -> SoakResult:
+        """Start everything, disturb it, and check the promises."""
+        deployment = self._deployment
+        result = self.result
+        try:
+            await deployment.start()
+            callers = Callers(deployment.daemons, deployment.session, self._caller_dice)
+            await asyncio.gather(callers.run(self._seconds), self._disturb())
+            self._note_ended_processes()
+            result.broken += [line async for line in find_broken(deployment, callers)]
+            result.jobs = len(callers.jobs)
+            result.tasks_done = sum(deployment.record.done.values())
+        finally:
+            await deployment.close()
+        return result
+
+    async def _disturb(self) -> None:
+        """Begin faults at random times; they overlap, and the last one is awaited."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        tasks = []
+        await asyncio.sleep(CALM_S)
+        while loop.time() - began_s < self._seconds:
+            name = self._fault_dice.choice(list(FAULTS))
+            # A generator of its own, as overlapping faults draw in no fixed order.
+            dice = Random(self._fault_dice.getrandbits(32))
+            at_s = loop.time() - began_s
+            tasks.append(asyncio.create_task(self._do(name, dice, at_s)))
+            await asyncio.sleep(self._fault_dice.uniform(MIN_PAUSE_S, MAX_PAUSE_S))
+        await asyncio.gather(*tasks)
+
+    async def _do(self, name: str, dice: Random, at_s: float) -> None:
+        where = await FAULTS.find(name)(self._deployment, dice)
+        self.result.faults.append(f"{at_s:6.2f} s {name}: {where}")
+
+    def _note_ended_processes(self) -> None:
+        for daemon in self._deployment.daemons:
+            if not daemon.process.is_running:
+                tail = daemon.process.log_tail()
+                self.result.broken.append(f"{daemon.name} ended by itself: {tail}")
+
+
+async def run_seed(
+    seed: int,
+    seconds: float,
+    daemons: int,
+    workers: int,
+    logs: Path | None = None,
+) -> SoakResult:
+    """Run one seed; its logs are kept in ``logs`` if a promise is broken."""
+    with tempfile.TemporaryDirectory(prefix="fulmarlever-soak-") as directory:
+        soak = Soak(seed, seconds, daemons, workers, Path(directory))
+        result = await soak.run()
+        if result.broken and logs is not None:
+            keep_logs(Path(directory), logs / str(seed), result)
+        return result
+
+
+def keep_logs(directory: Path, target: Path, result: SoakResult) -> None:
+    """Copy the daemons' logs and write what was done and found."""
+    target.mkdir(parents=True, exist_ok=True)
+    for path in directory.glob("*.log"):
+        (target / path.name).write_bytes(path.read_bytes())
+    lines = [result.summary(), *result.broken, *sorted(result.faults)]
+    (target / "result.txt").write_text("\n".join(lines) + "\n")
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/faults_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/faults_tests.py
@@ -2,15 +2,33 @@
 
 import asyncio
 
-from fulmarlever.outcomes import failed
+from fulmarlever.outcomes import OutcomeUnknown, failed
 from fulmarlever_standins.authority.site import FILLING, job
 from fulmarlever_standins.tests.authority.base import SiteTestCase
 from fulmarleverd.scheduling.intake import UnknownJob
 from fulmarleverd.scheduling.specs import StepSpec
 
+TARGET = {"X-Target-Instance": "w0"}
 LASTING = StepSpec(count=2, cpu_m=1000, estimate_s=0.5, is_long_running=True)
 
 
+class CrashTests(SiteTestCase):
+    def test_a_call_that_is_open_at_a_crash_gets_no_answer(self):
+        """Seed 103 of the soak: the dead life told of an end that nobody had seen."""
+
+        async def scenario(site):
+            worker = site.add_worker("w0")
+            call = site.network.client("vm").call(
+                "POST", "w0:1", "/hold", 2.0, {"lastSeen": 0, "waitMs": 1000}, TARGET
+            )
+            answer = asyncio.create_task(call)
+            await asyncio.sleep(0.2)
+            site.crash_worker(worker)
+            self.assertIsInstance(await answer, OutcomeUnknown)
+
+        self.play(scenario)
+
+
 class StoreFaultTests(SiteTestCase):
     ROWS = (
         ("answers lost", {"lose_answers": 3}),
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak and its seeds."""
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/soak/promises_tests.py
@@ -0,0 +1,71 @@
+"""Each broken promise is found in what callers and workers saw."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from types import SimpleNamespace
+
+from fulmarlever.tests.base import TableTestCase
+from fulmarlever_standins.authority.record import RunRecord
+from fulmarlever_standins.authority.worker import WorkerCore
+from fulmarlever_standins.soak.callers import CallerJob, Outcome
+from fulmarlever_standins.soak.promises import find_broken_job
+
+TASKS = ("j.0.0.0", "j.0.1.0")
+
+
+def play(record: RunRecord, *events: tuple[str, str]) -> None:
+    """Take note of events: (task, "start") or (task, how it ended)."""
+    worker = WorkerCore("w", "w:1", "z")
+    record.watch(worker)
+    for task, event in events:
+        if event == "start":
+            worker.on_start(worker, (task, 1))
+        else:
+            worker.ends.append([len(worker.ends) + 1, task, 1, event, ""])
+            worker.on_end(worker, (task, 1), event)
+
+
+WHOLE_RUN = tuple((task, event) for task in TASKS for event in ("start", "done"))
+
+
+class BrokenJobTests(TableTestCase, unittest.IsolatedAsyncioTestCase):
+    ROWS = (
+        ("completed", Outcome.ACCEPTED, "completed", WHOLE_RUN, 0),
+        ("refused and unknown", Outcome.REFUSED, "unknown", (), 0),
+        ("unknown to its caller", Outcome.UNKNOWN, "unknown", (), 0),
+        ("not finished", Outcome.ACCEPTED, "running", WHOLE_RUN[:3], 1),
+        ("forgotten", Outcome.ACCEPTED, "unknown", (), 1),
+        ("completed too early", Outcome.ACCEPTED, "completed", WHOLE_RUN[:2], 1),
+        ("refused, but known", Outcome.REFUSED, "queued", (), 1),
+        ("refused, but run", Outcome.REFUSED, "unknown", WHOLE_RUN, 2),
+        ("run, but unknown", Outcome.UNKNOWN, "unknown", WHOLE_RUN, 1),
+        ("cancelled, and queued", Outcome.CANCELLED, "queued", (), 1),
+        ("cancelled, and runs", Outcome.CANCELLED, "cancelled", WHOLE_RUN[:1], 1),
+    )
+
+    async def test_what_is_wrong_with_a_job(self):
+        for _, outcome, state, events, expected in self.each(self.ROWS):
+            record = RunRecord()
+            play(record, *events)
+            job = CallerJob("j", "labels", (1, 1), outcome)
+            deployment = SimpleNamespace(record=record)
+            found = list(find_broken_job(job, state, deployment))
+            self.assertEqual(len(found), expected, found)
+
+    async def test_a_restart_counts_once_the_end_was_known(self):
+        record = RunRecord()
+        play(record, (TASKS[0], "start"), (TASKS[0], "done"))
+        first = record._ends[TASKS[0]][0][0]
+        play(record, (TASKS[0], "start"))
+        self.assertEqual(record.restarted_after_known_end(), [])
+        first.last_seen = 1
+        self.assertEqual(record.restarted_after_known_end(), [TASKS[0]])
+        self.assertEqual(record.restarted_after_done, [TASKS[0]])
+
+    async def test_two_runs_at_once_are_seen(self):
+        record = RunRecord()
+        play(record, (TASKS[0], "start"), (TASKS[0], "start"))
+        self.assertEqual(record.overlaps, [TASKS[0]])
+        await asyncio.sleep(0)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
@@ -30,6 +30,10 @@
 # A run is moved only if it would otherwise take this much longer.
 MIN_GAIN_S = 0.8
 COMPLETE_PERCENT = 100.0
+# Estimates are rough, so a run that has no others to compare with is far behind only
+# once it would take this many times its estimate, and this long.
+FAR_BEHIND_ESTIMATES = 8.0
+FAR_BEHIND_S = 4.0
 
 
 class ProgressWatch:
@@ -47,10 +51,18 @@
         self._judge(worker, now)
         for run in list(self._stalled(worker, now)):
             self._stop_stalled(worker, run, now)
+        for run in list(self._far_behind(worker)):
+            # Once a task: the estimate may be wrong on every worker.
+            run.task.avoid.add(worker.id)
+            self._move(run, "far behind its estimate")
         if worker.is_slow:
             for run in list(self._worth_moving(worker)):
-                if not self._owner.want_copy(run, "its worker is slow"):
-                    self._owner.stop_run(run, "its worker is slow")
+                self._move(run, "its worker is slow")
+
+    def _move(self, run: Run, why: str) -> None:
+        """Let a task run elsewhere, beside this run if its step allows copies."""
+        if not self._owner.want_copy(run, why):
+            self._owner.stop_run(run, why)
 
     def _follow(self, worker: Worker, run: Run, now_s: float) -> None:
         if run.progress_at_s == 0.0 or run.pace < COMPLETE_PERCENT:
@@ -105,8 +117,23 @@
         record_run("run-stalled", run, percent=run.percent)
         run.task.avoid.add(worker.id)
         worker.avoid_until_s = max(worker.avoid_until_s, now_s + STALLED_PAUSE_S)
-        if not self._owner.want_copy(run, "no progress"):
-            self._owner.stop_run(run, "no progress")
+        self._move(run, "no progress")
+
+    def _far_behind(self, worker: Worker) -> Iterator[Run]:
+        """Yield runs of small steps that will take many times their estimate."""
+        for run in worker.runs.values():
+            step = run.task.step
+            if run.state is not RunState.RUNNING or step.spec.is_long_running:
+                continue
+            if not run.speed or run.task.avoid or run.pace < COMPLETE_PERCENT:
+                continue
+            if step.speed_samples >= MIN_STEP_SAMPLES and step.speed > run.speed:
+                # Others of its step tell more than the estimate.
+                continue
+            limit_s = max(FAR_BEHIND_S, FAR_BEHIND_ESTIMATES * step.spec.estimate_s)
+            left = 1.0 - run.percent / COMPLETE_PERCENT
+            if step.spec.estimate_s and left / run.speed > limit_s:
+                yield run
 
     def _worth_moving(self, worker: Worker) -> Iterator[Run]:
         """Yield the runs that would end sooner on a sound worker."""
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/progress_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/progress_tests.py
@@ -44,6 +44,23 @@
             self.assertEqual("w1" in run.task.avoid, expected)
             self.report(self.slow, ends=((run, "stopped"),))
 
+    def test_a_run_far_behind_its_estimate_is_moved_once(self):
+        """Steps of one task on a slow worker have no other runs to be compared with."""
+        rows = (
+            ("far behind", 2.0, False, True),
+            ("as declared", 40.0, False, False),
+            ("moved before", 2.0, True, False),
+        )
+        for name, percent, was_moved, expected in self.each(rows):
+            run = self.start(
+                self.add_job(name, StepSpec(cpu_m=1, estimate_s=0.5)), self.slow
+            )
+            if was_moved:
+                run.task.avoid.add("w2")
+            self.run_at(run, (percent, 2 * percent, 2.5 * percent), 0.5)
+            self.assertEqual(run in self.orders.stops, expected)
+            self.report(self.slow, ends=((run, "stopped"),))
+
     def test_a_slow_worker_gets_no_more_and_gives_its_work_back(self):
         job = self.add_job("j", SAVED)
         sound = self.start(job, self.sound, index=1)
