Narrow the soak's check of restarts to ends known before the lease lapsed

So the check now asks the worker whether its lease lapsed between the end and the acknowledgement; a test of the stand-in covers both cases. Overlaps and restarts after ends known in time are found as before. Ruled out: a wrong takeover (one owner all the time).

--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/worker.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/worker.py
@@ -55,6 +55,11 @@
         self.token = 0
         self.lease_until_s = 0.0
         self.last_seen = 0
+        # Ends that were acknowledged before the lease lapsed after them.
+        self.known_ends: set[int] = set()
+        self._lapses = 0
+        # Per end that is not acknowledged, the number of lapses before it.
+        self._lapses_before: dict[int, int] = {}
         self.asked = 0
         self._ended: dict[str, int] = {}
         self._number = 0
@@ -151,6 +156,7 @@
             self._lease_timer = self._loop.call_at(until_s, self._lapse)
 
     def _lapse(self) -> None:
+        self._lapses += 1
         for key in list(self.running):
             self._end(key, "lapsed")
 
@@ -164,6 +170,7 @@
         self._ended[task] = max(number, self._ended.get(task, 0))
         self._number += 1
         self.ends.append([self._number, task, number, how, run.checkpoint])
+        self._lapses_before[self._number] = self._lapses
         self.on_end(self, key, how)
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
@@ -171,8 +178,7 @@
     async def _hold(self, body: dict) -> tuple:
         self.asked += 1
         self._extend(body.get("deadlineMs", 0))
-        self.last_seen = max(self.last_seen, body["lastSeen"])
-        self.ends = [end for end in self.ends if end[0] > self.last_seen]
+        self._acknowledge(body["lastSeen"])
         if not self.ends and body.get("waitMs"):
             try:
                 async with asyncio.timeout(body["waitMs"] / 1000.0):
@@ -190,6 +196,13 @@
             "finished": self.ends[:500],
         }
 
+    def _acknowledge(self, last_seen: int) -> None:
+        for number in range(self.last_seen + 1, last_seen + 1):
+            if self._lapses_before.pop(number, -1) == self._lapses:
+                self.known_ends.add(number)
+        self.last_seen = max(self.last_seen, last_seen)
+        self.ends = [end for end in self.ends if end[0] > self.last_seen]
+
     def _percent(self, run: WorkerRun) -> int:
         if not run.work_s:
             return 100
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/faults_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/faults_tests.py
@@ -12,6 +12,26 @@
 LASTING = StepSpec(count=2, cpu_m=1000, estimate_s=0.5, is_long_running=True)
 
 
+class KnownEndTests(SiteTestCase):
+    ROWS = (("in time", 0.7, {1}), ("after the lease has lapsed", 3.0, set()))
+
+    def test_an_end_is_known_unless_the_lease_lapses_first(self):
+        """Seed 1 of the soak: a worker stayed silent until its lease was over."""
+        for _, asked_after_s, expected in self.each(self.ROWS):
+
+            async def scenario(site, asked_after_s=asked_after_s, expected=expected):
+                worker = site.add_worker("w0")
+                call = site.network.client("vm").call
+                start = {"task": "t.0.0.0", "run": 1, "deadlineMs": 3000}
+                await call("POST", "w0:1", "/run-start", 1.0, start, TARGET)
+                await asyncio.sleep(asked_after_s)
+                seen = {"lastSeen": 1}
+                await call("POST", "w0:1", "/hold", 1.0, seen, TARGET)
+                self.assertEqual(worker.known_ends, expected)
+
+            self.play(scenario)
+
+
 class CrashTests(SiteTestCase):
     def test_a_call_that_is_open_at_a_crash_gets_no_answer(self):
         """Seed 103 of the soak: the dead life told of an end that nobody had seen."""
