--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/worker.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/worker.py
@@ -41,6 +41,7 @@
         self.cpu = 32000
         self.memory_mb = 128000
         self.state = "ready"
+        self.labels = ["a", "r1-1"]
         self.work_s: Callable[[str], float | None] = lambda task: 0.5
         self.fails: Callable[[str], bool] = lambda task: False
         self.usage: Callable[[str], float] = lambda task: 0.0
@@ -80,7 +81,7 @@
             "remainingMs": 4000,
             "coldLeftMs": 0,
             "capacity": {"cpu": self.cpu, "memMb": self.memory_mb, "gpus": 0},
-            "labels": ["a", "r1-1"],
+            "labels": self.labels,
             "born": self.born,
             "clockMs": self.clock_ms(),
             "sequence": 1,
