Skip best-effort steps by what found no worker, not after six misses

Cause: after six best-effort steps without a worker the planner tried no other. Change: within a plan, a task that finds no worker covers those of its service and image that need at least as much; every other image is tried. Tests: a light image behind 20 heavy steps (fails before), what needs less is tried, each image is tried once a worker.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -16,8 +16,6 @@
 
 # Starts planned in one go; the next go follows their commit without a pause.
 MAX_STARTS_PER_PLAN = 200
-# Best-effort steps without a worker after which the rest of them is not tried.
-MAX_MISSES = 6
 
 
 class Planner:
@@ -36,13 +34,13 @@
         self._placement = PLACEMENTS.find(placement)
         self._headroom_taken = headroom_taken
         self._tickets = tickets
-        self._misses = 0
+        self._unplaced = Unplaced()
         self._usable: dict[str, list[Worker]] = {}
 
     def plan(self) -> int:
         """Give tasks to workers and return how many got one."""
         self._usable = {}
-        self._misses = 0
+        self._unplaced = Unplaced()
         started = sum(1 for _ in self._start_copies())
         unadmitted: list[Step] = []
         for step in self._sort(self._ready_steps(), self._owner.now_s()):
@@ -94,7 +92,7 @@
                 yield task
 
     def _start_step(self, step: Step) -> Iterator[Task]:
-        if step.spec.is_best_effort and self._misses >= MAX_MISSES:
+        if self._unplaced.covers(step):
             return
         if step.spec.is_gang:
             yield from self._start_gang(step)
@@ -105,7 +103,7 @@
             _forgive(task, workers)
             if not found.place(task, self._owner.assign):
                 # The other tasks are of the same size.
-                self._misses += step.spec.is_best_effort
+                self._unplaced.note(task)
                 return
             yield task
 
@@ -160,6 +158,43 @@
         return chosen
 
 
+class Unplaced:
+    """The sizes of tasks that found no worker in this plan, by service and image.
+
+    A task that needs at least as much finds none either. So each image is tried about
+    once, and one that disturbs too much does not hold up the others behind it.
+    """
+
+    __slots__ = ("_sizes",)
+
+    def __init__(self) -> None:
+        self._sizes: dict[tuple[str, str, bool], tuple[int, int]] = {}
+
+    def note(self, task: Task) -> None:
+        """Take note of a task without a worker, unless that has a cause of its own."""
+        spec = task.step.spec
+        has_own_cause = (
+            task.avoid
+            or spec.required_label
+            or spec.max_per_worker
+            or spec.gpus
+            or task.step.job.queue.needs_ticket
+        )
+        if not has_own_cause:
+            self._sizes[_kind(task.step)] = (spec.cpu_m, spec.memory_mb)
+
+    def covers(self, step: Step) -> bool:
+        """Return whether the tasks of a step certainly find no worker."""
+        size = self._sizes.get(_kind(step))
+        if size is None:
+            return False
+        return step.spec.cpu_m >= size[0] and step.spec.memory_mb >= size[1]
+
+
+def _kind(step: Step) -> tuple[str, str, bool]:
+    return step.job.queue.service, step.spec.image, step.spec.is_best_effort
+
+
 def _forgive(task: Task, workers: list[Worker]) -> None:
     """Let a task go anywhere again once it avoids every worker."""
     if task.avoid and all(worker.id in task.avoid for worker in workers):
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/placement_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/placement_tests.py
@@ -83,6 +83,35 @@
         self.planner.plan()
         self.assertEqual(self.places(job), ["w1", "w1", "w2", "w2"])
 
+    def test_an_image_without_a_worker_does_not_hold_up_the_others(self):
+        """A backlog of steps that disturb too much, and a light one behind them."""
+        fields = {"count": 2, "cpu_m": 1000, "is_best_effort": True}
+        heavy = [StepSpec(image="heavy", **fields) for _ in range(20)]
+        tried: list[str] = []
+
+        def headroom_taken(spec, worker):
+            tried.append(spec.image)
+            return None if spec.image == "heavy" else 0.0
+
+        self.planner = Planner(self.owner, headroom_taken)
+        for worker in self.workers:
+            serving_job = self.add_job(f"s{worker.id}", serving("a"))
+            self.start(serving_job, worker)
+        for number, spec in enumerate(heavy):
+            self.add_job(f"h{number}", spec)
+        light = self.add_job("light", StepSpec(image="light", **fields))
+        self.planner.plan()
+        self.assertEqual(len(self.places(light)), 2)
+        self.assertEqual(tried.count("heavy"), len(self.workers))
+
+    def test_what_needs_less_is_tried_after_what_needs_more(self):
+        rows = (("less", 2000, 1), ("as much", 40000, 0))
+        for name, cpu_m, expected in self.each(rows):
+            self.add_job(name + " before", StepSpec(cpu_m=40000))
+            job = self.add_job(name, StepSpec(cpu_m=cpu_m))
+            self.planner.plan()
+            self.assertEqual(len(self.places(job)), expected)
+
     def test_a_gang_starts_whole_or_not_at_all(self):
         rows = (("fits", 16000, 4), ("does not fit", 20000, 0))
         for name, cpu_m, expected in self.each(rows):
