Close connections to addresses that are not called any more

Change: with each new address, pools without a call for the keep-alive time are closed. Test: four addresses one after the other leave one pool (fails before: four).

--- a/packages/fulmarleverd/fulmarleverd/platform/http.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/http.py
@@ -69,16 +69,32 @@
 
     def _pool(self, address: str) -> AddressPool:
         if address not in self._pools:
+            self._drop_unused()
             self._pools[address] = AddressPool(
                 address, self._local_address, self._per_address
             )
         return self._pools[address]
 
+    def _drop_unused(self) -> None:
+        """Forget addresses that are not called any more, as workers come and go."""
+        for address, pool in list(self._pools.items()):
+            if pool.is_unused():
+                pool.close()
+                del self._pools[address]
+
 
 class AddressPool:
     """The connections to one address."""
 
-    __slots__ = ("_address", "_local_address", "_idle", "_used", "_places")
+    __slots__ = (
+        "_address",
+        "_local_address",
+        "_idle",
+        "_used",
+        "_places",
+        "_calls",
+        "_last_call_s",
+    )
 
     def __init__(self, address: str, local_address: str, limit: int) -> None:
         self._address = address
@@ -86,11 +102,28 @@
         self._idle: list[Connection] = []
         self._used: set[Connection] = set()
         self._places = asyncio.Semaphore(limit)
+        self._calls = 0
+        self._last_call_s = 0.0
 
     async def ask(
         self, request: bytes, until_s: float
     ) -> Answer | Unavailable | OutcomeUnknown:
         """Send a request; ``until_s`` is on the event loop's clock."""
+        self._calls += 1
+        try:
+            return await self._ask(request, until_s)
+        finally:
+            self._calls -= 1
+            self._last_call_s = asyncio.get_running_loop().time()
+
+    def is_unused(self) -> bool:
+        """Return whether no call is under way and the last one was long ago."""
+        now = asyncio.get_running_loop().time()
+        return self._calls == 0 and now - self._last_call_s > KEEPALIVE_S
+
+    async def _ask(
+        self, request: bytes, until_s: float
+    ) -> Answer | Unavailable | OutcomeUnknown:
         try:
             async with asyncio.timeout_at(until_s):
                 await self._places.acquire()
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/http_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/http_tests.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable
 from fulmarleverd.platform.connection import MAX_ANSWER_BYTES
@@ -155,6 +156,13 @@
         await self.call(address)
         self.assertEqual(self.server.connections, 3)
 
+    async def test_connections_to_workers_that_are_gone_are_closed(self) -> None:
+        """Workers come and go for days, and a dead one sends no end of connection."""
+        with mock.patch("fulmarleverd.platform.http.KEEPALIVE_S", 0.0):
+            for _ in range(4):
+                await self.call(await self.serve())
+            self.assertEqual(len(self.client._pools), 1)
+
     async def test_a_cancelled_call_ends_its_connection(self) -> None:
         address = await self.serve(None)
         for _ in range(3):
