Keep the runs of a worker that starts again until its next life has reported

Ruled out: a late order (none was pending), a second owner (one token). Change: runs move to the next life and wait for its first report; those that it does not have are dropped, those without an answer are stopped there first, as it rejects the start of a run that was stopped. If its report comes before its entry, it is known without being given starts. The same holds for runs that an earlier owner gave to a life before.

--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/site.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/site.py
@@ -114,6 +114,18 @@
         self.network.add_worker(worker)
         return worker
 
+    def restart_worker(self, old: WorkerCore, entry_after_s: float) -> WorkerCore:
+        """Begin another life of a worker at once; its entry follows later."""
+        self.crash_worker(old)
+        worker = WorkerCore(old.id, old.address, old.zone, old.born + 1)
+        worker.work_s = old.work_s
+        self.record.watch(worker)
+        self.network.workers[worker.address] = worker
+        asyncio.get_running_loop().call_later(
+            entry_after_s, self.network.add_worker, worker
+        )
+        return worker
+
     def crash_worker(self, worker: WorkerCore) -> None:
         """End a worker and all that it runs, without an end that anyone sees."""
         del self.network.workers[worker.address]
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/faults_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/faults_tests.py
@@ -32,6 +32,41 @@
             self.play(scenario)
 
 
+class RebornTests(SiteTestCase):
+    """A worker starts again under its id and address around the start of tasks.
+
+    Seed 305 of the soak: the next life took a start that was meant for the last one.
+    """
+
+    MOMENTS_S = tuple(0.002 * number for number in range(0, 25))
+    ROWS = (
+        ("entry at once", 0.003, 0),
+        ("entry later", 0.4, 0),
+        ("late start", 0.4, 1),
+    )
+
+    def test_no_task_runs_twice_whenever_the_worker_starts_again(self):
+        for _, entry_after_s, late in self.each(self.ROWS):
+            for moment_s in self.MOMENTS_S:
+                with self.subTest(moment_s=moment_s):
+                    self.play_restart(moment_s, entry_after_s, late)
+
+    def play_restart(self, moment_s: float, entry_after_s: float, late: int) -> None:
+        async def scenario(site):
+            site.add_daemons("vm-1")
+            worker = site.add_workers(2)[0]
+            for other in site.network.workers.values():
+                other.work_s = lambda task: 2.5
+            owner = await site.until_owned()
+            site.network.late_orders = late
+            await owner.submit(job("j", StepSpec(count=4, cpu_m=1000, estimate_s=2.5)))
+            await asyncio.sleep(moment_s)
+            site.restart_worker(worker, entry_after_s)
+            await site.until_state(owner, "j", "completed", 30.0)
+
+        self.play(scenario)
+
+
 class CrashTests(SiteTestCase):
     def test_a_call_that_is_open_at_a_crash_gets_no_answer(self):
         """Seed 103 of the soak: the dead life told of an end that nobody had seen."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/orders.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/orders.py
@@ -90,18 +90,18 @@
         self._spawn(self._start(run))
 
     async def _start(self, run: Run) -> None:
-        worker = run.worker
         for _ in range(START_TRIES):
             await self._wait_for_lease()
             if run.state is not RunState.SENT or not run.is_active:
                 return
+            worker = run.worker
             worker.granted_s = max(worker.granted_s, self._owner.now_s())
             result = await self._calls.start(worker.entry, self._order(run, worker))
             STARTS.labels(_outcome(result)).inc()
             if self._take_start(run, worker, result):
                 return
             await asyncio.sleep(RETRY_S)
-        self._give_up(run, worker)
+        self._give_up(run, run.worker)
 
     def _take_start(self, run: Run, worker: Worker, result: OrderResult) -> bool:
         """Move a run on by the answer to its start; return false to send it again."""
@@ -109,9 +109,10 @@
         now = owner.now_s()
         if isinstance(result, Accepted):
             worker.note_clock(result.clock_ms, now)
-            run.started_s = run.seen_at_s = now
+            run.started_s = now
             if run.state is RunState.SENT:
                 run.state = RunState.RUNNING
+                run.seen_at_s = now
             record_run("run-accepted", run, "accepted", checkpoint=run.task.checkpoint)
             return True
         record_run("run-not-started", run, result.reason)
@@ -165,12 +166,12 @@
         self._spawn(self._stop(run))
 
     async def _stop(self, run: Run) -> None:
-        worker = run.worker
         run.seen_at_s = float("inf")
         while run.is_active:
             if not self._owner.lease.may_extend:
                 await asyncio.sleep(LEASE_POLL_S)
                 continue
+            worker = run.worker
             result = await self._calls.stop(worker.entry, self._order(run, worker))
             if isinstance(result, Accepted):
                 run.seen_at_s = self._owner.now_s()
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from loguru import logger as log
@@ -222,10 +223,34 @@
     def _replace_earlier_lives(self, worker: Worker) -> None:
         for other in self.fleet.lives_of(worker.id):
             if other is not worker:
-                self.lose_worker(other, "started again")
+                record("worker-lost", "started again", worker=worker.id)
+                for run in list(other.runs.values()):
+                    other.remove(run)
+                    self._move_to_next_life(run, worker)
+                self.fleet.drop(other)
         for run in list(self.orphans):
             if run.worker_key.id == worker.id and run.worker_key != worker.key:
-                self.drop_run(run, "its worker has started again")
+                self.orphans.discard(run)
+                self._move_to_next_life(run, worker)
+
+    def _move_to_next_life(self, run: Run, worker: Worker) -> None:
+        """Let a run wait for the first report of its worker's next life.
+
+        Both lives answer to one id, so either may have taken the start; also a start
+        that is carried out late runs on the next one.
+        """
+        if run.state is RunState.PLANNED:
+            self.drop_run(run, "its worker has started again")
+            return
+        run.begin_life(worker.key)
+        worker.add(run)
+        job = run.task.step.job
+        if not job.is_final:
+            self.commits.stage(job)
+        record_run("run-moved", run, "its worker has started again")
+        if run.state is RunState.SENT:
+            run.may_arrive_late = True
+            self.stop_run(run, "its worker has started again")
 
     def _adopt_orphans(self, worker: Worker) -> None:
         for run in [run for run in self.orphans if run.worker_key == worker.key]:
@@ -258,6 +283,15 @@
             self.drop_run(run, "its worker is gone: " + why)
         self.fleet.drop(worker)
 
+    def replace_worker(self, worker: Worker, life: str) -> None:
+        """Take note that another life answers under a worker's id and address.
+
+        It gets no starts until its own entry tells what it is.
+        """
+        if self.fleet.find(WorkerKey(worker.id, life)) is None:
+            next_life = self.add_worker(replace(worker.entry, life=life))
+            next_life.is_listed = False
+
     def expire_silent(self, worker: Worker) -> None:
         """Plan the runs of a worker anew after its lease has certainly lapsed."""
         record("worker-lease-lapsed", worker=worker.id, runs=len(worker.runs))
--- a/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
@@ -35,13 +35,21 @@
         for key, run in list(worker.runs.items()):
             is_certain = run.state in (RunState.RUNNING, RunState.STOPPING)
             if is_certain and key not in present and run.seen_at_s <= asked_s:
-                self._owner.drop_run(run, "its worker no longer has it")
+                self._take_absent(run)
         if not worker.is_reconciled:
             worker.is_reconciled = True
             record("worker-reconciled", worker=worker.id, runs=len(worker.runs))
             self._owner.changed.set()
         self._on_taken(worker)
 
+    def _take_absent(self, run: Run) -> None:
+        """Drop a run that its worker does not have and will not start."""
+        if run.may_arrive_late and run.state is RunState.RUNNING:
+            # A worker rejects the start of a run that was stopped there.
+            self._owner.stop_run(run, "its worker no longer has it")
+        else:
+            self._owner.drop_run(run, "its worker no longer has it")
+
     def _take_ends(self, worker: Worker, report: WorkerReport) -> None:
         last = worker.ends_seen
         for ended in report.ended:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/runs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/runs.py
@@ -72,6 +72,14 @@
         self.may_arrive_late = False
         self.stop_reason = ""
 
+    def begin_life(self, worker_key: WorkerKey) -> None:
+        """Take note that the run may be on another life of its worker."""
+        self.worker_key = worker_key
+        self.percent = self.usage = 0.0
+        self.pace = 100
+        self.sample = None
+        self.progress = self.progress_at_s = self.speed = 0.0
+
     @property
     def is_active(self) -> bool:
         """Return whether the run has been neither dropped nor ended."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
@@ -80,7 +80,7 @@
 
     async def _take(self, report: WorkerReport, asked_s: float) -> None:
         if has_other_life(self._worker, report):
-            self._owner.lose_worker(self._worker, "another life answers")
+            self._owner.replace_worker(self._worker, report.life)
             return
         if not self._worker.is_reachable:
             record("worker-reached", worker=self._worker.id, failures=self._failures)
