--- a/packages/fulmarlever_standins/fulmarlever_standins/soak/faults.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/faults.py
@@ -17,6 +17,8 @@
 MAX_FAULT_S = 4.0
 MAX_DOWN_S = 3.0
 STOP_LIMIT_S = 8.0
+# Until then no code of the daemon runs, and any signal ends the process.
+INTERPRETER_START_S = 0.4
 # A worker's entry is removed after three missed heartbeats.
 ENTRY_KEPT_S = 3.3
 
@@ -50,6 +52,7 @@
         await daemon.process.kill()
         await asyncio.sleep(dice.uniform(0.0, MAX_DOWN_S))
         await daemon.start()
+        await asyncio.sleep(INTERPRETER_START_S)
 
     return await use_process(deployment, dice, act)
 
@@ -61,6 +64,7 @@
     async def act(daemon: SoakDaemon) -> None:
         await daemon.process.stop(STOP_LIMIT_S)
         await daemon.start()
+        await asyncio.sleep(INTERPRETER_START_S)
 
     return await use_process(deployment, dice, act)
 
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/pages_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/pages_tests.py
@@ -14,7 +14,7 @@
 
 from fulmarlever_cli.__main__ import main as operator_main
 from fulmarlever_standins.cluster import Cluster
-from fulmarleverd.__main__ import main as daemon_main
+from fulmarleverd.daemon import main as daemon_main
 
 ROOT = Path(__file__).parents[4]
 PAGES = (
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/soak/seeds_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/soak/seeds_tests.py
@@ -12,6 +12,8 @@
 SEEDS = (
     (1, 10.0, 3, 5, "steps of one task stayed on a worker that had become slow"),
     (103, 20.0, 4, 6, "the stand-in of a dead worker told of ends"),
+    (305, 12.0, 4, 6, "the next life of a worker took a start: two runs at once"),
+    (402, 12.0, 4, 6, "SIGHUP during the start ended a daemon"),
 )
 # The logs of a seed that fails are kept here.
 LOGS = Path("results/soak")
