--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/intake_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/intake_tests.py
@@ -14,6 +14,7 @@
 from fulmarleverd.scheduling.ports import CommitResult, Transaction
 
 WAIT_S = 2.9
+RESET = OutcomeUnknown("connection lost before the answer")
 
 
 class FaultyStore:
@@ -34,6 +35,7 @@
     ROWS = (
         ("answered lately", (), 0.5, OutcomeUnknown, 2.8, 3.0),
         ("silent for long", (), 1.4, OutcomeUnknown, 0.5, 0.8),
+        ("reset at once", (RESET,) * 99, 1.4, OutcomeUnknown, 0.6, 0.8),
         ("turned away", (Unavailable("503"),), 1.4, NotRun, 0.0, 0.1),
         ("then away", (None, Unavailable("503")), 0.5, OutcomeUnknown, 0.5, 0.8),
     )
--- a/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
@@ -48,6 +48,8 @@
 # The store is asked at least twice a second, so after such a silence it is unlikely to
 # answer this daemon soon; another one may reach it.
 SILENT_S = 1.3
+# A caller has few attempts, which immediate answers would use up within an outage.
+MIN_EFFORT_S = 0.6
 MAX_CACHED_STATES = 5000
 
 
@@ -106,6 +108,7 @@
         self, tx: Transaction, spec: JobSpec, until_s: float
     ) -> None | NotRun | OutcomeUnknown:
         may_have_happened = False
+        began_s = self._clock.monotonic()
         while True:
             left_s = until_s - self._clock.monotonic()
             if left_s <= 0.0:
@@ -117,8 +120,9 @@
             if isinstance(result, Unavailable):
                 return self._give_up(result.reason, may_have_happened)
             may_have_happened = True
-            if self._silence_s() > SILENT_S:
-                # The caller is told at once, while it has time to ask elsewhere.
+            tried_s = self._clock.monotonic() - began_s
+            if self._silence_s() > SILENT_S and tried_s >= MIN_EFFORT_S:
+                # The caller is told now, while it has time to ask elsewhere.
                 return OutcomeUnknown(f"the store is silent: {result.reason}")
             log.bind(event="submit-retry", job=spec.id).info(result.reason)
             await asyncio.sleep(RETRY_S)
