Stop moved runs of ended jobs; no report counts before a stop is accepted

Found on reading the change of workers that start again: a run whose worker was not known when its job ended, and which then moves to the worker's next life, ran on; and between sending a stop and its first step a report could have dropped the run. Neither was seen. Change: moved runs of ended jobs are stopped, and a stop takes the run out of the reports' reach at once, not when its task begins. Tests: a table of states before and after.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/orders.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/orders.py
@@ -166,7 +166,6 @@
         self._spawn(self._stop(run))
 
     async def _stop(self, run: Run) -> None:
-        run.seen_at_s = float("inf")
         while run.is_active:
             if not self._owner.lease.may_extend:
                 await asyncio.sleep(LEASE_POLL_S)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -188,6 +188,8 @@
             self.drop_run(run, why)
         elif run.state is not RunState.STOPPING and run.worker is not None:
             run.state = RunState.STOPPING
+            # No report counts until the worker has accepted the stop.
+            run.seen_at_s = float("inf")
             run.stop_reason = why
             record_run("run-stop", run, why)
             self.orders.send_stop(run)
@@ -244,12 +246,14 @@
             return
         run.begin_life(worker.key)
         worker.add(run)
-        job = run.task.step.job
-        if not job.is_final:
-            self.commits.stage(job)
         record_run("run-moved", run, "its worker has started again")
+        run.may_arrive_late |= run.state is RunState.SENT
+        job = run.task.step.job
+        if job.is_final:
+            self.stop_run(run, "its job ended before its worker was known")
+            return
+        self.commits.stage(job)
         if run.state is RunState.SENT:
-            run.may_arrive_late = True
             self.stop_run(run, "its worker has started again")
 
     def _adopt_orphans(self, worker: Worker) -> None:
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/next_life_tests.py
@@ -0,0 +1,58 @@
+"""What becomes of the runs of a worker that starts again under its id."""
+
+from __future__ import annotations
+
+from fulmarleverd.scheduling.runs import RunState
+from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.tests.scheduling.base import OwnerTestCase
+
+STEP = StepSpec(count=1, cpu_m=1000)
+
+
+class NextLifeTests(OwnerTestCase):
+    # State before, whether a start may still arrive, reported by the next life;
+    # whether the run is stopped there, and whether it is given up with that report.
+    ROWS = (
+        ("not sent", RunState.PLANNED, False, False, False, True),
+        ("without an answer", RunState.SENT, False, False, True, False),
+        ("accepted, there", RunState.RUNNING, False, True, False, False),
+        ("accepted, not there", RunState.RUNNING, False, False, False, True),
+        ("accepted at the second try", RunState.RUNNING, True, False, True, False),
+    )
+
+    def test_runs_wait_for_the_first_report(self):
+        for name, state, may_arrive, is_there, is_stopped, is_over in self.each(
+            self.ROWS
+        ):
+            worker = self.add_worker(name)
+            run = self.start(self.add_job(name, STEP), worker)
+            run.state = state
+            run.may_arrive_late = may_arrive
+            self.clock.advance(0.1)
+            next_life = self.add_worker(name, life="2")
+            self.clock.advance(0.1)
+            self.report(next_life, *([(run, 10.0, 0.0)] if is_there else []))
+            self.assertEqual(run in self.orders.stops, is_stopped)
+            self.assertEqual(not run.is_active, is_over)
+            self.assertNotIn(worker, list(self.owner.fleet))
+
+    def test_runs_of_ended_jobs_are_stopped(self):
+        worker = self.add_worker("w3")
+        run = self.start(self.add_job("j", STEP), worker)
+        worker.remove(run)
+        run.worker = None
+        self.owner.orphans.add(run)
+        self.owner.cancel_job("j")
+        self.assertEqual(self.orders.stops, [])
+        self.add_worker("w3", life="2")
+        self.assertEqual(self.orders.stops, [run])
+
+    def test_a_life_known_by_its_report_gets_no_starts_before_its_entry(self):
+        worker = self.workers[0]
+        self.owner.replace_worker(worker, "2")
+        next_life = next(iter(self.owner.fleet.lives_of("w1")))
+        next_life.is_reconciled = next_life.is_reachable = True
+        self.assertEqual(next_life.entry.life, "2")
+        self.assertFalse(next_life.takes_starts(self.clock.now))
+        self.add_worker("w1", life="2")
+        self.assertTrue(next_life.takes_starts(self.clock.now))
