Hand jobs in on sixteen parts of the store

Cause: all rows were in one part, and a part takes one transaction after the other. While the store is slow (60 times: 0.18 s each) that is five a second for all jobs and the owner's commits together. Ruled out: the owner's processor time (0.46 of a core), the timeouts of the calls. Change: a job's row lies in one of 16 parts by its id, without a progress row; until the owner commits progress the job is shown as queued. The removal of old rows is a transaction across parts. The stand-in's parts take turns, and it refuses rows of several parts that do not say so.

--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import defaultdict
 
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable
 from fulmarlever_standins.authority.admission import (
@@ -24,7 +25,8 @@
     ``cuts`` holds pairs of a VM and an address that no byte passes between;
     ``refusing`` VMs are answered 503 by the store. ``lose_answers`` counts the next
     transactions that take effect unanswered, ``late_transactions`` those that take
-    effect ``LATE_ORDER_S`` later, and ``late_orders`` the same for starts.
+    effect ``LATE_ORDER_S`` later, and ``late_orders`` the same for starts. Each
+    transaction takes ``transaction_s``, and those of one part follow each other.
     """
 
     def __init__(self) -> None:
@@ -37,6 +39,8 @@
         self.late_transactions = 0
         self.late_orders = 0
         self.is_store_down = False
+        self.transaction_s = 0.0
+        self._turns: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
         self._late: set[asyncio.Task] = set()
 
     def add_worker(self, worker: WorkerCore) -> None:
@@ -87,6 +91,8 @@
             self.late_transactions -= 1
             self._do_late(self.store.handle(method, path, body))
             await asyncio.Event().wait()
+        if is_write:
+            await self._take_turn(body)
         status, answer = await self.store.handle(method, path, body)
         if is_write and self.lose_answers > 0:
             self.lose_answers -= 1
@@ -94,6 +100,12 @@
         await asyncio.sleep(ONE_WAY_S)
         return Reply(status, answer)
 
+    async def _take_turn(self, body: dict) -> None:
+        """Wait for the earlier transactions of the part and for this one's time."""
+        if self.transaction_s:
+            async with self._turns[body["setKeys"][0]["part"]]:
+                await asyncio.sleep(self.transaction_s)
+
     async def _call_worker(
         self, address: str, path: str, body: dict, target: str
     ) -> CallResult:
--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/store.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/store.py
@@ -44,6 +44,8 @@
         entries = body["expected"] + body["setKeys"] + body["remove"]
         if len(entries) > MAX_ENTRIES:
             return 400, {"reason": "too many entries"}
+        if len({row.get("part", "") for row in entries}) > 1 and not body.get("across"):
+            return 400, {"reason": "rows of several parts"}
         named = [_name(row) for row in body["expected"]]
         held = all(
             self._version_of(name) == row["ver"]
--- a/packages/fulmarleverd/fulmarleverd/platform/store.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/store.py
@@ -20,8 +20,6 @@
     Transaction,
 )
 
-# Every row is in one part, so that one transaction may cover any of them.
-PART = ""
 MAX_CONNECTIONS = 24
 FEED_MARGIN_S = 0.7
 
@@ -46,6 +44,10 @@
             "setKeys": [{**_name(row), "value": _encode(row)} for row in tx.writes],
             "remove": [_name(row) for row in tx.deletes],
         }
+        rows = (*tx.conditions, *tx.writes, *tx.deletes)
+        if len({row.part for row in rows}) > 1:
+            # The transaction is over several parts, and takes twice as long.
+            body["across"] = True
         reply = await self._call("POST", "/rows-tx", timeout_s, body)
         if failed(reply):
             return reply
@@ -60,10 +62,15 @@
         return Unavailable(f"the store answers {reply.status}: {reply.body}")
 
     async def read(
-        self, table: str, first: str = "", end: str = "", timeout_s: float = 1.0
+        self,
+        table: str,
+        first: str = "",
+        end: str = "",
+        timeout_s: float = 1.0,
+        part: str = "",
     ) -> RowSet | Unavailable:
         """Return a page of rows."""
-        query = {"table": table, "part": PART, "limit": 500}
+        query = {"table": table, "part": part, "limit": 500}
         if first:
             query["from"] = first
         if end:
@@ -109,7 +116,7 @@
 
 
 def _name(row: StoredRow) -> dict[str, str]:
-    return {"table": row.table, "part": PART, "key": row.key}
+    return {"table": row.table, "part": row.part, "key": row.key}
 
 
 def _encode(row: StoredRow) -> str:
@@ -124,4 +131,5 @@
         int(data.get("ver", ABSENT)),
         # A row that was dropped.
         bool(data.get("tombstone")),
+        data.get("part", ""),
     )
--- a/packages/fulmarleverd/fulmarleverd/scheduling/feeds.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/feeds.py
@@ -11,6 +11,7 @@
 from fulmarlever.clock import Clock
 from fulmarlever.outcomes import Unavailable, failed
 from fulmarleverd.scheduling.ports import HistoryGone, RowSet, Store, StoredRow
+from fulmarleverd.scheduling.rows import table_parts
 
 # Short enough that a connection that went silent is noticed within two seconds.
 FEED_WAIT_S = 1.0
@@ -72,12 +73,24 @@
 
 
 async def read_all(store: Store, table: str) -> RowSet | Unavailable:
-    """Return every row of a table, as of the version of the first page or newer."""
+    """Return every row of a table, as of the version returned or newer."""
+    parts = (read_part(store, table, part) for part in table_parts(table))
+    found = await asyncio.gather(*parts)
+    rows: list[StoredRow] = []
+    for part in found:
+        if failed(part):
+            return part
+        rows += part.rows
+    return RowSet(tuple(rows), min(part.version for part in found))
+
+
+async def read_part(store: Store, table: str, part: str) -> RowSet | Unavailable:
+    """Return every row of a part, as of the version of the first page or newer."""
     rows: list[StoredRow] = []
     version = -1
     first = ""
     while True:
-        page = await store.read(table, first, "", READ_TIMEOUT_S)
+        page = await store.read(table, first, "", READ_TIMEOUT_S, part)
         if failed(page):
             return page
         rows += page.rows
--- a/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections.abc import Iterable, Iterator
+from dataclasses import replace
 
 from fulmarleverd.scheduling.decisions import record
 from fulmarleverd.scheduling.fleet import Worker
@@ -121,7 +122,7 @@
         for job_id in old:
             del owner.final[job_id]
             for row in (job_row(job_id), progress_row(job_id), cancel_row(job_id)):
-                owner.commits.stage_row(StoredRow(row.table, row.key))
+                owner.commits.stage_row(replace(row, value=b""))
 
     def _record_load(self) -> None:
         """Write one line about the load of the fleet now and then."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
@@ -26,7 +26,7 @@
     StoredRow,
     Transaction,
 )
-from fulmarleverd.scheduling.progress_rows import pack_progress, unpack_state
+from fulmarleverd.scheduling.progress_rows import unpack_state
 from fulmarleverd.scheduling.queues import RETRY_AFTER_S
 from fulmarleverd.scheduling.rows import (
     SUMMARY_KEY,
@@ -39,7 +39,7 @@
     unpack,
 )
 from fulmarleverd.scheduling.specs import JobSpec, QueueSpec
-from fulmarleverd.scheduling.tasks import FINAL_STATES, Job, JobState
+from fulmarleverd.scheduling.tasks import FINAL_STATES, JobState
 
 CALL_TIMEOUT_S = 1.2
 RETRY_S = 0.05
@@ -95,13 +95,7 @@
         if error:
             return Refused(error)
         row = JobRow(spec, queue, self._clock.wall())
-        tx = Transaction(
-            [job_row(spec.id), progress_row(spec.id)],
-            [
-                job_row(spec.id, pack_job(row)),
-                progress_row(spec.id, pack_progress(Job(row))),
-            ],
-        )
+        tx = Transaction([job_row(spec.id)], [job_row(spec.id, pack_job(row))])
         return await self._insert(tx, spec, until_s)
 
     async def _insert(
@@ -150,7 +144,7 @@
         if failed(rows):
             return rows
         if not rows.rows:
-            return UnknownJob(f"no job {job_id}")
+            return await self._status_before_progress(job_id)
         state = unpack_state(rows.rows[0].value)
         if failed(state):
             log.bind(event="progress-unreadable", job=job_id).error(state.reason)
@@ -160,9 +154,20 @@
             self._remember(job_id, status)
         return status
 
+    async def _status_before_progress(
+        self, job_id: str
+    ) -> JobStatus | UnknownJob | Unavailable:
+        """Return the state of a job of which the owner has not committed anything."""
+        rows = await self._read_one(job_row(job_id))
+        if failed(rows):
+            return rows
+        if not rows.rows:
+            return UnknownJob(f"no job {job_id}")
+        return JobStatus(JobState.QUEUED)
+
     async def _read_one(self, row: StoredRow) -> RowSet | Unavailable:
         return await self._store.read(
-            row.table, row.key, row.key + "\0", CALL_TIMEOUT_S
+            row.table, row.key, row.key + "\0", CALL_TIMEOUT_S, row.part
         )
 
     def _remember(self, job_id: str, status: JobStatus) -> None:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/ports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/ports.py
@@ -20,13 +20,17 @@
 
 @dataclass(slots=True, frozen=True)
 class StoredRow:
-    """A row of the store. ``version`` 0 in a condition means that it is absent."""
+    """A row of the store. ``version`` 0 in a condition means that it is absent.
+
+    Transactions on rows of one ``part`` take effect one after the other.
+    """
 
     table: str
     key: str
     value: bytes = b""
     version: int = ABSENT
     is_deleted: bool = False
+    part: str = ""
 
 
 @dataclass(slots=True)
@@ -84,14 +88,19 @@
         """Apply a transaction."""
 
     async def read(
-        self, table: str, first: str = "", end: str = "", timeout_s: float = 1.0
+        self,
+        table: str,
+        first: str = "",
+        end: str = "",
+        timeout_s: float = 1.0,
+        part: str = "",
     ) -> RowSet | Unavailable:
         """Return a page of rows with ``first <= key < end``; ``end`` "" is no bound."""
 
     async def changes(
         self, table: str, after: int, wait_s: float
     ) -> RowSet | HistoryGone | Unavailable:
-        """Wait for rows of a table that changed after a version."""
+        """Wait for rows of a table, in any part, that changed after a version."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/rows.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/rows.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from typing import Any
+from zlib import crc32
 
 import msgpack
 
@@ -24,6 +25,10 @@
 SUMMARY_KEY = "pending"
 PRESSURE_KEY = "pressure"
 CANCEL_SUFFIX = "/cancel"
+# A part takes one transaction after the other. So jobs are handed in on many parts, and
+# neither wait for each other nor for the owner's commits while the store is slow.
+JOB_PARTS = tuple(f"jobs-{number:02d}" for number in range(16))
+ONLY_PART = ("",)
 
 FORMAT_ERRORS = (ValueError, TypeError, KeyError, msgpack.UnpackException)
 
@@ -113,12 +118,23 @@
 
 def job_row(job_id: str, value: bytes = b"") -> StoredRow:
     """Return the row of an accepted job."""
-    return StoredRow(JOBS_TABLE, job_id, value)
+    return StoredRow(JOBS_TABLE, job_id, value, part=job_part(job_id))
 
 
 def cancel_row(job_id: str) -> StoredRow:
     """Return the row that asks for the cancellation of a job."""
-    return StoredRow(JOBS_TABLE, job_id + CANCEL_SUFFIX, b"\x01")
+    key = job_id + CANCEL_SUFFIX
+    return StoredRow(JOBS_TABLE, key, b"\x01", part=job_part(job_id))
+
+
+def job_part(job_id: str) -> str:
+    """Return the part of a job's own rows."""
+    return JOB_PARTS[crc32(job_id.encode()) % len(JOB_PARTS)]
+
+
+def table_parts(table: str) -> tuple[str, ...]:
+    """Return the parts of a table."""
+    return JOB_PARTS if table == JOBS_TABLE else ONLY_PART
 
 
 def progress_row(job_id: str, value: bytes = b"") -> StoredRow:
