--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/store.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/store.py
@@ -118,16 +118,18 @@
     async def feed(self, query: dict) -> tuple:
         """Wait for changes of a table."""
         after = int(query["after"])
-        if after < self._oldest:
-            return 410, None
         loop = asyncio.get_running_loop()
         until_s = loop.time() + int(query["waitMs"]) / 1000.0
         while not (rows := self._changes(query["table"], after)):
+            if after < self._oldest:
+                return 410, None
             try:
                 async with asyncio.timeout_at(until_s):
                     await self._changed.wait()
             except TimeoutError:
                 break
+        if after < self._oldest:
+            return 410, None
         return 200, {"rows": rows, "ver": self.version}
 
     def _changes(self, table: str, after: int) -> list[dict]:
--- a/packages/fulmarlever_standins/fulmarlever_standins/soak/faults.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/faults.py
@@ -44,6 +44,12 @@
     return daemon.name
 
 
+async def start_again(daemon: SoakDaemon) -> None:
+    """Start the process of a daemon, and wait until signals do it no harm."""
+    await daemon.start()
+    await asyncio.sleep(INTERPRETER_START_S)
+
+
 @FAULTS.register("kill")
 async def kill(deployment: Deployment, dice: Random) -> str:
     """Kill a daemon and start it again."""
@@ -51,8 +57,7 @@
     async def act(daemon: SoakDaemon) -> None:
         await daemon.process.kill()
         await asyncio.sleep(dice.uniform(0.0, MAX_DOWN_S))
-        await daemon.start()
-        await asyncio.sleep(INTERPRETER_START_S)
+        await start_again(daemon)
 
     return await use_process(deployment, dice, act)
 
@@ -63,8 +68,7 @@
 
     async def act(daemon: SoakDaemon) -> None:
         await daemon.process.stop(STOP_LIMIT_S)
-        await daemon.start()
-        await asyncio.sleep(INTERPRETER_START_S)
+        await start_again(daemon)
 
     return await use_process(deployment, dice, act)
 
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/faults_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/faults_tests.py
@@ -67,6 +67,24 @@
         self.play(scenario)
 
 
+class HistoryTests(SiteTestCase):
+    def test_a_waiting_feed_hears_of_a_history_that_goes_with_a_change(self):
+        """Seed 618 of the soak: the row of a job was neither sent nor reported gone."""
+
+        async def scenario(site):
+            store = site.network.store
+            waiting = asyncio.create_task(
+                store.feed({"table": "jobs", "after": store.version, "waitMs": 1000})
+            )
+            await asyncio.sleep(0.1)
+            store.put_json("jobs", "j", {})
+            store.forget_history()
+            status, _ = await waiting
+            self.assertEqual(status, 410)
+
+        self.play(scenario)
+
+
 class CrashTests(SiteTestCase):
     def test_a_call_that_is_open_at_a_crash_gets_no_answer(self):
         """Seed 103 of the soak: the dead life told of an end that nobody had seen."""
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/takeover_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/takeover_tests.py
@@ -109,3 +109,35 @@
 
         site = self.play(scenario)
         self.assertEqual(set(site.record.starts.values()), {1})
+
+
+class RepeatedTakeoverTests(SiteTestCase):
+    """Owners are replaced one after the other while a worker is gone for good."""
+
+    # The longest lease on a slow clock, a takeover, and the start elsewhere.
+    LIMIT_S = 8.0 + 2.5 + 1.0
+
+    def test_lasting_tasks_of_a_lost_worker_run_elsewhere_in_time(self):
+        async def scenario(site):
+            site.add_daemons("vm-1", "vm-2", "vm-3")
+            for worker in site.add_workers(2):
+                worker.work_s = lambda task: None
+            owner = await site.until_owned()
+            lasting = StepSpec(count=2, cpu_m=1000, is_long_running=True)
+            self.assertIsNone(await owner.submit(job("j", lasting)))
+            await asyncio.sleep(1.0)
+            lost = next(w for w in site.network.workers.values() if w.running)
+            names = {task for task, _ in lost.running}
+            site.crash_worker(lost)
+            for pause_s in (0.5, 6.0):
+                await asyncio.sleep(pause_s)
+                await kill_owner(site)
+                if pause_s < 1.0:
+                    site.network.store.remove("servers", lost.id)
+            await asyncio.sleep(self.LIMIT_S - 6.5)
+            running = {
+                task for w in site.network.workers.values() for task, _ in w.running
+            }
+            self.assertLessEqual(names, running)
+
+        self.play(scenario)
