--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/soak/promises_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/soak/promises_tests.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import unittest
 from types import SimpleNamespace
 
@@ -82,4 +81,3 @@
         record = RunRecord()
         play(record, (TASKS[0], "start"), (TASKS[0], "start"))
         self.assertEqual(record.overlaps, [TASKS[0]])
-        await asyncio.sleep(0)
