Use the queue's validity of tickets where the answer tells none

Change: the queue's figure holds where the answer has none. Test: fails before (the job is not completed after 10 s), passes after.

--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/admission.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/admission.py
@@ -22,6 +22,8 @@
     def __init__(self) -> None:
         self.admits: Callable[[str, str], bool] = lambda step, worker: True
         self.tickets: dict[str, float] = {}
+        # Whether answers say how long their tickets hold, as the queue does.
+        self.tells_validity = True
         self.calls = 0
         self._turn = asyncio.Lock()
 
@@ -38,7 +40,10 @@
             for worker in body["workers"]
             if self.admits(step, worker)
         ]
-        return 200, {"good": good, "validityMs": int(VALID_S * 1000)}
+        answer = {"good": good}
+        if self.tells_validity:
+            answer["validityMs"] = int(VALID_S * 1000)
+        return 200, answer
 
     def _give(self, step: str, worker: str) -> str:
         ticket = f"{step}/{worker}/{self.calls}"
--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/site.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/site.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from fulmarlever.outcomes import Failure
-from fulmarlever_standins.authority.admission import ADMISSION_ADDRESS
+from fulmarlever_standins.authority.admission import ADMISSION_ADDRESS, VALID_S
 from fulmarlever_standins.authority.network import STORE_ADDRESS, Network
 from fulmarlever_standins.authority.record import RunRecord
 from fulmarlever_standins.authority.virtual_time import VirtualClock
@@ -32,7 +32,14 @@
 from fulmarleverd.scheduling.tenure import Tenure
 
 QUEUE = QueueSpec("labels", "a.example", "/labels/", "desk", 0, 2, 1.5, 0.25)
-GUARDED = QueueSpec("seals", "a.example", "/seals/", "desk", needs_ticket=True)
+GUARDED = QueueSpec(
+    "seals",
+    "a.example",
+    "/seals/",
+    "desk",
+    needs_ticket=True,
+    ticket_validity_s=VALID_S,
+)
 FILLING = QueueSpec("plans", "a.example", "/plans/", "desk", 2, 4, 2.0, 1.0)
 SUBMIT_S = 2.5
 
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/tickets_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/tickets_tests.py
@@ -75,6 +75,17 @@
 
         self.play(scenario)
 
+    def test_the_queue_tells_how_long_tickets_hold_if_the_answer_does_not(self):
+        async def scenario(site):
+            site.network.admission.tells_validity = False
+            site.add_daemons("vm-1")
+            guard(site, 2)
+            owner = await site.until_owned()
+            await owner.submit(job("j", SHORT), GUARDED)
+            await site.until_state(owner, "j", "completed", 10.0)
+
+        self.play(scenario)
+
     def test_queues_without_tickets_never_ask(self):
         async def scenario(site):
             site.add_daemons("vm-1")
--- a/packages/fulmarleverd/fulmarleverd/scheduling/ports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/ports.py
@@ -215,6 +215,7 @@
     """The answer of the admission service about a step.
 
     ``tickets`` are those of the workers that may run the step, by worker id.
+    ``validity_s`` 0 means that the queue's own figure holds.
     """
 
     tickets: dict[str, str]
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tickets.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tickets.py
@@ -88,7 +88,8 @@
     def _take(
         self, step: Step, workers: list[Worker], answer: Admission, asked_s: float
     ) -> None:
-        until_s = asked_s + answer.validity_s - TICKET_MARGIN_S
+        valid_s = answer.validity_s or step.job.queue.ticket_validity_s
+        until_s = asked_s + valid_s - TICKET_MARGIN_S
         for worker in workers:
             text = answer.tickets.get(worker.id, "")
             step.tickets[worker.key] = Ticket(text, until_s)
