Log why a step waits, and the kind and size of each job

Now a step that has waited for two seconds gets a line step-waits, again every five: its workers counted by what keeps them from the task (cores, memory, label, anti-affinity, avoided, ticket, placement, no starts), cores free in sum and on the emptiest worker. At most ten lines a second, so the cost is bounded. fulmarlever explain names it as a cause. The limit that forbids a task is found in one place, for placement, tickets and the log. No decision changes. Tests: backlog_tests, log_story_tests.

--- a/packages/fulmarlever/fulmarlever/log_story.py
+++ b/packages/fulmarlever/fulmarlever/log_story.py
@@ -177,7 +177,21 @@
     return f"starts not carried out: {'; '.join(parts)}"
 
 
-@CAUSES.register("4 owner changed")
+@CAUSES.register("4 waited")
+def explain_waits(story: Story) -> str:
+    """Explain steps that found no worker for long."""
+    longest: dict[str, LogLine] = {}
+    for line in story.find("step-waits"):
+        longest[str(line.fields.get("step"))] = line
+    parts = [
+        f"{step} {line.outcome}, {line.fields.get('waits_s')} s so far, "
+        f"{line.fields.get('running')} of its tasks running"
+        for step, line in longest.items()
+    ]
+    return f"tasks found no worker: {'; '.join(parts)}" if parts else ""
+
+
+@CAUSES.register("5 owner changed")
 def explain_takeover(story: Story) -> str:
     """Explain a change of the owner while the job was open."""
     if not story.lines:
@@ -194,7 +208,7 @@
     return f"the scheduler's lease moved while the job was open: {names}"
 
 
-@CAUSES.register("5 ended")
+@CAUSES.register("6 ended")
 def explain_end(story: Story) -> str:
     """Explain a job that ended other than completed, or its age at the end."""
     ended = list(story.find("job-ended"))
--- a/packages/fulmarlever/fulmarlever/tests/log_story_tests.py
+++ b/packages/fulmarlever/fulmarlever/tests/log_story_tests.py
@@ -53,6 +53,24 @@
             ],
             ["1 stopped as no progress", "1 x no room", "vm-1 after vm-9"],
         ),
+        (
+            "waited as each worker had too few cores left",
+            [
+                KNOWN,
+                line(3, "step-waits", job="j", step="j.0.0", waits_s=2.0, running=0),
+                line(
+                    8,
+                    "step-waits",
+                    "mostly for cores",
+                    job="j",
+                    step="j.0.0",
+                    waits_s=7.0,
+                    running=1,
+                ),
+                DONE,
+            ],
+            ["j.0.0 mostly for cores, 7.0 s so far, 1 of its tasks running"],
+        ),
         ("never ended", [KNOWN], ["no end of the job is logged"]),
     )
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/candidates.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/candidates.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Container, Iterable
 
 from fulmarleverd.scheduling.fleet import Worker
-from fulmarleverd.scheduling.placement import may_run
+from fulmarleverd.scheduling.obstacles import find_obstacle
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.scheduling.tasks import Step, Task
 
@@ -36,7 +36,9 @@
         heapq.heapify(self._heap)
 
     def _entry(self, worker: Worker, place: int) -> Entry | None:
-        if not worker.takes_starts(self._now_s) or not may_run(self._step, worker):
+        if not worker.takes_starts(self._now_s):
+            return None
+        if find_obstacle(self._step, worker) is not None:
             return None
         cost = self._cost(self._step.spec, worker)
         return None if cost is None else (cost, place, worker)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
@@ -112,17 +112,6 @@
             and not (now_s < self.distrusted_until_s and self.runs)
         )
 
-    def has_room(self, step: StepSpec) -> bool:
-        """Return whether the reservation of one more task fits."""
-        entry = self.entry
-        if self.reserved_memory_mb + step.memory_mb > entry.memory_mb:
-            return False
-        if self.reserved_gpus + step.gpus > entry.gpus:
-            return False
-        if step.is_best_effort:
-            return True
-        return self.reserved_cpu_m + step.cpu_m <= entry.cpu_m
-
     def free_cpu_m(self) -> int:
         """Return the thousandths of a core that are not reserved."""
         return self.entry.cpu_m - self.reserved_cpu_m
--- a/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from dataclasses import replace
 
-from fulmarleverd.scheduling.decisions import record
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.metrics import WORKERS
 from fulmarleverd.scheduling.owner import Owner
@@ -29,7 +28,6 @@
 # An end on a leaving worker is stopped this long before the worker goes.
 LEAVE_MARGIN_S = 1.0
 SUMMARY_PERIOD_S = 0.8
-LOAD_PERIOD_S = 1.0
 LEARNED_PERIOD_S = 4.0
 
 
@@ -43,7 +41,6 @@
         self._learned_at_s = owner.now_s()
         self._summary: dict[str, int] = {}
         self._summary_at_s = 0.0
-        self._load_at_s = 0.0
 
     def tick(self) -> None:
         """Do what is due now."""
@@ -57,7 +54,6 @@
         self._publish_learned()
         self._remove_old_rows()
         self._count_workers()
-        self._record_load()
 
     def _check_worker(self, worker: Worker) -> None:
         owner = self._owner
@@ -124,43 +120,12 @@
             for row in (job_row(job_id), progress_row(job_id), cancel_row(job_id)):
                 owner.commits.stage_row(replace(row, value=b""))
 
-    def _record_load(self) -> None:
-        """Write one line about the load of the fleet now and then."""
-        owner = self._owner
-        now = owner.now_s()
-        if now - self._load_at_s < LOAD_PERIOD_S:
-            return
-        self._load_at_s = now
-        runs = [run for worker in owner.fleet for run in worker.runs.values()]
-        best_effort = [run for run in runs if run.task.step.spec.is_best_effort]
-        waiting = [step for job in owner.jobs.values() for step in job.ready_steps()]
-        record(
-            "load",
-            cores=_cores(worker.entry.cpu_m for worker in owner.fleet),
-            reserved=_cores(worker.reserved_cpu_m for worker in owner.fleet),
-            serving=_cores(worker.reserved_serving_m for worker in owner.fleet),
-            serving_workers=sum(worker.has_serving > 0 for worker in owner.fleet),
-            serving_images=sum(len(w.serving_images()) for w in owner.fleet),
-            best_effort=_cores(worker.best_effort_cpu_m for worker in owner.fleet),
-            best_effort_used=_cores(run.usage for run in best_effort),
-            runs=len(runs),
-            jobs=len(owner.jobs),
-            waiting_tasks=sum(len(step.waiting) for step in waiting),
-            waiting_cores=_cores(
-                len(step.waiting) * step.spec.cpu_m for step in waiting
-            ),
-        )
-
     def _count_workers(self) -> None:
         states = Counter(_state(worker) for worker in self._owner.fleet)
         for state in ("ready", "draining", "unreachable", "unlisted"):
             WORKERS.labels(state).set(states[state])
 
 
-def _cores(thousandths: Iterable[float]) -> int:
-    return round(sum(thousandths) / 1000.0)
-
-
 def _state(worker: Worker) -> str:
     if not worker.is_listed:
         return "unlisted"
--- a/packages/fulmarleverd/fulmarleverd/scheduling/metrics.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/metrics.py
@@ -31,6 +31,9 @@
     "Time from the acceptance of a job to its first running task.",
     buckets=LATENCY_BUCKETS_S,
 )
+WAITING_TASKS = Gauge(
+    "fulmarlever_waiting_tasks", "Tasks that wait for a worker.", ["kind"]
+)
 JOBS_OPEN = Gauge("fulmarlever_jobs_open", "Accepted jobs that have not ended.")
 WORKERS = Gauge("fulmarlever_workers", "Workers by state.", ["state"])
 LEASE_HELD = Gauge("fulmarlever_lease_held", "Whether this daemon schedules.")
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -106,7 +106,16 @@
             run.state = RunState.RUNNING
             run.is_pace_known = False
             self._attach(run)
-        record("job-known", job=job.id, queue=job.queue.name, state=str(job.state))
+        record(
+            "job-known",
+            job=job.id,
+            queue=job.queue.name,
+            state=str(job.state),
+            kind=job.spec.steps[0].kind,
+            steps=len(job.spec.steps),
+            tasks=sum(step.count for step in job.spec.steps),
+            widest_cores=round(job.spec.widest_cpu_m / 1000.0, 1),
+        )
         self.changed.set()
 
     def open_due_occurrences(self, job: Job) -> None:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/placement.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/placement.py
@@ -7,7 +7,6 @@
 from fulmarlever.registry import Registry
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.specs import StepSpec
-from fulmarleverd.scheduling.tasks import Step
 
 # The headroom that one more best-effort task takes from the serving tasks of a worker;
 # None if it is too much.
@@ -23,16 +22,6 @@
 LIGHT = 0.15
 
 
-def may_run(step: Step, worker: Worker) -> bool:
-    """Return whether the room, label and limit of a worker allow one more task."""
-    spec = step.spec
-    if not worker.has_room(spec):
-        return False
-    if spec.required_label and spec.required_label not in worker.entry.labels:
-        return False
-    return not spec.max_per_worker or worker.count_of(step) < spec.max_per_worker
-
-
 @PLACEMENTS.register("spread")
 def spread(
     spec: StepSpec, worker: Worker, headroom_taken: HeadroomTaken
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -6,6 +6,7 @@
 
 from fulmarleverd.scheduling.candidates import Candidates
 from fulmarleverd.scheduling.fleet import Worker
+from fulmarleverd.scheduling.obstacles import Obstacle, find_obstacle
 from fulmarleverd.scheduling.order import ORDERS
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.placement import PLACEMENTS, HeadroomTaken
@@ -76,6 +77,23 @@
     def _cost(self, spec: StepSpec, worker: Worker) -> tuple | None:
         return self._placement(spec, worker, self._headroom_taken)
 
+    def find_obstacle(self, task: Task, worker: Worker) -> Obstacle | None:
+        """Return what keeps a worker from a waiting task, if anything does."""
+        step = task.step
+        if not worker.takes_starts(self._owner.now_s()):
+            return Obstacle.NO_STARTS
+        found = find_obstacle(step, worker)
+        if found is not None:
+            return found
+        if worker.id in task.avoid:
+            return Obstacle.AVOIDED
+        needs_ticket = step.job.queue.needs_ticket
+        if needs_ticket and not has_ticket(step, worker, self._owner.now_s()):
+            return Obstacle.TICKET
+        if self._cost(step.spec, worker) is None:
+            return Obstacle.PLACEMENT
+        return None
+
     def _candidates(self, step: Step, workers: list[Worker]) -> Candidates:
         return Candidates(step, workers, self._cost, self._owner.now_s())
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
@@ -36,6 +36,13 @@
     is_best_effort: bool = False
     max_unavailable: int | None = None
 
+    @property
+    def kind(self) -> str:
+        """Return what the tasks are in logs and metrics."""
+        if self.is_long_running:
+            return "long-running"
+        return "best-effort" if self.is_best_effort else "batch"
+
 
 @dataclass(slots=True, frozen=True)
 class QueueSpec:
@@ -77,6 +84,11 @@
         """Return how many times the steps run."""
         return self.repetitions or 1
 
+    @property
+    def widest_cpu_m(self) -> int:
+        """Return what the largest step asks for, in thousandths of a core."""
+        return max((step.count * step.cpu_m for step in self.steps), default=0)
+
     def due_s(self, occurrence: int) -> float:
         """Return the Unix time from which an occurrence may start, 0 for at once."""
         if not self.repetitions:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tenure.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tenure.py
@@ -9,6 +9,7 @@
 
 from fulmarlever.clock import Clock
 from fulmarlever.outcomes import failed
+from fulmarleverd.scheduling.backlog import Backlog
 from fulmarleverd.scheduling.commits import CommitLog
 from fulmarleverd.scheduling.decisions import record
 from fulmarleverd.scheduling.feeds import Batch, follow, read_all
@@ -62,6 +63,7 @@
             self.owner, self._guard.headroom_taken, tickets=self._tickets
         )
         self._housekeeping = Housekeeping(self.owner, self._guard.model)
+        self._backlog = Backlog(self.owner, self._planner)
         self._tasks: set[asyncio.Task] = set()
         self._has_jobs = asyncio.Event()
         self._has_workers = asyncio.Event()
@@ -208,5 +210,6 @@
         while True:
             await asyncio.sleep(TICK_S)
             self._housekeeping.tick()
+            self._backlog.tick()
             # Time alone makes workers usable again and jobs late.
             self.owner.changed.set()
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tickets.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tickets.py
@@ -8,8 +8,8 @@
 from fulmarlever.outcomes import failed
 from fulmarleverd.scheduling.decisions import record
 from fulmarleverd.scheduling.fleet import Worker
+from fulmarleverd.scheduling.obstacles import find_obstacle
 from fulmarleverd.scheduling.owner import Owner
-from fulmarleverd.scheduling.placement import may_run
 from fulmarleverd.scheduling.ports import Admission, AdmissionCalls
 from fulmarleverd.scheduling.specs import QueueSpec
 from fulmarleverd.scheduling.tasks import Step, Ticket
@@ -77,7 +77,7 @@
             worker
             for worker in usable
             if worker.takes_starts(now)
-            and may_run(step, worker)
+            and find_obstacle(step, worker) is None
             and not has_ticket(step, worker, now)
             and not _is_forbidden(step, worker)
         ]
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/backlog_tests.py
@@ -0,0 +1,88 @@
+"""What the log tells of a step that waits."""
+
+from __future__ import annotations
+
+from loguru import logger as log
+
+from fulmarleverd.scheduling.backlog import LONG_WAIT_S, WAIT_PERIOD_S, Backlog
+from fulmarleverd.scheduling.planner import Planner
+from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.tests.scheduling.base import OwnerTestCase
+
+LASTING = {"is_long_running": True, "image": "a", "latency_target_s": 0.05}
+EMPTY = StepSpec(count=1, cpu_m=1000)
+LARGE = StepSpec(count=2, cpu_m=20000, **LASTING)
+HALF = StepSpec(count=2, cpu_m=16000, **LASTING)
+
+
+class BacklogTests(OwnerTestCase):
+    def setUp(self):
+        super().setUp()
+        self.lines: list[dict] = []
+        log.add(lambda message: self.lines.append(message.record["extra"]))
+        self.planner = Planner(self.owner, lambda spec, worker: None)
+        self.backlog = Backlog(self.owner, self.planner)
+
+    def waits(self) -> list[dict]:
+        return [line for line in self.lines if line["event"] == "step-waits"]
+
+    def pass_time(self, seconds: float) -> None:
+        for _ in range(round(seconds)):
+            self.clock.advance(1.0)
+            self.backlog.tick()
+
+    def fill(self) -> None:
+        """Leave 16 cores free on each worker."""
+        half = self.add_job("first", HALF)
+        for index, worker in enumerate(self.workers):
+            self.start(half, worker, index=index)
+
+    def test_a_long_wait_gets_a_line_now_and_then(self):
+        self.fill()
+        self.add_job("j", LARGE)
+        self.planner.plan()
+        self.pass_time(1.0 + LONG_WAIT_S + 2 * WAIT_PERIOD_S)
+        self.assertEqual(len(self.waits()), 3)
+
+    def test_the_line_tells_pieces_of_room_from_a_full_fleet(self):
+        self.fill()
+        self.add_job("j", LARGE)
+        self.pass_time(1.0 + LONG_WAIT_S)
+        line = self.waits()[0]
+        self.assertEqual((line["job"], line["kind"]), ("j", "long-running"))
+        self.assertEqual((line["waiting"], line["running"]), (2, 0))
+        self.assertEqual(line["task_cores"], 20.0)
+        self.assertEqual((line["free_cores"], line["most_free_cores"]), (32, 16.0))
+        self.assertEqual(line["workers_cores"], 2)
+
+    def test_what_keeps_workers_from_a_task(self):
+        limit = {"max_per_worker": 1, "cpu_m": 1000}
+        rows = (
+            ("label", StepSpec(required_label="b"), "label"),
+            ("memory", StepSpec(memory_mb=100001), "memory"),
+            ("accelerators", StepSpec(gpus=1), "accelerators"),
+            ("anti affinity", StepSpec(count=3, **limit), "anti_affinity"),
+        )
+        for name, spec, expected in self.each(rows):
+            job = self.add_job(name, spec)
+            if spec.max_per_worker:
+                for index, worker in enumerate(self.workers):
+                    self.start(job, worker, index=index)
+            self.pass_time(1.0 + LONG_WAIT_S)
+            self.assertEqual(self.waits()[-1][f"workers_{expected}"], 2)
+            self.owner.cancel_job(name)
+
+    def test_states_of_workers_and_tasks(self):
+        def avoid(job):
+            job.occurrences[0][0].tasks[0].avoid.add("w1")
+
+        def silence(job):
+            self.workers[0].is_reachable = False
+
+        rows = (("avoided", avoid, "avoided"), ("silent", silence, "no_starts"))
+        for name, change, expected in self.each(rows):
+            job = self.add_job(name, EMPTY)
+            change(job)
+            self.pass_time(1.0 + LONG_WAIT_S)
+            self.assertEqual(self.waits()[-1][f"workers_{expected}"], 1)
+            self.owner.cancel_job(name)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/candidates_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/candidates_tests.py
@@ -10,7 +10,8 @@
 from fulmarlever.clock import ManualClock
 from fulmarleverd.scheduling.candidates import Candidates
 from fulmarleverd.scheduling.fleet import Worker
-from fulmarleverd.scheduling.placement import keep_apart, may_run
+from fulmarleverd.scheduling.obstacles import find_obstacle
+from fulmarleverd.scheduling.placement import keep_apart
 from fulmarleverd.scheduling.rows import JobRow
 from fulmarleverd.scheduling.specs import JobSpec, QueueSpec, StepSpec, WorkerEntry
 from fulmarleverd.scheduling.tasks import Job, Step, Task
@@ -80,7 +81,7 @@
         costs = [
             (cost(step.spec, worker), number)
             for number, worker in enumerate(workers)
-            if may_run(step, worker) and worker.id not in task.avoid
+            if find_obstacle(step, worker) is None and worker.id not in task.avoid
         ]
         best = min((c for c in costs if c[0] is not None), default=None)
         if best is not None:
