Reproduce: the largest lasting jobs get nothing in a full fleet (known red)

The bound is the users' gate: half of the share of the whole kind. job-known also tells max_unavailable.

--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/lasting_jobs_tests.py
@@ -0,0 +1,140 @@
+"""More serving tasks than the fleet holds: which share of its tasks each job has."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+
+from fulmarlever_standins.authority.site import QUEUE, Daemon, Site, job
+from fulmarlever_standins.tests.authority.base import SiteTestCase
+from fulmarleverd.scheduling.specs import StepSpec
+
+WORKERS = 6
+# Tasks and cores of a task of ten jobs; their sum is 1.6 times the fleet.
+SIZES = (
+    (3, 4),
+    (3, 5),
+    (4, 4),
+    (4, 5),
+    (4, 6),
+    (5, 6),
+    (5, 7),
+    (6, 6),
+    (6, 8),
+    (9, 8),
+)
+LARGEST = (9, 10)
+# The gate of the users: the largest tenth of a kind, and the fifth below it, are served
+# at least this share as often as the whole kind.
+LEAST_OF_MEAN = 0.5
+SETTLE_S = 10.0
+SAMPLES = 10
+SAMPLE_S = 2.0
+
+
+def lasting(tasks: int, cores: int) -> StepSpec:
+    """Return a step of serving tasks."""
+    return StepSpec(
+        count=tasks,
+        cpu_m=cores * 1000,
+        memory_mb=100,
+        estimate_s=0.5,
+        is_long_running=True,
+        image="a",
+        latency_target_s=0.05,
+    )
+
+
+def share_running(site: Site, spec_id: str, tasks: int) -> float:
+    """Return the share of a job's tasks that run now."""
+    running = [name for name in site.record.running() if name.startswith(spec_id + ".")]
+    return len(running) / tasks
+
+
+async def hand_in(owner: Daemon, sizes: Iterable[tuple[int, int]], prefix: str) -> None:
+    """Hand in one lasting job for each size at once."""
+    await asyncio.gather(
+        *(
+            owner.submit(job(f"{prefix}{number}", lasting(*size)))
+            for number, size in enumerate(sizes)
+        )
+    )
+
+
+class LastingJobsTests(SiteTestCase):
+    def add_fleet(self, site: Site) -> None:
+        site.add_daemons("vm-1")
+        for worker in site.add_workers(WORKERS):
+            worker.work_s = lambda task: None if "short" not in task else 0.6
+
+    async def mean_shares(self, site: Site, jobs: dict[str, int]) -> dict[str, float]:
+        """Return the mean share of tasks at work of each job over some time."""
+        sums = dict.fromkeys(jobs, 0.0)
+        for _ in range(SAMPLES):
+            await asyncio.sleep(SAMPLE_S)
+            for name, tasks in jobs.items():
+                sums[name] += share_running(site, name, tasks)
+        return {name: total / SAMPLES for name, total in sums.items()}
+
+    def check_shares(self, shares: dict[str, float], largest: list[str]) -> None:
+        mean = sum(shares.values()) / len(shares)
+        for name in largest:
+            self.assertGreaterEqual(shares[name], LEAST_OF_MEAN * mean, name)
+
+    # Guards against: the largest jobs got nothing for as long as the others lasted.
+    def test_the_largest_of_too_many_jobs_at_once_get_a_share(self):
+        async def scenario(site):
+            self.add_fleet(site)
+            owner = await site.until_owned()
+            await hand_in(owner, SIZES, "j")
+            await asyncio.sleep(SETTLE_S)
+            jobs = {f"j{n}": tasks for n, (tasks, _) in enumerate(SIZES)}
+            shares = await self.mean_shares(site, jobs)
+            self.check_shares(shares, ["j9", "j8", "j7"])
+
+        self.play(scenario)
+
+    # Guards against: a large job got nothing as others had come before it.
+    def test_a_large_job_gets_a_share_of_a_fleet_that_is_full(self):
+        async def scenario(site):
+            self.add_fleet(site)
+            owner = await site.until_owned()
+            first = SIZES[:9]
+            await hand_in(owner, first, "j")
+            await asyncio.sleep(SETTLE_S)
+            await owner.submit(job("large", lasting(*LARGEST)))
+            await asyncio.sleep(SETTLE_S)
+            jobs = {f"j{n}": tasks for n, (tasks, _) in enumerate(first)}
+            jobs["large"] = LARGEST[0]
+            shares = await self.mean_shares(site, jobs)
+            self.check_shares(shares, ["large"])
+
+        self.play(scenario)
+
+    # Guards against: short tasks took each piece of room before a large task fitted.
+    def test_a_large_job_gets_a_share_beside_a_stream_of_short_ones(self):
+        async def scenario(site):
+            self.add_fleet(site)
+            owner = await site.until_owned()
+            first = SIZES[:8]
+            await hand_in(owner, first, "j")
+            await asyncio.sleep(SETTLE_S)
+            stream = asyncio.create_task(self.stream(owner))
+            await owner.submit(job("large", lasting(*LARGEST)))
+            await asyncio.sleep(SETTLE_S)
+            jobs = {f"j{n}": tasks for n, (tasks, _) in enumerate(first)}
+            jobs["large"] = LARGEST[0]
+            shares = await self.mean_shares(site, jobs)
+            stream.cancel()
+            self.check_shares(shares, ["large"])
+
+        self.play(scenario)
+
+    async def stream(self, owner: Daemon) -> None:
+        """Hand in short jobs that would fill what is left of the fleet twice."""
+        number = 0
+        while True:
+            spec = StepSpec(count=8, cpu_m=3000, memory_mb=100, estimate_s=0.6)
+            await owner.submit(job(f"short{number}", spec), QUEUE)
+            number += 1
+            await asyncio.sleep(0.3)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -115,6 +115,7 @@
             steps=len(job.spec.steps),
             tasks=sum(step.count for step in job.spec.steps),
             widest_cores=round(job.spec.widest_cpu_m / 1000.0, 1),
+            max_unavailable=job.spec.steps[0].max_unavailable,
         )
         self.changed.set()
 
