--- a/packages/fulmarleverd/fulmarleverd/scheduling/runs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/runs.py
@@ -23,9 +23,9 @@
 class Run:
     """One run of a task on one life of a worker.
 
-    ``sample`` is the last report of a serving run's latency. ``progress`` is the
-    percentage as of ``progress_at_s``, ``speed`` a share of its work a
-    second.
+    ``sample`` is the last report of a serving run's latency, ``over_since_s`` since
+    when it misses its target, 0 if it does not. ``progress`` is the percentage as of
+    ``progress_at_s``, ``speed`` a share of its work a second.
 
     ``may_arrive_late`` is set once a start got no answer. ``started_s`` is on the
     steady clock.
@@ -44,6 +44,7 @@
         "is_pace_known",
         "paused_at_s",
         "sample",
+        "over_since_s",
         "progress",
         "progress_at_s",
         "speed",
@@ -66,6 +67,7 @@
         self.is_pace_known = True
         self.paused_at_s = 0.0
         self.sample: ServingSample | None = None
+        self.over_since_s = 0.0
         self.progress = 0.0
         self.progress_at_s = 0.0
         self.speed = 0.0
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/target_log.py
@@ -0,0 +1,30 @@
+"""Log lines about serving tasks that miss their latency target."""
+
+from __future__ import annotations
+
+from fulmarleverd.scheduling.decisions import record_run
+from fulmarleverd.scheduling.runs import Run
+
+
+def follow_target(
+    run: Run, headroom: float, loads: dict[str, float], now_s: float
+) -> None:
+    """Take note of a new sample; write a line when it crosses the target.
+
+    ``headroom`` is the target divided by the tail latency, ``loads`` the best-effort
+    images beside the task with their cores in use, as shares of the worker.
+    """
+    if headroom < 1.0 and not run.over_since_s:
+        run.over_since_s = now_s
+        record_run(
+            "target-missed",
+            run,
+            image=run.task.step.spec.image,
+            tail_ms=round(run.usage),
+            target_ms=round(run.task.step.spec.latency_target_s * 1000.0),
+            beside={image: round(load, 3) for image, load in loads.items()},
+        )
+    elif headroom >= 1.0 and run.over_since_s:
+        over_s = round(now_s - run.over_since_s, 2)
+        run.over_since_s = 0.0
+        record_run("target-met", run, over_s=over_s, beside_count=len(loads))
