Share a fleet that is too small among lasting jobs, not by their size

Cause: lasting jobs were ordered by the least work left, and each got all of its tasks before the next one got any. With more jobs than the fleet holds the largest came last, always, and nothing that passes (age, what a job already has) changed that. Class: starvation by an order of sizes.

Now the job with the smallest share of its tasks goes first, then the oldest, and each may have half of its tasks before any may have all.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/order.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/order.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
+from itertools import groupby
 
 from fulmarlever.registry import Registry
 from fulmarleverd.scheduling.specs import JobSpec
@@ -47,6 +48,13 @@
     return sum(step.work_left_s() for step in job.steps())
 
 
+def share_placed(job: Job) -> float:
+    """Return the share of a job's tasks that have a run or are done."""
+    tasks = sum(len(step.tasks) for step in job.steps())
+    waiting = sum(len(step.waiting) for step in job.steps())
+    return 1.0 - waiting / tasks if tasks else 0.0
+
+
 @ORDERS.register("fifo")
 def by_age(steps: Iterable[Step], now_s: float) -> list[Step]:
     """Order by priority, then by age; the naive order."""
@@ -58,7 +66,9 @@
     """Order by priority, then jobs that can be in time, then the least work left.
 
     ``now_s`` is on the owner's clock. Jobs that can only be late come after those that
-    can be in time, and jobs that are too late to be of use come last.
+    can be in time, and jobs that are too late to be of use come last. Long-running jobs
+    come after those that can be in time, the one with the smallest share of its tasks
+    first: ordered by size, the largest would get nothing while others last.
     """
     keys: dict[str, tuple] = {}
     for step in (steps := list(steps)):
@@ -71,11 +81,32 @@
     age_s = now_s - job.since_s
     expected_s = age_s + chain_left_s(job)
     limit_s = objective_s(job)
-    if any(step.is_long_running for step in job.spec.steps):
-        # It earns by staying, so a job that is awaited goes first.
-        lateness = 1
-    elif job.spec.repetitions or expected_s <= limit_s:
+    if job.spec.is_long_running:
+        return (job.queue.priority, 1, share_placed(job), job.since_s)
+    if job.spec.repetitions or expected_s <= limit_s:
         lateness = 0
     else:
         lateness = 2 if expected_s <= USELESS_AFTER_OBJECTIVES * limit_s else 3
     return (job.queue.priority, lateness, work_left(job), job.since_s)
+
+
+def take_turns(steps: Iterable[Step]) -> Iterator[tuple[Step, int]]:
+    """Yield ordered steps, each with how many of its tasks may start now.
+
+    Long-running steps that follow each other come twice: each may have half of its
+    tasks before any may have all.
+    """
+    for is_long_running, group in groupby(steps, lambda s: s.spec.is_long_running):
+        steps_in_turn = list(group)
+        if is_long_running:
+            yield from _first_halves(steps_in_turn)
+        for step in steps_in_turn:
+            yield step, len(step.waiting)
+
+
+def _first_halves(steps: Iterable[Step]) -> Iterator[tuple[Step, int]]:
+    for step in steps:
+        placed = len(step.tasks) - len(step.waiting)
+        missing = (len(step.tasks) + 1) // 2 - placed
+        if missing > 0:
+            yield step, missing
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -7,7 +7,7 @@
 from fulmarleverd.scheduling.candidates import Candidates
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.obstacles import Obstacle, find_obstacle
-from fulmarleverd.scheduling.order import ORDERS
+from fulmarleverd.scheduling.order import ORDERS, take_turns
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.placement import PLACEMENTS, HeadroomTaken
 from fulmarleverd.scheduling.runs import Run
@@ -44,8 +44,9 @@
         self._unplaced = Unplaced()
         started = sum(1 for _ in self._start_copies())
         unadmitted: list[Step] = []
-        for step in self._sort(self._ready_steps(), self._owner.now_s()):
-            started += sum(1 for _ in self._start_step(step))
+        ordered = self._sort(self._ready_steps(), self._owner.now_s())
+        for step, limit in take_turns(ordered):
+            started += sum(1 for _ in self._start_step(step, limit))
             if step.waiting and step.job.queue.needs_ticket:
                 unadmitted.append(step)
             if started >= MAX_STARTS_PER_PLAN:
@@ -109,7 +110,7 @@
             if found.place(task, self._owner.assign, used):
                 yield task
 
-    def _start_step(self, step: Step) -> Iterator[Task]:
+    def _start_step(self, step: Step, limit: int) -> Iterator[Task]:
         if self._unplaced.covers(step):
             return
         if step.spec.is_gang:
@@ -117,7 +118,7 @@
             return
         workers = self._workers(step)
         found = self._candidates(step, workers)
-        for task in list(step.waiting.values()):
+        for task in list(step.waiting.values())[:limit]:
             _forgive(task, workers)
             if not found.place(task, self._owner.assign):
                 # The other tasks are of the same size.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
@@ -84,6 +84,11 @@
         """Return how many times the steps run."""
         return self.repetitions or 1
 
+    @property
+    def is_long_running(self) -> bool:
+        """Return whether the job lasts until it is cancelled."""
+        return any(step.is_long_running for step in self.steps)
+
     @property
     def widest_cpu_m(self) -> int:
         """Return what the largest step asks for, in thousandths of a core."""
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/order_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/order_tests.py
@@ -10,6 +10,7 @@
     by_objective,
     chain_s,
     objective_s,
+    take_turns,
     work_left,
 )
 from fulmarleverd.scheduling.specs import JobSpec, QueueSpec, StepSpec
@@ -43,6 +44,29 @@
         naive = ["lasting", "awaited", "hopeless", "late", "large", "small"]
         self.assertEqual(self.names(by_age), naive)
 
+    def test_among_lasting_jobs_the_smallest_share_goes_first(self):
+        lasting = {"is_long_running": True}
+        half = self.add_job("half", step(0.5, count=2, **lasting), queue=URGENT)
+        self.start(half, self.workers[0])
+        self.add_job("large", step(0.5, count=9, **lasting), queue=URGENT)
+        self.clock.advance(1.0)
+        self.add_job("small", step(0.5, count=3, **lasting), queue=URGENT)
+        self.assertEqual(self.names(by_objective), ["large", "small", "half"])
+
+    def test_each_lasting_job_may_have_half_before_any_has_all(self):
+        lasting = {"is_long_running": True}
+        placed = self.add_job("placed", step(0.5, count=3, **lasting))
+        self.start(placed, self.workers[0], index=0)
+        self.start(placed, self.workers[0], index=1)
+        jobs = [placed, self.add_job("odd", step(0.5, count=5, **lasting))]
+        jobs += [self.add_job("even", step(0.5, count=4, **lasting))]
+        jobs += [self.add_job("batch", step(0.5, count=6))]
+        steps = [s for job in jobs for s in job.ready_steps()]
+        turns = [(s.job.id, count) for s, count in take_turns(steps)]
+        halves = [("odd", 3), ("even", 2)]
+        rest = [("placed", 1), ("odd", 5), ("even", 4), ("batch", 6)]
+        self.assertEqual(turns, halves + rest)
+
     @given(st.lists(st.tuples(st.floats(0, 50), st.integers(1, 5)), max_size=8))
     def test_both_orders_keep_every_step_and_the_priorities(self, jobs):
         self.setUp()
