Give a lasting job without its share room from those that have more

Cause: a lasting task keeps its room until its job is cancelled, and nothing gives any back; each piece that is set free is smaller than a serving task and goes to short tasks first (step-waits: 30 cores free in sum, at most 2.4 on one worker, for a task of 5.8). Class: starvation by holders that never yield.

Now a job with under three quarters of the mean share for two seconds gets room, a task at a time, from jobs whose share stays larger even after it (max-min). Their tasks are stopped within max_unavailable, and the worker is held for the task until it starts, for 4 s at most.

Why it works: each move makes the smallest share larger and leaves the giver above it, so it ends, and nobody is left under three quarters of the mean but where no worker may run the task.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
@@ -26,7 +26,7 @@
     number of the last end whose effect is committed, ``granted_s`` the time of the
     last order that could extend the worker's lease, ``settled_at_s`` when reports
     show the effect of the last change of pace, ``headrooms`` the lowest headroom by
-    serving image.
+    serving image. While ``held_for`` names a step, others get no reservations.
     """
 
     __slots__ = (
@@ -56,6 +56,7 @@
         "speed",
         "is_slow",
         "drain_until_s",
+        "held_for",
     )
 
     def __init__(self, entry: WorkerEntry) -> None:
@@ -85,6 +86,7 @@
         self.speed = 1.0
         self.is_slow = False
         self.drain_until_s = 0.0
+        self.held_for: Step | None = None
 
     @property
     def id(self) -> str:
@@ -135,6 +137,8 @@
             self.runs[key] = run
             self._reserve(run.task.step.spec, 1)
             self._count_best_effort(run, run.pace)
+            if self.held_for is run.task.step:
+                self.held_for = None
 
     def remove(self, run: Run) -> None:
         """Release the room of a run that is certainly over."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/obstacles.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/obstacles.py
@@ -16,6 +16,7 @@
     MEMORY = "memory"
     ACCELERATORS = "accelerators"
     CORES = "cores"
+    HELD = "held_for_others"
     LABEL = "label"
     ANTI_AFFINITY = "anti_affinity"
     AVOIDED = "avoided"
@@ -37,10 +38,14 @@
 
 def find_obstacle(step: Step, worker: Worker) -> Obstacle | None:
     """Return which limit forbids one more task of a step: room, label or count."""
+    return find_room_obstacle(step.spec, worker) or find_rule_obstacle(step, worker)
+
+
+def find_rule_obstacle(step: Step, worker: Worker) -> Obstacle | None:
+    """Return what other than a lack of room forbids one more task of a step."""
     spec = step.spec
-    found = find_room_obstacle(spec, worker)
-    if found is not None:
-        return found
+    if worker.held_for not in (None, step) and not spec.is_best_effort:
+        return Obstacle.HELD
     if spec.required_label and spec.required_label not in worker.entry.labels:
         return Obstacle.LABEL
     if spec.max_per_worker and worker.count_of(step) >= spec.max_per_worker:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -6,7 +6,11 @@
 
 from fulmarleverd.scheduling.candidates import Candidates
 from fulmarleverd.scheduling.fleet import Worker
-from fulmarleverd.scheduling.obstacles import Obstacle, find_obstacle
+from fulmarleverd.scheduling.obstacles import (
+    Obstacle,
+    find_room_obstacle,
+    find_rule_obstacle,
+)
 from fulmarleverd.scheduling.order import ORDERS, take_turns
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.placement import PLACEMENTS, HeadroomTaken
@@ -80,20 +84,23 @@
 
     def find_obstacle(self, task: Task, worker: Worker) -> Obstacle | None:
         """Return what keeps a worker from a waiting task, if anything does."""
+        found = self.find_rule_obstacle(task, worker)
+        found = found or find_room_obstacle(task.step.spec, worker)
+        if found is None and self._cost(task.step.spec, worker) is None:
+            return Obstacle.PLACEMENT
+        return found
+
+    def find_rule_obstacle(self, task: Task, worker: Worker) -> Obstacle | None:
+        """Return what other than a lack of room keeps a worker from a waiting task."""
         step = task.step
         if not worker.takes_starts(self._owner.now_s()):
             return Obstacle.NO_STARTS
-        found = find_obstacle(step, worker)
-        if found is not None:
-            return found
         if worker.id in task.avoid:
             return Obstacle.AVOIDED
         needs_ticket = step.job.queue.needs_ticket
         if needs_ticket and not has_ticket(step, worker, self._owner.now_s()):
             return Obstacle.TICKET
-        if self._cost(step.spec, worker) is None:
-            return Obstacle.PLACEMENT
-        return None
+        return find_rule_obstacle(step, worker)
 
     def _candidates(self, step: Step, workers: list[Worker]) -> Candidates:
         return Candidates(step, workers, self._cost, self._owner.now_s())
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tenure.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tenure.py
@@ -12,6 +12,7 @@
 from fulmarleverd.scheduling.backlog import Backlog
 from fulmarleverd.scheduling.commits import CommitLog
 from fulmarleverd.scheduling.decisions import record
+from fulmarleverd.scheduling.fair_shares import FairShares
 from fulmarleverd.scheduling.feeds import Batch, follow, read_all
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.housekeeping import TICK_S, Housekeeping
@@ -63,6 +64,7 @@
             self.owner, self._guard.headroom_taken, tickets=self._tickets
         )
         self._housekeeping = Housekeeping(self.owner, self._guard.model)
+        self._fair_shares = FairShares(self.owner, self._planner)
         self._backlog = Backlog(self.owner, self._planner)
         self._tasks: set[asyncio.Task] = set()
         self._has_jobs = asyncio.Event()
@@ -210,6 +212,7 @@
         while True:
             await asyncio.sleep(TICK_S)
             self._housekeeping.tick()
+            self._fair_shares.tick()
             self._backlog.tick()
             # Time alone makes workers usable again and jobs late.
             self.owner.changed.set()
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/fair_shares_tests.py
@@ -0,0 +1,131 @@
+"""A large long-running job finds the fleet full of others that last."""
+
+from __future__ import annotations
+
+from fulmarleverd.scheduling.fair_shares import HOLD_S, PATIENCE_S, FairShares
+from fulmarleverd.scheduling.obstacles import Obstacle
+from fulmarleverd.scheduling.planner import Planner
+from fulmarleverd.scheduling.runs import Run
+from fulmarleverd.scheduling.specs import QueueSpec, StepSpec
+from fulmarleverd.scheduling.tasks import Job
+from fulmarleverd.tests.scheduling.base import QUEUE, OwnerTestCase
+
+MORE_URGENT = QueueSpec("urgent", "h", "/u/", "desk", 0, 3, 2.0, 1.0)
+LESS_URGENT = QueueSpec("later", "h", "/l/", "desk", 5, 3, 2.0, 1.0)
+
+
+def serving(count: int, cores: int, **options: object) -> StepSpec:
+    fields = {"is_long_running": True, "image": "a", "latency_target_s": 0.05}
+    return StepSpec(count=count, cpu_m=cores * 1000, **{**fields, **options})
+
+
+class FairSharesTests(OwnerTestCase):
+    def setUp(self):
+        super().setUp()
+        self.planner = Planner(self.owner, lambda spec, worker: 0.0)
+        self.shares = FairShares(self.owner, self.planner)
+
+    def fill(self, prefix: str = "first", **options: object) -> list[Job]:
+        """Give each worker four tasks of 8 cores, two of each of four jobs."""
+        spec = serving(2, 8, **options)
+        jobs = [self.add_job(f"{prefix}{number}", spec) for number in range(4)]
+        for job in jobs:
+            for index, worker in enumerate(self.workers):
+                self.start(job, worker, index=index).percent = 100.0
+        return jobs
+
+    def pass_time(self, seconds: float) -> None:
+        for _ in range(round(seconds)):
+            self.clock.advance(1.0)
+            self.planner.plan()
+            self.shares.tick()
+
+    def end(self, *runs: Run) -> None:
+        """Let workers list the ends of stopped runs."""
+        for run in runs:
+            others = [
+                (other, 100.0, 0.0)
+                for other in run.worker.runs.values()
+                if other is not run
+            ]
+            self.report(run.worker, *others, ends=((run, "stopped"),))
+
+    def test_a_job_without_a_share_gets_room_from_others(self):
+        first = self.fill()
+        job = self.add_job("large", serving(2, 8))
+        self.pass_time(2.0 + PATIENCE_S)
+        self.assertEqual(len(self.orders.stops), 1)
+        stopped = self.orders.stops[0]
+        self.assertIn(stopped.task.step.job, first)
+        self.assertIs(stopped.worker.held_for, job.occurrences[0][0])
+        self.end(stopped)
+        self.planner.plan()
+        self.assertEqual([run.worker for run in job.runs()], [stopped.worker])
+        self.assertIsNone(stopped.worker.held_for)
+
+    def test_nobody_gives_so_much_that_it_would_have_less(self):
+        self.fill()
+        self.add_job("large", serving(2, 8))
+        for _ in range(8):
+            self.pass_time(1.0 + PATIENCE_S)
+            self.end(*[run for run in self.orders.stops if run.is_active])
+            self.planner.plan()
+        shares = sorted(
+            sum(1 for _ in job.runs()) / 2 for job in self.owner.jobs.values()
+        )
+        self.assertEqual(shares, [0.5, 0.5, 1.0, 1.0, 1.0])
+        self.assertEqual(len(self.orders.stops), 1)
+
+    # What the earlier jobs allow or are; whether one of them gives a task.
+    ROWS = (
+        ("one may be away", {"max_unavailable": 1}, QUEUE, True),
+        ("none may be away", {"max_unavailable": 0}, QUEUE, False),
+        ("members of a gang", {"is_gang": True}, QUEUE, False),
+        ("the new job is less urgent", {}, LESS_URGENT, False),
+        ("the new job is more urgent", {}, MORE_URGENT, True),
+    )
+
+    def test_who_gives(self):
+        for name, options, queue, expected in self.each(self.ROWS):
+            self.setUp()
+            self.fill(name, **options)
+            self.add_job("large", serving(2, 8), queue=queue)
+            self.pass_time(2.0 + PATIENCE_S)
+            self.assertEqual(bool(self.orders.stops), expected)
+
+    def test_a_task_that_has_not_started_up_counts_as_away(self):
+        first = self.fill(max_unavailable=1)
+        for job in first:
+            next(job.runs()).percent = 40.0
+        self.add_job("large", serving(2, 8))
+        self.pass_time(2.0 + PATIENCE_S)
+        self.assertEqual(self.orders.stops, [])
+
+    def test_no_room_helps_a_step_that_may_run_nowhere(self):
+        self.fill()
+        self.add_job("large", serving(2, 8, required_label="other"))
+        self.pass_time(2.0 + PATIENCE_S)
+        self.assertEqual(self.orders.stops, [])
+
+    def test_held_room_is_for_its_step_alone_and_not_for_long(self):
+        self.fill()
+        job = self.add_job("large", serving(2, 8))
+        self.pass_time(2.0 + PATIENCE_S)
+        worker = self.orders.stops[0].worker
+        self.end(self.orders.stops[0])
+        other = self.add_job("short", StepSpec(cpu_m=1000), queue=MORE_URGENT)
+        task = other.occurrences[0][0].tasks[0]
+        self.assertIs(self.planner.find_obstacle(task, worker), Obstacle.HELD)
+        best_effort = self.add_job("fill", StepSpec(cpu_m=1000, is_best_effort=True))
+        task = best_effort.occurrences[0][0].tasks[0]
+        self.assertIsNone(self.planner.find_obstacle(task, worker))
+        self.owner.cancel_job(job.id)
+        self.clock.advance(HOLD_S)
+        self.shares.tick()
+        self.assertIsNone(worker.held_for)
+
+    def test_a_fleet_with_room_moves_nothing(self):
+        for number in range(3):
+            self.add_job(f"j{number}", serving(2, 8))
+        self.pass_time(10.0)
+        self.assertEqual(self.orders.stops, [])
