Let sizes of batch jobs that are served too seldom go first

Callers saw: in an overload the largest batch jobs were never served.

Cause: among jobs that can be in time the least work went first, and whoever can be late only came after all of them. Each larger job thus waited until nothing smaller was left, which in an overload is never.

Now each queue's jobs are in three classes by work (the largest tenth, the fifth below it, the rest). A class that is served less than 0.85 as often as the whole queue, over about the last 100 jobs, goes first until it has caught up. Without an overload no class is short and the order is as before.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/order.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/order.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator
+from enum import IntEnum
 from itertools import groupby
 
 from fulmarlever.registry import Registry
@@ -43,6 +44,11 @@
     return longest
 
 
+def work_of(spec: JobSpec) -> float:
+    """Return the estimated core-seconds of one occurrence of a job."""
+    return sum(s.count * s.estimate_s * s.cpu_m / 1000.0 for s in spec.steps)
+
+
 def work_left(job: Job) -> float:
     """Return the estimated core-seconds of what is not done."""
     return sum(step.work_left_s() for step in job.steps())
@@ -66,7 +72,8 @@
     """Order by priority, then jobs that can be in time, then the least work left.
 
     ``now_s`` is on the owner's clock. Jobs that can only be late come after those that
-    can be in time, and jobs that are too late to be of use come last. Long-running jobs
+    can be in time, and jobs that are too late to be of use come last. Jobs of a size
+    that is served too seldom go before all others. Long-running jobs
     come after those that can be in time, the one with the smallest share of its tasks
     first: ordered by size, the largest would get nothing while others last.
     """
@@ -77,17 +84,34 @@
     return sorted(steps, key=lambda step: (keys[step.job.id], step.number))
 
 
-def _objective_key(job: Job, now_s: float) -> tuple:
-    age_s = now_s - job.since_s
-    expected_s = age_s + chain_left_s(job)
-    limit_s = objective_s(job)
+class Rank(IntEnum):
+    """Which jobs of one priority go before others."""
+
+    SIZE_SERVED_TOO_SELDOM = 0
+    IN_TIME = 1
+    # It earns by staying, so a job that is awaited goes before it.
+    LONG_RUNNING = 2
+    LATE = 3
+    USELESS = 4
+
+
+def _rank(job: Job, now_s: float) -> Rank:
     if job.spec.is_long_running:
-        return (job.queue.priority, 1, share_placed(job), job.since_s)
-    if job.spec.repetitions or expected_s <= limit_s:
-        lateness = 0
-    else:
-        lateness = 2 if expected_s <= USELESS_AFTER_OBJECTIVES * limit_s else 3
-    return (job.queue.priority, lateness, work_left(job), job.since_s)
+        return Rank.LONG_RUNNING
+    expected_s = now_s - job.since_s + chain_left_s(job)
+    limit_s = objective_s(job)
+    is_in_time = bool(job.spec.repetitions) or expected_s <= limit_s
+    if not is_in_time and expected_s > USELESS_AFTER_OBJECTIVES * limit_s:
+        return Rank.USELESS
+    if job.goes_first:
+        return Rank.SIZE_SERVED_TOO_SELDOM
+    return Rank.IN_TIME if is_in_time else Rank.LATE
+
+
+def _objective_key(job: Job, now_s: float) -> tuple:
+    rank = _rank(job, now_s)
+    last = share_placed(job) if rank is Rank.LONG_RUNNING else work_left(job)
+    return (job.queue.priority, rank, last, job.since_s)
 
 
 def take_turns(steps: Iterable[Step]) -> Iterator[tuple[Step, int]]:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -23,6 +23,7 @@
 from fulmarleverd.scheduling.progress_rows import restore_progress
 from fulmarleverd.scheduling.rows import JobRow
 from fulmarleverd.scheduling.runs import Run, RunState, WorkerKey
+from fulmarleverd.scheduling.size_classes import SizeClasses
 from fulmarleverd.scheduling.specs import Bounds, WorkerEntry
 from fulmarleverd.scheduling.tasks import Job, Task
 
@@ -51,6 +52,7 @@
         self.final: dict[str, float] = {}
         self.orphans: set[Run] = set()
         self.wanted_copies: dict[Task, None] = {}
+        self.sizes = SizeClasses()
         self.orders: WorkerOrders | None = None
         self.changed = asyncio.Event()
         self.on_worker_added: Callable[[Worker], None] = lambda worker: None
@@ -101,6 +103,7 @@
         job.since_s = self.now_s() - min(max(0.0, age_s), MAX_KNOWN_AGE_S)
         self.jobs[job.id] = job
         JOBS_OPEN.set(len(self.jobs))
+        self.sizes.note_job(job)
         self.open_due_occurrences(job)
         for run in job.runs():
             run.state = RunState.RUNNING
@@ -156,6 +159,7 @@
         JOBS_OPEN.set(len(self.jobs))
         self.commits.stage(job)
         age_s = round(job.final_at_s - job.since_s, 3)
+        self.sizes.note_end(job, age_s)
         record("job-ended", cause, job=job.id, state=str(job.state), age_s=age_s)
         for run in list(job.runs()):
             self.stop_run(run, "job ended")
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/size_classes.py
@@ -0,0 +1,95 @@
+"""Which sizes of jobs are served less often than the others of their queue.
+
+The least work first serves most jobs of an overload, and never the largest. So the jobs
+of each queue are put into classes by their work, and a class that is served much less
+often than the whole queue goes first until it has caught up.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+from fulmarleverd.scheduling.order import USELESS_AFTER_OBJECTIVES, objective_s, work_of
+from fulmarleverd.scheduling.tasks import Job, JobState
+
+# The classes are cut at these shares of the recent jobs of a queue, by their work.
+CUTS = (0.7, 0.9)
+RECENT_JOBS = 200
+# Fewer jobs don't tell the sizes apart.
+MIN_RECENT_JOBS = 10
+# A class is short if it is served less than this part as often as the whole queue.
+SHORT_OF_ALL = 0.85
+# About this many of the last jobs of a queue decide which class is short.
+MEMORY_JOBS = 100.0
+
+
+class SizeClasses:
+    """Follows how jobs of each queue end, and marks the jobs that are to go first."""
+
+    def __init__(self) -> None:
+        self._queues: dict[str, QueueSizes] = {}
+
+    def note_job(self, job: Job) -> None:
+        """Put a new job into a class."""
+        if not job.spec.is_long_running:
+            sizes = self._queues.setdefault(job.queue.name, QueueSizes())
+            job.size_class = sizes.classify(work_of(job.spec))
+
+    def note_end(self, job: Job, age_s: float) -> None:
+        """Take note of a job that has ended, ``age_s`` after its acceptance."""
+        if job.state is JobState.COMPLETED:
+            self._note(job, age_s <= useless_after_s(job))
+
+    def check_age(self, job: Job, age_s: float) -> None:
+        """Take note of an open job once it is too late to be of use."""
+        if age_s > useless_after_s(job):
+            self._note(job, False)
+
+    def _note(self, job: Job, is_served: bool) -> None:
+        sizes = self._queues.get(job.queue.name)
+        if sizes is not None and not job.is_counted and not job.spec.is_long_running:
+            job.is_counted = True
+            sizes.count(job.size_class, is_served)
+
+    def mark(self, job: Job) -> None:
+        """Bring up to date whether a job goes before others of its queue."""
+        sizes = self._queues.get(job.queue.name)
+        job.goes_first = sizes is not None and sizes.is_short(job.size_class)
+
+
+class QueueSizes:
+    """The sizes and fates of the recent jobs of one queue."""
+
+    __slots__ = ("_recent", "_served", "_ended")
+
+    def __init__(self) -> None:
+        self._recent: deque[float] = deque(maxlen=RECENT_JOBS)
+        # By class; each begins with one job that was served.
+        self._served = [1.0] * (len(CUTS) + 1)
+        self._ended = [1.0] * (len(CUTS) + 1)
+
+    def classify(self, work: float) -> int:
+        """Return the class of a job by its core-seconds, the largest last."""
+        self._recent.append(work)
+        if len(self._recent) < MIN_RECENT_JOBS:
+            return 0
+        smaller = sum(1 for other in self._recent if other < work)
+        return sum(smaller >= cut * len(self._recent) for cut in CUTS)
+
+    def count(self, size_class: int, is_served: bool) -> None:
+        """Count a job that was served or came too late."""
+        kept = 1.0 - 1.0 / MEMORY_JOBS
+        self._served = [count * kept for count in self._served]
+        self._ended = [count * kept for count in self._ended]
+        self._served[size_class] += is_served
+        self._ended[size_class] += 1.0
+
+    def is_short(self, size_class: int) -> bool:
+        """Return whether a class is served much less often than the whole queue."""
+        share = self._served[size_class] / self._ended[size_class]
+        return share < SHORT_OF_ALL * sum(self._served) / sum(self._ended)
+
+
+def useless_after_s(job: Job) -> float:
+    """Return the age from which a job earns nothing any more."""
+    return USELESS_AFTER_OBJECTIVES * objective_s(job)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -162,7 +162,9 @@
 
     ``accepted_s`` is the Unix time of the daemon that accepted it, ``since_s`` the same
     moment on the clock of the owner. ``unfinished`` counts the steps of all
-    occurrences that are not done.
+    occurrences that are not done. ``size_class`` tells how large the job is among
+    those of its queue, ``is_counted`` whether its fate is counted there, ``goes_first``
+    whether jobs of its size are served too seldom.
     """
 
     __slots__ = (
@@ -179,6 +181,9 @@
         "is_dirty",
         "final_at_s",
         "cause",
+        "size_class",
+        "is_counted",
+        "goes_first",
     )
 
     def __init__(self, row: JobRow) -> None:
@@ -195,6 +200,9 @@
         self.is_dirty = False
         self.final_at_s = 0.0
         self.cause = ""
+        self.size_class = 0
+        self.is_counted = False
+        self.goes_first = False
 
     @property
     def state(self) -> JobState:
