Move a run far behind the others of its step, whatever its worker is known for

Cause: a run of a step with other runs was left to the judgement of its worker, and a worker without other runs is never judged. Two tasks crawled on such a worker while the third ran elsewhere.

Now a run is far behind once it would take eight times what its step usually takes: by its other runs where there are enough, else by the estimate. A best-effort run with few of its cores is given as much longer.

Evidence: the new rows of progress_tests fail before ('crawls': False) and pass.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
@@ -8,6 +8,7 @@
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.runs import Run, RunState
+from fulmarleverd.scheduling.tasks import Step
 
 # A run without any progress for this long stands still; long-running tasks take some
 # time to start up.
@@ -30,9 +31,9 @@
 # A run is moved only if it would otherwise take this much longer.
 MIN_GAIN_S = 0.8
 COMPLETE_PERCENT = 100.0
-# Estimates are rough, so a run that has no others to compare with is far behind only
-# once it would take this many times its estimate, and this long.
-FAR_BEHIND_ESTIMATES = 8.0
+# Estimates are rough, so a run is far behind only once it would take this many times
+# what its step usually takes, and this long.
+FAR_BEHIND_FACTOR = 8.0
 FAR_BEHIND_S = 4.0
 
 
@@ -82,9 +83,7 @@
         """Take note of a run's speed, as a share of its work a second."""
         run.speed = speed if not run.speed else (run.speed + speed) / 2.0
         step = run.task.step
-        spec = step.spec
-        if spec.is_best_effort and spec.cpu_m:
-            speed /= max(MIN_CORES_SHARE, min(1.0, run.usage / spec.cpu_m))
+        speed /= _cores_share(run)
         if step.speed_samples >= MIN_STEP_SAMPLES:
             share = min(MAX_SHARE, speed / step.speed)
             worker.speed += SPEED_WEIGHT * (share - worker.speed)
@@ -120,19 +119,17 @@
         self._move(run, "no progress")
 
     def _far_behind(self, worker: Worker) -> Iterator[Run]:
-        """Yield runs of small steps that will take many times their estimate."""
+        """Yield runs that will take many times as long as their step usually does."""
         for run in worker.runs.values():
             step = run.task.step
             if run.state is not RunState.RUNNING or step.spec.is_long_running:
                 continue
             if not run.speed or run.task.avoid or run.pace < COMPLETE_PERCENT:
                 continue
-            if step.speed_samples >= MIN_STEP_SAMPLES and step.speed > run.speed:
-                # Others of its step tell more than the estimate.
-                continue
-            limit_s = max(FAR_BEHIND_S, FAR_BEHIND_ESTIMATES * step.spec.estimate_s)
+            usual_s = _usual_s(step)
+            limit_s = max(FAR_BEHIND_S, FAR_BEHIND_FACTOR * usual_s / _cores_share(run))
             left = 1.0 - run.percent / COMPLETE_PERCENT
-            if step.spec.estimate_s and left / run.speed > limit_s:
+            if usual_s and left / run.speed > limit_s:
                 yield run
 
     def _worth_moving(self, worker: Worker) -> Iterator[Run]:
@@ -148,3 +145,21 @@
             there_s = (left if is_saved else 1.0) / step.speed
             if left / run.speed > there_s + MIN_GAIN_S:
                 yield run
+
+
+def _cores_share(run: Run) -> float:
+    """Return which share of its cores a best-effort run gets; 1 for other runs."""
+    spec = run.task.step.spec
+    if not spec.is_best_effort or not spec.cpu_m:
+        return 1.0
+    return max(MIN_CORES_SHARE, min(1.0, run.usage / spec.cpu_m))
+
+
+def _usual_s(step: Step) -> float:
+    """Return how long a task of a step takes: as its other runs tell, or as estimated.
+
+    0 if neither is known.
+    """
+    if step.speed_samples >= MIN_STEP_SAMPLES and step.speed:
+        return 1.0 / step.speed
+    return step.spec.estimate_s
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/progress_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/progress_tests.py
@@ -61,6 +61,32 @@
             self.assertEqual(run in self.orders.stops, expected)
             self.report(self.slow, ends=((run, "stopped"),))
 
+    # Guards against: runs that crawled stayed, as their worker had no other runs.
+    def test_a_run_far_behind_the_others_of_its_step_is_moved(self):
+        rows = (
+            ("crawls", PLAIN, 1000.0, True),
+            ("as the others", PLAIN, 1000.0, False),
+            (
+                "has few of its cores",
+                StepSpec(4, 1000, is_best_effort=True),
+                100.0,
+                False,
+            ),
+        )
+        for name, spec, usage, expected in self.each(rows):
+            job = self.add_job(name, spec)
+            for index in (1, 2):
+                quick = self.start(job, self.sound, index=index)
+                self.run_at(quick, (20.0, 40.0, 60.0, 80.0), 0.5)
+                self.report(self.sound, ends=((quick, "done"),))
+            run = self.start(job, self.slow)
+            gain = 20.0 if name == "as the others" else 2.0
+            for percent in (gain, 2 * gain, 3 * gain):
+                self.clock.advance(0.5)
+                self.report(self.slow, (run, percent, usage))
+            self.assertEqual(run in self.orders.stops, expected)
+            self.report(self.slow, ends=((run, "stopped"),))
+
     def test_a_slow_worker_gets_no_more_and_gives_its_work_back(self):
         job = self.add_job("j", SAVED)
         sound = self.start(job, self.sound, index=1)
