Let a successor know how long the leases of silent workers last

Cause: a new owner did not know what its predecessors had granted, so it waited 12.8 s from its own takeover, and each further owner waited anew.

Now the lease's row names the workers that do not answer its holder, with what is left of their leases; successors pass it on. The holder gives a named worker no lease, by extension or start, before a commit has left it out.

Why it is safe: what the row tells is an upper bound as of a time before it was first seen, and nobody grants a named worker more until a later row.

--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/site.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/site.py
@@ -90,9 +90,13 @@
         """Ask this daemon for the state of a job."""
         return await self.intake.status(job_id)
 
+    def end(self) -> None:
+        """End the process without a goodbye and without waiting for it."""
+        self._task.cancel()
+
     async def kill(self) -> None:
         """End the process without a goodbye."""
-        self._task.cancel()
+        self.end()
         await asyncio.gather(self._task, return_exceptions=True)
 
 
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/takeover_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/takeover_tests.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 from fulmarlever_standins.authority.network import STORE_ADDRESS
 from fulmarlever_standins.authority.site import Site, job
@@ -141,3 +142,94 @@
             self.assertLessEqual(names, running)
 
         self.play(scenario)
+
+
+class SilentWorkersTests(SiteTestCase):
+    """A worker comes and goes while owners follow each other and the store stalls.
+
+    Successors rely on what the lease's row tells of silent workers, so a worker that
+    answers again must get no lease that the row doesn't account for. ``play`` checks
+    that no task runs twice.
+    """
+
+    SEEDS = range(20)
+    ACTIONS = 14
+
+    def test_no_task_runs_twice(self):
+        for seed in self.SEEDS:
+            with self.subTest(seed=seed):
+                self.play_faults(random.Random(seed))
+
+    # Guards against: a worker named as silent got a lease that its row didn't tell of.
+    def test_a_worker_that_answers_again_gets_no_lease_before_a_commit(self):
+        async def scenario(site):
+            site.add_daemons("vm-1", "vm-2")
+            for worker in site.add_workers(2):
+                worker.work_s = lambda task: None
+            owner = await site.until_owned()
+            lasting = StepSpec(count=2, cpu_m=1000, is_long_running=True)
+            await owner.submit(job("j", lasting))
+            await asyncio.sleep(1.0)
+            silent = next(w for w in site.network.workers.values() if w.running)
+            for vm in site.daemons:
+                site.network.cut(vm, silent.address)
+            await asyncio.sleep(5.0)
+            site.network.cuts.discard((owner.vm, silent.address))
+            known = next(w for w in owner.tenure.owner.fleet if w.id == silent.id)
+            while not known.is_reachable:
+                await asyncio.sleep(0.0002)
+            # The commit that would tell of the answer does not arrive.
+            site.network.cut(owner.vm, STORE_ADDRESS)
+            await asyncio.sleep(6.0)
+            self.assertEqual(silent.running, {})
+            self.assertEqual(len(site.record.running()), 2)
+
+        self.play(scenario)
+
+    def play_faults(self, rng: random.Random) -> None:
+        async def scenario(site):
+            site.add_daemons("vm-1", "vm-2", "vm-3")
+            for worker in site.add_workers(3):
+                worker.work_s = lambda task: None
+            owner = await site.until_owned()
+            lasting = StepSpec(count=6, cpu_m=1000, is_long_running=True)
+            await owner.submit(job("j", lasting))
+            await asyncio.sleep(1.0)
+            for number in range(self.ACTIONS):
+                rng.choice((cut_worker, heal, replace_owner, stall_store))(
+                    site, rng, number
+                )
+                await asyncio.sleep(rng.choice((0.02, 0.3, 1.0, 2.5, 4.0)))
+            site.network.heal()
+            await asyncio.sleep(20.0)
+            self.assertEqual(len(site.record.running()), 6)
+
+        self.play(scenario)
+
+
+def cut_worker(site: Site, rng: random.Random, number: int) -> None:
+    """Cut one worker off from all daemons; it runs on."""
+    address = rng.choice(sorted(site.network.workers))
+    for vm in site.daemons:
+        site.network.cut(vm, address)
+
+
+def heal(site: Site, rng: random.Random, number: int) -> None:
+    """End all cuts."""
+    site.network.heal()
+
+
+def replace_owner(site: Site, rng: random.Random, number: int) -> None:
+    """Kill the owner, if there is one, and add a daemon in its place."""
+    owner = site.owner()
+    if owner is not None:
+        del site.daemons[owner.vm]
+        owner.end()
+        site.add_daemons(f"vm-{number + 10}")
+
+
+def stall_store(site: Site, rng: random.Random, number: int) -> None:
+    """Cut the owner off from the store; it may go on extending leases for a while."""
+    owner = site.owner()
+    if owner is not None:
+        site.network.cut(owner.vm, STORE_ADDRESS)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/commits.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/commits.py
@@ -77,6 +77,10 @@
         self._actions.append(action)
         self._wake.set()
 
+    def renew(self) -> None:
+        """Commit soon, also if nothing is staged."""
+        self._wake.set()
+
     async def run(self) -> None:
         """Commit until the lease is lost."""
         while self._lease.is_held:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
@@ -23,7 +23,9 @@
     """One life of a worker.
 
     ``room`` figures are reservations of the runs given to it. ``ends_known`` is the
-    number of the last end whose effect is committed, ``granted_s`` the time of the
+    number of the last end whose effect is committed, ``is_silent`` is set once a call
+    got no answer, ``first_answer_s`` is when the worker first answered this owner,
+    ``granted_s`` the time of the
     last order that could extend the worker's lease, ``settled_at_s`` when reports
     show the effect of the last change of pace, ``headrooms`` the lowest headroom by
     serving image. While ``held_for`` names a step, others get no reservations.
@@ -40,6 +42,8 @@
         "is_reconciled",
         "is_listed",
         "is_reachable",
+        "is_silent",
+        "first_answer_s",
         "clock_ms",
         "clock_read_s",
         "granted_s",
@@ -70,6 +74,8 @@
         self.is_reconciled = False
         self.is_listed = True
         self.is_reachable = False
+        self.is_silent = False
+        self.first_answer_s = 0.0
         self.clock_ms = 0
         self.clock_read_s = 0.0
         self.granted_s = 0.0
--- a/packages/fulmarleverd/fulmarleverd/scheduling/orders.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/orders.py
@@ -73,10 +73,6 @@
             ticket=ticket.text if ticket else "",
         )
 
-    async def _wait_for_lease(self) -> None:
-        while not self._owner.lease.is_valid:
-            await asyncio.sleep(LEASE_POLL_S)
-
     # Starts
 
     def send_start(self, run: Run) -> None:
@@ -91,8 +87,7 @@
 
     async def _start(self, run: Run) -> None:
         for _ in range(START_TRIES):
-            await self._wait_for_lease()
-            if run.state is not RunState.SENT or not run.is_active:
+            if not await self._may_start(run):
                 return
             worker = run.worker
             worker.granted_s = max(worker.granted_s, self._owner.now_s())
@@ -103,6 +98,18 @@
             await asyncio.sleep(RETRY_S)
         self._give_up(run, run.worker)
 
+    async def _may_start(self, run: Run) -> bool:
+        """Wait until a start may be sent; return false if it is not needed any more."""
+        lease = self._owner.lease
+        while run.state is RunState.SENT and run.is_active:
+            if lease.is_valid and lease.may_grant(run.worker.key):
+                return True
+            if lease.is_valid and not run.worker.is_reachable:
+                self._withdraw(run, "its worker does not answer")
+                return False
+            await asyncio.sleep(LEASE_POLL_S)
+        return False
+
     def _take_start(self, run: Run, worker: Worker, result: OrderResult) -> bool:
         """Move a run on by the answer to its start; return false to send it again."""
         owner = self._owner
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -18,10 +18,10 @@
 from fulmarleverd.scheduling.commits import CommitLog
 from fulmarleverd.scheduling.decisions import record, record_run
 from fulmarleverd.scheduling.fleet import SLOWEST_CLOCK, Fleet, Worker
-from fulmarleverd.scheduling.lease import EXTEND_GRACE_S, LEASE_S, SchedulerLease
+from fulmarleverd.scheduling.lease import SchedulerLease
 from fulmarleverd.scheduling.metrics import FIRST_START_SECONDS, JOBS_OPEN
 from fulmarleverd.scheduling.progress_rows import restore_progress
-from fulmarleverd.scheduling.rows import JobRow
+from fulmarleverd.scheduling.rows import JobRow, SilentWorker
 from fulmarleverd.scheduling.runs import Run, RunState, WorkerKey
 from fulmarleverd.scheduling.size_classes import SizeClasses
 from fulmarleverd.scheduling.specs import Bounds, WorkerEntry
@@ -33,6 +33,8 @@
 # Beside the computed end of a lease, for timers and rounding.
 LEASE_MARGIN_S = 0.3
 MAX_WORKER_LEASE_S = 7.5
+# Named in the lease's row, whose value is small.
+MAX_SILENT_NAMED = 100
 # Older jobs are late in any case; clocks of VMs may differ by more than that.
 MAX_KNOWN_AGE_S = 60.0
 
@@ -56,11 +58,8 @@
         self.orders: WorkerOrders | None = None
         self.changed = asyncio.Event()
         self.on_worker_added: Callable[[Worker], None] = lambda worker: None
-        self.taken_s = clock.boot()
         # Whatever an earlier owner started has ended by then, unless it is seen here.
-        self.earlier_leases_end_s = (
-            self.taken_s + LEASE_S + EXTEND_GRACE_S + self._lease_length_s()
-        )
+        self.earlier_leases_end_s = lease.earlier_grants_end_s + self._lease_length_s()
 
     def now_s(self) -> float:
         """Return seconds on the clock of the leases."""
@@ -80,7 +79,38 @@
 
     def lease_end_s(self, worker: Worker) -> float:
         """Return the time after which nothing runs on a worker that stays silent."""
-        return max(self.earlier_leases_end_s, worker.granted_s + self._lease_length_s())
+        length_s = self._lease_length_s()
+        if worker.first_answer_s:
+            # From then on the worker has refused the tokens of earlier owners.
+            return max(worker.first_answer_s, worker.granted_s) + length_s
+        return max(self.earlier_lease_end_s(worker.key), worker.granted_s + length_s)
+
+    def earlier_lease_end_s(self, key: WorkerKey) -> float:
+        """Return when the leases are over that earlier owners gave to a worker."""
+        named = self.lease.earlier_lease_ends_s
+        return named.get(key, self.earlier_leases_end_s)
+
+    def silent_workers(self) -> list[SilentWorker]:
+        """Return the workers that do not answer and may still run tasks.
+
+        Those left out cost a successor time, and nothing else.
+        """
+        ends_s = {
+            worker.key: self.lease_end_s(worker)
+            for worker in self.fleet
+            if worker.is_silent and worker.runs
+        }
+        unseen = {run.worker_key for run in self.orphans}
+        unseen.update(self.lease.earlier_lease_ends_s)
+        for key in unseen:
+            worker = self.fleet.find(key)
+            if worker is None:
+                ends_s[key] = self.earlier_lease_end_s(key)
+            elif not worker.is_reachable:
+                ends_s[key] = self.lease_end_s(worker)
+        now = self.now_s()
+        named = list(ends_s.items())[:MAX_SILENT_NAMED]
+        return [SilentWorker(key, max(0.0, end_s - now)) for key, end_s in named]
 
     # Jobs
 
@@ -287,6 +317,9 @@
 
     def note_unreachable(self, worker: Worker, why: str) -> None:
         """Take note that a worker does not answer."""
+        if not worker.is_silent:
+            worker.is_silent = True
+            self.commits.renew()
         if not worker.is_reachable:
             return
         worker.is_reachable = False
@@ -319,6 +352,7 @@
 
     def expire_orphans(self) -> None:
         """Plan runs anew whose worker never showed up within their lease."""
-        if self.orphans and self.now_s() >= self.earlier_leases_end_s:
-            for run in list(self.orphans):
+        now = self.now_s()
+        for run in list(self.orphans):
+            if now >= self.earlier_lease_end_s(run.worker_key):
                 self.drop_run(run, "its worker has been away longer than its lease")
--- a/packages/fulmarleverd/fulmarleverd/scheduling/rows.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/rows.py
@@ -10,6 +10,7 @@
 
 from fulmarlever.outcomes import Failure
 from fulmarleverd.scheduling.ports import StoredRow
+from fulmarleverd.scheduling.runs import WorkerKey
 from fulmarleverd.scheduling.specs import (
     JobSpec,
     QueueSpec,
@@ -52,13 +53,23 @@
 class LeaseRow:
     """The holder of the scheduler's lease.
 
-    ``sequence`` makes each commit of the holder distinct from all others.
+    ``sequence`` makes each commit of the holder distinct from all others. ``silent``
+    names workers that do not answer the holder and get no lease from it.
     """
 
     vm: str
     life: str
     token: int
     sequence: int
+    silent: tuple[SilentWorker, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class SilentWorker:
+    """A worker without an answer, and for how long its leases may still last."""
+
+    key: WorkerKey
+    lease_left_s: float
 
 
 def pack(value: Any) -> bytes:
@@ -105,13 +116,17 @@
 
 def pack_lease(row: LeaseRow) -> bytes:
     """Return the value of the lease's row."""
-    return pack([row.vm, row.life, row.token, row.sequence])
+    silent = [(w.key.id, w.key.life, w.lease_left_s) for w in row.silent]
+    return pack([row.vm, row.life, row.token, row.sequence, silent])
 
 
 def unpack_lease(stored: StoredRow) -> LeaseRow | BadRow:
     """Return the lease from its row."""
     try:
-        return LeaseRow(*unpack(stored.value))
+        vm, life, token, sequence, *rest = unpack(stored.value)
+        named = rest[0] if rest else ()
+        silent = tuple(SilentWorker(WorkerKey(*key), left_s) for *key, left_s in named)
+        return LeaseRow(vm, life, token, sequence, silent)
     except FORMAT_ERRORS as exc:
         return BadRow(f"lease row: {type(exc).__name__}: {exc}")
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
@@ -43,11 +43,18 @@
         """Ask the worker until it is forgotten or the lease is lost."""
         worker = self._worker
         while self._owner.fleet.find(worker.key) is worker:
-            if not self._owner.lease.may_extend:
+            if not self._may_ask():
                 await asyncio.sleep(LEASE_POLL_S)
                 continue
             await self._ask()
 
+    def _may_ask(self) -> bool:
+        """Return whether the worker may be asked, or be given a lease if it answers."""
+        lease = self._owner.lease
+        if not lease.may_extend:
+            return False
+        return not self._worker.is_reachable or lease.may_grant(self._worker.key)
+
     def _wait_s(self) -> float:
         worker = self._worker
         if not worker.is_reconciled or not worker.is_reachable:
@@ -84,6 +91,8 @@
             return
         if not self._worker.is_reachable:
             record("worker-reached", worker=self._worker.id, failures=self._failures)
+            # The lease's row still names it as silent.
+            self._owner.commits.renew()
         self._failures = 0
         self._reports.take(self._worker, report, asked_s)
         await self._wait_for_commit()
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/base.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/base.py
@@ -40,6 +40,20 @@
     def after_commit(self, action: object) -> None:
         self.actions.append(action)
 
+    def renew(self) -> None:
+        pass
+
+
+class HeldLease:
+    """A lease that stays valid, after an owner that named no silent workers."""
+
+    def __init__(self):
+        self.earlier_grants_end_s = 0.0
+        self.earlier_lease_ends_s: dict = {}
+
+    def may_grant(self, key: object) -> bool:
+        return True
+
 
 class RecordedOrders:
     """Orders that are only collected."""
@@ -71,7 +85,8 @@
         log.remove()
         self.clock = ManualClock()
         self.commits = RecordedCommits()
-        self.owner = Owner(None, self.commits, self.clock, Bounds())
+        self.lease = HeldLease()
+        self.owner = Owner(self.lease, self.commits, self.clock, Bounds())
         self.owner.orders = self.orders = RecordedOrders()
         self.reports = Reports(self.owner, self.look_at)
         self.workers = [self.add_worker(name) for name in ("w1", "w2")]
