Move runs far behind the estimate also if all runs of their step crawl

Now the lesser of estimate and usual time counts. Each task is still moved once.

Evidence: test_runs_of_a_step_that_all_crawl_are_moved fails before, passes.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
@@ -156,10 +156,11 @@
 
 
 def _usual_s(step: Step) -> float:
-    """Return how long a task of a step takes: as its other runs tell, or as estimated.
+    """Return how long a task of a step takes: as its runs tell, or as estimated.
 
-    0 if neither is known.
+    The lesser of the two, as all runs of a step may crawl; 0 if neither is known.
     """
+    known_s = [step.spec.estimate_s] if step.spec.estimate_s else []
     if step.speed_samples >= MIN_STEP_SAMPLES and step.speed:
-        return 1.0 / step.speed
-    return step.spec.estimate_s
+        known_s.append(1.0 / step.speed)
+    return min(known_s, default=0.0)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/progress_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/progress_tests.py
@@ -87,6 +87,16 @@
             self.assertEqual(run in self.orders.stops, expected)
             self.report(self.slow, ends=((run, "stopped"),))
 
+    # Guards against: the runs of a step crawled side by side and passed for usual.
+    def test_runs_of_a_step_that_all_crawl_are_moved(self):
+        job = self.add_job("j", PLAIN)
+        runs = [self.start(job, self.slow, index=index) for index in range(3)]
+        for percent in (1.0, 2.0, 3.0, 4.0):
+            self.clock.advance(0.5)
+            rows = [(run, percent, 500.0) for run in runs if run.is_active]
+            self.report(self.slow, *rows)
+        self.assertCountEqual(self.orders.stops, runs)
+
     def test_a_slow_worker_gets_no_more_and_gives_its_work_back(self):
         job = self.add_job("j", SAVED)
         sound = self.start(job, self.sound, index=1)
