--- a/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
@@ -61,7 +61,7 @@
         owner = self._owner
         now = owner.now_s()
         is_silent = not worker.is_reachable
-        if is_silent and now >= owner.lease_end_s(worker):
+        if is_silent and now >= owner.lease_ends.end_s(worker):
             if worker.runs:
                 owner.expire_silent(worker)
             if not worker.is_listed:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/orders.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/orders.py
@@ -61,7 +61,7 @@
 
     def _order(self, run: Run, worker: Worker) -> Order:
         owner = self._owner
-        until_ms = worker.lease_until_ms(owner.now_s(), owner.worker_lease_s)
+        until_ms = worker.lease_until_ms(owner.now_s(), owner.lease_ends.worker_lease_s)
         ticket = run.task.step.tickets.get(worker.key)
         return Order(
             task=run.task.name,
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -17,8 +17,9 @@
 from fulmarlever.outcomes import failed
 from fulmarleverd.scheduling.commits import CommitLog
 from fulmarleverd.scheduling.decisions import record, record_run
-from fulmarleverd.scheduling.fleet import SLOWEST_CLOCK, Fleet, Worker
+from fulmarleverd.scheduling.fleet import Fleet, Worker
 from fulmarleverd.scheduling.lease import SchedulerLease
+from fulmarleverd.scheduling.lease_ends import LeaseEnds
 from fulmarleverd.scheduling.metrics import FIRST_START_SECONDS, JOBS_OPEN
 from fulmarleverd.scheduling.progress_rows import restore_progress
 from fulmarleverd.scheduling.rows import JobRow, SilentWorker
@@ -30,11 +31,6 @@
 if TYPE_CHECKING:
     from fulmarleverd.scheduling.orders import WorkerOrders
 
-# Beside the computed end of a lease, for timers and rounding.
-LEASE_MARGIN_S = 0.3
-MAX_WORKER_LEASE_S = 7.5
-# Named in the lease's row, whose value is small.
-MAX_SILENT_NAMED = 100
 # Older jobs are late in any case; clocks of VMs may differ by more than that.
 MAX_KNOWN_AGE_S = 60.0
 
@@ -58,59 +54,15 @@
         self.orders: WorkerOrders | None = None
         self.changed = asyncio.Event()
         self.on_worker_added: Callable[[Worker], None] = lambda worker: None
-        # Whatever an earlier owner started has ended by then, unless it is seen here.
-        self.earlier_leases_end_s = lease.earlier_grants_end_s + self._lease_length_s()
+        self.lease_ends = LeaseEnds(lease, clock, bounds)
 
     def now_s(self) -> float:
         """Return seconds on the clock of the leases."""
         return self.clock.boot()
 
-    @property
-    def worker_lease_s(self) -> float:
-        """Return the length of the leases of running tasks.
-
-        Long enough for what runs to outlive a partition of some seconds, short enough
-        for the tasks of a lost worker to run elsewhere soon.
-        """
-        return min(self.bounds.worker_lease_s, MAX_WORKER_LEASE_S)
-
-    def _lease_length_s(self) -> float:
-        return self.worker_lease_s / SLOWEST_CLOCK + LEASE_MARGIN_S
-
-    def lease_end_s(self, worker: Worker) -> float:
-        """Return the time after which nothing runs on a worker that stays silent."""
-        length_s = self._lease_length_s()
-        if worker.first_answer_s:
-            # From then on the worker has refused the tokens of earlier owners.
-            return max(worker.first_answer_s, worker.granted_s) + length_s
-        return max(self.earlier_lease_end_s(worker.key), worker.granted_s + length_s)
-
-    def earlier_lease_end_s(self, key: WorkerKey) -> float:
-        """Return when the leases are over that earlier owners gave to a worker."""
-        named = self.lease.earlier_lease_ends_s
-        return named.get(key, self.earlier_leases_end_s)
-
     def silent_workers(self) -> list[SilentWorker]:
-        """Return the workers that do not answer and may still run tasks.
-
-        Those left out cost a successor time, and nothing else.
-        """
-        ends_s = {
-            worker.key: self.lease_end_s(worker)
-            for worker in self.fleet
-            if worker.is_silent and worker.runs
-        }
-        unseen = {run.worker_key for run in self.orphans}
-        unseen.update(self.lease.earlier_lease_ends_s)
-        for key in unseen:
-            worker = self.fleet.find(key)
-            if worker is None:
-                ends_s[key] = self.earlier_lease_end_s(key)
-            elif not worker.is_reachable:
-                ends_s[key] = self.lease_end_s(worker)
-        now = self.now_s()
-        named = list(ends_s.items())[:MAX_SILENT_NAMED]
-        return [SilentWorker(key, max(0.0, end_s - now)) for key, end_s in named]
+        """Return the workers that do not answer and may still run tasks."""
+        return self.lease_ends.silent_workers(self.fleet, self.orphans)
 
     # Jobs
 
@@ -354,5 +306,5 @@
         """Plan runs anew whose worker never showed up within their lease."""
         now = self.now_s()
         for run in list(self.orphans):
-            if now >= self.earlier_lease_end_s(run.worker_key):
+            if now >= self.lease_ends.earlier_end_s(run.worker_key):
                 self.drop_run(run, "its worker has been away longer than its lease")
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
@@ -72,7 +72,7 @@
         # would put off the time at which its tasks may run elsewhere.
         if worker.is_reachable:
             worker.granted_s = asked_s
-            until_ms = worker.lease_until_ms(asked_s, owner.worker_lease_s)
+            until_ms = worker.lease_until_ms(asked_s, owner.lease_ends.worker_lease_s)
         report = await self._calls.extend_lease(
             worker.entry,
             owner.lease.token,
