Bound what a look at fair shares costs in a large fleet

Each second the runs of all lasting steps were gone over, and each swap looked at all workers: 660 ms a look with 1,600 workers and 1,100 lasting jobs, on the daemon that schedules.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/fair_shares.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fair_shares.py
@@ -10,7 +10,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
-from itertools import combinations
+from itertools import combinations, islice
+from operator import itemgetter
 
 from fulmarleverd.scheduling.decisions import record
 from fulmarleverd.scheduling.fleet import Worker
@@ -29,6 +30,8 @@
 HOLD_S = 4.0
 MAX_SWAPS_PER_LOOK = 8
 MAX_VICTIMS = 2
+# Each of these is looked at with all pairs of its runs.
+MAX_WORKERS_PER_LOOK = 100
 COMPLETE_PERCENT = 100.0
 
 
@@ -41,6 +44,7 @@
         self._look_at_s = 0.0
         self._holds: list[Hold] = []
         self._short_since: dict[str, float] = {}
+        self._first_worker = 0
 
     def tick(self) -> None:
         """Release what is not needed any more, and give room to one that is short."""
@@ -49,13 +53,14 @@
             return
         self._look_at_s = now
         self._release(now)
-        by_service: dict[str, list[Share]] = {}
+        by_service: dict[str, list[Step]] = {}
         for step in self._long_running_steps():
-            share = Share(step, sum(hold.step is step for hold in self._holds))
-            by_service.setdefault(step.job.queue.service, []).append(share)
-        short = [s for shares in by_service.values() for s in _short_ones(shares)]
-        for share in self._patient(short, now):
-            self._fill(share, by_service[share.step.job.queue.service], now)
+            by_service.setdefault(step.job.queue.service, []).append(step)
+        short: dict[Step, list[Step]] = {}
+        for steps in by_service.values():
+            short.update((step, steps) for step in _short_ones(steps))
+        for step in self._patient(short, now):
+            self._fill(step, short[step], now)
 
     def _release(self, now_s: float) -> None:
         """Drop the holds that were used, have lapsed or whose step needs none."""
@@ -74,40 +79,60 @@
             if job.spec.is_long_running:
                 yield from (s for s in job.steps() if s.spec.is_long_running)
 
-    def _patient(self, short: list[Share], now_s: float) -> list[Share]:
+    def _patient(self, short: Iterable[Step], now_s: float) -> list[Step]:
         """Return those that have been short for long, the smallest share first."""
-        names = {share.step.name for share in short}
-        since = {name: self._short_since.get(name, now_s) for name in names}
+        steps = list(short)
+        since = {s.name: self._short_since.get(s.name, now_s) for s in steps}
         self._short_since = since
-        long_short = [s for s in short if now_s - since[s.step.name] >= PATIENCE_S]
-        return sorted(long_short, key=lambda share: (share.value, share.step.name))
+        patient = [s for s in steps if now_s - since[s.name] >= PATIENCE_S]
+        return sorted(patient, key=lambda step: (step.share_placed, step.name))
 
-    def _fill(self, short: Share, shares: list[Share], now_s: float) -> None:
+    def _fill(self, step: Step, others: list[Step], now_s: float) -> None:
         """Make room for tasks of a step until it is not short or nobody can give."""
-        by_step = {share.step: share for share in shares}
-        task = next(iter(short.step.waiting.values()))
-        while len(self._holds) < MAX_SWAPS_PER_LOOK and is_short(short, shares):
-            if short.coming >= len(short.step.waiting):
+        by_step = {
+            other: Share(other, sum(hold.step is other for hold in self._holds))
+            for other in others
+        }
+        short = by_step[step]
+        task = next(iter(step.waiting.values()))
+        for swap in self._find_swaps(task, short, by_step):
+            has_enough = short.coming >= len(step.waiting)
+            is_limit = len(self._holds) >= MAX_SWAPS_PER_LOOK
+            if has_enough or is_limit or not is_short(short, by_step):
                 return
-            swap = self._find_swap(task, short, by_step)
-            if swap is None:
-                return
-            self._carry_out(swap, short, by_step, now_s)
+            # What was carried out before may have changed who can give.
+            if all(by_step[run.task.step].may_give(short) for run in swap.runs):
+                self._carry_out(swap, short, by_step, now_s)
 
-    def _find_swap(
+    def _find_swaps(
         self, task: Task, short: Share, by_step: dict[Step, Share]
-    ) -> Swap | None:
-        """Return the worker where the fewest runs of those best off make room."""
-        swaps = (
-            Swap(worker, runs)
-            for worker in self._owner.fleet
-            if worker.entry.service == task.step.job.queue.service
-            and worker.held_for is None
-            and self._planner.find_rule_obstacle(task, worker) is None
-            for runs in _sufficient_runs(task, worker, short, by_step)
-        )
+    ) -> list[Swap]:
+        """Return the best swap of each worker, the cheapest first."""
         spec = task.step.spec
-        return min(swaps, key=lambda swap: swap.cost(spec, by_step), default=None)
+        found: list[tuple[tuple, Swap]] = []
+        for worker in islice(self._eligible(task), MAX_WORKERS_PER_LOOK):
+            swaps = [
+                Swap(worker, runs)
+                for runs in _sufficient_runs(task, worker, short, by_step)
+            ]
+            costs = [(swap.cost(spec, by_step), swap) for swap in swaps]
+            found += [min(costs, key=itemgetter(0))] if costs else []
+        return [swap for _, swap in sorted(found, key=itemgetter(0))]
+
+    def _eligible(self, task: Task) -> Iterator[Worker]:
+        """Yield the workers that could take a task if they had room for it.
+
+        Each call begins further on, as only some of a large fleet are looked at.
+        """
+        workers = list(self._owner.fleet)
+        first = self._first_worker % max(1, len(workers))
+        self._first_worker = first + MAX_WORKERS_PER_LOOK
+        for worker in workers[first:] + workers[:first]:
+            is_of_service = worker.entry.service == task.step.job.queue.service
+            if not is_of_service or worker.held_for is not None:
+                continue
+            if self._planner.find_rule_obstacle(task, worker) is None:
+                yield worker
 
     def _carry_out(
         self, swap: Swap, short: Share, by_step: dict[Step, Share], now_s: float
@@ -192,18 +217,19 @@
         self.until_s = until_s
 
 
-def is_short(share: Share, shares: Iterable[Share]) -> bool:
+def is_short(share: Share, by_step: dict[Step, Share]) -> bool:
     """Return whether a step has much less than the mean share."""
-    values = [other.value for other in shares]
+    values = [other.value for other in by_step.values()]
     return share.value < SHORT_OF_MEAN * sum(values) / len(values)
 
 
-def _short_ones(shares: list[Share]) -> Iterator[Share]:
-    mean = sum(share.value for share in shares) / len(shares)
-    for share in shares:
-        is_waiting = _waits(share.step) and not share.step.spec.is_gang
-        if is_waiting and share.value < SHORT_OF_MEAN * mean:
-            yield share
+def _short_ones(steps: list[Step]) -> Iterator[Step]:
+    """Yield the steps of a service that wait with much less than the mean share."""
+    mean = sum(step.share_placed for step in steps) / len(steps)
+    for step in steps:
+        is_waiting = _waits(step) and not step.spec.is_gang
+        if is_waiting and step.share_placed < SHORT_OF_MEAN * mean:
+            yield step
 
 
 def _waits(step: Step) -> bool:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -129,6 +129,11 @@
         """Return whether every task has ended as done."""
         return self.left == 0
 
+    @property
+    def share_placed(self) -> float:
+        """Return the share of the tasks that have a run or are done."""
+        return 1.0 - len(self.waiting) / len(self.tasks)
+
     def refresh(self, task: Task) -> None:
         """Bring the set of waiting tasks up to date after a change of one task."""
         if task.is_waiting:
