Leave workers out of the lease's row once their leases are over

What an earlier owner had named was passed on for ever, so the row would have grown with each lost worker, to 4 KB in each commit.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/lease_ends.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/lease_ends.py
@@ -61,14 +61,15 @@
             for worker in fleet
             if worker.is_silent and worker.runs
         }
+        now = self._clock.boot()
+        earlier = self._lease.earlier_lease_ends_s.items()
         unseen = {run.worker_key for run in orphans}
-        unseen.update(self._lease.earlier_lease_ends_s)
+        unseen.update(key for key, end_s in earlier if end_s > now)
         for key in unseen:
             worker = fleet.find(key)
             if worker is None:
                 ends_s[key] = self.earlier_end_s(key)
             elif not worker.is_reachable:
                 ends_s[key] = self.end_s(worker)
-        now = self._clock.boot()
         named = list(ends_s.items())[:MAX_SILENT_NAMED]
         return [SilentWorker(key, max(0.0, end_s - now)) for key, end_s in named]
