Order two test events by a message between them, not by chance

Cause, by reading: the test's wall clock stands still, so the hybrid clocks of the two daemons count their own stamps alone, and the one that had sent more frames was ahead. Events without a message between them have no order that the time line promises.

--- a/packages/fulmarleverd/fulmarleverd/tests/services/membership_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/services/membership_tests.py
@@ -75,9 +75,12 @@
         self.place("a1", "a2", "a3")
         first, _ = await self.start("a1"), await self.start("a2")
         await wait_until(lambda: len(first.live()) == 1)
-        for vm in ("a1", "a2"):
-            self.kernels[vm].find("timeline").record("test.event", detail=vm)
+        timelines = {vm: self.kernels[vm].find("timeline") for vm in ("a1", "a2")}
         query = TimelineQuery(kind="test.")
-        merged = await self.kernels["a1"].find("timeline").merged(query, 0.5)
+        timelines["a1"].record("test.event", detail="a1")
+        # Events without a message between them have no order within a millisecond.
+        await timelines["a1"].merged(query, 0.5)
+        timelines["a2"].record("test.event", detail="a2")
+        merged = await timelines["a1"].merged(query, 0.5)
         self.assertEqual([event.vm for event in merged.events], ["a1", "a2"])
         self.assertEqual(list(merged.unreachable), ["a3"])
