Try a step that a worker is held for, also if a smaller task found none

The step that they were held for was skipped after a smaller one, so the room lay idle for the 4 s of a hold, again and again.

Now a step with held room is always tried. Evidence: the new row of fair_shares_tests fails before ([] for the held worker) and passes.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -212,7 +212,7 @@
     def covers(self, step: Step) -> bool:
         """Return whether the tasks of a step certainly find no worker."""
         size = self._sizes.get(_kind(step))
-        if size is None:
+        if size is None or step.has_room_held:
             return False
         return step.spec.cpu_m >= size[0] and step.spec.memory_mb >= size[1]
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/fair_shares_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/fair_shares_tests.py
@@ -88,6 +88,19 @@
         self.pass_time(2.0 + PATIENCE_S)
         self.assertEqual(len(self.orders.stops), 3)
 
+    # Guards against: a smaller task of the same image found no worker, so the step that
+    # a worker was held for was not tried, and the room lay idle until the hold lapsed.
+    def test_held_room_is_used_though_a_smaller_task_found_none(self):
+        self.fill()
+        self.add_job("large", serving(2, 8))
+        self.pass_time(2.0 + PATIENCE_S)
+        stopped = self.orders.stops[0]
+        self.add_job("small", serving(1, 4), queue=MORE_URGENT)
+        self.end(stopped)
+        self.planner.plan()
+        runs = list(self.owner.jobs["large"].runs())
+        self.assertEqual([run.worker for run in runs], [stopped.worker])
+
     # Memory and accelerators of the earlier jobs' tasks, and of the new job's.
     SIZES = (
         ("cores", {}, {}, True),
