--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/lasting_jobs_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/lasting_jobs_tests.py
@@ -96,39 +96,31 @@
 
     # Guards against: a large job got nothing as others had come before it.
     def test_a_large_job_gets_a_share_of_a_fleet_that_is_full(self):
-        async def scenario(site):
-            self.add_fleet(site)
-            owner = await site.until_owned()
-            first = SIZES[:9]
-            await hand_in(owner, first, "j")
-            await asyncio.sleep(SETTLE_S)
-            await owner.submit(job("large", lasting(*LARGEST)))
-            await asyncio.sleep(SETTLE_S)
-            jobs = {f"j{n}": tasks for n, (tasks, _) in enumerate(first)}
-            jobs["large"] = LARGEST[0]
-            shares = await self.mean_shares(site, jobs)
-            self.check_shares(shares, ["large"])
-
-        self.play(scenario)
+        self.play(lambda site: self.add_large_job_late(site, SIZES[:9]))
 
     # Guards against: short tasks took each piece of room before a large task fitted.
     def test_a_large_job_gets_a_share_beside_a_stream_of_short_ones(self):
-        async def scenario(site):
-            self.add_fleet(site)
-            owner = await site.until_owned()
-            first = SIZES[:8]
-            await hand_in(owner, first, "j")
-            await asyncio.sleep(SETTLE_S)
-            stream = asyncio.create_task(self.stream(owner))
-            await owner.submit(job("large", lasting(*LARGEST)))
-            await asyncio.sleep(SETTLE_S)
-            jobs = {f"j{n}": tasks for n, (tasks, _) in enumerate(first)}
-            jobs["large"] = LARGEST[0]
-            shares = await self.mean_shares(site, jobs)
-            stream.cancel()
-            self.check_shares(shares, ["large"])
+        self.play(
+            lambda site: self.add_large_job_late(site, SIZES[:8], has_stream=True)
+        )
 
-        self.play(scenario)
+    async def add_large_job_late(
+        self, site: Site, first: tuple[tuple[int, int], ...], has_stream: bool = False
+    ) -> None:
+        """Fill the fleet with jobs, then hand in the largest and check its share."""
+        self.add_fleet(site)
+        owner = await site.until_owned()
+        await hand_in(owner, first, "j")
+        await asyncio.sleep(SETTLE_S)
+        stream = asyncio.create_task(self.stream(owner)) if has_stream else None
+        await owner.submit(job("large", lasting(*LARGEST)))
+        await asyncio.sleep(SETTLE_S)
+        jobs = {f"j{n}": tasks for n, (tasks, _) in enumerate(first)}
+        jobs["large"] = LARGEST[0]
+        shares = await self.mean_shares(site, jobs)
+        if stream is not None:
+            stream.cancel()
+        self.check_shares(shares, ["large"])
 
     async def stream(self, owner: Daemon) -> None:
         """Hand in short jobs that would fill what is left of the fleet twice."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/backlog.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/backlog.py
@@ -39,9 +39,7 @@
         if now - self._load_at_s < LOAD_PERIOD_S:
             return
         self._load_at_s = now
-        waiting = [
-            step for job in self._owner.jobs.values() for step in job.ready_steps()
-        ]
+        waiting = list(self._owner.ready_steps())
         self._record_load(waiting)
         for step in self._due(waiting, now):
             self._record_wait(step, now)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/fair_shares.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fair_shares.py
@@ -17,7 +17,7 @@
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.planner import Planner
-from fulmarleverd.scheduling.runs import Run, RunState
+from fulmarleverd.scheduling.runs import COMPLETE_PERCENT, Run, RunState
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.scheduling.tasks import Step, Task
 
@@ -32,7 +32,6 @@
 MAX_VICTIMS = 2
 # Each of these is looked at with all pairs of its runs.
 MAX_WORKERS_PER_LOOK = 100
-COMPLETE_PERCENT = 100.0
 
 
 class FairShares:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/lease.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/lease.py
@@ -173,7 +173,7 @@
     async def _take(self, row: StoredRow, holder: LeaseRow) -> bool:
         token = holder.token + 1
         seen_s = self._seen_s(row)
-        silent = self._age(holder.silent, self.clock_s() - seen_s)
+        silent = _age(holder.silent, self.clock_s() - seen_s)
         value = pack_lease(LeaseRow(self._vm, self._life, token, 0, silent))
         tx = Transaction([lease_row(version=row.version)], [lease_row(value)])
         self._tried_at_s = sent_s = self.clock_s()
@@ -197,15 +197,6 @@
         is_watched = row.version == self._watched
         return self._watched_since_s if is_watched else self.clock_s()
 
-    def _age(
-        self, silent: tuple[SilentWorker, ...], passed_s: float
-    ) -> tuple[SilentWorker, ...]:
-        """Return silent workers with what is left of their leases after some time."""
-        return tuple(
-            SilentWorker(worker.key, max(0.0, worker.lease_left_s - passed_s))
-            for worker in silent
-        )
-
     def _hold(
         self,
         token: int,
@@ -259,6 +250,14 @@
     return next((seconds for below, seconds in HANDICAPS if cores < below), 0.0)
 
 
+def _age(silent: tuple[SilentWorker, ...], passed_s: float) -> tuple[SilentWorker, ...]:
+    """Return silent workers with what is left of their leases after some time."""
+    return tuple(
+        SilentWorker(worker.key, max(0.0, worker.lease_left_s - passed_s))
+        for worker in silent
+    )
+
+
 def _grants_after_s(holder: LeaseRow, own_vm: str) -> float:
     """Return for how long after its row was seen a holder may extend leases.
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/order.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/order.py
@@ -46,7 +46,7 @@
 
 def work_of(spec: JobSpec) -> float:
     """Return the estimated core-seconds of one occurrence of a job."""
-    return sum(s.count * s.estimate_s * s.cpu_m / 1000.0 for s in spec.steps)
+    return sum(step.work_s(step.count) for step in spec.steps)
 
 
 def work_left(job: Job) -> float:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -26,7 +26,7 @@
 from fulmarleverd.scheduling.runs import Run, RunState, WorkerKey
 from fulmarleverd.scheduling.size_classes import SizeClasses
 from fulmarleverd.scheduling.specs import Bounds, WorkerEntry
-from fulmarleverd.scheduling.tasks import Job, Task
+from fulmarleverd.scheduling.tasks import Job, Step, Task
 
 if TYPE_CHECKING:
     from fulmarleverd.scheduling.orders import WorkerOrders
@@ -119,6 +119,11 @@
         else:
             worker.add(run)
 
+    def ready_steps(self) -> Iterator[Step]:
+        """Yield the steps of all open jobs that have tasks to start."""
+        for job in self.jobs.values():
+            yield from job.ready_steps()
+
     def cancel_job(self, job_id: str) -> None:
         """Cancel a job and stop its runs."""
         job = self.jobs.get(job_id)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -48,7 +48,7 @@
         self._unplaced = Unplaced()
         started = sum(1 for _ in self._start_copies())
         unadmitted: list[Step] = []
-        ordered = self._sort(self._ready_steps(), self._owner.now_s())
+        ordered = self._sort(self._owner.ready_steps(), self._owner.now_s())
         for step, limit in take_turns(ordered):
             started += sum(1 for _ in self._start_step(step, limit))
             if step.waiting and step.job.queue.needs_ticket:
@@ -60,10 +60,6 @@
             self._tickets.want(unadmitted)
         return started
 
-    def _ready_steps(self) -> Iterator[Step]:
-        for job in self._owner.jobs.values():
-            yield from job.ready_steps()
-
     def _workers(self, step: Step) -> list[Worker]:
         """Return the workers that the step may be started on, as far as is known."""
         workers = self._usable_workers(step.job.queue.service)
@@ -187,8 +183,9 @@
 class Unplaced:
     """The sizes of tasks that found no worker in this plan, by service and image.
 
-    A task that needs at least as much finds none either. So each image is tried about
-    once, and one that disturbs too much does not hold up the others behind it.
+    A task that needs at least as much finds none either, unless a worker is held for
+    its step. So each image is tried about once, and one that disturbs too much does not
+    hold up the others behind it.
     """
 
     __slots__ = ("_sizes",)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
@@ -7,7 +7,7 @@
 from fulmarleverd.scheduling.decisions import record, record_run
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.owner import Owner
-from fulmarleverd.scheduling.runs import Run, RunState
+from fulmarleverd.scheduling.runs import COMPLETE_PERCENT, Run, RunState
 from fulmarleverd.scheduling.tasks import Step
 
 # A run without any progress for this long stands still; long-running tasks take some
@@ -30,7 +30,6 @@
 STALLED_PAUSE_S = 3.0
 # A run is moved only if it would otherwise take this much longer.
 MIN_GAIN_S = 0.8
-COMPLETE_PERCENT = 100.0
 # Estimates are rough, so a run is far behind only once it would take this many times
 # what its step usually takes, and this long.
 FAR_BEHIND_FACTOR = 8.0
--- a/packages/fulmarleverd/fulmarleverd/scheduling/runs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/runs.py
@@ -11,6 +11,9 @@
     from fulmarleverd.scheduling.tasks import Task
 
 
+COMPLETE_PERCENT = 100.0
+
+
 class RunState(StrEnum):
     """How far the start of a run has come."""
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
@@ -36,6 +36,10 @@
     is_best_effort: bool = False
     max_unavailable: int | None = None
 
+    def work_s(self, tasks: int) -> float:
+        """Return the estimated core-seconds of some tasks of the step."""
+        return tasks * self.estimate_s * self.cpu_m / 1000.0
+
     @property
     def kind(self) -> str:
         """Return what the tasks are in logs and metrics."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -162,7 +162,7 @@
 
     def work_left_s(self) -> float:
         """Return the estimated core-seconds of the tasks that are not done."""
-        return self.left * self.spec.estimate_s * self.spec.cpu_m / 1000.0
+        return self.spec.work_s(self.left)
 
 
 class Job:
