Give each late job a task before any late job has more

Cause: jobs too late to be of use went one after the other, the least work first. While a backlog lasts, the larger ones have nothing at work, for as long as all others take.

Ruled out: cores left unused by admission. Workers without serving tasks, and those whose serving images are not disturbed, are given in full; on the others one best-effort task takes 0.5 to 0.9 of headroom 1.0 to 2.0.

Change: an order gives turns (a step and how many tasks) in place of steps. In the last rank each job without a run gets one task first, the oldest job first; then the least work goes first as before.

Evidence: late_jobs_tests failed before (3.0 s with nothing at work) and passes.

--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/late_jobs_tests.py
@@ -0,0 +1,58 @@
+"""More late jobs than the fleet can run at once."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from functools import partial
+
+from fulmarlever_standins.authority.site import QUEUE, Site, job
+from fulmarlever_standins.tests.authority.base import SiteTestCase
+from fulmarleverd.scheduling.order import USELESS_AFTER_OBJECTIVES
+from fulmarleverd.scheduling.specs import StepSpec
+
+TASK_S = 0.5
+JOBS = 6
+OBJECTIVE_S = QUEUE.stretch * TASK_S + QUEUE.target_latency_s
+LOOK_S = 0.1
+# Each job fills the worker for five times a task's time.
+BATCH = StepSpec(count=160, cpu_m=1000, estimate_s=TASK_S)
+BEST_EFFORT = replace(BATCH, is_best_effort=True)
+
+
+def running_jobs(site: Site) -> set[str]:
+    """Return the ids of the jobs that have a task at work."""
+    workers = site.network.workers.values()
+    return {task.split(".")[0] for worker in workers for task, _ in worker.running}
+
+
+class LateJobsTests(SiteTestCase):
+    # The users' rule: no job that may run has nothing at work for so long.
+    IDLE_LIMIT_S = 3.0
+
+    # Guards against: late jobs went one after the other, and the largest had nothing
+    # at work until all others had ended.
+    def test_each_late_job_has_something_at_work(self):
+        rows = (("batch", BATCH), ("best effort", BEST_EFFORT))
+        for _, step in self.each(rows):
+            self.play(partial(self.run_late_jobs, step=step))
+
+    async def run_late_jobs(self, site: Site, step: StepSpec) -> None:
+        site.add_daemons("vm-1")
+        for worker in site.add_workers(1):
+            worker.work_s = lambda task: TASK_S
+        owner = await site.until_owned()
+        for number in range(JOBS):
+            larger = replace(step, count=step.count + number)
+            await owner.submit(job(f"j{number}", larger))
+        await asyncio.sleep(USELESS_AFTER_OBJECTIVES * OBJECTIVE_S)
+        idle_s = dict.fromkeys((f"j{number}" for number in range(JOBS)), 0.0)
+        while idle_s:
+            await asyncio.sleep(LOOK_S)
+            running = running_jobs(site)
+            for name in list(idle_s):
+                if (await owner.state(name)).state == "completed":
+                    del idle_s[name]
+                    continue
+                idle_s[name] = 0.0 if name in running else idle_s[name] + LOOK_S
+                self.assertLess(idle_s[name], self.IDLE_LIMIT_S, name)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/order.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/order.py
@@ -1,8 +1,9 @@
-"""The order in which steps get workers."""
+"""The order in which steps get workers, and how many tasks of each at a time."""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
 from enum import IntEnum
 from itertools import groupby
 
@@ -10,7 +11,17 @@
 from fulmarleverd.scheduling.specs import JobSpec
 from fulmarleverd.scheduling.tasks import Job, Step
 
-ORDERS: Registry[Callable[[Iterable[Step], float], list[Step]]] = Registry(
+
+@dataclass(slots=True, frozen=True)
+class Turn:
+    """``limit`` waiting tasks of a step may start before the next turn."""
+
+    step: Step
+    limit: int
+
+
+# Gives the turns of ready steps at a time of the owner's clock.
+ORDERS: Registry[Callable[[Iterable[Step], float], Iterator[Turn]]] = Registry(
     "order of steps"
 )
 
@@ -62,13 +73,14 @@
 
 
 @ORDERS.register("fifo")
-def by_age(steps: Iterable[Step], now_s: float) -> list[Step]:
+def by_age(steps: Iterable[Step], now_s: float) -> Iterator[Turn]:
     """Order by priority, then by age; the naive order."""
-    return sorted(steps, key=lambda step: (step.job.queue.priority, step.job.since_s))
+    ordered = sorted(steps, key=lambda s: (s.job.queue.priority, s.job.since_s))
+    yield from _whole_steps(ordered)
 
 
 @ORDERS.register("objective")
-def by_objective(steps: Iterable[Step], now_s: float) -> list[Step]:
+def by_objective(steps: Iterable[Step], now_s: float) -> Iterator[Turn]:
     """Order by priority, then jobs that can be in time, then the least work left.
 
     ``now_s`` is on the owner's clock. Jobs that can only be late come after those that
@@ -81,7 +93,14 @@
     for step in (steps := list(steps)):
         if step.job.id not in keys:
             keys[step.job.id] = _objective_key(step.job, now_s)
-    return sorted(steps, key=lambda step: (keys[step.job.id], step.number))
+    steps.sort(key=lambda step: (keys[step.job.id], step.number))
+    for (_, rank), group in groupby(steps, lambda step: keys[step.job.id][:2]):
+        steps_in_turn = list(group)
+        if rank is Rank.LONG_RUNNING:
+            yield from _first_halves(steps_in_turn)
+        if rank is Rank.USELESS:
+            yield from _first_tasks(steps_in_turn)
+        yield from _whole_steps(steps_in_turn)
 
 
 class Rank(IntEnum):
@@ -114,23 +133,22 @@
     return (job.queue.priority, rank, last, job.since_s)
 
 
-def take_turns(steps: Iterable[Step]) -> Iterator[tuple[Step, int]]:
-    """Yield ordered steps, each with how many of its tasks may start now.
-
-    Long-running steps that follow each other come twice: each may have half of its
-    tasks before any may have all.
-    """
-    for is_long_running, group in groupby(steps, lambda s: s.spec.is_long_running):
-        steps_in_turn = list(group)
-        if is_long_running:
-            yield from _first_halves(steps_in_turn)
-        for step in steps_in_turn:
-            yield step, len(step.waiting)
+def _whole_steps(steps: Iterable[Step]) -> Iterator[Turn]:
+    for step in steps:
+        yield Turn(step, len(step.waiting))
 
 
-def _first_halves(steps: Iterable[Step]) -> Iterator[tuple[Step, int]]:
+def _first_halves(steps: Iterable[Step]) -> Iterator[Turn]:
+    """Yield what each step lacks of half of its tasks, before any has all of them."""
     for step in steps:
         placed = len(step.tasks) - len(step.waiting)
         missing = (len(step.tasks) + 1) // 2 - placed
         if missing > 0:
-            yield step, missing
+            yield Turn(step, missing)
+
+
+def _first_tasks(steps: Iterable[Step]) -> Iterator[Turn]:
+    """Yield one task of each job that has nothing at work, the oldest job first."""
+    for step in sorted(steps, key=lambda step: step.job.since_s):
+        if not step.job.has_runs:
+            yield Turn(step, 1)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -11,7 +11,7 @@
     find_room_obstacle,
     find_rule_obstacle,
 )
-from fulmarleverd.scheduling.order import ORDERS, take_turns
+from fulmarleverd.scheduling.order import ORDERS
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.placement import PLACEMENTS, HeadroomTaken
 from fulmarleverd.scheduling.runs import Run
@@ -35,7 +35,7 @@
         tickets: TicketBook | None = None,
     ) -> None:
         self._owner = owner
-        self._sort = ORDERS.find(order)
+        self._order = ORDERS.find(order)
         self._placement = PLACEMENTS.find(placement)
         self._headroom_taken = headroom_taken
         self._tickets = tickets
@@ -48,16 +48,17 @@
         self._unplaced = Unplaced()
         started = sum(1 for _ in self._start_copies())
         unadmitted: list[Step] = []
-        ordered = self._sort(self._owner.ready_steps(), self._owner.now_s())
-        for step, limit in take_turns(ordered):
-            started += sum(1 for _ in self._start_step(step, limit))
+        turns = self._order(self._owner.ready_steps(), self._owner.now_s())
+        for turn in turns:
+            step = turn.step
+            started += sum(1 for _ in self._start_step(step, turn.limit))
             if step.waiting and step.job.queue.needs_ticket:
                 unadmitted.append(step)
             if started >= MAX_STARTS_PER_PLAN:
                 self._owner.changed.set()
                 break
         if self._tickets is not None:
-            self._tickets.want(unadmitted)
+            self._tickets.want(dict.fromkeys(unadmitted))
         return started
 
     def _workers(self, step: Step) -> list[Worker]:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -251,6 +251,11 @@
         for task in self.tasks():
             yield from task.runs.values()
 
+    @property
+    def has_runs(self) -> bool:
+        """Return whether any task has a run."""
+        return any(step.left > len(step.waiting) for step in self.steps())
+
     def open_occurrence(self, occurrence: int) -> list[Step]:
         """Create the steps of an occurrence, once."""
         if occurrence not in self.occurrences:
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/order_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/order_tests.py
@@ -10,7 +10,6 @@
     by_objective,
     chain_s,
     objective_s,
-    take_turns,
     work_left,
 )
 from fulmarleverd.scheduling.specs import JobSpec, QueueSpec, StepSpec
@@ -27,7 +26,8 @@
 class OrderTests(OwnerTestCase):
     def names(self, order: object) -> list[str]:
         steps = [s for job in self.owner.jobs.values() for s in job.ready_steps()]
-        return [item.job.id for item in order(steps, self.owner.now_s())]
+        turns = order(steps, self.owner.now_s())
+        return list(dict.fromkeys(turn.step.job.id for turn in turns))
 
     def test_the_order_in_a_burst(self):
         self.add_job("late", step(2.0), queue=PLANS)
@@ -62,10 +62,24 @@
         jobs += [self.add_job("even", step(0.5, count=4, **lasting))]
         jobs += [self.add_job("batch", step(0.5, count=6))]
         steps = [s for job in jobs for s in job.ready_steps()]
-        turns = [(s.job.id, count) for s, count in take_turns(steps)]
+        turns = self.turns(steps)
         halves = [("odd", 3), ("even", 2)]
-        rest = [("placed", 1), ("odd", 5), ("even", 4), ("batch", 6)]
-        self.assertEqual(turns, halves + rest)
+        rest = [("odd", 5), ("even", 4), ("placed", 1)]
+        self.assertEqual(turns, [("batch", 6), *halves, *rest])
+
+    def test_each_late_job_may_have_a_task_before_any_has_more(self):
+        jobs = [self.add_job(f"late-{n}", step(1.0, count=n)) for n in (2, 3, 4)]
+        for age_s, job in enumerate(jobs):
+            job.since_s -= 60.0 + age_s
+        self.start(jobs[1], self.workers[0])
+        steps = [s for job in jobs for s in job.ready_steps()]
+        first = [("late-4", 1), ("late-2", 1)]
+        rest = [("late-2", 2), ("late-3", 2), ("late-4", 4)]
+        self.assertEqual(self.turns(steps), first + rest)
+
+    def turns(self, steps: list) -> list[tuple[str, int]]:
+        turns = by_objective(steps, self.owner.now_s())
+        return [(turn.step.job.id, turn.limit) for turn in turns]
 
     @given(st.lists(st.tuples(st.floats(0, 50), st.integers(1, 5)), max_size=8))
     def test_both_orders_keep_every_step_and_the_priorities(self, jobs):
@@ -76,9 +90,10 @@
             self.owner.jobs[f"j{number}"].since_s -= age_s
         steps = [s for job in self.owner.jobs.values() for s in job.ready_steps()]
         for order in (by_age, by_objective):
-            found = order(steps, self.owner.now_s())
-            self.assertCountEqual(found, steps)
-            priorities = [item.job.queue.priority for item in found]
+            turns = list(order(steps, self.owner.now_s()))
+            whole = [t.step for t in turns if t.limit == len(t.step.waiting)]
+            self.assertCountEqual(dict.fromkeys(whole), steps)
+            priorities = [turn.step.job.queue.priority for turn in turns]
             self.assertEqual(priorities, sorted(priorities))
 
     def test_chain_and_objective(self):
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/size_classes_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/size_classes_tests.py
@@ -74,7 +74,7 @@
         self.assertEqual((late.goes_first, small.goes_first), (True, False))
         steps = [job.occurrences[0][0] for job in (small, late)]
         ordered = by_objective(steps, self.owner.now_s())
-        self.assertEqual([step.job.id for step in ordered], ["late", "small"])
+        self.assertEqual([turn.step.job.id for turn in ordered], ["late", "small"])
         self.assertTrue(self.add_job("new", work(11)).goes_first)
 
     def test_a_job_counts_once_and_not_if_cancelled(self):
