Leave a lease whose row cannot be read to its holder

During a change of versions an old daemon would take the lease from a living owner of the new version, twice a second, and workers would refuse its orders for the low token.

Cause: an unknown holder was treated as none. Change: it is assumed to be alive; the lease is taken once the row has kept one version for LEASE_S, with a token above the row's version (each token was committed with a version of its own). A row with a token that is no number counts as unreadable. Evidence: the new test failed before (TypeError, then taken at once) and passes. No run with daemons of two versions was made.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/lease.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/lease.py
@@ -44,6 +44,8 @@
 RENEW_S = 0.5
 POLL_S = 0.4
 CALL_TIMEOUT_S = 1.0
+# Stands for the VM and the life of a holder whose row cannot be read.
+UNKNOWN_VM = "?"
 # How long an owner may extend the leases of what runs after its own lease is over.
 EXTEND_GRACE_S = 0.5
 # Scheduling takes processor time, so VMs with fewer cores wait a little longer before
@@ -141,7 +143,7 @@
         holder = unpack_lease(row) if rows.rows else LeaseRow("", "", 0, 0)
         if failed(holder):
             log.bind(event="lease-unreadable").error(holder.reason)
-            holder = LeaseRow("", "", 0, 0)
+            holder = _unknown_holder(row)
         if self._adopt_late_answer(row, holder):
             return True
         if not self._is_free(row, holder):
@@ -248,6 +250,15 @@
         log.bind(event="lease-released", token=self.token).info(outcome)
 
 
+def _unknown_holder(row: StoredRow) -> LeaseRow:
+    """Return the holder to assume for a row of another version of this program.
+
+    It may be alive, so the lease is only taken once the row is silent. Each token was
+    committed with a version of its own, so none is greater than the row's version.
+    """
+    return LeaseRow(UNKNOWN_VM, UNKNOWN_VM, row.version, 0)
+
+
 def handicap_s(cores: float) -> float:
     """Return how long a VM with so many cores leaves a free lease to others."""
     return next((seconds for below, seconds in HANDICAPS if cores < below), 0.0)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/rows.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/rows.py
@@ -126,7 +126,7 @@
         vm, life, token, sequence, *rest = unpack(stored.value)
         named = rest[0] if rest else ()
         silent = tuple(SilentWorker(WorkerKey(*key), left_s) for *key, left_s in named)
-        return LeaseRow(vm, life, token, sequence, silent)
+        return LeaseRow(vm, life, int(token), int(sequence), silent)
     except FORMAT_ERRORS as exc:
         return BadRow(f"lease row: {type(exc).__name__}: {exc}")
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/lease_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/lease_tests.py
@@ -123,6 +123,18 @@
         self.assertTrue(asyncio.run(successor.try_acquire()))
         self.assertEqual(list(successor.earlier_lease_ends_s), [SILENT.key])
 
+    # Guards against: a daemon took the lease from an owner whose row it could not read.
+    def test_the_lease_of_an_unreadable_row_is_taken_once_the_row_is_silent(self):
+        for number in range(3):
+            self.store.write(pack(["of", "another", "version", number]))
+            self.assertFalse(asyncio.run(self.lease.try_acquire()))
+            self.clock.advance(LEASE_S * 0.9)
+        token_bound = self.store.version
+        self.clock.advance(LEASE_S)
+        self.assertTrue(asyncio.run(self.lease.try_acquire()))
+        self.assertGreater(self.lease.token, token_bound)
+        self.assertGreater(self.lease.earlier_grants_end_s, self.clock.boot() - LEASE_S)
+
     def test_a_row_of_an_earlier_version_names_nobody(self):
         row = lease_row(pack(["vm-1", "life", 4, 9]))
         self.assertEqual(unpack_lease(row), LeaseRow("vm-1", "life", 4, 9))
