Say that a daemon on a platform has no admin port

Cause: an answer of another server counted as an unknown outcome. Evidence: the new test failed before for all five commands and passes.

--- a/packages/fulmarlever_cli/fulmarlever_cli/client.py
+++ b/packages/fulmarlever_cli/fulmarlever_cli/client.py
@@ -25,6 +25,11 @@
 ROUNDS = 3
 PAUSE_S = 0.3
 RETRIED_STATUSES = (429, 503)
+NOT_FOUND = 404
+NO_ADMIN_API = (
+    "is not an admin port. A daemon started with --interface has none: "
+    "read its metrics, and its log with 'fulmarlever explain'"
+)
 
 
 class AdminClient:
@@ -82,7 +87,7 @@
         url = f"http://{address}{path}"
         try:
             async with self._session.request(method, url, **options) as reply:
-                return _read_reply(reply.status, await reply.text())
+                return _read_reply(address, reply.status, await reply.text())
         except aiohttp.ClientConnectorError as exc:
             return Unavailable(f"{address}: {exc.strerror or exc}")
         except aiohttp.InvalidURL:
@@ -91,10 +96,12 @@
             return OutcomeUnknown(f"{address}: {exc or 'no answer in time'}")
 
 
-def _read_reply(status: int, text: str) -> Any | Failure:
+def _read_reply(address: str, status: int, text: str) -> Any | Failure:
     try:
         body = json.loads(text)
     except ValueError:
+        if status == NOT_FOUND:
+            return Refused(f"{address} {NO_ADMIN_API}")
         return OutcomeUnknown(f"status {status} without a JSON body")
     return body if status < 400 else _read_problem(status, body)
 
--- a/packages/fulmarlever_cli/fulmarlever_cli/tests/commands_tests.py
+++ b/packages/fulmarlever_cli/fulmarlever_cli/tests/commands_tests.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 import cappa
+from aiohttp import web
 from prometheus_client.samples import Sample
 
 from fulmarlever.outcomes import OutcomeUnknown
@@ -74,6 +75,19 @@
                 self.assertNotIn("accepted", out)
                 self.assertIn(message, err)
 
+    # Guards against: against a platform's daemon, "status 404 without a JSON body".
+    async def test_a_port_without_the_admin_api_is_said_to_be_none(self):
+        runner = web.AppRunner(web.Application())
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        self.address = f"127.0.0.1:{runner.addresses[0][1]}"
+        for name in ("status", "services", "jobs", "timeline", "report"):
+            with self.subTest(name):
+                code, _, err = await self.command(name)
+                self.assertEqual(code, 1)
+                self.assertIn(f"{self.address} is not an admin port", err)
+
     async def test_dry_run_shows_the_plan_only(self):
         await self.command("apply", self.write(GOOD))
         path = self.write("teams: {a: {quota: {cores: 2}}, b: {}}\n")
