Derive from the workers which steps have room held for them

A step's flag repeated what the workers tell and was kept in step at three places; after a hold had been used it stayed set until the next look. The planner now takes it from the workers at each plan, a pass over the fleet as it makes for each service anyway. No change of behaviour but the one look; 71 tests of order, shares and planning pass.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/fair_shares.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fair_shares.py
@@ -71,10 +71,6 @@
                     hold.worker.held_for = None
             else:
                 kept.append(hold)
-        for hold in self._holds:
-            hold.step.has_room_held = False
-        for hold in kept:
-            hold.step.has_room_held = True
         self._holds = kept
 
     def _long_running_steps(self) -> Iterator[Step]:
@@ -141,7 +137,6 @@
         self, swap: Swap, short: Share, by_step: dict[Step, Share], now_s: float
     ) -> None:
         swap.worker.held_for = short.step
-        short.step.has_room_held = True
         self._holds.append(Hold(swap.worker, short.step, now_s + HOLD_S))
         short.coming += 1
         record(
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from fulmarleverd.scheduling.candidates import Candidates
 from fulmarleverd.scheduling.fleet import Worker
@@ -39,13 +39,13 @@
         self._placement = PLACEMENTS.find(placement)
         self._headroom_taken = headroom_taken
         self._tickets = tickets
-        self._unplaced = Unplaced()
+        self._unplaced = Unplaced(())
         self._usable: dict[str, list[Worker]] = {}
 
     def plan(self) -> int:
         """Give tasks to workers and return how many got one."""
         self._usable = {}
-        self._unplaced = Unplaced()
+        self._unplaced = Unplaced(worker.held_for for worker in self._owner.fleet)
         started = sum(1 for _ in self._start_copies())
         unadmitted: list[Step] = []
         turns = self._order(self._owner.ready_steps(), self._owner.now_s())
@@ -189,9 +189,10 @@
     hold up the others behind it.
     """
 
-    __slots__ = ("_sizes",)
+    __slots__ = ("_sizes", "_has_room_held")
 
-    def __init__(self) -> None:
+    def __init__(self, held_for: Iterable[Step | None]) -> None:
+        self._has_room_held = set(held_for)
         self._sizes: dict[tuple[str, str, bool], tuple[int, int]] = {}
 
     def note(self, task: Task) -> None:
@@ -210,7 +211,7 @@
     def covers(self, step: Step) -> bool:
         """Return whether the tasks of a step certainly find no worker."""
         size = self._sizes.get(_kind(step))
-        if size is None or step.has_room_held:
+        if size is None or step in self._has_room_held:
             return False
         return step.spec.cpu_m >= size[0] and step.spec.memory_mb >= size[1]
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -105,7 +105,6 @@
         "speed",
         "speed_samples",
         "tickets",
-        "has_room_held",
     )
 
     def __init__(self, job: Job, occurrence: int, number: int, spec: StepSpec) -> None:
@@ -119,8 +118,6 @@
         self.speed = 0.0
         self.speed_samples = 0
         self.tickets: dict[WorkerKey, Ticket] = {}
-        # Whether a worker is held for tasks of this step alone.
-        self.has_room_held = False
 
     @property
     def name(self) -> str:
