Explain the ranks of the order and name the unknown holder

Read as a newcomer: the docstring of the order told of ranks that the enum now explains; the value for a holder whose row cannot be read stood for more than a VM. No change of behaviour; tests of the lease, the order and late jobs pass.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/lease.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/lease.py
@@ -45,7 +45,7 @@
 POLL_S = 0.4
 CALL_TIMEOUT_S = 1.0
 # Stands for the VM and the life of a holder whose row cannot be read.
-UNKNOWN_VM = "?"
+UNKNOWN_HOLDER = "?"
 # How long an owner may extend the leases of what runs after its own lease is over.
 EXTEND_GRACE_S = 0.5
 # Scheduling takes processor time, so VMs with fewer cores wait a little longer before
@@ -239,9 +239,8 @@
         """Give the lease up so that another daemon may take it at once."""
         if not self.is_held:
             return
-        row = LeaseRow(
-            "", self._life, self.token, self._sequence + 1, tuple(self.silent_workers())
-        )
+        silent = tuple(self.silent_workers())
+        row = LeaseRow("", self._life, self.token, self._sequence + 1, silent)
         value = pack_lease(row)
         tx = Transaction([lease_row(version=self.version)], [lease_row(value)])
         self.lost()
@@ -256,7 +255,9 @@
     It may be alive, so the lease is only taken once the row is silent. Each token was
     committed with a version of its own, so none is greater than the row's version.
     """
-    return LeaseRow(UNKNOWN_VM, UNKNOWN_VM, row.version, 0)
+    return LeaseRow(
+        vm=UNKNOWN_HOLDER, life=UNKNOWN_HOLDER, token=row.version, sequence=0
+    )
 
 
 def handicap_s(cores: float) -> float:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/order.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/order.py
@@ -81,13 +81,12 @@
 
 @ORDERS.register("objective")
 def by_objective(steps: Iterable[Step], now_s: float) -> Iterator[Turn]:
-    """Order by priority, then jobs that can be in time, then the least work left.
+    """Order by priority, then by rank, then the least work left.
 
-    ``now_s`` is on the owner's clock. Jobs that can only be late come after those that
-    can be in time, and jobs that are too late to be of use come last. Jobs of a size
-    that is served too seldom go before all others. Long-running jobs
-    come after those that can be in time, the one with the smallest share of its tasks
-    first: ordered by size, the largest would get nothing while others last.
+    ``now_s`` is on the owner's clock. Among long-running jobs the one with the smallest
+    share of its tasks goes first: ordered by size, the largest would get nothing while
+    others last. Each of their steps may have half of its tasks before any has all of
+    them, and each useless job has a task at work before any has more.
     """
     keys: dict[str, tuple] = {}
     for step in (steps := list(steps)):
@@ -110,7 +109,9 @@
     IN_TIME = 1
     # It earns by staying, so a job that is awaited goes before it.
     LONG_RUNNING = 2
+    # It misses its objective, but still earns something.
     LATE = 3
+    # It can only complete too late to earn anything.
     USELESS = 4
 
 
