Move a task again that crawls on a second worker, too

Cause: a task was judged once. Both workers had the fault (all they start takes 60 s) at the same time, and any worker that the task avoided, for whatever cause, ended the watch. Ruled out: the lease and the owner (vm1 held it all the while), the report of progress (vm2 judged by the same figures).

Change: each move of a task makes the limit eight times as long: 8, 64, 512 times what its step usually takes. So a wrong estimate costs few moves, and a task that crawls for 120 times its estimate is moved again. Failures elsewhere no longer end the watch.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
@@ -31,7 +31,8 @@
 # A run is moved only if it would otherwise take this much longer.
 MIN_GAIN_S = 0.8
 # Estimates are rough, so a run is far behind only once it would take this many times
-# what its step usually takes, and this long.
+# what its step usually takes, and this long. After each move the factor counts once
+# more: an estimate may be wrong on every worker, but the task must not move for ever.
 FAR_BEHIND_FACTOR = 8.0
 FAR_BEHIND_S = 4.0
 
@@ -52,7 +53,7 @@
         for run in list(self._stalled(worker, now)):
             self._stop_stalled(worker, run, now)
         for run in list(self._far_behind(worker)):
-            # Once a task: the estimate may be wrong on every worker.
+            run.task.moves_as_behind += 1
             run.task.avoid.add(worker.id)
             self._move(run, "far behind its estimate")
         if worker.is_slow:
@@ -123,10 +124,11 @@
             step = run.task.step
             if run.state is not RunState.RUNNING or step.spec.is_long_running:
                 continue
-            if not run.speed or run.task.avoid or run.pace < COMPLETE_PERCENT:
+            if not run.speed or run.pace < COMPLETE_PERCENT:
                 continue
             usual_s = _usual_s(step)
-            limit_s = max(FAR_BEHIND_S, FAR_BEHIND_FACTOR * usual_s / _cores_share(run))
+            factor = FAR_BEHIND_FACTOR ** (1 + run.task.moves_as_behind)
+            limit_s = max(FAR_BEHIND_S, factor * usual_s / _cores_share(run))
             left = 1.0 - run.percent / COMPLETE_PERCENT
             if usual_s and left / run.speed > limit_s:
                 yield run
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/progress_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/progress_tests.py
@@ -44,23 +44,33 @@
             self.assertEqual("w1" in run.task.avoid, expected)
             self.report(self.slow, ends=((run, "stopped"),))
 
-    def test_a_run_far_behind_its_estimate_is_moved_once(self):
+    # Guards against: a task that crawled on a second worker, too, stayed there.
+    def test_a_run_far_behind_its_estimate_is_moved(self):
         """Steps of one task on a slow worker have no other runs to be compared with."""
         rows = (
-            ("far behind", 2.0, False, True),
-            ("as declared", 40.0, False, False),
-            ("moved before", 2.0, True, False),
+            ("far behind", 2.0, 0, True),
+            ("as declared", 40.0, 0, False),
+            ("moved before", 2.0, 1, False),
+            ("moved before, hardly moves", 0.5, 1, True),
+            ("moved twice, hardly moves", 0.5, 2, False),
         )
-        for name, percent, was_moved, expected in self.each(rows):
+        for name, percent, times_moved, expected in self.each(rows):
             run = self.start(
                 self.add_job(name, StepSpec(cpu_m=1, estimate_s=0.5)), self.slow
             )
-            if was_moved:
-                run.task.avoid.add("w2")
+            run.task.moves_as_behind = times_moved
             self.run_at(run, (percent, 2 * percent, 2.5 * percent), 0.5)
             self.assertEqual(run in self.orders.stops, expected)
+            self.assertEqual(run.task.moves_as_behind, times_moved + expected)
             self.report(self.slow, ends=((run, "stopped"),))
 
+    def test_a_run_that_failed_elsewhere_is_judged_like_any(self):
+        spec = StepSpec(cpu_m=1, estimate_s=0.5)
+        run = self.start(self.add_job("j", spec), self.slow)
+        run.task.avoid.add("w2")
+        self.run_at(run, (2.0, 4.0, 5.0), 0.5)
+        self.assertIn(run, self.orders.stops)
+
     # Guards against: runs that crawled stayed, as their worker had no other runs.
     def test_a_run_far_behind_the_others_of_its_step_is_moved(self):
         rows = (
