--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/soak/seeds_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/soak/seeds_tests.py
@@ -14,6 +14,7 @@
     (103, 20.0, 4, 6, "the stand-in of a dead worker told of ends"),
     (305, 12.0, 4, 6, "the next life of a worker took a start: two runs at once"),
     (402, 12.0, 4, 6, "SIGHUP during the start ended a daemon"),
+    (1554675687, 14.0, 4, 6, "a task that crawled on a second worker stayed there"),
 )
 # The logs of a seed that fails are kept here.
 LOGS = Path("results/soak")
