Cancel calls in the HTTP test once the server has them, not after 20 ms

Cause: the test's timing, by reading: only its first call was meant to be cancelled without an answer; the other two had 20 ms to connect and be answered, and each that was not cost a connection more.

--- a/packages/fulmarleverd/fulmarleverd/tests/platform/http_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/http_tests.py
@@ -164,11 +164,13 @@
             self.assertEqual(len(self.client._pools), 1)
 
     async def test_a_cancelled_call_ends_its_connection(self) -> None:
-        address = await self.serve(None)
-        for _ in range(3):
-            call = asyncio.create_task(self.call(address))
-            await asyncio.sleep(0.02)
+        """More calls than places are cancelled once the server has their requests."""
+        address = await self.serve(None, None, None)
+        for number in range(3):
+            call = asyncio.create_task(self.call(address, 5.0))
+            while len(self.server.requests) <= number:
+                await asyncio.sleep(0.001)
             call.cancel()
             await asyncio.gather(call, return_exceptions=True)
-        self.assertEqual(await self.call(address), Reply(200, None))
-        self.assertEqual(self.server.connections, 2)
+        self.assertEqual(await self.call(address, 5.0), Reply(200, None))
+        self.assertEqual(self.server.connections, 4)
