Let new samples weigh more instead of shrinking all sums of a regression

Change: the weight of each new sample grows by the inverse of the factor instead; sums are scaled back rarely. The coefficients are the same up to rounding.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/interference_model.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/interference_model.py
@@ -14,6 +14,9 @@
 # Forgetting factor: the weight of a sample halves after about 700 newer samples of the
 # same serving image.
 FORGETTING_FACTOR = 0.999
+# The sums are scaled back to a weight of 1 once a new sample's weight exceeds this, so
+# that they stay within the range of floating-point numbers.
+MAX_SAMPLE_WEIGHT = 1e6
 # Weight of the prior coefficient of a pair of images, as a ridge penalty.
 PRIOR_WEIGHT = 0.01
 # Headroom that an image without samples takes if it uses all cores of a worker.
@@ -28,9 +31,14 @@
 
 
 class Regression:
-    """Ridge regression of one serving image on the loads of best-effort images."""
+    """Ridge regression of one serving image on the loads of best-effort images.
+
+    Instead of reducing all sums with each sample, the weight of each new sample is
+    greater than that of the one before by the inverse of ``FORGETTING_FACTOR``.
+    """
 
     __slots__ = (
+        "_sample_weight",
         "_columns",
         "_products",
         "_targets",
@@ -41,6 +49,7 @@
 
     def __init__(self, prior: Loads | None = None) -> None:
         self._prior = prior or {}
+        self._sample_weight = 1.0
         self._columns: dict[str, int] = {}
         self._products: list[list[float]] = []
         self._targets: list[float] = []
@@ -50,11 +59,12 @@
     def add(self, changes: Loads, headroom_decrease: float) -> None:
         """Add a sample: the changes of loads and the decrease of headroom with them."""
         sample = [(self._column(image), change) for image, change in changes.items()]
-        self._apply_forgetting()
+        self._increase_sample_weight()
+        weight = self._sample_weight
         for i, x in sample:
-            self._targets[i] += x * headroom_decrease
+            self._targets[i] += weight * x * headroom_decrease
             for j, y in sample:
-                self._products[i][j] += x * y
+                self._products[i][j] += weight * x * y
         self._samples_since_solution += 1
 
     def _column(self, image: str) -> int:
@@ -71,11 +81,14 @@
         """Return the coefficient assumed for an image without samples."""
         return self._prior.get(image, PRIOR_COEFFICIENT)
 
-    def _apply_forgetting(self) -> None:
-        self._targets = [value * FORGETTING_FACTOR for value in self._targets]
-        for row in self._products:
-            for column in range(len(row)):
-                row[column] *= FORGETTING_FACTOR
+    def _increase_sample_weight(self) -> None:
+        """Make all earlier samples count less than the next one."""
+        self._sample_weight /= FORGETTING_FACTOR
+        if self._sample_weight > MAX_SAMPLE_WEIGHT:
+            scale = 1.0 / self._sample_weight
+            self._targets = [value * scale for value in self._targets]
+            self._products = [[v * scale for v in row] for row in self._products]
+            self._sample_weight = 1.0
 
     def coefficient(self, image: str) -> float:
         """Return the headroom that an image takes if it uses all cores of a worker."""
@@ -93,8 +106,9 @@
         return {image: round(self.coefficient(image), 2) for image in sorted(images)}
 
     def _solve(self) -> list[float]:
-        matrix = [list(row) for row in self._products]
-        right = list(self._targets)
+        scale = 1.0 / self._sample_weight
+        matrix = [[value * scale for value in row] for row in self._products]
+        right = [value * scale for value in self._targets]
         for image, column in self._columns.items():
             matrix[column][column] += PRIOR_WEIGHT
             right[column] += PRIOR_WEIGHT * self._prior_coefficient(image)
