Store done tasks by index and compress large rows

Cause: each start and each end writes the whole progress of its job. Change: a done task without runs is its index in a list of its step; rows of 256 bytes and more are compressed. Rows of the earlier format are read. Ruled out: one row for each step or part of a step; a takeover would read more rows.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/progress_rows.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/progress_rows.py
@@ -1,26 +1,33 @@
-"""Stored form of a job's progress, written by one owner and read by the next."""
+"""Stored form of a job's progress, written by one owner and read by the next.
+
+The row is written anew with each change, so it is kept small: a done task is stored as
+its index alone, and larger rows are compressed.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Iterator
 
-from fulmarleverd.scheduling.rows import FORMAT_ERRORS, BadRow, pack, unpack
+from fulmarleverd.scheduling.rows import FORMAT_ERRORS, BadRow, pack_large, unpack
 from fulmarleverd.scheduling.runs import Run, WorkerKey
-from fulmarleverd.scheduling.tasks import Job, JobState, Task
+from fulmarleverd.scheduling.tasks import Job, JobState, Step, Task
 
 
 def pack_progress(job: Job) -> bytes:
     """Return the value of a job's progress row, in msgpack.
 
     It holds the state, whether the job has begun, the cause of its end, the keys of
-    workers with runs and the tasks that have run, which refer to the keys by index.
+    workers with runs, the tasks that have run, which refer to the keys by index, and
+    the indices of the done tasks of each step.
     """
     keys: dict[WorkerKey, int] = {}
     started_tasks = [
         packed for task in job.tasks() for packed in _pack_task(task, keys)
     ]
     incarnations = [(key.id, key.incarnation) for key in keys]
-    return pack([str(job.state), job.has_begun, job.cause, incarnations, started_tasks])
+    done = list(_done_indices(job))
+    fields = [str(job.state), job.has_begun, job.cause, incarnations]
+    return pack_large([*fields, started_tasks, done])
 
 
 def restore_progress(job: Job, data: bytes) -> BadRow | None:
@@ -29,12 +36,16 @@
     Return BadRow if the row can't be decoded; the job may then be set in part.
     """
     try:
-        state, job.has_begun, job.cause, incarnations, started_tasks = unpack(data)
+        fields = unpack(data)
+        state, job.has_begun, job.cause, incarnations, started_tasks, *rest = fields
         job.is_cancelled = state == JobState.CANCELLED
         job.has_failed = state == JobState.FAILED
         keys = [WorkerKey(*incarnation) for incarnation in incarnations]
         for packed in started_tasks:
             _restore_task(job, packed, keys)
+        # Rows of earlier versions list done tasks among the started ones.
+        for occurrence, number, indices in rest[0] if rest else ():
+            _restore_done(job.open_occurrence(occurrence)[number], indices)
     except FORMAT_ERRORS as exc:
         return BadRow(f"progress of job {job.id}: {type(exc).__name__}: {exc}")
     return None
@@ -54,9 +65,27 @@
     step.refresh(task)
 
 
+def _restore_done(step: Step, indices: list[int]) -> None:
+    for index in indices:
+        step.complete(step.tasks[index])
+
+
+def _has_ended(task: Task) -> bool:
+    """Return whether a task is done and nothing of it runs any more."""
+    return task.is_done and not task.runs
+
+
+def _done_indices(job: Job) -> Iterator[list]:
+    """Yield occurrence, number and the indices of the ended tasks of each step."""
+    for step in job.steps():
+        if step.unfinished_tasks < len(step.tasks):
+            indices = [task.index for task in step.tasks if _has_ended(task)]
+            yield [step.occurrence, step.number, indices]
+
+
 def _pack_task(task: Task, keys: dict[WorkerKey, int]) -> Iterator[list]:
-    """Yield the packed form of a task, or nothing if it has never had a run."""
-    if not task.last_run:
+    """Yield the packed form of a task that has had a run and has not ended."""
+    if not task.last_run or _has_ended(task):
         return
     runs = [
         (run.number, keys.setdefault(run.worker_key, len(keys)))
--- a/packages/fulmarleverd/fulmarleverd/scheduling/rows.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/rows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from dataclasses import dataclass
 from typing import Any
 from zlib import crc32
@@ -32,7 +33,18 @@
 JOB_PARTITIONS = tuple(f"jobs-{number:02d}" for number in range(16))
 SINGLE_PARTITION = ("",)
 
-FORMAT_ERRORS = (ValueError, TypeError, KeyError, msgpack.UnpackException)
+FORMAT_ERRORS = (
+    ValueError,
+    TypeError,
+    LookupError,
+    msgpack.UnpackException,
+    zlib.error,
+)
+# Smaller values are not compressed.
+MIN_COMPRESSED_BYTES = 256
+COMPRESSION_LEVEL = 1
+# The first byte of a zlib stream. In msgpack it would stand for a bare number.
+ZLIB_MARK = b"\x78"
 
 
 class BadRow(Failure):
@@ -86,8 +98,18 @@
     return msgpack.packb(value)
 
 
+def pack_large(value: list) -> bytes:
+    """Encode plain data in msgpack, compressed if that is worthwhile."""
+    data = pack(value)
+    if len(data) < MIN_COMPRESSED_BYTES:
+        return data
+    return zlib.compress(data, COMPRESSION_LEVEL)
+
+
 def unpack(data: bytes) -> Any:
     """Decode plain data from msgpack; raise one of ``FORMAT_ERRORS`` if malformed."""
+    if data[:1] == ZLIB_MARK:
+        data = zlib.decompress(data)
     return msgpack.unpackb(data, strict_map_key=False)
 
 
@@ -97,7 +119,7 @@
     timing = (spec.repetitions, spec.start_at_s, spec.interval_s)
     steps = [pack_fields(step) for step in spec.steps]
     queue = pack_fields(row.queue)
-    return pack([queue, row.accepted_s, spec.payload, steps, timing])
+    return pack_large([queue, row.accepted_s, spec.payload, steps, timing])
 
 
 def unpack_job(stored: StoredRow) -> JobRow | BadRow:
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/progress_rows_tests.py
@@ -0,0 +1,127 @@
+"""The stored progress of a job is restored by the next owner."""
+
+from __future__ import annotations
+
+from fulmarlever.outcomes import failed
+from fulmarleverd.scheduling.progress_rows import (
+    pack_progress,
+    restore_progress,
+    unpack_state,
+)
+from fulmarleverd.scheduling.rows import ZLIB_MARK, JobRow, pack
+from fulmarleverd.scheduling.runs import WorkerKey
+from fulmarleverd.scheduling.specs import JobSpec, StepSpec
+from fulmarleverd.scheduling.tasks import Job, JobState
+from fulmarleverd.tests.scheduling.base import QUEUE, OwnerTestCase
+
+WORKER = WorkerKey("w1", "7")
+STEPS = (StepSpec(count=40), StepSpec(count=2, after=(0,)))
+
+
+def new_job() -> Job:
+    job = Job(JobRow(JobSpec("j", "payload", STEPS), QUEUE, 0.0))
+    job.open_occurrence(0)
+    return job
+
+
+def start(job: Job, step: int, index: int, number: int = 0) -> None:
+    task = job.occurrences[0][step].tasks[index]
+    task.add_run(WORKER, number)
+    task.step.refresh(task)
+
+
+def end(job: Job, step: int, index: int) -> None:
+    task = job.occurrences[0][step].tasks[index]
+    task.runs.clear()
+    task.step.complete(task)
+
+
+def copy_left(job: Job) -> None:
+    """One task is done while a copy of it still runs."""
+    start(job, 0, 3)
+    start(job, 0, 3)
+    task = job.occurrences[0][0].tasks[3]
+    del task.runs[1]
+    task.step.complete(task)
+
+
+def in_part(job: Job) -> None:
+    for index in range(30):
+        start(job, 0, index)
+    for index in range(0, 30, 2):
+        end(job, 0, index)
+    job.occurrences[0][0].tasks[1].failures = 2
+    job.occurrences[0][0].tasks[1].checkpoint = "00000bb87a21d94b"
+
+
+def whole(job: Job) -> None:
+    for step, spec in enumerate(STEPS):
+        for index in range(spec.count):
+            end(job, step, index)
+
+
+def facts(job: Job) -> dict:
+    """Return what a task's next run and the job's state depend on."""
+    tasks = {
+        task.name: (task.failures, task.last_run, task.checkpoint, list(task.runs))
+        for task in job.tasks()
+        if not task.is_done or task.runs
+    }
+    done = [task.name for task in job.tasks() if task.is_done]
+    waiting = [list(step.waiting) for step in job.steps()]
+    return {"state": job.state, "tasks": tasks, "done": done, "waiting": waiting}
+
+
+class ProgressRowsTests(OwnerTestCase):
+    ROWS = (
+        ("nothing has begun", lambda job: None),
+        ("one run", lambda job: start(job, 0, 5)),
+        ("in part", in_part),
+        ("a copy is left", copy_left),
+        ("whole", whole),
+    )
+
+    def test_a_stored_job_is_restored(self):
+        for _, advance in self.each(self.ROWS):
+            job, restored = new_job(), new_job()
+            advance(job)
+            job.has_begun = True
+            self.assertIsNone(restore_progress(restored, pack_progress(job)))
+            self.assertEqual(facts(restored), facts(job))
+            runs = {(r.task.name, r.number, r.worker_key) for r in restored.runs()}
+            expected = {(r.task.name, r.number, r.worker_key) for r in job.runs()}
+            self.assertEqual(runs, expected)
+
+    def test_rows_of_the_earlier_format_are_read(self):
+        row = pack(
+            ["running", True, "", [["w1", "7"]], [[0, 0, 1, True, 0, 1, "", []]]]
+        )
+        job = new_job()
+        self.assertIsNone(restore_progress(job, row))
+        self.assertTrue(job.occurrences[0][0].tasks[1].is_done)
+
+    def test_a_malformed_row_is_reported(self):
+        rows = (
+            ("empty", b""),
+            ("broken compression", ZLIB_MARK + b"..."),
+            ("unknown task", pack(["running", True, "", [], [], [[0, 0, [99]]]])),
+        )
+        for _, data in self.each(rows):
+            self.assertTrue(failed(restore_progress(new_job(), data)))
+
+    def test_the_state_is_read_from_small_and_large_rows(self):
+        for name, advance in self.each(self.ROWS):
+            job = new_job()
+            advance(job)
+            job.has_begun = name != "nothing has begun"
+            self.assertEqual(unpack_state(pack_progress(job)), (job.state, ""))
+        self.assertIs(job.state, JobState.COMPLETED)
+
+    # Regression: the whole progress of a job was written with each end, which filled a
+    # slow link.
+    def test_a_done_task_takes_few_bytes(self):
+        job = new_job()
+        for index in range(40):
+            start(job, 0, index)
+            end(job, 0, index)
+        self.assertLess(len(pack_progress(job)), 150)
