Leave the process's own delay out of the time limits of calls

Cause: an owner out of processor time let the time limits of its own calls pass. Change: LoopDelay measures the event loop; time limits exclude its delay. A response that is still arriving is not cut off. A page without an answer is asked for again, with four partitions at a time. At most 6 connections to a worker. Ruled out: longer time limits, which only move the load at which it collapses.

--- a/packages/fulmarleverd/fulmarleverd/platform/connection.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import httptools
@@ -12,6 +13,10 @@
 # The store's largest response is 1 MB of values, encoded in base64 within JSON.
 MAX_RESPONSE_BYTES = 4 << 20
 FIRST_FINAL_STATUS = 200
+# A response that has begun to arrive may exceed the time limit of its call, as long as
+# no pause between its parts is longer than this and it is complete in time.
+MAX_PAUSE_S = 0.5
+MAX_TRANSFER_S = 8.0
 BODY_LENGTH_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 
@@ -42,6 +47,10 @@
         "_has_length",
         "_has_headers",
         "_is_reusable",
+        "_left_s",
+        "_timer",
+        "_sent_at_s",
+        "_received_at_s",
     )
 
     def __init__(self) -> None:
@@ -70,20 +79,24 @@
         return self._is_reusable and self._pending_response is None
 
     async def send(
-        self, request: bytes, timeout_s: float
+        self, request: bytes, left_s: Callable[[], float]
     ) -> RawResponse | OutcomeUnknown:
         """Send a request and return its response.
 
-        The connection ends if there is no whole response within ``timeout_s`` seconds.
-        After a cancelled call it cannot be reused.
+        The connection ends if there is no response in time: ``left_s`` returns the
+        seconds that are left, and is asked again when they have passed. A large
+        response may take longer. After a cancelled call the connection cannot be
+        reused.
         """
         self._pending_response = response = self._loop.create_future()
         self._transport.write(request)
-        timer = self._loop.call_later(timeout_s, self._time_out, timeout_s)
+        self._sent_at_s = self._received_at_s = self._loop.time()
+        self._left_s = left_s
+        self._start_timer(left_s())
         try:
             return await response
         finally:
-            timer.cancel()
+            self._timer.cancel()
 
     def abort(self) -> None:
         """Close the connection at once and discard unsent data."""
@@ -91,9 +104,29 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _time_out(self, timeout_s: float) -> None:
+    def _start_timer(self, timeout_s: float) -> None:
+        self._timer = self._loop.call_later(timeout_s, self._on_timer)
+
+    def _on_timer(self) -> None:
+        left_s = self._left_s()
+        if left_s > 0.0:
+            # This process was late itself, so the answer may only be unread.
+            self._start_timer(left_s)
+            return
+        if self._is_arriving():
+            self._start_timer(MAX_PAUSE_S)
+            return
         self.has_timed_out = True
-        self._fail(f"no answer within {timeout_s:.2f} s")
+        self._fail("no answer in time")
+
+    def _is_arriving(self) -> bool:
+        """Return whether a part of the response has arrived of late."""
+        now = self._loop.time()
+        return (
+            self._has_headers
+            and now - self._received_at_s < MAX_PAUSE_S
+            and now - self._sent_at_s < MAX_TRANSFER_S
+        )
 
     def _reset_response(self) -> None:
         self._body: list[bytes] = []
@@ -119,6 +152,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received data of a response."""
+        self._received_at_s = self._loop.time()
         if self._pending_response is None:
             self._fail("bytes without a request")
             return
--- a/packages/fulmarleverd/fulmarleverd/platform/http.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/http.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import json
+from collections.abc import Awaitable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
 
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable, failed
+from fulmarleverd.loop_delay import LoopDelay
 from fulmarleverd.platform.connection import Connection, RawResponse
 
 CONNECT_TIMEOUT_S = 0.6
@@ -23,6 +25,8 @@
     body: Any
 
 
+Result = TypeVar("Result")
+
 CallResult = Response | Unavailable | OutcomeUnknown
 
 
@@ -30,14 +34,18 @@
     """An HTTP client with a pool of connections for each address.
 
     A pool has at most ``per_address`` connections. ``local_address`` is their source
-    address, "" for any.
+    address, "" for any. Time limits exclude the delay of the process's own event loop,
+    which ``delay`` measures.
     """
 
-    __slots__ = ("_local_address", "_per_address", "_pools")
+    __slots__ = ("_local_address", "_per_address", "_delay", "_pools")
 
-    def __init__(self, local_address: str, per_address: int) -> None:
+    def __init__(
+        self, local_address: str, per_address: int, delay: LoopDelay | None = None
+    ) -> None:
         self._local_address = local_address
         self._per_address = per_address
+        self._delay = delay or LoopDelay()
         self._pools: dict[str, AddressPool] = {}
 
     def close(self) -> None:
@@ -60,9 +68,9 @@
         seconds. ``Unavailable`` means that the request was certainly not sent,
         ``OutcomeUnknown`` that it may have been carried out.
         """
-        until_s = asyncio.get_running_loop().time() + timeout_s
+        deadline = Deadline(timeout_s, self._delay)
         request = _encode_request(method, address, path, body, headers or {})
-        response = await self._pool(address).send(request, until_s)
+        response = await self._pool(address).send(request, deadline)
         if failed(response):
             return response
         try:
@@ -89,6 +97,36 @@
                 del self._pools[address]
 
 
+class Deadline:
+    """A time limit in seconds from its creation, without the delay of the own loop."""
+
+    __slots__ = ("_delay", "_until_s")
+
+    def __init__(self, timeout_s: float, delay: LoopDelay) -> None:
+        self._delay = delay
+        self._until_s = delay.punctual_time() + timeout_s
+
+    def left_s(self) -> float:
+        """Return the seconds left, 0 once the time limit has passed."""
+        return max(0.0, self._until_s - self._delay.punctual_time())
+
+    def sooner(self, timeout_s: float) -> Deadline:
+        """Return the time limit of a step that may take at most ``timeout_s``."""
+        return Deadline(min(timeout_s, self.left_s()), self._delay)
+
+    async def wait(self, awaitable: Awaitable[Result]) -> Result:
+        """Return the result of an awaitable; raise ``TimeoutError`` after the limit."""
+        task = asyncio.ensure_future(awaitable)
+        try:
+            while not task.done() and (left_s := self.left_s()) > 0.0:
+                await asyncio.wait((task,), timeout=left_s)
+            if not task.done():
+                raise TimeoutError
+            return task.result()
+        finally:
+            task.cancel()
+
+
 class AddressPool:
     """The connections to one address, at most ``limit``."""
 
@@ -112,15 +150,12 @@
         self._last_call_s = 0.0
 
     async def send(
-        self, request: bytes, until_s: float
+        self, request: bytes, deadline: Deadline
     ) -> RawResponse | Unavailable | OutcomeUnknown:
-        """Send a request on a free connection and return its response.
-
-        ``until_s`` is the time limit in seconds on the event loop's clock.
-        """
+        """Send a request on a free connection and return its response."""
         self._calls_in_progress += 1
         try:
-            return await self._send(request, until_s)
+            return await self._send(request, deadline)
         finally:
             self._calls_in_progress -= 1
             self._last_call_s = asyncio.get_running_loop().time()
@@ -131,19 +166,26 @@
         return self._calls_in_progress == 0 and now - self._last_call_s > KEEPALIVE_S
 
     async def _send(
-        self, request: bytes, until_s: float
+        self, request: bytes, deadline: Deadline
     ) -> RawResponse | Unavailable | OutcomeUnknown:
         try:
-            async with asyncio.timeout_at(until_s):
-                await self._connection_permits.acquire()
+            await self._acquire_permit(deadline)
         except TimeoutError:
             return Unavailable(f"every connection to {self._address} is in use")
         try:
-            conn = self._pop_idle() or await self._connect(until_s)
-            return conn if failed(conn) else await self._send_on(conn, request, until_s)
+            conn = self._pop_idle() or await self._connect(deadline)
+            if failed(conn):
+                return conn
+            return await self._send_on(conn, request, deadline)
         finally:
             self._connection_permits.release()
 
+    async def _acquire_permit(self, deadline: Deadline) -> None:
+        if self._connection_permits.locked():
+            await deadline.wait(self._connection_permits.acquire())
+        else:
+            await self._connection_permits.acquire()
+
     def _pop_idle(self) -> Connection | None:
         now = asyncio.get_running_loop().time()
         while self._idle:
@@ -153,23 +195,21 @@
             conn.abort()
         return None
 
-    async def _connect(self, until_s: float) -> Connection | Unavailable:
+    async def _connect(self, deadline: Deadline) -> Connection | Unavailable:
         host, _, port = self._address.rpartition(":")
-        connect_until_s = asyncio.get_running_loop().time() + CONNECT_TIMEOUT_S
         try:
-            async with asyncio.timeout_at(min(connect_until_s, until_s)):
-                return await Connection.open(host, int(port), self._local_address)
+            opening = Connection.open(host, int(port), self._local_address)
+            return await deadline.sooner(CONNECT_TIMEOUT_S).wait(opening)
         except (TimeoutError, OSError, ValueError) as exc:
             reason = f"no connection to {self._address}: {type(exc).__name__} {exc}"
             return Unavailable(reason.strip())
 
     async def _send_on(
-        self, conn: Connection, request: bytes, until_s: float
+        self, conn: Connection, request: bytes, deadline: Deadline
     ) -> RawResponse | OutcomeUnknown:
-        left_s = until_s - asyncio.get_running_loop().time()
         self._in_use.add(conn)
         try:
-            return await conn.send(request, max(0.0, left_s))
+            return await conn.send(request, deadline.left_s)
         finally:
             self._in_use.discard(conn)
             self._return_connection(conn)
--- a/packages/fulmarleverd/fulmarleverd/platform/interface.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/interface.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from fulmarlever.outcomes import Failure, failed
+from fulmarleverd.loop_delay import LoopDelay
 from fulmarleverd.platform.admission import AuthorityAdmission
 from fulmarleverd.platform.callers import CallerServer
 from fulmarleverd.platform.formats import (
@@ -40,8 +41,13 @@
 
     def __init__(self, settings: SchedulingSettings) -> None:
         self.settings = settings
-        self._store_http = HTTPClient(settings.address, MAX_CONNECTIONS)
-        self._worker_http = HTTPClient(settings.address, MAX_CONNECTIONS_PER_WORKER)
+        self.loop_delay = LoopDelay()
+        self._store_http = HTTPClient(
+            settings.address, MAX_CONNECTIONS, self.loop_delay
+        )
+        self._worker_http = HTTPClient(
+            settings.address, MAX_CONNECTIONS_PER_WORKER, self.loop_delay
+        )
         self.store = AuthorityStore(settings.store_address, self._store_http)
         self.workers = AuthorityWorkers(self._worker_http)
         self.admission = AuthorityAdmission(
@@ -70,10 +76,12 @@
         return changed
 
     async def open(self) -> None:
-        """Do nothing; connections are opened by the first call."""
+        """Start to measure the event loop; the first call opens a connection."""
+        self.loop_delay.start()
 
     async def close(self) -> None:
         """Close the connections."""
+        self.loop_delay.stop()
         self._worker_http.close()
         self._store_http.close()
 
--- a/packages/fulmarleverd/fulmarleverd/platform/workers.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/workers.py
@@ -23,7 +23,8 @@
 )
 from fulmarleverd.scheduling.specs import WorkerEntry
 
-MAX_CONNECTIONS_PER_WORKER = 24
+# One waits for a report, the others carry commands.
+MAX_CONNECTIONS_PER_WORKER = 6
 COMMAND_TIMEOUT_S = 0.5
 # How much longer than its wait a call for a report may take.
 REPORT_MARGIN_S = 0.6
--- a/packages/fulmarleverd/fulmarleverd/scheduling/feeds.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/feeds.py
@@ -17,6 +17,11 @@
 FEED_WAIT_S = 1.0
 RETRY_S = 0.15
 READ_TIMEOUT_S = 1.5
+# A page that cannot be read is asked for again, so that the pages read before are kept.
+MAX_PAGE_ATTEMPTS = 3
+# Partitions are read at the same time, but not all of them, as the link of a VM may be
+# slow.
+MAX_PARTITIONS_AT_ONCE = 4
 
 
 @dataclass(slots=True, frozen=True)
@@ -85,9 +90,13 @@
 
     The version is the lowest one of the table's partitions.
     """
-    reads = (
-        read_partition(store, table, partition) for partition in table_partitions(table)
-    )
+    permits = asyncio.Semaphore(MAX_PARTITIONS_AT_ONCE)
+
+    async def read(partition: str) -> RowSet | Unavailable:
+        async with permits:
+            return await read_partition(store, table, partition)
+
+    reads = (read(partition) for partition in table_partitions(table))
     found = await asyncio.gather(*reads)
     rows: list[StoredRow] = []
     for row_set in found:
@@ -108,7 +117,7 @@
     version = -1
     first_key = ""
     while True:
-        page = await store.read(table, first_key, "", READ_TIMEOUT_S, partition)
+        page = await _read_page(store, table, first_key, partition)
         if failed(page):
             return page
         rows += page.rows
@@ -116,3 +125,18 @@
         if not page.has_more or not page.rows:
             return RowSet(tuple(rows), version)
         first_key = page.rows[-1].key + "\0"
+
+
+async def _read_page(
+    store: Store, table: str, first_key: str, partition: str
+) -> RowSet | Unavailable:
+    for attempt in range(MAX_PAGE_ATTEMPTS):
+        page = await store.read(table, first_key, "", READ_TIMEOUT_S, partition)
+        if not failed(page):
+            break
+        log.bind(event="page-unread", table=table, partition=partition).info(
+            page.reason
+        )
+        if attempt + 1 < MAX_PAGE_ATTEMPTS:
+            await asyncio.sleep(RETRY_S)
+    return page
--- a/packages/fulmarleverd/fulmarleverd/scheduling/metrics.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/metrics.py
@@ -39,6 +39,14 @@
 JOBS_OPEN = Gauge("fulmarlever_jobs_open", "Accepted jobs that have not ended.")
 WORKERS = Gauge("fulmarlever_workers", "Workers by state.", ["state"])
 LEASE_HELD = Gauge("fulmarlever_lease_held", "Whether this daemon schedules.")
+LOOP_DELAY_SECONDS = Gauge(
+    "fulmarlever_event_loop_delay_seconds",
+    "Recent delay of the event loop of this daemon.",
+)
+STARTS_LIMIT = Gauge(
+    "fulmarlever_starts_limit_per_second",
+    "Starts per second that the owner's VM is taken to carry.",
+)
 LOG_LINES_DROPPED = Gauge(
     "fulmarlever_log_lines_dropped",
     "Log lines left out because the writer lagged.",
--- a/packages/fulmarleverd/fulmarleverd/scheduling/ports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/ports.py
@@ -11,6 +11,7 @@
 
 from fulmarlever.outcomes import Failure, OutcomeUnknown, Unavailable
 from fulmarlever.registry import Registry
+from fulmarleverd.loop_delay import LoopDelay
 from fulmarleverd.scheduling.specs import (
     SchedulingConfig,
     SchedulingSettings,
@@ -285,6 +286,7 @@
 
     ``config_table`` and ``config_key`` identify the row of the operator's
     configuration. ``workers_table`` is the table of the workers' entries.
+    ``loop_delay`` measures the event loop between ``open`` and ``close``.
     """
 
     config_table: str
@@ -294,6 +296,7 @@
     store: Store
     workers: WorkerCalls
     admission: AdmissionCalls
+    loop_delay: LoopDelay
 
     @classmethod
     def from_environment(cls) -> Interface | Failure:
--- a/packages/fulmarleverd/fulmarleverd/services/interface.py
+++ b/packages/fulmarleverd/fulmarleverd/services/interface.py
@@ -8,6 +8,7 @@
 
 from fulmarlever.outcomes import failed
 from fulmarleverd.kernel import SERVICES, Kernel, Service
+from fulmarleverd.scheduling.metrics import LOOP_DELAY_SECONDS
 from fulmarleverd.scheduling.ports import Interface
 
 # Settings are also read again without a signal to reload.
@@ -30,6 +31,8 @@
     async def start(self) -> None:
         """Open the platform's clients and start to poll the settings."""
         await self.interface.open()
+        delay = self.interface.loop_delay
+        LOOP_DELAY_SECONDS.set_function(lambda: delay.recent_s)
         self.spawn(self._follow_settings(), "settings")
 
     async def _follow_settings(self) -> None:
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/http_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/http_tests.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import unittest
 from unittest import mock
 
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable
+from fulmarleverd.loop_delay import LoopDelay
 from fulmarleverd.platform.connection import MAX_RESPONSE_BYTES
 from fulmarleverd.platform.http import HTTPClient, Response
 
@@ -25,10 +27,11 @@
     scripts: list[bytes | None]
     connections: int
     requests: list[bytes]
+    transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         type(self).connections += 1
-        self._transport = transport
+        self._transport = type(self).transport = transport
         self._stopped_answering = False
 
     def data_received(self, data: bytes) -> None:
@@ -159,6 +162,46 @@
         await self.call(address)
         self.assertEqual(self.server.connections, 3)
 
+    async def test_a_late_event_loop_does_not_end_a_call(self) -> None:
+        """The time limits pass while this process itself is busy."""
+        rows = (("connecting", 0.0), ("waiting for the answer", 0.02))
+        for name, after_s in rows:
+            with self.subTest(name):
+                delay = LoopDelay()
+                delay.start()
+                self.addCleanup(delay.stop)
+                self.client = HTTPClient("", 2, delay)
+                self.addCleanup(self.client.close)
+                address = await self.serve()
+                call = asyncio.create_task(self.call(address, 0.2))
+                await asyncio.sleep(after_s)
+                for _ in range(8):
+                    time.sleep(0.15)
+                    await asyncio.sleep(0)
+                self.assertEqual(await call, Response(200, None))
+
+    async def test_a_response_in_parts_may_exceed_the_time_limit(self) -> None:
+        """A large page of rows arrives slowly over a full link."""
+        parts = [b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n", *[b"11"] * 4]
+        rows = (
+            ("all parts", parts, Response(200, 11111111)),
+            ("the rest is missing", parts[:3], OutcomeUnknown),
+        )
+        for name, sent, expected in rows:
+            with self.subTest(name):
+                address = await self.serve(None)
+                call = asyncio.create_task(self.call(address, 0.25))
+                while not self.server.requests:
+                    await asyncio.sleep(0.001)
+                for part in sent:
+                    self.server.transport.write(part)
+                    await asyncio.sleep(0.2)
+                result = await call
+                if isinstance(expected, Response):
+                    self.assertEqual(result, expected)
+                else:
+                    self.assertIsInstance(result, expected)
+
     async def test_connections_to_unused_addresses_are_closed(self) -> None:
         """Guards against a leak of connections as workers come and go.
 
