Look only at workers with enough free cores

Cause: a plan computed the cost of each worker for each ready step. Ruled out: looking at a sample of workers, which packs serving tasks worse.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/obstacles.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/obstacles.py
@@ -8,6 +8,9 @@
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.scheduling.tasks import Step
 
+# Share of a best-effort task's cores that need not be free on its worker.
+OVERCOMMIT_SHARE = 0.3
+
 
 class Obstacle(StrEnum):
     """Why a worker cannot run a task.
@@ -30,19 +33,24 @@
     PLACEMENT = "placement"
 
 
-def find_capacity_obstacle(spec: StepSpec, worker: Worker) -> Obstacle | None:
-    """Return the resource of which a worker has too little free for one more task.
+def min_free_cpu_m(spec: StepSpec) -> float:
+    """Return the thousandths of a core that have to be free for a task of a step.
 
-    Best-effort tasks reserve no cores, so they never lack any here.
+    Best-effort tasks reserve no cores, and may use more than are free at the moment.
     """
+    return spec.cpu_m * (1.0 - OVERCOMMIT_SHARE) if spec.is_best_effort else spec.cpu_m
+
+
+def find_capacity_obstacle(spec: StepSpec, worker: Worker) -> Obstacle | None:
+    """Return the resource of which a worker has too little free for one more task."""
     entry = worker.entry
     if worker.reserved_memory_mb + spec.memory_mb > entry.memory_mb:
         return Obstacle.MEMORY
     if worker.reserved_gpus + spec.gpus > entry.gpus:
         return Obstacle.ACCELERATORS
-    if spec.is_best_effort or worker.reserved_cpu_m + spec.cpu_m <= entry.cpu_m:
-        return None
-    return Obstacle.CORES
+    best_effort = spec.is_best_effort
+    free_m = worker.free_best_effort_cpu_m() if best_effort else worker.free_cpu_m()
+    return Obstacle.CORES if free_m < min_free_cpu_m(spec) else None
 
 
 def find_obstacle(step: Step, worker: Worker) -> Obstacle | None:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/placement.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/placement.py
@@ -21,8 +21,6 @@
 
 PLACEMENTS: Registry[Cost] = Registry("placement of tasks")
 
-# Share of a best-effort task's cores that need not be free on its worker.
-OVERCOMMIT_SHARE = 0.3
 # Best-effort tasks that take less headroom than this prefer workers with serving tasks.
 LOW_HEADROOM_TAKEN = 0.15
 
@@ -41,8 +39,7 @@
 ) -> tuple | None:
     """Pack serving tasks on few workers and keep disturbing best-effort tasks away.
 
-    None forbids a best-effort task on a worker with too few free cores or too little
-    headroom.
+    None forbids a best-effort task on a worker with too little headroom.
     """
     if spec.is_best_effort:
         return _best_effort_cost(spec, worker, headroom_taken)
@@ -81,8 +78,6 @@
     The preferred rack comes first; ties are broken by the most free cores.
     """
     free_m = worker.free_best_effort_cpu_m()
-    if free_m < spec.cpu_m * (1.0 - OVERCOMMIT_SHARE):
-        return None
     if not worker.serving_run_count:
         return (_is_remote(spec, worker), 1, -free_m)
     taken = headroom_taken(spec, worker)
