Limit the starts to what the owner's VM can carry

Change: StartRate, a token bucket whose rate follows the loop's delay and the fastest answers to starts. Workers are called less often while the loop is late. Runs are examined at most every 0.3 s a worker; no polling for commits. The emulator got a processor for each daemon, so that a test can make it too slow. Ruled out: garbage collection (thresholds made no difference); a limit of starts in flight, which limits nothing while answers are quick.

--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
@@ -10,6 +10,7 @@
     ADMISSION_ADDRESS,
     AdmissionCore,
 )
+from fulmarlever_standins.authority.processor import Processor, SimulatedLoopDelay
 from fulmarlever_standins.authority.store import StoreCore
 from fulmarlever_standins.authority.worker import WorkerCore
 from fulmarleverd.platform.http import CallResult, Response
@@ -64,9 +65,9 @@
         """Unblock all calls."""
         self.cuts.clear()
 
-    def client(self, vm: str) -> NetworkClient:
-        """Return the HTTP client of a VM."""
-        return NetworkClient(self, vm)
+    def client(self, vm: str, delay: SimulatedLoopDelay | None = None) -> NetworkClient:
+        """Return the HTTP client of a VM, by default one whose work takes no time."""
+        return NetworkClient(self, vm, delay or SimulatedLoopDelay(Processor()))
 
     async def call(
         self,
@@ -145,13 +146,18 @@
 
 
 class NetworkClient:
-    """The HTTP client of one VM, with calls over a ``Network``."""
+    """The HTTP client of one VM, with calls over a ``Network``.
 
-    __slots__ = ("_network", "_vm")
+    The processor of the VM sends the calls and reads their answers one by one. Time
+    limits exclude the wait for it if the delay of the event loop is measured.
+    """
+
+    __slots__ = ("_network", "_vm", "_delay")
 
-    def __init__(self, network: Network, vm: str) -> None:
+    def __init__(self, network: Network, vm: str, delay: SimulatedLoopDelay) -> None:
         self._network = network
         self._vm = vm
+        self._delay = delay
 
     async def call(
         self,
@@ -167,10 +173,19 @@
         Return ``OutcomeUnknown`` if no answer arrives within ``timeout_s`` seconds.
         """
         target = (headers or {}).get("X-Target-Instance", "")
+        processor = self._delay.processor
+        excludes_delay = self._delay.is_measured
         try:
-            async with asyncio.timeout(timeout_s):
-                return await self._network.call(
+            async with asyncio.timeout(None if excludes_delay else timeout_s) as limit:
+                await processor.work()
+                if excludes_delay:
+                    limit.reschedule(asyncio.get_running_loop().time() + timeout_s)
+                answer = await self._network.call(
                     self._vm, method, address, path, body, target
                 )
+                if excludes_delay:
+                    limit.reschedule(None)
+                await processor.work()
+                return answer
         except TimeoutError:
             return OutcomeUnknown("no answer")
--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/simulated_cluster.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/simulated_cluster.py
@@ -10,6 +10,7 @@
     TICKET_VALIDITY_S,
 )
 from fulmarlever_standins.authority.network import STORE_ADDRESS, Network
+from fulmarlever_standins.authority.processor import Processor, SimulatedLoopDelay
 from fulmarlever_standins.authority.record import RunRecord
 from fulmarlever_standins.authority.virtual_time import VirtualClock
 from fulmarlever_standins.authority.worker import WorkerCore
@@ -57,7 +58,8 @@
     parse_worker = staticmethod(parse_worker)
 
     def __init__(self, network: Network, vm: str, bounds: Bounds) -> None:
-        http = network.client(vm)
+        self.loop_delay = SimulatedLoopDelay(Processor())
+        http = network.client(vm, self.loop_delay)
         self.settings = SchedulingSettings(
             vm, "z", "", "", "", 0, STORE_ADDRESS, bounds=bounds
         )
--- a/packages/fulmarleverd/fulmarleverd/scheduling/backlog.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/backlog.py
@@ -10,11 +10,13 @@
 from collections import Counter
 from collections.abc import Iterable, Iterator
 
+from fulmarleverd.loop_delay import LoopDelay
 from fulmarleverd.scheduling.decisions import record
-from fulmarleverd.scheduling.metrics import WAITING_TASKS
+from fulmarleverd.scheduling.metrics import STARTS_LIMIT, WAITING_TASKS
 from fulmarleverd.scheduling.obstacles import Obstacle
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.planner import Planner
+from fulmarleverd.scheduling.start_rate import StartRate
 from fulmarleverd.scheduling.tasks import Step
 
 LOAD_PERIOD_S = 1.0
@@ -28,9 +30,13 @@
 class Backlog:
     """Logs the load of the fleet and the causes of long waits."""
 
-    def __init__(self, owner: Owner, planner: Planner) -> None:
+    def __init__(
+        self, owner: Owner, planner: Planner, start_rate: StartRate, delay: LoopDelay
+    ) -> None:
         self._owner = owner
         self._planner = planner
+        self._start_rate = start_rate
+        self._delay = delay
         self._load_recorded_at_s = 0.0
         self._waits: dict[str, WaitState] = {}
 
@@ -54,6 +60,7 @@
             tasks[step.spec.kind] += len(step.waiting)
         for kind in ("batch", "best-effort", "long-running"):
             WAITING_TASKS.labels(kind).set(tasks[kind])
+        STARTS_LIMIT.set(self._start_rate.per_s)
         record(
             "load",
             cores=_cores(worker.entry.cpu_m for worker in owner.fleet),
@@ -70,6 +77,8 @@
             waiting_cores=_cores(
                 len(step.waiting) * step.spec.cpu_m for step in waiting
             ),
+            loop_delay_s=round(self._delay.recent_s, 3),
+            starts_per_s=round(self._start_rate.per_s),
         )
 
     def _steps_due(self, waiting: Iterable[Step], now_s: float) -> Iterator[Step]:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
@@ -50,7 +50,8 @@
     speed of their steps; ``is_slow`` is set while it is low. ``headroom_by_image`` is
     the lowest headroom of each serving image, ``target_missed_since_s`` since when a
     serving run misses its latency target, and ``speed_limits_effective_at_s`` when
-    reports show the effect of the last change of a speed limit.
+    reports show the effect of the last change of a speed limit. The interference and
+    the progress of the runs were last examined at ``examined_at_s``.
     """
 
     __slots__ = (
@@ -83,6 +84,7 @@
         "is_slow",
         "drain_until_s",
         "reserved_for",
+        "examined_at_s",
     )
 
     def __init__(self, entry: WorkerEntry) -> None:
@@ -115,6 +117,7 @@
         self.is_slow = False
         self.drain_until_s = 0.0
         self.reserved_for: Step | None = None
+        self.examined_at_s = 0.0
 
     @property
     def id(self) -> str:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/order.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/order.py
@@ -31,6 +31,9 @@
 
 # A job earns nothing once its latency exceeds this multiple of its latency objective.
 HARD_DEADLINE_FACTOR = 3.0
+# A job without a run waits this long, in seconds since its last start or its
+# acceptance, before it goes ahead of all others while starts are limited.
+MAX_IDLE_S = 0.5
 
 
 def critical_path_s(spec: JobSpec) -> float:
@@ -111,6 +114,24 @@
         yield from _whole_steps(ranked_steps)
 
 
+def first_tasks_of_idle_jobs(
+    steps: Iterable[Step], now_s: float
+) -> Iterator[StartQuota]:
+    """Yield one task of each step whose job has long had no run, the oldest job first.
+
+    While the owner's processor limits the starts, the jobs at the end of any order
+    would get none as long as others have tasks to start.
+    """
+    idle = [step for step in steps if _is_idle(step.job, now_s)]
+    for step in sorted(idle, key=lambda step: step.job.since_s):
+        yield StartQuota(step, 1)
+
+
+def _is_idle(job: Job, now_s: float) -> bool:
+    idle_since_s = max(job.since_s, job.last_start_s)
+    return now_s - idle_since_s >= MAX_IDLE_S and not job.has_runs
+
+
 class Rank(IntEnum):
     """Groups of jobs with equal priority, the first to be served first."""
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -174,12 +174,13 @@
         worker.add(run)
         job = task.step.job
         task.step.refresh(task)
-        self._record_first_start(job)
+        self._record_start(job)
         self.commits.stage(job)
         self.commits.after_commit(lambda: self.commands.send_start(run))
         return run
 
-    def _record_first_start(self, job: Job) -> None:
+    def _record_start(self, job: Job) -> None:
+        job.last_start_s = self.now_s()
         if not job.has_begun:
             job.has_begun = True
             FIRST_START_SECONDS.observe(self.now_s() - job.since_s)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
@@ -33,14 +33,22 @@
     unpack_interference,
     unpack_job,
 )
+from fulmarleverd.scheduling.start_rate import StartRate
 from fulmarleverd.scheduling.tickets import TicketRequester
 from fulmarleverd.scheduling.worker_commands import WorkerCommands
 from fulmarleverd.scheduling.worker_loop import WorkerLoop
 
 PLAN_PAUSE_S = 0.004
+# After a plan that could not start anything; little has changed a moment later.
+IDLE_PLAN_PAUSE_S = 0.02
+# While the rate of starts is limited, so that a plan starts more than one task.
+LIMITED_PLAN_PAUSE_S = 0.05
 # After each pass of the planner, other work gets this multiple of the pass's duration.
 PAUSE_PER_PLAN = 2.0
 PROGRESS_RETRY_S = 0.1
+# A worker's reports come with each ended run, but what they say of the other runs
+# changes more slowly, so those are examined at most this often.
+EXAMINE_PERIOD_S = 0.3
 
 
 class OwnerTerm:
@@ -58,18 +66,26 @@
         commits = CommitQueue(interface.store, lease)
         self.owner = Owner(lease, commits, clock, interface.settings.bounds)
         lease.unresponsive_workers = self.owner.unresponsive_workers
-        self.owner.commands = WorkerCommands(self.owner, interface.workers)
+        self._start_rate = StartRate(interface.loop_delay, clock)
+        self.owner.commands = WorkerCommands(
+            self.owner, interface.workers, self._start_rate.record_answer
+        )
         self.owner.on_worker_added = self._start_worker_loop
         self._guard = InterferenceGuard(self.owner)
         self._progress = ProgressMonitor(self.owner)
         self._reports = ReportProcessor(self.owner, self._on_report)
         self._tickets = TicketRequester(self.owner, interface.admission)
         self._planner = Planner(
-            self.owner, self._guard.headroom_taken, tickets=self._tickets
+            self.owner,
+            self._guard.headroom_taken,
+            tickets=self._tickets,
+            start_rate=self._start_rate,
         )
         self._housekeeping = Housekeeping(self.owner, self._guard.model)
         self._fair_shares = FairShares(self.owner, self._planner)
-        self._backlog = Backlog(self.owner, self._planner)
+        self._backlog = Backlog(
+            self.owner, self._planner, self._start_rate, interface.loop_delay
+        )
         self._tasks: set[asyncio.Task] = set()
         self._has_jobs = asyncio.Event()
         self._has_workers = asyncio.Event()
@@ -105,11 +121,21 @@
             self._lease.mark_lost()
 
     def _on_report(self, worker: Worker) -> None:
+        now = self._clock.boot()
+        if now - worker.examined_at_s < EXAMINE_PERIOD_S:
+            return
+        worker.examined_at_s = now
         self._guard.process_report(worker)
         self._progress.process_report(worker)
 
     def _start_worker_loop(self, worker: Worker) -> None:
-        loop = WorkerLoop(self.owner, worker, self._interface.workers, self._reports)
+        loop = WorkerLoop(
+            self.owner,
+            worker,
+            self._interface.workers,
+            self._reports,
+            self._interface.loop_delay,
+        )
         self._spawn(loop.run())
 
     async def _recover(self, started_s: float) -> None:
@@ -210,10 +236,15 @@
             await self.owner.changed.wait()
             self.owner.changed.clear()
             started_s = self._clock.monotonic()
-            if self._lease.is_valid:
-                self._planner.plan()
+            started = self._planner.plan() if self._lease.is_valid else 0
             took_s = self._clock.monotonic() - started_s
-            await asyncio.sleep(max(PLAN_PAUSE_S, PAUSE_PER_PLAN * took_s))
+            pause_s = self._plan_pause_s(started)
+            await asyncio.sleep(max(pause_s, PAUSE_PER_PLAN * took_s))
+
+    def _plan_pause_s(self, started: int) -> float:
+        if self._start_rate.is_limiting:
+            return LIMITED_PLAN_PAUSE_S
+        return PLAN_PAUSE_S if started else IDLE_PLAN_PAUSE_S
 
     async def _run_housekeeping(self) -> None:
         while True:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -5,21 +5,23 @@
 from collections.abc import Iterable, Iterator
 
 from fulmarleverd.scheduling.candidates import Candidates
+from fulmarleverd.scheduling.capacity_index import CapacityIndex
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.obstacles import (
     Obstacle,
     find_capacity_obstacle,
     find_constraint_obstacle,
 )
-from fulmarleverd.scheduling.order import ORDERS
+from fulmarleverd.scheduling.order import ORDERS, StartQuota, first_tasks_of_idle_jobs
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.placement import PLACEMENTS, HeadroomTaken
 from fulmarleverd.scheduling.runs import Run
 from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.scheduling.start_rate import StartRate
 from fulmarleverd.scheduling.tasks import Step, Task
 from fulmarleverd.scheduling.tickets import TicketRequester, has_ticket
 
-# Limits the starts of one plan; the next plan is requested at once for the rest.
+# Limits the starts of one plan.
 MAX_STARTS_PER_PLAN = 200
 
 
@@ -29,7 +31,7 @@
     ``order`` and ``placement`` are names in ``ORDERS`` and ``PLACEMENTS``; an unknown
     one raises ``KernelError``. ``headroom_taken`` estimates the effect of best-effort
     tasks on serving tasks. Without ``tickets`` no ticket is requested from the
-    admission service.
+    admission service; without ``start_rate`` starts are not limited.
     """
 
     def __init__(
@@ -39,53 +41,89 @@
         order: str = "objective",
         placement: str = "apart",
         tickets: TicketRequester | None = None,
+        start_rate: StartRate | None = None,
     ) -> None:
         self._owner = owner
         self._order = ORDERS.find(order)
         self._placement = PLACEMENTS.find(placement)
         self._headroom_taken = headroom_taken
         self._tickets = tickets
+        self._start_rate = start_rate
         self._unplaced_sizes = UnplacedSizes(())
-        self._accepting_by_service: dict[str, list[Worker]] = {}
+        self._indexes: dict[str, CapacityIndex] = {}
 
     def plan(self) -> int:
-        """Assign waiting tasks to workers and return how many were assigned."""
-        self._accepting_by_service = {}
+        """Assign waiting tasks to workers and return how many were assigned.
+
+        If a limit of starts is reached, another plan is requested for the rest.
+        """
+        limit = MAX_STARTS_PER_PLAN
+        if self._start_rate is not None:
+            limit = min(limit, self._start_rate.available())
+        started = self._plan(limit) if limit else 0
+        if self._start_rate is not None:
+            self._start_rate.take(started)
+        if started >= limit:
+            self._owner.changed.set()
+        return started
+
+    def _plan(self, limit: int) -> int:
+        """Assign waiting tasks up to a limit, which the last gang may exceed."""
+        self._indexes = {}
         self._unplaced_sizes = UnplacedSizes(
             worker.reserved_for for worker in self._owner.fleet
         )
         started = sum(1 for _ in self._start_speculative_copies())
         lacking_tickets: list[Step] = []
-        quotas = self._order(self._owner.ready_steps(), self._owner.now_s())
-        for quota in quotas:
+        for quota in self._quotas():
             step = quota.step
-            started += sum(1 for _ in self._start_step(step, quota.limit))
+            most = min(quota.limit, limit - started)
+            started += sum(1 for _ in self._start_step(step, most))
             if step.waiting and step.job.queue.needs_ticket:
                 lacking_tickets.append(step)
-            if started >= MAX_STARTS_PER_PLAN:
-                self._owner.changed.set()
+            if started >= limit:
                 break
         if self._tickets is not None:
             self._tickets.request(dict.fromkeys(lacking_tickets))
         return started
 
-    def _startable_workers(self, step: Step) -> list[Worker]:
-        """Return the workers of the step's service that accept runs.
+    def _quotas(self) -> Iterator[StartQuota]:
+        """Yield the steps to start tasks of, the most urgent first."""
+        now = self._owner.now_s()
+        steps = [step for step in self._owner.ready_steps() if self._may_start(step)]
+        if self._start_rate is not None and self._start_rate.is_limiting:
+            yield from first_tasks_of_idle_jobs(steps, now)
+        yield from self._order(steps, now)
+
+    def _may_start(self, step: Step) -> bool:
+        """Return whether a worker may have room for a task, or a ticket is needed.
 
-        If the queue needs tickets, only workers with a valid ticket are included.
+        So steps that a full fleet has no room for are not even put in order.
         """
-        workers = self._workers_accepting_runs(step.job.queue.service)
+        return step.job.queue.needs_ticket or self._index(step).has_room(step.spec)
+
+    def _startable_workers(self, step: Step) -> list[Worker]:
+        """Return the workers of the step's service that accept runs of the step."""
+        return self._with_ticket(step, self._index(step).workers)
+
+    def _workers_with_room(self, step: Step) -> list[Worker]:
+        """Return the startable workers with enough cores when the plan began."""
+        return self._with_ticket(step, self._index(step).with_room(step.spec))
+
+    def _with_ticket(self, step: Step, workers: list[Worker]) -> list[Worker]:
+        """Return the workers with a valid ticket if the step's queue needs one."""
         if not step.job.queue.needs_ticket:
             return workers
         now = self._owner.now_s()
         return [worker for worker in workers if has_ticket(step, worker, now)]
 
-    def _workers_accepting_runs(self, service: str) -> list[Worker]:
-        if service not in self._accepting_by_service:
-            self._accepting_by_service[service] = (
-                self._owner.fleet.workers_accepting_runs(service, self._owner.now_s())
-            )
-        return self._accepting_by_service[service]
+    def _index(self, step: Step) -> CapacityIndex:
+        service = step.job.queue.service
+        if service not in self._indexes:
+            now = self._owner.now_s()
+            workers = self._owner.fleet.workers_accepting_runs(service, now)
+            self._indexes[service] = CapacityIndex(workers)
+        return self._indexes[service]
 
     def _cost(self, spec: StepSpec, worker: Worker) -> tuple | None:
         return self._placement(spec, worker, self._headroom_taken)
@@ -124,7 +162,7 @@
             if task.is_done or len(task.runs) != 1 or task.step.job.is_final:
                 continue
             used = {run.worker_key.id for run in task.runs.values()}
-            candidates = self._candidates(task.step, self._startable_workers(task.step))
+            candidates = self._candidates(task.step, self._workers_with_room(task.step))
             if candidates.place(task, self._owner.assign, used):
                 yield task
 
@@ -135,10 +173,9 @@
         if step.spec.is_gang:
             yield from self._start_gang(step)
             return
-        workers = self._startable_workers(step)
-        candidates = self._candidates(step, workers)
+        candidates = self._candidates(step, self._workers_with_room(step))
         for task in list(step.waiting.values())[:limit]:
-            _reset_avoided_workers(task, workers)
+            _reset_avoided_workers(task, self._startable_workers(step))
             if not candidates.place(task, self._owner.assign):
                 # The remaining tasks have the same size.
                 self._unplaced_sizes.record_size(task)
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/start_rate.py
@@ -0,0 +1,136 @@
+"""Limits the starts per second to what the owner's VM can carry.
+
+The rate follows the delay of the owner's event loop, and of the fastest answers to its
+starts if the VM's link is full (additive increase, multiplicative decrease). Without a
+limit, an owner that is short of processor time reads the reports of running tasks too
+late, and then spends its time on the consequences.
+"""
+
+from __future__ import annotations
+
+from fulmarlever.clock import Clock
+from fulmarleverd.loop_delay import LoopDelay
+
+INITIAL_STARTS_PER_S = 400.0
+MIN_STARTS_PER_S = 10.0
+MAX_STARTS_PER_S = 5000.0
+# Starts that may be made at once after a pause, in seconds of the rate.
+BURST_S = 0.1
+ADJUST_PERIOD_S = 0.1
+# Above this delay the loop has more work than it can do.
+MAX_DELAY_S = 0.1
+# If even the fastest of several workers takes longer to answer, the link is full.
+MAX_LEAST_ANSWER_S = 0.15
+MIN_ANSWERS = 5
+# Above this delay nothing is started, and the rate falls faster: the rate was far too
+# high, and the work in hand has to be done first.
+STOP_DELAY_S = 0.4
+# The delay shows the effect of a decrease only after the work in hand is done.
+DECREASE_PERIOD_S = 0.5
+DECREASE_FACTOR = 0.75
+FAST_DECREASE_FACTOR = 0.4
+# While no decrease was needed yet, the rate grows by this factor in each period.
+PROBE_FACTOR = 1.15
+# Afterwards it grows by this many starts per second in each period.
+INCREASE_STARTS_PER_S = 4.0
+# For this long after the tokens were used up, the rate counts as the limit of starts.
+LIMITING_S = 1.0
+
+
+class StartRate:
+    """A token bucket whose rate adapts to the delay of the event loop.
+
+    ``per_s`` is the present limit in starts per second. It grows only while it is used
+    up.
+    """
+
+    __slots__ = (
+        "per_s",
+        "_delay",
+        "_clock",
+        "_tokens",
+        "_refilled_at_s",
+        "_adjusted_at_s",
+        "_decreased_at_s",
+        "_has_decreased",
+        "_is_used_up",
+        "_used_up_at_s",
+        "_least_answer_s",
+        "_answers",
+    )
+
+    def __init__(self, delay: LoopDelay, clock: Clock) -> None:
+        self.per_s = INITIAL_STARTS_PER_S
+        self._delay = delay
+        self._clock = clock
+        self._tokens = self.per_s * BURST_S
+        self._refilled_at_s = self._adjusted_at_s = clock.monotonic()
+        self._decreased_at_s = float("-inf")
+        self._has_decreased = False
+        self._is_used_up = False
+        self._used_up_at_s = float("-inf")
+        self._least_answer_s = float("inf")
+        self._answers = 0
+
+    def available(self) -> int:
+        """Return how many starts may be made now."""
+        now = self._clock.monotonic()
+        self._adjust(now)
+        refilled = (now - self._refilled_at_s) * self.per_s
+        self._refilled_at_s = now
+        self._tokens = min(self.per_s * BURST_S, self._tokens + refilled)
+        return 0 if self._is_far_behind() else max(0, int(self._tokens))
+
+    def _is_far_behind(self) -> bool:
+        return self._delay.recent_s > STOP_DELAY_S
+
+    def take(self, starts: int) -> None:
+        """Count starts; a gang may take more than are available."""
+        self._tokens -= starts
+        if self._tokens < 1.0:
+            self._is_used_up = True
+            self._used_up_at_s = self._clock.monotonic()
+
+    def record_answer(self, took_s: float) -> None:
+        """Add the seconds that the answer to a start took, or its time limit."""
+        self._answers += 1
+        self._least_answer_s = min(self._least_answer_s, took_s)
+
+    @property
+    def is_limiting(self) -> bool:
+        """Return whether more starts were wanted of late than could be made."""
+        return self._clock.monotonic() - self._used_up_at_s < LIMITING_S
+
+    def _adjust(self, now_s: float) -> None:
+        if now_s - self._adjusted_at_s < ADJUST_PERIOD_S:
+            return
+        self._adjusted_at_s = now_s
+        if self._delay.recent_s > MAX_DELAY_S or self._is_link_full():
+            self._decrease(now_s)
+        elif self._is_used_up:
+            self._increase()
+        self._is_used_up = False
+
+    def _is_link_full(self) -> bool:
+        if self._answers < MIN_ANSWERS:
+            return False
+        is_full = self._least_answer_s > MAX_LEAST_ANSWER_S
+        self._answers = 0
+        self._least_answer_s = float("inf")
+        return is_full
+
+    def _decrease(self, now_s: float) -> None:
+        if now_s - self._decreased_at_s < DECREASE_PERIOD_S:
+            return
+        self._decreased_at_s = now_s
+        self._has_decreased = True
+        far_behind = self._is_far_behind()
+        factor = FAST_DECREASE_FACTOR if far_behind else DECREASE_FACTOR
+        self.per_s = max(MIN_STARTS_PER_S, self.per_s * factor)
+
+    def _increase(self) -> None:
+        if self._has_decreased:
+            increased = self.per_s + INCREASE_STARTS_PER_S
+        else:
+            increased = self.per_s * PROBE_FACTOR
+        self.per_s = min(MAX_STARTS_PER_S, increased)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -183,8 +183,9 @@
     ``accepted_s`` is the Unix time of the daemon that accepted it, ``since_s`` the same
     moment on the owner's clock. ``occurrences`` are the steps of the occurrences that
     are due, by number; ``unfinished_steps`` counts the steps of all occurrences that
-    are not done. ``has_begun`` is set by the first run, ``final_at_s`` is when the job
-    ended, on the owner's clock, and ``cause`` why.
+    are not done. ``has_begun`` is set by the first run. ``last_start_s`` is when this
+    owner started a run last, 0 for never, and ``final_at_s`` when the job ended, both
+    on the owner's clock; ``cause`` is why it ended.
 
     ``size_class`` is the class of the job's size among the jobs of its queue, from 0
     for small, ``is_outcome_counted`` whether its outcome is counted for that class, and
@@ -204,6 +205,7 @@
         "is_cancelled",
         "has_failed",
         "has_begun",
+        "last_start_s",
         "is_dirty",
         "final_at_s",
         "cause",
@@ -224,6 +226,7 @@
         self.is_cancelled = False
         self.has_failed = False
         self.has_begun = False
+        self.last_start_s = 0.0
         self.is_dirty = False
         self.final_at_s = 0.0
         self.cause = ""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 
 from loguru import logger as log
 
@@ -42,11 +42,20 @@
 
 
 class WorkerCommands:
-    """Sends the commands of an owner and updates the state of runs by their results."""
+    """Sends the commands of an owner and updates the state of runs by their results.
 
-    def __init__(self, owner: Owner, calls: WorkerCalls) -> None:
+    ``on_start_answered`` is called with the seconds that each start took.
+    """
+
+    def __init__(
+        self,
+        owner: Owner,
+        calls: WorkerCalls,
+        on_start_answered: Callable[[float], None] = lambda took_s: None,
+    ) -> None:
         self._owner = owner
         self._calls = calls
+        self._on_start_answered = on_start_answered
         self._tasks: set[asyncio.Task] = set()
 
     def close(self) -> None:
@@ -99,10 +108,10 @@
             if not await self._may_start(run):
                 return
             worker = run.worker
-            worker.lease_granted_at_s = max(
-                worker.lease_granted_at_s, self._owner.now_s()
-            )
+            sent_s = self._owner.now_s()
+            worker.lease_granted_at_s = max(worker.lease_granted_at_s, sent_s)
             result = await self._calls.start(worker.entry, self._command(run, worker))
+            self._on_start_answered(self._owner.now_s() - sent_s)
             STARTS.labels(_outcome(result)).inc()
             if self._process_start_result(run, worker, result):
                 return
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from fulmarlever.outcomes import failed
+from fulmarleverd.loop_delay import LoopDelay
 from fulmarleverd.scheduling.decisions import record
 from fulmarleverd.scheduling.fleet import Worker, is_other_incarnation
 from fulmarleverd.scheduling.owner import Owner
@@ -18,26 +19,38 @@
 
 # How long the worker may hold back its answer while no run ends.
 WAIT_WITH_RUNS_S = 1.0
+# While other tasks may disturb serving tasks.
 WAIT_WITH_SERVING_S = 0.5
 WAIT_IDLE_S = 2.0
-COMMIT_POLL_S = 0.01
 MAX_COMMIT_WAIT_S = 0.4
 RETRY_S = 0.2
 LEASE_POLL_S = 0.05
+# While the event loop of the owner is late, a worker is called less often: the ends of
+# more runs then share one report. The pause is this multiple of the delay.
+PAUSE_PER_DELAY = 2.0
+MAX_PAUSE_S = 2.0
+# A shorter delay has no effect on the calls.
+MIN_DELAY_S = 0.05
 
 
 class WorkerLoop:
     """Keeps extending the lease of one worker and processing its reports."""
 
-    __slots__ = ("_owner", "_worker", "_calls", "_reports", "_failures")
+    __slots__ = ("_owner", "_worker", "_calls", "_reports", "_delay", "_failures")
 
     def __init__(
-        self, owner: Owner, worker: Worker, calls: WorkerCalls, reports: ReportProcessor
+        self,
+        owner: Owner,
+        worker: Worker,
+        calls: WorkerCalls,
+        reports: ReportProcessor,
+        delay: LoopDelay,
     ) -> None:
         self._owner = owner
         self._worker = worker
         self._calls = calls
         self._reports = reports
+        self._delay = delay
         self._failures = 0
 
     async def run(self) -> None:
@@ -64,9 +77,10 @@
         worker = self._worker
         if not worker.is_reconciled or not worker.is_reachable:
             return 0.0
-        if worker.serving_run_count:
-            return WAIT_WITH_SERVING_S
-        return WAIT_WITH_RUNS_S if worker.runs else WAIT_IDLE_S
+        is_late = self._delay.recent_s > MIN_DELAY_S
+        if 0 < worker.serving_run_count < len(worker.runs):
+            return WAIT_WITH_RUNS_S if is_late else WAIT_WITH_SERVING_S
+        return WAIT_WITH_RUNS_S if worker.runs and not is_late else WAIT_IDLE_S
 
     async def _call(self) -> None:
         """Extend the worker's lease with one call and process the answer."""
@@ -104,6 +118,9 @@
         self._failures = 0
         self._reports.process(self._worker, report, requested_at_s)
         await self._wait_for_commit()
+        if self._delay.recent_s > MIN_DELAY_S:
+            pause_s = PAUSE_PER_DELAY * self._delay.recent_s
+            await asyncio.sleep(min(MAX_PAUSE_S, pause_s))
 
     async def _wait_for_commit(self) -> None:
         """Wait until reported ends are committed, at most ``MAX_COMMIT_WAIT_S``.
@@ -111,12 +128,16 @@
         A worker answers at once as long as the owner has not acknowledged all its ends.
         """
         worker = self._worker
-        until_s = self._owner.now_s() + MAX_COMMIT_WAIT_S
-        while (
-            worker.last_end_committed < worker.last_end_seen
-            and self._owner.now_s() < until_s
-        ):
-            await asyncio.sleep(COMMIT_POLL_S)
+        if worker.last_end_committed >= worker.last_end_seen:
+            return
+        committed = asyncio.Event()
+        self._owner.commits.after_commit(committed.set)
+        try:
+            async with asyncio.timeout(MAX_COMMIT_WAIT_S):
+                await committed.wait()
+        except TimeoutError:
+            # Acknowledged by a later call; until then the worker reports the ends anew.
+            return
 
     async def _process_failure(self, failure: object) -> None:
         worker = self._worker
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/backlog_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/backlog_tests.py
@@ -4,9 +4,11 @@
 
 from loguru import logger as log
 
+from fulmarleverd.loop_delay import LoopDelay
 from fulmarleverd.scheduling.backlog import LONG_WAIT_S, WAIT_PERIOD_S, Backlog
 from fulmarleverd.scheduling.planner import Planner
 from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.scheduling.start_rate import StartRate
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
 SERVING = {"is_long_running": True, "image": "a", "latency_target_s": 0.05}
@@ -21,7 +23,9 @@
         self.lines: list[dict] = []
         log.add(lambda message: self.lines.append(message.record["extra"]))
         self.planner = Planner(self.owner, lambda spec, worker: None)
-        self.backlog = Backlog(self.owner, self.planner)
+        delay = LoopDelay()
+        start_rate = StartRate(delay, self.owner.clock)
+        self.backlog = Backlog(self.owner, self.planner, start_rate, delay)
 
     def wait_lines(self) -> list[dict]:
         return [line for line in self.lines if line["event"] == "step-waits"]
