Refuse jobs that an overloaded owner cannot keep at work

Cause: with starts limited, every job was still accepted. Change: the owner publishes from which priority on it has more open jobs than it can start a task of every two seconds; daemons refuse those at once with 429 and Retry-After, unless the job was stored by an earlier attempt. The row is read in the background, at most every 0.8 s and only while jobs come in. Ruled out: ending accepted jobs as failed, which would not be true.

--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/intake_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/intake_tests.py
@@ -26,6 +26,9 @@
     def __init__(self, *script: CommitResult | None) -> None:
         self.script = list(script)
 
+    async def read(self, *args: object) -> Unavailable:
+        return Unavailable("no answer")
+
     async def transact(self, tx: Transaction, timeout_s: float) -> CommitResult:
         result = self.script.pop(0) if self.script else None
         if result is None:
--- a/packages/fulmarleverd/fulmarleverd/platform/settings.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/settings.py
@@ -8,7 +8,11 @@
 from pathlib import Path
 
 from fulmarlever.outcomes import Failure
-from fulmarleverd.scheduling.specs import Bounds, SchedulingSettings
+from fulmarleverd.scheduling.specs import (
+    UNKNOWN_LINK_MBPS,
+    Bounds,
+    SchedulingSettings,
+)
 
 SETTINGS_VARIABLE = "FULMARLEVER_BOOT"
 
@@ -61,6 +65,7 @@
         memory_mb=int(limits.get("memoryMb", 300)),
         # The share of a core, times the core's speed relative to a standard core.
         cores=float(limits.get("cpuShare", 1.0)) * float(limits.get("cores", 1)),
+        link_mbps=float(limits.get("linkMbps") or UNKNOWN_LINK_MBPS),
         bounds=bounds,
         drain_limit_s=max(MIN_DRAIN_S, bounds.grace_s - KILL_MARGIN_S),
     )
--- a/packages/fulmarleverd/fulmarleverd/scheduling/commits.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/commits.py
@@ -27,6 +27,7 @@
 )
 from fulmarleverd.scheduling.progress_rows import pack_progress
 from fulmarleverd.scheduling.rows import lease_row, progress_row
+from fulmarleverd.scheduling.specs import UNKNOWN_LINK_MBPS
 from fulmarleverd.scheduling.tasks import Job
 
 # The store accepts 100 rows in a transaction, of which the lease's row is one.
@@ -35,6 +36,12 @@
 # How long a commit waits for more changes to be staged.
 LINGER_S = 0.003
 RETRY_S = 0.1
+# On a slow link, commits leave the rest of its bandwidth to calls to workers. The
+# changes of some milliseconds then share a commit, and a job that changes often is
+# written less often. The pause is bounded, as the lease has to be renewed.
+LINK_SHARE = 0.3
+MAX_PAUSE_S = 0.25
+BITS_PER_MEGABIT = 1e6
 
 Action = Callable[[], None]
 
@@ -43,7 +50,8 @@
     """The changes that wait for the next commit, and the loop that commits them.
 
     If nothing is staged, a commit follows every ``RENEW_PERIOD_S`` seconds, so that the
-    lease is renewed.
+    lease is renewed. ``link_mbps`` is the bandwidth of the VM's link in megabits per
+    second.
     """
 
     __slots__ = (
@@ -54,11 +62,20 @@
         "_actions",
         "_wake",
         "_timeout",
+        "_bytes_per_s",
+        "_pause_s",
     )
 
-    def __init__(self, store: Store, lease: SchedulerLease) -> None:
+    def __init__(
+        self,
+        store: Store,
+        lease: SchedulerLease,
+        link_mbps: float = UNKNOWN_LINK_MBPS,
+    ) -> None:
         self._store = store
         self._lease = lease
+        self._bytes_per_s = link_mbps * BITS_PER_MEGABIT / 8 * LINK_SHARE
+        self._pause_s = 0.0
         self._staged_jobs: dict[str, Job] = {}
         self._staged_rows: dict[tuple[str, str], StoredRow] = {}
         self._actions: list[Action] = []
@@ -99,7 +116,7 @@
         try:
             async with asyncio.timeout(RENEW_PERIOD_S):
                 await self._wake.wait()
-            await asyncio.sleep(LINGER_S)
+            await asyncio.sleep(max(LINGER_S, self._pause_s))
         except TimeoutError:
             return
 
@@ -110,6 +127,8 @@
             for job in self._staged_jobs.values()
         ]
         rows += self._staged_rows.values()
+        size = sum(len(row.value) for row in rows)
+        self._pause_s = min(MAX_PAUSE_S, size / self._bytes_per_s)
         actions = self._actions
         self._staged_jobs = {}
         self._staged_rows = {}
--- a/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
@@ -22,6 +22,7 @@
 )
 from fulmarleverd.scheduling.adaptive_timeout import AdaptiveTimeout
 from fulmarleverd.scheduling.config_watcher import RETRY_AFTER_S
+from fulmarleverd.scheduling.overload import OverloadReader
 from fulmarleverd.scheduling.ports import (
     CommitResult,
     Committed,
@@ -91,6 +92,7 @@
         self._pending_by_queue: dict[str, int] = {}
         self._pending_read_s = -1.0
         self._timeout = AdaptiveTimeout()
+        self._overload = OverloadReader(store, clock)
 
     async def submit(
         self, spec: JobSpec, queue: QueueSpec, until_s: float
@@ -105,10 +107,22 @@
         error = spec.find_error()
         if error:
             return Refused(error)
+        refusal = self._overload.find_refusal(queue)
+        if refusal is not None:
+            return await self._refuse_unless_stored(spec, refusal)
         row = JobRow(spec, queue, self._clock.wall())
         tx = Transaction([job_row(spec.id)], [job_row(spec.id, pack_job(row))])
         return await self._insert(tx, spec, until_s)
 
+    async def _refuse_unless_stored(
+        self, spec: JobSpec, refusal: NotRun
+    ) -> None | NotRun | OutcomeUnknown:
+        """Return a refusal, or ``None`` if the job was stored by an earlier attempt."""
+        rows = await self._read_one(job_row(spec.id))
+        if failed(rows):
+            return OutcomeUnknown(rows.reason)
+        return None if rows.rows else refusal
+
     async def _insert(
         self, tx: Transaction, spec: JobSpec, until_s: float
     ) -> None | NotRun | OutcomeUnknown:
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/overload.py
@@ -0,0 +1,135 @@
+"""Refuses new jobs while the owner has more open jobs than it can keep at work.
+
+An owner short of processor time can start only so many tasks per second. Each open job
+needs a start now and then, so beyond a number of jobs the rest would wait without
+anything running. The owner publishes this in a row of the store, and every daemon
+refuses new jobs by it at once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+from loguru import logger as log
+
+from fulmarlever.clock import Clock
+from fulmarlever.outcomes import NotRun, failed
+from fulmarleverd.scheduling.decisions import record
+from fulmarleverd.scheduling.owner import Owner
+from fulmarleverd.scheduling.ports import ABSENT, Store, StoredRow
+from fulmarleverd.scheduling.rows import (
+    FORMAT_ERRORS,
+    OVERLOAD_KEY,
+    SUMMARY_TABLE,
+    pack,
+    unpack,
+)
+from fulmarleverd.scheduling.specs import QueueSpec
+from fulmarleverd.scheduling.start_rate import StartRate
+
+# Seconds between two starts of one job while it is kept at work.
+START_PERIOD_PER_JOB_S = 2.0
+# The overload ends once the jobs are fewer than this share of those that it can carry.
+END_SHARE = 0.8
+PUBLISH_PERIOD_S = 0.8
+# A row that is not written again for this long is left by an owner that is gone.
+STALE_S = 3.0
+READ_PERIOD_S = 0.8
+READ_TIMEOUT_S = 0.5
+RETRY_AFTER_S = 2.0
+STATUS_TOO_MANY_REQUESTS = 429
+
+
+class OverloadPublisher:
+    """Publishes from which priority on new jobs are to be refused, if any."""
+
+    def __init__(self, owner: Owner, start_rate: StartRate) -> None:
+        self._owner = owner
+        self._start_rate = start_rate
+        self._refused_from: int | None = None
+        self._published_at_s = 0.0
+
+    def tick(self) -> None:
+        """Update the row if the overload has begun, changed or ended, and keep it."""
+        now = self._owner.now_s()
+        refused_from = self._find_refused_priority()
+        has_changed = refused_from != self._refused_from
+        is_due = now - self._published_at_s >= PUBLISH_PERIOD_S
+        if has_changed:
+            record("overload", from_priority=refused_from, jobs=len(self._owner.jobs))
+        if has_changed or (refused_from is not None and is_due):
+            self._refused_from = refused_from
+            self._published_at_s = now
+            value = b"" if refused_from is None else pack([refused_from])
+            row = StoredRow(SUMMARY_TABLE, OVERLOAD_KEY, value)
+            self._owner.commits.stage_row(row)
+
+    def _find_refused_priority(self) -> int | None:
+        """Return the most urgent priority whose jobs are too many, None for none."""
+        if not self._start_rate.is_limiting:
+            return None
+        carried = self._start_rate.per_s * START_PERIOD_PER_JOB_S
+        if self._refused_from is not None:
+            carried *= END_SHARE
+        counts = Counter(
+            job.queue.priority
+            for job in self._owner.jobs.values()
+            if not job.spec.is_long_running
+        )
+        jobs = 0
+        for priority, count in sorted(counts.items()):
+            jobs += count
+            if jobs > carried:
+                return priority
+        return None
+
+
+class OverloadReader:
+    """Tells a daemon whether new jobs of a queue are to be refused.
+
+    While jobs come in, the published row is read every ``READ_PERIOD_S`` seconds. No
+    job waits for that.
+    """
+
+    def __init__(self, store: Store, clock: Clock) -> None:
+        self._store = store
+        self._clock = clock
+        self._read_at_s = float("-inf")
+        self._refused_from: int | None = None
+        self._version = ABSENT
+        self._changed_at_s = 0.0
+        self._reading: asyncio.Task | None = None
+
+    def find_refusal(self, queue: QueueSpec) -> NotRun | None:
+        """Return why a new job of a queue is refused now, None if it is accepted."""
+        now = self._clock.monotonic()
+        if now - self._read_at_s >= READ_PERIOD_S:
+            self._read_at_s = now
+            self._reading = asyncio.get_running_loop().create_task(self._read(now))
+        if self._refused_from is None or queue.priority < self._refused_from:
+            return None
+        if now - self._changed_at_s > STALE_S:
+            return None
+        reason = "more jobs are open than the scheduler can keep at work"
+        return NotRun(reason, RETRY_AFTER_S, STATUS_TOO_MANY_REQUESTS)
+
+    async def _read(self, now_s: float) -> None:
+        rows = await self._store.read(
+            SUMMARY_TABLE, OVERLOAD_KEY, OVERLOAD_KEY + "\0", READ_TIMEOUT_S
+        )
+        if failed(rows):
+            log.bind(event="overload-unread").info(rows.reason)
+            return
+        if not rows.rows:
+            self._refused_from = None
+            return
+        row = rows.rows[0]
+        if row.version != self._version:
+            self._version = row.version
+            self._changed_at_s = now_s
+        try:
+            self._refused_from = int(unpack(row.value)[0])
+        except FORMAT_ERRORS as exc:
+            log.bind(event="overload-unread").error(f"malformed row: {exc!r}")
+            self._refused_from = None
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
@@ -19,6 +19,7 @@
 from fulmarleverd.scheduling.interference import InterferenceGuard
 from fulmarleverd.scheduling.lease import SchedulerLease
 from fulmarleverd.scheduling.metrics import LEASE_HELD
+from fulmarleverd.scheduling.overload import OverloadPublisher
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.planner import Planner
 from fulmarleverd.scheduling.ports import Interface, StoredRow
@@ -63,7 +64,7 @@
         self._interface = interface
         self._clock = clock
         self._lease = lease
-        commits = CommitQueue(interface.store, lease)
+        commits = CommitQueue(interface.store, lease, interface.settings.link_mbps)
         self.owner = Owner(lease, commits, clock, interface.settings.bounds)
         lease.unresponsive_workers = self.owner.unresponsive_workers
         self._start_rate = StartRate(interface.loop_delay, clock)
@@ -83,6 +84,7 @@
         )
         self._housekeeping = Housekeeping(self.owner, self._guard.model)
         self._fair_shares = FairShares(self.owner, self._planner)
+        self._overload = OverloadPublisher(self.owner, self._start_rate)
         self._backlog = Backlog(
             self.owner, self._planner, self._start_rate, interface.loop_delay
         )
@@ -251,6 +253,7 @@
             await asyncio.sleep(TICK_S)
             self._housekeeping.tick()
             self._fair_shares.tick()
+            self._overload.tick()
             self._backlog.tick()
             # Workers accept runs again and jobs become late merely as time passes.
             self.owner.changed.set()
--- a/packages/fulmarleverd/fulmarleverd/scheduling/rows.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/rows.py
@@ -25,6 +25,7 @@
 LEASE_KEY = "scheduler"
 SUMMARY_TABLE = "summary"
 SUMMARY_KEY = "pending"
+OVERLOAD_KEY = "overload"
 INTERFERENCE_KEY = "pressure"
 CANCEL_SUFFIX = "/cancel"
 # The store applies the transactions of one partition one at a time. Jobs are spread
--- a/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
@@ -233,12 +233,17 @@
     gang_wait_s: float = 3.0
 
 
+# Assumed for a VM whose settings do not tell the bandwidth of its link.
+UNKNOWN_LINK_MBPS = 1000.0
+
+
 @dataclass(slots=True, frozen=True)
 class SchedulingSettings:
     """The settings of a daemon from the platform's settings file.
 
-    ``memory_mb`` and ``cores`` are what the daemon itself may use, ``drain_limit_s`` is
-    the time that it has to hand over its work when it is stopped.
+    ``memory_mb``, ``cores`` and ``link_mbps`` (megabits per second) are what the daemon
+    itself may use, ``drain_limit_s`` is the time that it has to hand over its work when
+    it is stopped.
     """
 
     vm: str
@@ -251,6 +256,7 @@
     admission_address: str = ""
     memory_mb: int = 300
     cores: float = 1.0
+    link_mbps: float = UNKNOWN_LINK_MBPS
     bounds: Bounds = field(default_factory=Bounds)
     drain_limit_s: float = 5.0
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/start_rate.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/start_rate.py
@@ -20,7 +20,7 @@
 # Above this delay the loop has more work than it can do.
 MAX_DELAY_S = 0.1
 # If even the fastest of several workers takes longer to answer, the link is full.
-MAX_LEAST_ANSWER_S = 0.15
+MAX_LEAST_ANSWER_S = 0.3
 MIN_ANSWERS = 5
 # Above this delay nothing is started, and the rate falls faster: the rate was far too
 # high, and the work in hand has to be done first.
