--- a/packages/fulmarlever/fulmarlever/config/document.py
+++ b/packages/fulmarlever/fulmarlever/config/document.py
@@ -113,7 +113,7 @@
             try:
                 node = yaml.compose(text, Loader=PlainLoader)
             except (yaml.YAMLError, UnicodeError, RecursionError) as exc:
-                document._add_syntax_error(exc)
+                document._add_syntax_error(exc, text)
                 return document
             if node is not None:
                 document.value = document._build(node, ())
@@ -139,9 +139,11 @@
     ) -> None:
         self.findings.append(Finding(self.file_name, *position, message, is_warning))
 
-    def _add_syntax_error(self, exc: Exception) -> None:
+    def _add_syntax_error(self, exc: Exception, text: str) -> None:
         mark = getattr(exc, "problem_mark", None)
         position = (mark.line + 1, mark.column + 1) if mark else FILE_START
+        # Without a final newline, the parser reports the end as a line of its own.
+        position = min(position, _end_position(text))
         problem = getattr(exc, "problem", None) or "not a YAML text"
         self._add_at(position, f"YAML syntax: {problem}")
 
@@ -177,3 +179,9 @@
             first_lines[key] = position[0]
             self._key_positions[(*path, key)] = position
             yield key, self._build(value_node, (*path, key))
+
+
+def _end_position(text: str) -> Position:
+    """Return the position behind the last character of a text."""
+    lines = text.split("\n")
+    return (len(lines), len(lines[-1]) + 1)
--- a/packages/fulmarlever/fulmarlever/tests/config/reader_tests.py
+++ b/packages/fulmarlever/fulmarlever/tests/config/reader_tests.py
@@ -152,6 +152,16 @@
                 1 <= finding.column <= len(lines[finding.line - 1]) + 1, str(finding)
             )
 
+    # Regression: reported in a line of its own behind a text without a final newline.
+    @given(st.sampled_from(["", "\n"]))
+    def test_syntax_error_at_the_end_is_reported_there(self, newline):
+        text = VALID[:416] + VALID[431:].rstrip("\n") + newline
+        result = parse_configuration(text, "f.yaml")
+        self.assertIsInstance(result, Findings)
+        lines = text.split("\n")
+        for finding in result:
+            self.assertLessEqual(finding.line, len(lines), str(finding))
+
     @given(st.text(alphabet="ab:[]{}-&*!'\"#\n 1", max_size=60))
     def test_any_text_gives_a_configuration_or_findings(self, text):
         result = parse_configuration(text, "f")
