--- a/packages/fulmarlever_cli/fulmarlever_cli/display.py
+++ b/packages/fulmarlever_cli/fulmarlever_cli/display.py
@@ -12,7 +12,6 @@
 
 EXIT_SUCCESS = 0
 EXIT_FAILURE = 1
-EXIT_USAGE = 2
 EXIT_OUTCOME_UNKNOWN = 3
 
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -207,7 +207,6 @@
             run.state = RunState.STOPPING
             # Ignore reports without this run until the worker has accepted the stop.
             run.confirmed_at_s = float("inf")
-            run.stop_reason = reason
             record_run("run-stop", run, reason)
             self.commands.send_stop(run)
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/runs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/runs.py
@@ -51,7 +51,7 @@
     ``may_arrive_late`` is set once a start got no answer: the worker may still carry it
     out. ``confirmed_at_s`` is when the worker accepted the last start or stop of the
     run; only a report requested later proves that the run is absent. It is infinite
-    until a stop is accepted. ``stop_reason`` is the reason of the stop, if any.
+    until a stop is accepted.
     """
 
     __slots__ = (
@@ -72,7 +72,6 @@
         "last_progress_at_s",
         "speed",
         "may_arrive_late",
-        "stop_reason",
         "confirmed_at_s",
     )
 
@@ -95,7 +94,6 @@
         self.last_progress_at_s = 0.0
         self.speed = 0.0
         self.may_arrive_late = False
-        self.stop_reason = ""
 
     def move_to_incarnation(self, worker_key: WorkerKey) -> None:
         """Assign the run to another incarnation of its worker.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -61,7 +61,6 @@
         "checkpoint",
         "runs",
         "avoided_worker_ids",
-        "free_at_s",
         "moves_when_behind",
     )
 
@@ -74,7 +73,6 @@
         self.checkpoint = ""
         self.runs: dict[int, Run] = {}
         self.avoided_worker_ids: set[str] = set()
-        self.free_at_s = 0.0
         self.moves_when_behind = 0
 
     @property
@@ -206,7 +204,6 @@
         "has_failed",
         "has_begun",
         "last_start_s",
-        "is_dirty",
         "final_at_s",
         "cause",
         "size_class",
@@ -227,7 +224,6 @@
         self.has_failed = False
         self.has_begun = False
         self.last_start_s = 0.0
-        self.is_dirty = False
         self.final_at_s = 0.0
         self.cause = ""
         self.size_class = 0
