Refuse by the starts that were made, and plan less often while they are limited

Change: the overload is reckoned by the average of the starts made, and also by the time that the waiting tasks need, against the shortest hard deadline of their priority. While starts are limited a plan is made at most every 0.1 s and a sixth of the time. Workers are called again after 0.8 s at most. Delays up to 0.2 s, which a tick of the housekeeping may cause on 0.12 of a core, no longer lower the rate. Ruled out: a higher limit alone; the loop was late by 0.05 to 0.15 s throughout.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/overload.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/overload.py
@@ -1,15 +1,15 @@
-"""Refuses new jobs while the owner has more open jobs than it can keep at work.
+"""Refuses new jobs while the owner has more work than it can start in time.
 
-An owner short of processor time can start only so many tasks per second. Each open job
-needs a start now and then, so beyond a number of jobs the rest would wait without
-anything running. The owner publishes this in a row of the store, and every daemon
-refuses new jobs by it at once.
+An owner short of processor time can start only so many tasks per second. A job that
+would wait for longer than it is of use, or beyond the number of jobs that can have a
+task at work, is better refused. The owner publishes from which priority on that is so
+in a row of the store, and every daemon refuses new jobs by it at once.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
+from collections import defaultdict
 
 from loguru import logger as log
 
@@ -27,10 +27,11 @@
 )
 from fulmarleverd.scheduling.specs import QueueSpec
 from fulmarleverd.scheduling.start_rate import StartRate
+from fulmarleverd.scheduling.tasks import Job
 
 # Seconds between two starts of one job while it is kept at work.
 START_PERIOD_PER_JOB_S = 2.0
-# The overload ends once the jobs are fewer than this share of those that it can carry.
+# The overload ends once the work is less than this share of what can be started.
 END_SHARE = 0.8
 PUBLISH_PERIOD_S = 0.8
 # A row that is not written again for this long is left by an owner that is gone.
@@ -69,18 +70,20 @@
         """Return the most urgent priority whose jobs are too many, None for none."""
         if not self._start_rate.is_limiting:
             return None
-        carried = self._start_rate.per_s * START_PERIOD_PER_JOB_S
+        starts_per_s = self._start_rate.made_per_s
         if self._refused_from is not None:
-            carried *= END_SHARE
-        counts = Counter(
-            job.queue.priority
-            for job in self._owner.jobs.values()
-            if not job.spec.is_long_running
-        )
-        jobs = 0
-        for priority, count in sorted(counts.items()):
-            jobs += count
-            if jobs > carried:
+            starts_per_s *= END_SHARE
+        by_priority: defaultdict[int, list[Job]] = defaultdict(list)
+        for job in self._owner.jobs.values():
+            if not job.spec.is_long_running:
+                by_priority[job.queue.priority].append(job)
+        count = waiting = 0
+        for priority, jobs in sorted(by_priority.items()):
+            count += len(jobs)
+            waiting += sum(len(step.waiting) for job in jobs for step in job.steps())
+            limit_s = min(job.hard_deadline_s for job in jobs)
+            is_late = limit_s > 0.0 and waiting > limit_s * starts_per_s
+            if is_late or count > START_PERIOD_PER_JOB_S * starts_per_s:
                 return priority
         return None
 
@@ -111,7 +114,7 @@
             return None
         if now - self._changed_at_s > STALE_S:
             return None
-        reason = "more jobs are open than the scheduler can keep at work"
+        reason = "the scheduler has more work than it can start in time"
         return NotRun(reason, RETRY_AFTER_S, STATUS_TOO_MANY_REQUESTS)
 
     async def _read(self, now_s: float) -> None:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
@@ -42,8 +42,10 @@
 PLAN_PAUSE_S = 0.004
 # After a plan that could not start anything; little has changed a moment later.
 IDLE_PLAN_PAUSE_S = 0.02
-# While the rate of starts is limited, so that a plan starts more than one task.
-LIMITED_PLAN_PAUSE_S = 0.05
+# While the rate of starts is limited, so that a plan starts more than one task and the
+# processor is left to reports.
+LIMITED_PLAN_PAUSE_S = 0.1
+LIMITED_PAUSE_PER_PLAN = 5.0
 # After each pass of the planner, other work gets this multiple of the pass's duration.
 PAUSE_PER_PLAN = 2.0
 PROGRESS_RETRY_S = 0.1
@@ -240,13 +242,14 @@
             started_s = self._clock.monotonic()
             started = self._planner.plan() if self._lease.is_valid else 0
             took_s = self._clock.monotonic() - started_s
-            pause_s = self._plan_pause_s(started)
-            await asyncio.sleep(max(pause_s, PAUSE_PER_PLAN * took_s))
+            await asyncio.sleep(self._plan_pause_s(started, took_s))
 
-    def _plan_pause_s(self, started: int) -> float:
+    def _plan_pause_s(self, started: int, took_s: float) -> float:
+        """Return how long to wait after a plan that took ``took_s`` seconds."""
         if self._start_rate.is_limiting:
-            return LIMITED_PLAN_PAUSE_S
-        return PLAN_PAUSE_S if started else IDLE_PLAN_PAUSE_S
+            return max(LIMITED_PLAN_PAUSE_S, LIMITED_PAUSE_PER_PLAN * took_s)
+        pause_s = PLAN_PAUSE_S if started else IDLE_PLAN_PAUSE_S
+        return max(pause_s, PAUSE_PER_PLAN * took_s)
 
     async def _run_housekeeping(self) -> None:
         while True:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/start_rate.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/start_rate.py
@@ -18,13 +18,13 @@
 BURST_S = 0.1
 ADJUST_PERIOD_S = 0.1
 # Above this delay the loop has more work than it can do.
-MAX_DELAY_S = 0.1
+MAX_DELAY_S = 0.2
 # If even the fastest of several workers takes longer to answer, the link is full.
 MAX_LEAST_ANSWER_S = 0.3
 MIN_ANSWERS = 5
 # Above this delay nothing is started, and the rate falls faster: the rate was far too
 # high, and the work in hand has to be done first.
-STOP_DELAY_S = 0.4
+STOP_DELAY_S = 0.6
 # The delay shows the effect of a decrease only after the work in hand is done.
 DECREASE_PERIOD_S = 0.5
 DECREASE_FACTOR = 0.75
@@ -33,6 +33,8 @@
 PROBE_FACTOR = 1.15
 # Afterwards it grows by this many starts per second in each period.
 INCREASE_STARTS_PER_S = 4.0
+# The weight of the last period in the average of the starts that were made.
+MEAN_WEIGHT = 0.05
 # For this long after the tokens were used up, the rate counts as the limit of starts.
 LIMITING_S = 1.0
 
@@ -41,11 +43,13 @@
     """A token bucket whose rate adapts to the delay of the event loop.
 
     ``per_s`` is the present limit in starts per second. It grows only while it is used
-    up.
+    up. ``made_per_s`` is the average of the starts made in the last seconds.
     """
 
     __slots__ = (
         "per_s",
+        "made_per_s",
+        "_made",
         "_delay",
         "_clock",
         "_tokens",
@@ -60,7 +64,8 @@
     )
 
     def __init__(self, delay: LoopDelay, clock: Clock) -> None:
-        self.per_s = INITIAL_STARTS_PER_S
+        self.per_s = self.made_per_s = INITIAL_STARTS_PER_S
+        self._made = 0
         self._delay = delay
         self._clock = clock
         self._tokens = self.per_s * BURST_S
@@ -86,6 +91,7 @@
 
     def take(self, starts: int) -> None:
         """Count starts; a gang may take more than are available."""
+        self._made += starts
         self._tokens -= starts
         if self._tokens < 1.0:
             self._is_used_up = True
@@ -102,15 +108,23 @@
         return self._clock.monotonic() - self._used_up_at_s < LIMITING_S
 
     def _adjust(self, now_s: float) -> None:
-        if now_s - self._adjusted_at_s < ADJUST_PERIOD_S:
+        period_s = now_s - self._adjusted_at_s
+        if period_s < ADJUST_PERIOD_S:
             return
         self._adjusted_at_s = now_s
+        self._average(period_s)
         if self._delay.recent_s > MAX_DELAY_S or self._is_link_full():
             self._decrease(now_s)
         elif self._is_used_up:
             self._increase()
         self._is_used_up = False
 
+    def _average(self, period_s: float) -> None:
+        """Add a period to the average, weighted by its length."""
+        weight = min(1.0, MEAN_WEIGHT * period_s / ADJUST_PERIOD_S)
+        self.made_per_s += weight * (self._made / period_s - self.made_per_s)
+        self._made = 0
+
     def _is_link_full(self) -> bool:
         if self._answers < MIN_ANSWERS:
             return False
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
@@ -28,7 +28,7 @@
 # While the event loop of the owner is late, a worker is called less often: the ends of
 # more runs then share one report. The pause is this multiple of the delay.
 PAUSE_PER_DELAY = 2.0
-MAX_PAUSE_S = 2.0
+MAX_PAUSE_S = 0.8
 # A shorter delay has no effect on the calls.
 MIN_DELAY_S = 0.05
 
