Let the soak starve daemons of processor time

Change: one daemon after the other is held to a tenth to half of a core, by stop and continue signals in turns of 0.1 s. It is drawn apart from the other faults, so that the seeds of earlier failures keep their draws; --no-starvation leaves it out.

--- a/packages/fulmarlever_standins/fulmarlever_standins/arguments.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/arguments.py
@@ -106,7 +106,8 @@
     """Inject random faults into real daemons and check their invariants.
 
     Seed 0 stands for a random first seed. The logs of a seed that violates an
-    invariant are kept.
+    invariant are kept. Without starvation of processor time, the faults are those of
+    earlier versions.
     """
 
     seed: Annotated[int, Long] = 0
@@ -115,6 +116,7 @@
     daemons: Annotated[int, Long] = 4
     workers: Annotated[int, Long] = 6
     logs: Annotated[Path, Long] = Path("results/soak")
+    no_starvation: Annotated[bool, Long] = False
 
 
 @cappa.command(name="fulmarlever_standins")
--- a/packages/fulmarlever_standins/fulmarlever_standins/commands/soak.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/commands/soak.py
@@ -23,6 +23,7 @@
             arguments.daemons,
             arguments.workers,
             arguments.logs,
+            starves=not arguments.no_starvation,
         )
         print(result.summary(), flush=True)
         for line in result.violations:
--- a/packages/fulmarlever_standins/fulmarlever_standins/soak/faults.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/faults.py
@@ -23,6 +23,10 @@
 STOP_TIMEOUT_S = 8.0
 # Before that, no code of the daemon runs and any signal ends the process.
 INTERPRETER_START_S = 0.4
+# A daemon short of processor time runs for a share of each of these turns.
+STARVED_TURN_S = 0.1
+MIN_CPU_SHARE = 0.1
+MAX_CPU_SHARE = 0.5
 # The platform removes a worker's entry after three missed heartbeats.
 ENTRY_EXPIRY_S = 3.3
 
@@ -92,6 +96,24 @@
     return await inject_process_fault(deployment, rng, inject)
 
 
+async def starve(deployment: Deployment, rng: Random) -> str:
+    """Let a daemon run for only a share of each short turn, for some seconds.
+
+    It is drawn apart from ``FAULTS``, so that earlier seeds keep their draws.
+    """
+
+    async def inject(daemon: SoakDaemon) -> None:
+        running_s = STARVED_TURN_S * rng.uniform(MIN_CPU_SHARE, MAX_CPU_SHARE)
+        turns = round(rng.uniform(0.5, MAX_FAULT_DURATION_S) / STARVED_TURN_S)
+        for _ in range(turns):
+            daemon.process.freeze()
+            await asyncio.sleep(STARVED_TURN_S - running_s)
+            daemon.process.thaw()
+            await asyncio.sleep(running_s)
+
+    return await inject_process_fault(deployment, rng, inject)
+
+
 @FAULTS.register("reload")
 async def reload(deployment: Deployment, rng: Random) -> str:
     """Change the settings file of a daemon and send it SIGHUP."""
--- a/packages/fulmarlever_standins/fulmarlever_standins/soak/runner.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/runner.py
@@ -10,7 +10,7 @@
 
 from fulmarlever_standins.soak.callers import Callers
 from fulmarlever_standins.soak.deployment import Deployment
-from fulmarlever_standins.soak.faults import FAULTS
+from fulmarlever_standins.soak.faults import FAULTS, starve
 from fulmarlever_standins.soak.invariants import find_violations
 
 MIN_PAUSE_S = 0.1
@@ -45,10 +45,18 @@
     """The soak test of one seed.
 
     It applies faults for ``seconds``. The daemons write their logs to ``directory``.
+    With ``starves``, one daemon after the other gets too little processor time.
     """
 
     def __init__(
-        self, seed: int, seconds: float, daemons: int, workers: int, directory: Path
+        self,
+        seed: int,
+        seconds: float,
+        daemons: int,
+        workers: int,
+        directory: Path,
+        *,
+        starves: bool = False,
     ) -> None:
         self.result = SoakResult(seed)
         self._seconds = seconds
@@ -56,6 +64,8 @@
         # Separate generators, so that the draws of callers and faults are independent.
         self._caller_rng = Random(seed)
         self._fault_rng = Random(seed + 1)
+        self._starvation_rng = Random(seed + 2)
+        self._starves = starves
 
     async def run(self) -> SoakResult:
         """Start the deployment, inject faults and check the invariants."""
@@ -64,7 +74,11 @@
         try:
             await deployment.start()
             callers = Callers(deployment.daemons, deployment.session, self._caller_rng)
-            await asyncio.gather(callers.run(self._seconds), self._inject_faults())
+            await asyncio.gather(
+                callers.run(self._seconds),
+                self._inject_faults(),
+                self._starve_daemons(),
+            )
             self._record_ended_processes()
             result.violations += [
                 line async for line in find_violations(deployment, callers)
@@ -90,6 +104,18 @@
             await asyncio.sleep(self._fault_rng.uniform(MIN_PAUSE_S, MAX_PAUSE_S))
         await asyncio.gather(*tasks)
 
+    async def _starve_daemons(self) -> None:
+        """Starve one daemon after the other of processor time."""
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        rng = self._starvation_rng
+        await asyncio.sleep(FAULT_FREE_S)
+        while self._starves and loop.time() - started_s < self._seconds:
+            at_s = loop.time() - started_s
+            where = await starve(self._deployment, rng)
+            self.result.faults.append(f"{at_s:6.2f} s starve: {where}")
+            await asyncio.sleep(rng.uniform(MIN_PAUSE_S, MAX_PAUSE_S))
+
     async def _inject_fault(self, name: str, rng: Random, at_s: float) -> None:
         where = await FAULTS.find(name)(self._deployment, rng)
         self.result.faults.append(f"{at_s:6.2f} s {name}: {where}")
@@ -109,14 +135,16 @@
     daemons: int,
     workers: int,
     logs: Path | None = None,
+    *,
+    starves: bool = False,
 ) -> SoakResult:
-    """Run the soak test of one seed.
+    """Run the soak test of one seed; see ``Soak``.
 
     If an invariant is violated, copy the daemons' logs to a directory of ``logs`` that
     is named by the seed.
     """
     with tempfile.TemporaryDirectory(prefix="fulmarlever-soak-") as directory:
-        soak = Soak(seed, seconds, daemons, workers, Path(directory))
+        soak = Soak(seed, seconds, daemons, workers, Path(directory), starves=starves)
         result = await soak.run()
         if result.violations and logs is not None:
             keep_logs(Path(directory), logs / str(seed), result)
