Make the overload row right at a takeover and while nothing may start

Cause (by reading): a new owner left the row of an overloaded predecessor, so a daemon that starts reads it as new and refuses for 3 s; while the loop is far behind, starts did not count as limited, so jobs were not refused; one job without a deadline in a priority kept its waiting tasks from counting. Change: the first tick of an owner writes or removes the row; nothing available counts as used up; only deadlines that exist are compared. Figures: with the code before, test_the_least_urgent_jobs_are_refused_first and test_nothing_starts_while_the_loop_is_far_behind fail; the third point has no test of its own.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/overload.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/overload.py
@@ -49,6 +49,7 @@
         self._owner = owner
         self._start_rate = start_rate
         self._refused_from: int | None = None
+        # Never, so that the first tick replaces the row of an earlier owner.
         self._published_at_s = 0.0
 
     def tick(self) -> None:
@@ -59,7 +60,8 @@
         is_due = now - self._published_at_s >= PUBLISH_PERIOD_S
         if has_changed:
             record("overload", from_priority=refused_from, jobs=len(self._owner.jobs))
-        if has_changed or (refused_from is not None and is_due):
+        is_first = not self._published_at_s
+        if has_changed or is_first or (refused_from is not None and is_due):
             self._refused_from = refused_from
             self._published_at_s = now
             value = b"" if refused_from is None else pack([refused_from])
@@ -81,8 +83,9 @@
         for priority, jobs in sorted(by_priority.items()):
             count += len(jobs)
             waiting += sum(len(step.waiting) for job in jobs for step in job.steps())
-            limit_s = min(job.hard_deadline_s for job in jobs)
-            is_late = limit_s > 0.0 and waiting > limit_s * starts_per_s
+            deadlines_s = [job.hard_deadline_s for job in jobs if job.hard_deadline_s]
+            limit_s = min(deadlines_s, default=float("inf"))
+            is_late = waiting > limit_s * starts_per_s
             if is_late or count > START_PERIOD_PER_JOB_S * starts_per_s:
                 return priority
         return None
--- a/packages/fulmarleverd/fulmarleverd/scheduling/start_rate.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/start_rate.py
@@ -84,7 +84,10 @@
         refilled = (now - self._refilled_at_s) * self.per_s
         self._refilled_at_s = now
         self._tokens = min(self.per_s * BURST_S, self._tokens + refilled)
-        return 0 if self._is_far_behind() else max(0, int(self._tokens))
+        available = 0 if self._is_far_behind() else max(0, int(self._tokens))
+        if not available:
+            self._mark_used_up(now)
+        return available
 
     def _is_far_behind(self) -> bool:
         return self._delay.recent_s > STOP_DELAY_S
@@ -94,8 +97,11 @@
         self._made += starts
         self._tokens -= starts
         if self._tokens < 1.0:
-            self._is_used_up = True
-            self._used_up_at_s = self._clock.monotonic()
+            self._mark_used_up(self._clock.monotonic())
+
+    def _mark_used_up(self, now_s: float) -> None:
+        self._is_used_up = True
+        self._used_up_at_s = now_s
 
     def record_answer(self, took_s: float) -> None:
         """Add the seconds that the answer to a start took, or its time limit."""
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/overload_tests.py
@@ -0,0 +1,132 @@
+"""Which priorities an overloaded owner refuses, and how daemons learn of it."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from dataclasses import replace
+
+from fulmarlever.clock import ManualClock
+from fulmarlever.outcomes import Unavailable
+from fulmarleverd.loop_delay import LoopDelay
+from fulmarleverd.scheduling.overload import (
+    READ_PERIOD_S,
+    STALE_S,
+    OverloadPublisher,
+    OverloadReader,
+)
+from fulmarleverd.scheduling.ports import RowSet, StoredRow
+from fulmarleverd.scheduling.rows import OVERLOAD_KEY, SUMMARY_TABLE, pack, unpack
+from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.scheduling.start_rate import StartRate
+from fulmarleverd.tests.scheduling.base import QUEUE, OwnerTestCase
+
+URGENT = replace(QUEUE, name="urgent", priority=0)
+STARTS_PER_S = 10.0
+
+
+class PublisherTests(OwnerTestCase):
+    # Name, urgent jobs, other jobs, tasks of each, starts are limited, expected.
+    ROWS = (
+        ("few jobs", 2, 2, 4, True, None),
+        ("too many tasks", 0, 4, 100, True, 2),
+        ("too many jobs", 0, 30, 1, True, 2),
+        ("too many urgent tasks", 4, 0, 100, True, 0),
+        ("urgent jobs are few", 2, 30, 1, True, 2),
+        ("starts are not limited", 0, 30, 100, False, None),
+    )
+
+    def setUp(self):
+        super().setUp()
+        self.rows: list[StoredRow] = []
+        self.commits.stage_row = self.rows.append
+
+    def publish(self, urgent: int, others: int, tasks: int, is_limited: bool) -> None:
+        step = StepSpec(count=tasks, cpu_m=1000, estimate_s=1.0)
+        self.rate = StartRate(LoopDelay(), self.clock)
+        self.rate.made_per_s = STARTS_PER_S
+        if is_limited:
+            self.rate.take(10_000)
+        for number in range(urgent):
+            self.add_job(f"u{number}", step, queue=URGENT)
+        for number in range(others):
+            self.add_job(f"o{number}", step)
+        self.publisher = OverloadPublisher(self.owner, self.rate)
+        self.publisher.tick()
+
+    def test_the_least_urgent_jobs_are_refused_first(self):
+        for _, urgent, others, tasks, is_limited, expected in self.each(self.ROWS):
+            self.owner.jobs.clear()
+            self.publish(urgent, others, tasks, is_limited)
+            row = self.rows[-1]
+            self.assertEqual((row.table, row.key), (SUMMARY_TABLE, OVERLOAD_KEY))
+            refused_from = unpack(row.value)[0] if row.value else None
+            self.assertEqual(refused_from, expected)
+
+    def test_the_row_is_removed_after_the_overload(self):
+        self.publish(0, 30, 1, True)
+        self.clock.advance(10.0)
+        self.publisher.tick()
+        self.assertEqual(self.rows[-1].value, b"")
+        count = len(self.rows)
+        self.clock.advance(10.0)
+        self.publisher.tick()
+        self.assertEqual(len(self.rows), count)
+
+
+class OneRowStore:
+    """A store that returns one row, or a failure."""
+
+    def __init__(self) -> None:
+        self.result: object = RowSet((), 1)
+        self.reads = 0
+
+    def put(self, priority: int, version: int) -> None:
+        row = StoredRow(SUMMARY_TABLE, OVERLOAD_KEY, pack([priority]), version)
+        self.result = RowSet((row,), version)
+
+    async def read(self, *args: object) -> object:
+        self.reads += 1
+        return self.result
+
+
+class ReaderTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.clock = ManualClock()
+        self.store = OneRowStore()
+        self.reader = OverloadReader(self.store, self.clock)
+
+    async def is_refused(self, queue: object = QUEUE) -> bool:
+        """Ask once so that the row is read, then again."""
+        self.clock.advance(1.1 * READ_PERIOD_S)
+        self.reader.find_refusal(queue)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        return self.reader.find_refusal(queue) is not None
+
+    async def test_queues_from_the_priority_on_are_refused(self) -> None:
+        self.assertFalse(await self.is_refused())
+        self.store.put(2, 5)
+        self.assertTrue(await self.is_refused())
+        self.assertFalse(await self.is_refused(URGENT))
+
+    async def test_a_row_that_is_not_renewed_counts_no_more(self) -> None:
+        self.store.put(2, 5)
+        self.assertTrue(await self.is_refused())
+        self.clock.advance(STALE_S)
+        self.assertFalse(await self.is_refused())
+        self.store.put(2, 6)
+        self.assertTrue(await self.is_refused())
+
+    async def test_without_an_answer_of_the_store_jobs_are_accepted_again(self) -> None:
+        self.store.put(2, 5)
+        self.assertTrue(await self.is_refused())
+        self.store.result = Unavailable("the store answers 503")
+        self.clock.advance(STALE_S)
+        self.assertFalse(await self.is_refused())
+
+    async def test_the_store_is_asked_now_and_then(self) -> None:
+        for _ in range(100):
+            self.reader.find_refusal(QUEUE)
+        await asyncio.sleep(0)
+        self.assertEqual(self.store.reads, 1)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/start_rate_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/start_rate_tests.py
@@ -52,6 +52,7 @@
     def test_nothing_starts_while_the_loop_is_far_behind(self):
         self.delay.recent_s = 2 * STOP_DELAY_S
         self.assertEqual(self.rate.available(), 0)
+        self.assertTrue(self.rate.is_limiting)
         self.delay.recent_s = 0.0
         self.assertGreater(self.rate.available(), 0)
 
