Let links of the emulator lose packets

Change: a request or an answer is lost with a probability and sent again after 0.2 s, then after twice as long each time, as TCP does. Figures: 2.5, 10 and 30 % lost, six jobs of two steps with 20 tasks each: all completed in the time of the table, no task twice. Conclusion: kept as a regression test.

--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections import defaultdict
 
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable
@@ -18,6 +19,8 @@
 STORE_ADDRESS = "store:1"
 ONE_WAY_LATENCY_S = 0.001
 LATE_EFFECT_DELAY_S = 3.0
+# TCP sends a lost packet again after this time, then after twice as long each time.
+RETRANSMISSION_S = 0.2
 
 
 class Network:
@@ -32,6 +35,7 @@
     * ``late_transactions``: how many of the next transactions take effect
       ``LATE_EFFECT_DELAY_S`` later and unanswered.
     * ``late_starts``: the same for starts of runs.
+    * ``loss``: the probability that a request or an answer is lost once and sent again.
     * ``transaction_s``: seconds that each transaction takes; the transactions of one
       partition run one after the other.
     """
@@ -46,6 +50,7 @@
         self.late_transactions = 0
         self.late_starts = 0
         self.is_store_down = False
+        self.loss = 0.0
         self.transaction_s = 0.0
         self._partition_locks: defaultdict[str, asyncio.Lock] = defaultdict(
             asyncio.Lock
@@ -83,7 +88,7 @@
         ``target`` is the id of the worker that the caller means. A call that is blocked
         or whose answer is lost never returns.
         """
-        await asyncio.sleep(ONE_WAY_LATENCY_S)
+        await self._transmit()
         if (vm, address) in self.cuts or (
             address == STORE_ADDRESS and self.is_store_down
         ):
@@ -94,6 +99,15 @@
             return Response(*await self.admission.handle(body))
         return await self._call_worker(address, path, body, target)
 
+    async def _transmit(self) -> None:
+        """Wait until a request or an answer has crossed the network."""
+        delay_s = ONE_WAY_LATENCY_S
+        retransmission_s = RETRANSMISSION_S
+        while random.random() < self.loss:
+            delay_s += retransmission_s
+            retransmission_s *= 2
+        await asyncio.sleep(delay_s)
+
     async def _call_store(
         self, vm: str, method: str, path: str, body: dict | None
     ) -> CallResult:
@@ -110,7 +124,7 @@
         if is_write and self.lose_answers > 0:
             self.lose_answers -= 1
             await asyncio.Event().wait()
-        await asyncio.sleep(ONE_WAY_LATENCY_S)
+        await self._transmit()
         return Response(status, answer)
 
     async def _wait_for_partition(self, body: dict) -> None:
@@ -132,7 +146,7 @@
         status, answer = await worker.handle(path, body, target)
         if self.workers.get(address) is not worker:
             return OutcomeUnknown("the worker crashed before it answered")
-        await asyncio.sleep(ONE_WAY_LATENCY_S)
+        await self._transmit()
         return Response(status, answer)
 
     def _run_later(self, work: object) -> None:
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/faults_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/faults_tests.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 from fulmarlever.outcomes import OutcomeUnknown, failed
 from fulmarlever_standins.authority.simulated_cluster import PLANS_QUEUE, job
@@ -107,6 +108,34 @@
         self.run_scenario(scenario)
 
 
+class LossyLinkTests(SimulatedClusterTestCase):
+    """Links that lose packets: calls of all kinds take longer, some too long."""
+
+    # Loss of a request or an answer, and the seconds until all jobs are completed.
+    ROWS = (("few", 0.025, 12.0), ("many", 0.1, 20.0), ("a third", 0.3, 60.0))
+
+    def test_jobs_are_completed_and_no_task_runs_twice(self):
+        first = StepSpec(count=20, cpu_m=1000, estimate_s=0.5)
+        steps = (first, replace(first, after=(0,)))
+        for _, loss, limit_s in self.each(self.ROWS):
+
+            async def scenario(cluster, loss=loss, limit_s=limit_s):
+                cluster.add_daemons("vm-1", "vm-2")
+                cluster.add_workers(8)
+                owner = await cluster.wait_for_owner()
+                cluster.network.loss = loss
+                for number in range(6):
+                    while failed(await owner.submit(job(f"j{number}", *steps))):
+                        pass
+                for number in range(6):
+                    await cluster.wait_for_state(
+                        owner, f"j{number}", "completed", limit_s
+                    )
+
+            cluster = self.run_scenario(scenario)
+            self.assertEqual(sum(cluster.record.done.values()), 6 * 40)
+
+
 class StoreFaultTests(SimulatedClusterTestCase):
     ROWS = (
         ("answers lost", {"lose_answers": 3}),
