Wait for permits and connections in the calling task

A call that was cancelled just as it got a permit lost it, and six lost permits end a daemon's calls to a worker. Calls are cancelled in numbers when a term ends. Change: the time limit is a rescheduled asyncio.timeout in the calling task.

--- a/packages/fulmarleverd/fulmarleverd/deadline.py
+++ b/packages/fulmarleverd/fulmarleverd/deadline.py
@@ -29,13 +29,24 @@
         return Deadline(min(timeout_s, self.left_s()), self._delay)
 
     async def wait(self, awaitable: Awaitable[Result]) -> Result:
-        """Return the result of an awaitable; raise ``TimeoutError`` after the limit."""
-        task = asyncio.ensure_future(awaitable)
-        try:
-            while not task.done() and (left_s := self.left_s()) > 0.0:
-                await asyncio.wait((task,), timeout=left_s)
-            if not task.done():
-                raise TimeoutError
-            return task.result()
-        finally:
-            task.cancel()
+        """Return the result of an awaitable; raise ``TimeoutError`` after the limit.
+
+        It is awaited by the calling task itself, so a cancellation of that task reaches
+        it before it can complete unnoticed.
+        """
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(None) as scope:
+
+            def check() -> None:
+                nonlocal timer
+                left_s = self.left_s()
+                if left_s > 0.0:
+                    timer = loop.call_later(left_s, check)
+                else:
+                    scope.reschedule(loop.time())
+
+            timer = loop.call_later(self.left_s(), check)
+            try:
+                return await awaitable
+            finally:
+                timer.cancel()
--- a/packages/fulmarleverd/fulmarleverd/tests/deadline_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/deadline_tests.py
@@ -55,3 +55,18 @@
 
         with self.assertRaises(OSError):
             await Deadline(LIMIT_S, self.delay).wait(fail())
+
+    # Regression: the wait was a task of its own, and what it got was lost.
+    async def test_a_permit_is_not_lost_by_a_cancellation(self) -> None:
+        for steps in range(6):
+            with self.subTest(steps=steps):
+                permits = asyncio.Semaphore(0)
+                deadline = Deadline(5.0, self.delay)
+                waiting = asyncio.create_task(deadline.wait(permits.acquire()))
+                await asyncio.sleep(0.01)
+                permits.release()
+                for _ in range(steps):
+                    await asyncio.sleep(0)
+                waiting.cancel()
+                await asyncio.gather(waiting, return_exceptions=True)
+                self.assertEqual(permits.locked(), not waiting.cancelled())
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/http_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/http_tests.py
@@ -150,6 +150,18 @@
         self.assertIsInstance(await self.call(address, 0.1), Unavailable)
         await pending
 
+    # Regression: a call that was cancelled as it got a connection kept it for ever.
+    async def test_calls_cancelled_together_leave_their_connections(self) -> None:
+        """A scheduler that loses its lease cancels all of its calls at once."""
+        address = await self.serve(*[None] * 4)
+        for _ in range(2):
+            calls = [asyncio.create_task(self.call(address, 5.0)) for _ in range(6)]
+            await asyncio.sleep(0.05)
+            for call in calls:
+                call.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
+        self.assertEqual(await self.call(address), Response(200, None))
+
     async def test_a_timeout_closes_the_idle_connections(self) -> None:
         """Guards against reuse of open connections that all stopped answering at once.
 
