Move a task away from each slow worker while its moves cost little

A task met three workers in a row on which tasks took 60 s; after two moves the next one needed 512 times the estimate, so it stayed and its job did not end.

Cause: the limit grew eightfold with each move, however little time a move had cost. A task with an estimate of 1 s that takes 60 s was moved once only. The limit is there so that a wrong estimate, which is wrong on every worker, does not make a task move for ever; what it has to bound is the time that moves throw away.

Change: a run stays if the moves of its task have cost more than an eighth of the run's remaining time. The row 'moved twice, hardly progresses: stays' of the test asked for the fault itself; its table now states the lost time, and a second test bounds moves from below (slow workers) and from above (wrong estimate).

--- a/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
@@ -38,10 +38,12 @@
 MIN_GAIN_S = 0.8
 # Estimates are rough, so a run is far behind only if its remaining work will take
 # longer than this many times the usual duration of its step, and longer than the second
-# value. The factor is applied once more after each move: a wrong estimate is wrong on
-# every worker, and must not make the task move for ever.
+# value.
 FAR_BEHIND_FACTOR = 8.0
 FAR_BEHIND_S = 4.0
+# A wrong estimate is wrong on every worker and must not make a task move for ever. So a
+# run stays if its task has lost more than this share of its remaining time by moves.
+MAX_LOST_SHARE = 1.0 / 8.0
 
 
 class ProgressMonitor:
@@ -60,7 +62,7 @@
         for run in list(self._stalled(worker, now)):
             self._stop_stalled(worker, run, now)
         for run in list(self._far_behind(worker)):
-            run.task.moves_when_behind += 1
+            run.task.lost_when_behind_s += now - run.started_s if run.started_s else 0.0
             run.task.avoided_worker_ids.add(worker.id)
             self._move(run, "far behind its estimate")
         if worker.is_slow:
@@ -147,7 +149,10 @@
         self._move(run, "no progress")
 
     def _far_behind(self, worker: Worker) -> Iterator[Run]:
-        """Yield the runs whose remaining work will take far longer than is usual."""
+        """Yield the runs whose remaining work will take far longer than is usual.
+
+        Runs of tasks that have lost much time by such moves are left out.
+        """
         for run in worker.runs.values():
             step = run.task.step
             if run.state is not RunState.RUNNING or step.spec.is_long_running:
@@ -155,8 +160,11 @@
             if not run.speed or run.speed_limit_percent < FULL_PERCENT:
                 continue
             usual_duration_s = _usual_duration_s(step)
-            factor = FAR_BEHIND_FACTOR ** (1 + run.task.moves_when_behind)
-            limit_s = max(FAR_BEHIND_S, factor * usual_duration_s / _cores_share(run))
+            limit_s = max(
+                FAR_BEHIND_S,
+                FAR_BEHIND_FACTOR * usual_duration_s / _cores_share(run),
+                run.task.lost_when_behind_s / MAX_LOST_SHARE,
+            )
             remaining_share = 1.0 - run.progress_percent / FULL_PERCENT
             if usual_duration_s and remaining_share / run.speed > limit_s:
                 yield run
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -48,8 +48,8 @@
     ``last_run`` is the number of its last run, 0 before the first; ``runs`` are its
     active runs by number, two while a copy runs beside a slow run. ``checkpoint`` names
     the last checkpoint, if any. ``avoided_worker_ids`` are the ids of workers on which
-    the task failed or was too slow. ``moves_when_behind`` counts how often a run was
-    moved because it was far behind its estimate.
+    the task failed or was too slow. ``lost_when_behind_s`` sums the seconds of the runs
+    that were moved because they were far behind their estimate.
     """
 
     __slots__ = (
@@ -61,7 +61,7 @@
         "checkpoint",
         "runs",
         "avoided_worker_ids",
-        "moves_when_behind",
+        "lost_when_behind_s",
     )
 
     def __init__(self, step: Step, index: int) -> None:
@@ -73,7 +73,7 @@
         self.checkpoint = ""
         self.runs: dict[int, Run] = {}
         self.avoided_worker_ids: set[str] = set()
-        self.moves_when_behind = 0
+        self.lost_when_behind_s = 0.0
 
     @property
     def name(self) -> str:
