Log what tells apart why jobs of one size are served too seldom

The logs had the kind and the width of a job, but neither its size class nor what became of it: refused, accepted late, waiting for its first task, waiting for the last ones and interrupted runs looked alike.

Added: size class and age in job-known; queue, size class, hard deadline, age at the first start and interrupted runs in job-ended; a line size-class every 5 s for each queue and class (jobs counted, share served, open, not begun, tasks waiting).

--- a/packages/fulmarleverd/fulmarleverd/scheduling/backlog.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/backlog.py
@@ -20,6 +20,7 @@
 from fulmarleverd.scheduling.tasks import Step
 
 LOAD_PERIOD_S = 1.0
+SIZES_PERIOD_S = 5.0
 # A waiting step is logged once it has waited for LONG_WAIT_S, then each WAIT_PERIOD_S.
 LONG_WAIT_S = 2.0
 WAIT_PERIOD_S = 5.0
@@ -38,10 +39,14 @@
         self._start_rate = start_rate
         self._delay = delay
         self._load_recorded_at_s = 0.0
+        self._sizes_recorded_at_s = owner.now_s()
         self._waits: dict[str, WaitState] = {}
 
     def tick(self) -> None:
-        """Log the load and the due steps, at most once per ``LOAD_PERIOD_S``."""
+        """Log the load, the due steps and, less often, the shares of the job sizes.
+
+        Does nothing if the last call that logged is less than ``LOAD_PERIOD_S`` ago.
+        """
         now = self._owner.now_s()
         if now - self._load_recorded_at_s < LOAD_PERIOD_S:
             return
@@ -50,6 +55,33 @@
         self._record_load(waiting)
         for step in self._steps_due(waiting, now):
             self._record_wait(step, now)
+        if now - self._sizes_recorded_at_s >= SIZES_PERIOD_S:
+            self._sizes_recorded_at_s = now
+            self._record_sizes()
+
+    def _record_sizes(self) -> None:
+        """Log for each queue and size class how many jobs are open, and who waits."""
+        open_jobs: Counter[tuple[str, int]] = Counter()
+        not_begun: Counter[tuple[str, int]] = Counter()
+        waiting_tasks: Counter[tuple[str, int]] = Counter()
+        for job in self._owner.jobs.values():
+            key = (job.queue.name, job.size_class)
+            open_jobs[key] += 1
+            not_begun[key] += not job.has_begun
+            waiting_tasks[key] += sum(len(step.waiting) for step in job.ready_steps())
+        for share in self._owner.size_classes.shares():
+            key = (share.queue, share.size_class)
+            record(
+                "size-class",
+                queue=share.queue,
+                size_class=share.size_class,
+                counted_jobs=round(share.jobs, 1),
+                served_share=round(share.share, 2),
+                is_underserved=share.is_underserved,
+                open_jobs=open_jobs[key],
+                not_begun=not_begun[key],
+                waiting_tasks=waiting_tasks[key],
+            )
 
     def _record_load(self, waiting: list[Step]) -> None:
         owner = self._owner
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -111,6 +111,8 @@
             steps=len(job.spec.steps),
             tasks=sum(step.count for step in job.spec.steps),
             widest_cores=round(job.spec.widest_cpu_m / 1000.0, 1),
+            size_class=job.size_class,
+            age_s=round(self.now_s() - job.since_s, 3),
             max_unavailable=job.spec.steps[0].max_unavailable,
         )
         self.changed.set()
@@ -159,7 +161,19 @@
         self.commits.stage(job)
         age_s = round(job.final_at_s - job.since_s, 3)
         self.size_classes.record_end(job, age_s)
-        record("job-ended", cause, job=job.id, state=str(job.state), age_s=age_s)
+        began_s = job.first_start_s - job.since_s if job.first_start_s else None
+        record(
+            "job-ended",
+            cause,
+            job=job.id,
+            queue=job.queue.name,
+            state=str(job.state),
+            age_s=age_s,
+            hard_deadline_s=round(job.hard_deadline_s, 3),
+            size_class=job.size_class,
+            first_start_age_s=None if began_s is None else round(began_s, 3),
+            interrupted_runs=job.interrupted_runs,
+        )
         for run in list(job.runs()):
             self.stop_run(run, "job ended")
 
@@ -181,6 +195,7 @@
 
     def _record_start(self, job: Job) -> None:
         job.last_start_s = self.now_s()
+        job.first_start_s = job.first_start_s or job.last_start_s
         if not job.has_begun:
             job.has_begun = True
             FIRST_START_SECONDS.observe(self.now_s() - job.since_s)
@@ -190,6 +205,8 @@
         task = run.task
         if task.runs.pop(run.number, None) is None:
             return
+        if run.state is not RunState.STOPPING:
+            task.step.job.interrupted_runs += 1
         if run.worker is not None:
             run.worker.remove(run)
         self.orphans.discard(run)
@@ -205,6 +222,7 @@
             self.drop_run(run, reason)
         elif run.state is not RunState.STOPPING and run.worker is not None:
             run.state = RunState.STOPPING
+            run.task.step.job.interrupted_runs += 1
             # Ignore reports without this run until the worker has accepted the stop.
             run.confirmed_at_s = float("inf")
             record_run("run-stop", run, reason)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/size_classes.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/size_classes.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
 
 from fulmarleverd.scheduling.order import (
     HARD_DEADLINE_FACTOR,
@@ -31,6 +32,20 @@
 DECAY_JOBS = 100.0
 
 
+@dataclass(slots=True, frozen=True)
+class SizeShare:
+    """The share of the jobs of a queue and size class that are served, from 0 to 1.
+
+    ``jobs`` is the weight of the jobs counted.
+    """
+
+    queue: str
+    size_class: int
+    jobs: float
+    share: float
+    is_underserved: bool
+
+
 class SizeClasses:
     """Counts the outcomes of jobs by queue and size, and marks underserved jobs."""
 
@@ -72,6 +87,11 @@
                 job.queue.name, ()
             )
 
+    def shares(self) -> Iterator[SizeShare]:
+        """Yield the share served of each size class of each queue."""
+        for name, stats in self._stats_by_queue.items():
+            yield from stats.shares(name)
+
     def _count_outcome(self, job: Job, is_served: bool) -> None:
         stats = self._stats_by_queue.get(job.queue.name)
         if stats is not None and _has_objective(job) and not job.is_outcome_counted:
@@ -111,6 +131,14 @@
         self._served[size_class] += is_served
         self._total[size_class] += 1.0
 
+    def shares(self, queue: str) -> Iterator[SizeShare]:
+        """Yield the share served of each class; ``queue`` is the name of the queue."""
+        for number, (served, total) in enumerate(
+            zip(self._served, self._total, strict=True)
+        ):
+            is_underserved = self.is_underserved(number)
+            yield SizeShare(queue, number, total, served / total, is_underserved)
+
     def underserved_classes(self) -> set[int]:
         """Return the classes that are served less often than the whole queue."""
         return {
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -181,9 +181,10 @@
     ``accepted_s`` is the Unix time of the daemon that accepted it, ``since_s`` the same
     moment on the owner's clock. ``occurrences`` are the steps of the occurrences that
     are due, by number; ``unfinished_steps`` counts the steps of all occurrences that
-    are not done. ``has_begun`` is set by the first run. ``last_start_s`` is when this
-    owner started a run last, 0 for never, and ``final_at_s`` when the job ended, both
-    on the owner's clock; ``cause`` is why it ended.
+    are not done. ``has_begun`` is set by the first run. ``first_start_s`` and
+    ``last_start_s`` are when this owner first and last started a run, 0 for never, and
+    ``final_at_s`` when the job ended, all on the owner's clock; ``cause`` is why it
+    ended. ``interrupted_runs`` counts the runs that this owner stopped or lost.
 
     ``size_class`` is the class of the job's size among the jobs of its queue, from 0
     for small, ``is_outcome_counted`` whether its outcome is counted for that class, and
@@ -203,7 +204,9 @@
         "is_cancelled",
         "has_failed",
         "has_begun",
+        "first_start_s",
         "last_start_s",
+        "interrupted_runs",
         "final_at_s",
         "cause",
         "size_class",
@@ -223,7 +226,9 @@
         self.is_cancelled = False
         self.has_failed = False
         self.has_begun = False
+        self.first_start_s = 0.0
         self.last_start_s = 0.0
+        self.interrupted_runs = 0
         self.final_at_s = 0.0
         self.cause = ""
         self.size_class = 0
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/backlog_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/backlog_tests.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from loguru import logger as log
 
 from fulmarleverd.loop_delay import LoopDelay
-from fulmarleverd.scheduling.backlog import LONG_WAIT_S, WAIT_PERIOD_S, Backlog
+from fulmarleverd.scheduling.backlog import (
+    LONG_WAIT_S,
+    SIZES_PERIOD_S,
+    WAIT_PERIOD_S,
+    Backlog,
+)
 from fulmarleverd.scheduling.planner import Planner
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.scheduling.start_rate import StartRate
@@ -48,6 +55,19 @@
         self.pass_time(1.0 + LONG_WAIT_S + 2 * WAIT_PERIOD_S)
         self.assertEqual(len(self.wait_lines()), 3)
 
+    def test_size_classes_are_logged_with_their_share_and_open_jobs(self):
+        for number in range(20):
+            self.add_job(
+                f"j{number}", StepSpec(count=1 + number, cpu_m=1, estimate_s=1)
+            )
+        self.pass_time(1.0 + SIZES_PERIOD_S)
+        lines = [line for line in self.lines if line["event"] == "size-class"]
+        open_jobs = [(line["size_class"], line["open_jobs"]) for line in lines]
+        known = [line for line in self.lines if line["event"] == "job-known"]
+        by_class = Counter(line["size_class"] for line in known)
+        self.assertEqual(open_jobs, [(number, by_class[number]) for number in range(3)])
+        self.assertEqual([line["served_share"] for line in lines], [1.0] * 3)
+
     def test_line_distinguishes_fragmentation_from_a_full_fleet(self):
         self.fill()
         self.add_job("j", LARGE)
