Keep the starts of the time between two plans

Timeline by the logs: until the first change of the owner nothing waits. From 21 s on (second change) best-effort work stays at 1,000 cores of 16,640 while 4,000 to 11,000 tasks wait; the loop is punctual (0.01 to 0.1 s) and the limit of starts is 1,300 a second, but about 100 starts are made every 0.65 s, about 150 a second.

Cause, one of two: the token bucket held 0.1 s of the rate, and while starts are limited a plan comes only every 0.65 s, so most of the rate lapsed; every plan used up what was left, so the owner went on counting as limited and as overloaded, and refused best-effort jobs with servers free.

Change: the starts of up to a second without a plan are kept while the loop is punctual. As the bucket then no longer holds back an owner that is late, a late loop gets a falling share of the rate.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/start_rate.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/start_rate.py
@@ -15,8 +15,11 @@
 INITIAL_STARTS_PER_CORE_S = 1500.0
 MIN_STARTS_PER_S = 10.0
 MAX_STARTS_PER_S = 5000.0
-# Starts that may be made at once after a pause, in seconds of the rate.
+# Unused starts that are kept for the next plan, in seconds of the rate.
 BURST_S = 0.1
+# While the loop is punctual, the starts of a longer time without a plan may be made at
+# once. It covers the pauses between plans, so that these do not lower the rate.
+MAX_REFILL_S = 1.0
 ADJUST_PERIOD_S = 0.1
 # Above this delay the loop has more work than it can do.
 MAX_DELAY_S = 0.2
@@ -91,14 +94,27 @@
         """Return how many starts may be made now."""
         now = self._clock.monotonic()
         self._adjust(now)
-        refilled = (now - self._refilled_at_s) * self.per_s
+        refilled = (now - self._refilled_at_s) * self.per_s * self._punctual_share()
         self._refilled_at_s = now
-        self._tokens = min(self.per_s * BURST_S, self._tokens + refilled)
+        most_s = BURST_S if self._is_late() else MAX_REFILL_S
+        unused = min(self.per_s * BURST_S, self._tokens)
+        self._tokens = min(self.per_s * most_s, unused + refilled)
         available = 0 if self._is_far_behind() else max(0, int(self._tokens))
         if not available:
             self._mark_used_up(now)
         return available
 
+    def _punctual_share(self) -> float:
+        """Return the share of the rate that a late loop still carries, from 0 to 1.
+
+        The work in hand has to be done first, and the rate falls in steps only.
+        """
+        left_s = STOP_DELAY_S - self._delay.recent_s
+        return max(0.0, min(1.0, left_s / (STOP_DELAY_S - MAX_DELAY_S)))
+
+    def _is_late(self) -> bool:
+        return self._delay.recent_s > MAX_DELAY_S
+
     def _is_far_behind(self) -> bool:
         return self._delay.recent_s > STOP_DELAY_S
 
@@ -134,7 +150,7 @@
             return
         self._adjusted_at_s = now_s
         self._average(period_s)
-        if self._delay.recent_s > MAX_DELAY_S or self._is_link_full():
+        if self._is_late() or self._is_link_full():
             self._decrease(now_s)
         elif self._is_used_up:
             self._increase()
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/start_rate_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/start_rate_tests.py
@@ -10,6 +10,7 @@
     BURST_S,
     INITIAL_STARTS_PER_CORE_S,
     MAX_DELAY_S,
+    MAX_REFILL_S,
     MIN_STARTS_PER_S,
     STOP_DELAY_S,
     StartRate,
@@ -73,6 +74,28 @@
             started += available
         self.assertLessEqual(started, MIN_STARTS_PER_S * (5.0 + BURST_S) + 1)
 
+    # Guards against an owner that starts a fraction of what its VM can carry: unused
+    # starts lapsed between two plans, so more waiting tasks meant fewer starts.
+    def test_pauses_between_plans_do_not_lower_the_rate(self):
+        rows = (("short", 0.05), ("usual", 0.1), ("long", 0.65), ("longest", 1.0))
+        for _, pause_s in self.each(rows):
+            rate = StartRate(self.delay, self.clock)
+            started, wanted, passed_s = 0, 0.0, 0.0
+            while passed_s < 10.0:
+                self.clock.advance(pause_s)
+                passed_s += pause_s
+                available = rate.available()
+                rate.take(available)
+                started += available
+                wanted += rate.per_s * pause_s
+            self.assertGreater(started, 0.9 * wanted)
+            self.assertLessEqual(started, wanted + rate.per_s * BURST_S)
+
+    def test_starts_of_a_long_time_without_a_plan_are_not_made_at_once(self):
+        self.clock.advance(60.0)
+        most = INITIAL_STARTS_PER_CORE_S * (MAX_REFILL_S + BURST_S)
+        self.assertLessEqual(self.rate.available(), most)
+
     def test_a_gang_takes_starts_in_advance(self):
         self.rate.take(int(INITIAL_STARTS_PER_CORE_S))
         self.assertEqual(self.rate.available(), 0)
