Examine the workers of a large fleet in batches

Cause: a plan computed the cost of every worker with free cores for each waiting step. With the pauses that leave the processor to reports, plans came every 0.65 to 1.3 s, and each can start 200 tasks at most. The more waited, the longer it took. Class: a pass over all workers for each step, mended for cores (capacity_index.py) but not for headroom.

Change: the workers are examined in batches of 64, until there is a candidate for each task; a batch without one ends the search, and each plan begins at another worker. Fleets of up to 64 workers, long-running steps and steps for few workers are searched as before. headroom_taken leaves out what cannot change its result.

Tests: worker_search_tests; before, the plan without room examined 450 workers for each image (13,500 instead of 1,920).

--- a/packages/fulmarleverd/fulmarleverd/scheduling/candidates.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/candidates.py
@@ -4,6 +4,7 @@
 
 import heapq
 from collections.abc import Callable, Container, Iterable
+from itertools import islice
 
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.obstacles import find_obstacle
@@ -23,21 +24,42 @@
     only. So the cost of each worker is computed once for the step and once more for
     each task assigned to it. Workers that accept no runs or face an obstacle are left
     out. ``now_s`` is on the owner's clock.
+
+    With a ``batch_size`` the workers are examined in batches until there is one
+    candidate for each of ``wanted`` tasks, and again once no candidate is left. A batch
+    without a candidate ends the search.
     """
 
-    __slots__ = ("_step", "_cost", "_now_s", "_heap")
+    __slots__ = ("_step", "_cost", "_now_s", "_heap", "_unseen", "_batch_size")
 
     def __init__(
-        self, step: Step, workers: Iterable[Worker], cost: WorkerCost, now_s: float
+        self,
+        step: Step,
+        workers: Iterable[Worker],
+        cost: WorkerCost,
+        now_s: float,
+        batch_size: int | None = None,
+        wanted: int = 1,
     ) -> None:
         self._step = step
         self._cost = cost
         self._now_s = now_s
-        entries = (
-            self._heap_entry(worker, index) for index, worker in enumerate(workers)
-        )
-        self._heap = [entry for entry in entries if entry is not None]
+        self._heap: list[HeapEntry] = []
+        self._unseen = iter(enumerate(workers))
+        self._batch_size = batch_size
+        while self._examine_batch() and len(self._heap) < wanted:
+            pass
+
+    def _examine_batch(self) -> bool:
+        """Add the candidates of the next batch; return whether there are any."""
+        batch = islice(self._unseen, self._batch_size)
+        entries = (self._heap_entry(worker, index) for index, worker in batch)
+        found = [entry for entry in entries if entry is not None]
+        if not found:
+            self._unseen = iter(())
+        self._heap += found
         heapq.heapify(self._heap)
+        return bool(found)
 
     def _heap_entry(self, worker: Worker, index: int) -> HeapEntry | None:
         if not worker.accepts_runs(self._now_s):
@@ -61,7 +83,7 @@
         """
         skipped: list[HeapEntry] = []
         found = None
-        while self._heap and found is None:
+        while found is None and (self._heap or self._examine_batch()):
             entry = heapq.heappop(self._heap)
             if entry[2].id in task.avoided_worker_ids or entry[2].id in excluded:
                 skipped.append(entry)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
@@ -204,15 +204,27 @@
         Return None if less than ``min_headroom`` would remain to an image.
         """
         load = spec.cpu_m / worker.entry.cpu_m
-        unreported = unreported_loads(worker)
-        max_taken = 0.0
-        for image, headroom in worker.headroom_by_image.items():
-            taken = self.model.headroom_taken(image, spec.image, load)
+        taken_by_image = {
+            image: self.model.headroom_taken(image, spec.image, load)
+            for image in worker.headroom_by_image
+        }
+        for image, headroom in self._disturbed(worker, taken_by_image):
+            if headroom - taken_by_image[image] < min_headroom:
+                return None
+        unreported = unreported_loads(worker) if taken_by_image else {}
+        for image, headroom in self._disturbed(worker, taken_by_image):
             remaining = headroom - self.model.total_headroom_taken(image, unreported)
-            if remaining - taken < min_headroom and taken >= MIN_HEADROOM_TAKEN:
+            if remaining - taken_by_image[image] < min_headroom:
                 return None
-            max_taken = max(max_taken, taken)
-        return max_taken
+        return max(taken_by_image.values(), default=0.0)
+
+    def _disturbed(
+        self, worker: Worker, taken_by_image: dict[str, float]
+    ) -> Iterator[tuple[str, float]]:
+        """Yield the serving images that a task would disturb, and their headroom."""
+        for image, headroom in worker.headroom_by_image.items():
+            if taken_by_image[image] >= MIN_HEADROOM_TAKEN:
+                yield image, headroom
 
 
 def unreported_loads(worker: Worker) -> dict[str, float]:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -20,6 +20,7 @@
 from fulmarleverd.scheduling.start_rate import StartRate
 from fulmarleverd.scheduling.tasks import Step, Task
 from fulmarleverd.scheduling.tickets import TicketRequester, has_ticket
+from fulmarleverd.scheduling.worker_search import batch_size, search_order
 
 # Limits the starts of one plan.
 MAX_STARTS_PER_PLAN = 200
@@ -51,6 +52,7 @@
         self._start_rate = start_rate
         self._unplaced_sizes = UnplacedSizes(())
         self._indexes: dict[str, CapacityIndex] = {}
+        self._plans = 0
 
     def plan(self) -> int:
         """Assign waiting tasks to workers and return how many were assigned.
@@ -69,6 +71,7 @@
 
     def _plan(self, limit: int) -> int:
         """Assign waiting tasks up to a limit, which the last gang may exceed."""
+        self._plans += 1
         self._indexes = {}
         self._unplaced_sizes = UnplacedSizes(
             worker.reserved_for for worker in self._owner.fleet
@@ -151,6 +154,15 @@
     def _candidates(self, step: Step, workers: list[Worker]) -> Candidates:
         return Candidates(step, workers, self._cost, self._owner.now_s())
 
+    def _candidates_for_some(self, step: Step, tasks: int) -> Candidates:
+        """Return candidates for some tasks, in a large fleet only a part of them."""
+        workers = self._workers_with_room(step)
+        size = None if step.job.queue.needs_ticket else batch_size(step.spec)
+        if size is not None and len(workers) > size:
+            workers = search_order(step.spec, workers, self._plans)
+        now = self._owner.now_s()
+        return Candidates(step, workers, self._cost, now, size, tasks)
+
     def _start_speculative_copies(self) -> Iterator[Task]:
         """Start the requested second runs and yield their tasks.
 
@@ -173,7 +185,7 @@
         if step.spec.is_gang:
             yield from self._start_gang(step)
             return
-        candidates = self._candidates(step, self._workers_with_room(step))
+        candidates = self._candidates_for_some(step, limit)
         for task in list(step.waiting.values())[:limit]:
             _reset_avoided_workers(task, self._startable_workers(step))
             if not candidates.place(task, self._owner.assign):
