Give up tasks that crash the workers that start them

Cause: a run that ends with its worker counted for no limit, and its task was started at once elsewhere, with copies twice. Class: a retry without a limit, as the failure is put down to the place.

Evidence: run 1 of c7f7...0.1.0 is accepted at 8.201 s and the connection to its worker lost 8 ms later; runs 2 to 20 the same, two each 3.3 s.

Change (crashes.py): a crash is proved by the worker's next incarnation; suspects are the tasks started shortly before its last answer; their next runs are isolated, and two crashes, the last one alone, end the job as failed. The count is kept in the progress row. Why this works: in isolation only the deadly task crashes its worker.

Tests: crashing_tasks_tests failed before ('not failed after 60 s') and passes now; crashes_tests.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
@@ -8,7 +8,7 @@
 from fulmarleverd.scheduling.ports import WorkerReport
 from fulmarleverd.scheduling.runs import Run, WorkerKey
 from fulmarleverd.scheduling.specs import StepSpec, WorkerEntry
-from fulmarleverd.scheduling.tasks import Step
+from fulmarleverd.scheduling.tasks import Step, Task
 
 # The least seconds that a worker's steady clock advances in a second of true time.
 MIN_CLOCK_RATE = 0.98
@@ -19,6 +19,19 @@
 SERVING_CPU_USE_SHARE = 0.55
 
 
+class CrashSuspects:
+    """The tasks that may have crashed a worker.
+
+    ``are_recent`` tells whether they were started shortly before it fell silent.
+    """
+
+    __slots__ = ("tasks", "are_recent")
+
+    def __init__(self, tasks: list[Task], are_recent: bool) -> None:
+        self.tasks = tasks
+        self.are_recent = are_recent
+
+
 class Worker:
     """One incarnation of a worker.
 
@@ -44,7 +57,9 @@
     report to this owner, ``lease_granted_at_s`` that of the last call that could
     extend the worker's lease. ``failures`` counts the failed runs since the last
     successful one; until ``single_run_until_s`` the worker gets one run at a time,
-    until ``no_starts_until_s`` none. A draining worker stops at ``drain_until_s``.
+    until ``no_starts_until_s`` none. ``last_start_s`` is when it was last given a run,
+    ``crash_suspects`` are the tasks that may have crashed it, while it is silent. A
+    draining worker stops at ``drain_until_s``.
 
     Speed: ``relative_speed`` is the speed of the worker's runs divided by the usual
     speed of their steps; ``is_slow`` is set while it is low. ``headroom_by_image`` is
@@ -73,6 +88,8 @@
         "last_end_seen",
         "last_end_committed",
         "failures",
+        "last_start_s",
+        "crash_suspects",
         "single_run_until_s",
         "no_starts_until_s",
         "unlisted_since_s",
@@ -106,6 +123,8 @@
         self.last_end_seen = 0
         self.last_end_committed = 0
         self.failures = 0
+        self.last_start_s = 0.0
+        self.crash_suspects: CrashSuspects | None = None
         self.single_run_until_s = 0.0
         self.no_starts_until_s = 0.0
         self.unlisted_since_s = 0.0
--- a/packages/fulmarleverd/fulmarleverd/scheduling/metrics.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/metrics.py
@@ -28,6 +28,10 @@
 )
 STARTS = Counter("fulmarlever_starts_total", "Orders to start a run.", ["outcome"])
 ENDS = Counter("fulmarlever_ends_total", "Runs that ended.", ["how"])
+CRASHES_SUSPECTED = Counter(
+    "fulmarlever_crashes_suspected_total",
+    "Crashes of workers that tasks are suspected of, one for each suspect.",
+)
 FIRST_START_SECONDS = Histogram(
     "fulmarlever_first_start_seconds",
     "Time from the acceptance of a job to its first running task.",
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -17,6 +17,7 @@
 from fulmarlever.clock import Clock
 from fulmarlever.outcomes import failed
 from fulmarleverd.scheduling.commits import CommitQueue
+from fulmarleverd.scheduling.crashes import CrashTracker
 from fulmarleverd.scheduling.decisions import record, record_run
 from fulmarleverd.scheduling.fleet import Fleet, Worker
 from fulmarleverd.scheduling.lease import SchedulerLease
@@ -64,6 +65,7 @@
         self.changed = asyncio.Event()
         self.on_worker_added: Callable[[Worker], None] = lambda worker: None
         self.lease_ends = LeaseEnds(lease, clock, bounds)
+        self.crashes = CrashTracker(self)
 
     def now_s(self) -> float:
         """Return the time in seconds on the clock of the leases."""
@@ -185,6 +187,7 @@
         ``number`` is the number of the run, 0 for the next free one.
         """
         run = task.add_run(worker.key, number)
+        worker.last_start_s = self.now_s()
         worker.add(run)
         job = task.step.job
         task.step.refresh(task)
@@ -232,10 +235,13 @@
         """Request a second run of the task of a run that may be lost or slow.
 
         Return whether the step allows speculative runs and the task has just one run.
+        A task that may have crashed a worker gets no copies.
         """
         task = run.task
         if not task.step.spec.is_speculative or len(task.runs) > 1:
             return False
+        if task.crashes:
+            return False
         if task not in self.requested_copies:
             self.requested_copies[task] = None
             record_run("copy-wanted", run, reason)
@@ -268,6 +274,7 @@
         for other in self.fleet.incarnations_of(worker.id):
             if other is not worker:
                 record("worker-lost", "restarted", worker=worker.id)
+                self.crashes.record_crash(other)
                 for run in list(other.runs.values()):
                     other.remove(run)
                     self._move_to_next_incarnation(run, worker)
@@ -315,6 +322,7 @@
 
     def mark_unreachable(self, worker: Worker, reason: str) -> None:
         """Record that a worker does not answer, and request copies of its runs."""
+        self.crashes.record_silence(worker)
         if not worker.is_unresponsive:
             worker.is_unresponsive = True
             self.commits.renew()
@@ -325,6 +333,11 @@
         for run in worker.runs.values():
             self.request_copy(run, "its worker does not answer")
 
+    def replace_worker(self, worker: Worker, reason: str) -> None:
+        """Remove an incarnation of a worker in whose place another one answers."""
+        self.crashes.record_crash(worker)
+        self.discard_worker(worker, reason)
+
     def discard_worker(self, worker: Worker, reason: str) -> None:
         """Remove an incarnation of a worker that certainly runs no tasks any more."""
         record("worker-lost", reason, worker=worker.id, runs=len(worker.runs))
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -188,12 +188,31 @@
         candidates = self._candidates_for_some(step, limit)
         for task in list(step.waiting.values())[:limit]:
             _reset_avoided_workers(task, self._startable_workers(step))
+            if task.crashes:
+                if self._place_suspect(task, candidates):
+                    yield task
+                continue
             if not candidates.place(task, self._owner.assign):
                 # The remaining tasks have the same size.
                 self._unplaced_sizes.record_size(task)
                 return
             yield task
 
+    def _place_suspect(self, task: Task, candidates: Candidates) -> Worker | None:
+        """Start a task that may have crashed a worker, if possible in isolation."""
+        crashes = self._owner.crashes
+        worker = None
+        if crashes.may_isolate():
+            unquiet = crashes.unquiet_ids(self._index(task.step).workers)
+            worker = candidates.place(task, self._assign_isolated, unquiet)
+        if worker is None and not crashes.must_wait(task):
+            worker = candidates.place(task, self._owner.assign)
+        return worker
+
+    def _assign_isolated(self, task: Task, worker: Worker) -> None:
+        run = self._owner.assign(task, worker)
+        self._owner.crashes.isolate(run)
+
     def _start_gang(self, step: Step) -> Iterator[Task]:
         """Start all tasks of a gang with the same run number, or none of them."""
         if len(step.waiting) < step.unfinished_tasks:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/progress_rows.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/progress_rows.py
@@ -18,7 +18,8 @@
 
     It holds the state, whether the job has begun, the cause of its end, the keys of
     workers with runs, the tasks that have run, which refer to the keys by index, and
-    the indices of the done tasks of each step.
+    the indices of the done tasks of each step. The last field counts the crashes that
+    tasks are suspected of; rows of earlier versions lack it.
     """
     keys: dict[WorkerKey, int] = {}
     started_tasks = [
@@ -27,7 +28,7 @@
     incarnations = [(key.id, key.incarnation) for key in keys]
     done = list(_done_indices(job))
     fields = [str(job.state), job.has_begun, job.cause, incarnations]
-    return pack_large([*fields, started_tasks, done])
+    return pack_large([*fields, started_tasks, done, list(_crash_counts(job))])
 
 
 def restore_progress(job: Job, data: bytes) -> BadRow | None:
@@ -46,6 +47,8 @@
         # Rows of earlier versions list done tasks among the started ones.
         for occurrence, number, indices in rest[0] if rest else ():
             _restore_done(job.open_occurrence(occurrence)[number], indices)
+        for occurrence, number, index, crashes in rest[1] if len(rest) > 1 else ():
+            job.open_occurrence(occurrence)[number].tasks[index].crashes = crashes
     except FORMAT_ERRORS as exc:
         return BadRow(f"progress of job {job.id}: {type(exc).__name__}: {exc}")
     return None
@@ -83,6 +86,13 @@
             yield [step.occurrence, step.number, indices]
 
 
+def _crash_counts(job: Job) -> Iterator[list]:
+    """Yield occurrence, step, index and crashes of each suspected task."""
+    for task in job.tasks():
+        if task.crashes:
+            yield [task.step.occurrence, task.step.number, task.index, task.crashes]
+
+
 def _pack_task(task: Task, keys: dict[WorkerKey, int]) -> Iterator[list]:
     """Yield the packed form of a task that has had a run and has not ended."""
     if not task.last_run or _has_ended(task):
--- a/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
@@ -38,6 +38,7 @@
         worker.record_clock(report.clock_ms, now)
         worker.is_reachable = True
         worker.is_unresponsive = False
+        self._owner.crashes.record_answer(worker)
         worker.first_answer_s = worker.first_answer_s or now
         self._process_ends(worker, report)
         running = {(item.task, item.run): item for item in report.running}
--- a/packages/fulmarleverd/fulmarleverd/scheduling/runs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/runs.py
@@ -39,9 +39,11 @@
     ``progress_percent`` is the progress as last reported; a long-running task reports
     100 once it has started up. ``last_progress_percent`` is the value at its last
     increase, at ``last_progress_at_s``. ``speed`` is the share of the run's work done
-    per second, 0 while it is not known. ``speed_limit_percent`` is the share of its
-    full speed that the run may use, 0 to pause it; ``is_speed_limit_known`` is false
-    for a run that an earlier owner may have limited.
+    per second, 0 while it is not known. ``sent_s`` is when this owner sent the start, 0
+    for a run of an earlier owner; an ``is_isolated`` run was started apart from others,
+    as its task may crash workers. ``speed_limit_percent`` is the share of its full
+    speed that the run may use, 0 to pause it; ``is_speed_limit_known`` is false for a
+    run that an earlier owner may have limited.
 
     ``latency_ms_or_cpu_m`` is the tail latency in milliseconds of a serving task and
     the processor use in thousandths of a core of any other. ``headroom_sample`` is the
@@ -60,7 +62,9 @@
         "worker",
         "worker_key",
         "state",
+        "sent_s",
         "started_s",
+        "is_isolated",
         "progress_percent",
         "latency_ms_or_cpu_m",
         "speed_limit_percent",
@@ -81,7 +85,9 @@
         self.worker_key = worker_key
         self.worker: Worker | None = None
         self.state = RunState.PLANNED
+        self.sent_s = 0.0
         self.started_s = 0.0
+        self.is_isolated = False
         self.confirmed_at_s = 0.0
         self.progress_percent = 0.0
         self.latency_ms_or_cpu_m = 0.0
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -49,7 +49,8 @@
     active runs by number, two while a copy runs beside a slow run. ``checkpoint`` names
     the last checkpoint, if any. ``avoided_worker_ids`` are the ids of workers on which
     the task failed or was too slow. ``lost_when_behind_s`` sums the seconds of the runs
-    that were moved because they were far behind their estimate.
+    that were moved because they were far behind their estimate. ``crashes`` counts the
+    workers that the task is suspected to have crashed.
     """
 
     __slots__ = (
@@ -62,6 +63,7 @@
         "runs",
         "avoided_worker_ids",
         "lost_when_behind_s",
+        "crashes",
     )
 
     def __init__(self, step: Step, index: int) -> None:
@@ -74,6 +76,7 @@
         self.runs: dict[int, Run] = {}
         self.avoided_worker_ids: set[str] = set()
         self.lost_when_behind_s = 0.0
+        self.crashes = 0
 
     @property
     def name(self) -> str:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
@@ -100,6 +100,7 @@
             self._owner.drop_run(run, "its job has ended before the start")
             return
         run.state = RunState.SENT
+        run.sent_s = self._owner.now_s()
         self._spawn(self._start(run))
 
     async def _start(self, run: Run) -> None:
@@ -159,7 +160,7 @@
         if result.reason == REJECT_LEASE_OVER:
             return False
         if result.reason == REJECT_INCARNATION:
-            owner.discard_worker(worker, result.reason)
+            owner.replace_worker(worker, result.reason)
         elif result.reason == REJECT_RUN:
             # The run has already started and ended there, as the next report shows.
             run.state = RunState.RUNNING
@@ -211,7 +212,7 @@
                 return
             record_run("run-stop-unanswered", run, result.reason)
             if isinstance(result, Rejected) and result.reason == REJECT_INCARNATION:
-                self._owner.discard_worker(worker, result.reason)
+                self._owner.replace_worker(worker, result.reason)
                 return
             await asyncio.sleep(RETRY_S)
 
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/crashes_tests.py
@@ -0,0 +1,180 @@
+"""Tasks that crash their workers are told apart from tasks beside them."""
+
+from __future__ import annotations
+
+from fulmarleverd.scheduling.crashes import (
+    ACQUITTED_S,
+    ISOLATION_S,
+    MAX_CRASHES,
+    MAX_CRASHES_LATER,
+    MAX_ISOLATED_SHARE,
+    QUIET_S,
+    RECENT_S,
+)
+from fulmarleverd.scheduling.fleet import Worker
+from fulmarleverd.scheduling.planner import Planner
+from fulmarleverd.scheduling.progress_rows import pack_progress, restore_progress
+from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.scheduling.tasks import Job, JobState
+from fulmarleverd.tests.scheduling.base import OwnerTestCase
+
+SPEC = StepSpec(count=2, cpu_m=1000, estimate_s=1.0)
+LONG_RUNNING = StepSpec(count=2, cpu_m=1000, is_long_running=True)
+
+
+class CrashTrackerTests(OwnerTestCase):
+    def crash(self, worker: Worker) -> None:
+        """Let a worker answer, fall silent and have restarted 3 s later."""
+        worker.record_clock(1000, self.clock.now)
+        self.owner.mark_unreachable(worker, "connection lost")
+        self.clock.advance(3.0)
+        self.owner.replace_worker(worker, "another incarnation")
+
+    def start_and_crash(self, job: Job, number: int, crash_after_s: float) -> None:
+        worker = self.add_worker(f"x{number}")
+        self.start(job, worker)
+        self.clock.advance(crash_after_s)
+        self.crash(worker)
+
+    def test_a_task_is_given_up_after_few_crashes(self):
+        rows = (
+            ("at the start", SPEC, 0.01, 2),
+            ("long-running", LONG_RUNNING, 0.01, 2),
+            ("later", SPEC, 2 * RECENT_S, MAX_CRASHES_LATER),
+        )
+        for name, spec, crash_after_s, crashes in self.each(rows):
+            job = self.add_job(name, spec)
+            for number in range(crashes):
+                self.assertFalse(job.has_failed)
+                self.start_and_crash(job, number, crash_after_s)
+            self.assertIs(job.state, JobState.FAILED)
+            self.assertIn(f"{crashes} workers crashed", job.cause)
+
+    def test_tasks_beside_a_deadly_one_are_not_given_up(self):
+        deadly, early, beside = (self.add_job(n, SPEC) for n in ("d", "e", "b"))
+        first, second = self.workers
+        self.start(early, first)
+        self.clock.advance(2 * RECENT_S)
+        self.start(deadly, first)
+        self.start(beside, first)
+        self.crash(first)
+        self.start(deadly, second)
+        self.crash(second)
+        self.assertTrue(deadly.has_failed)
+        crashes = [job.occurrences[0][0].tasks[0].crashes for job in (early, beside)]
+        self.assertEqual(crashes, [0, 1])
+        self.assertFalse(early.has_failed or beside.has_failed)
+
+    def test_a_task_is_not_given_up_for_crashes_that_it_shares(self):
+        beside = self.add_job("beside", SPEC)
+        for number in range(MAX_CRASHES - 1):
+            other = self.add_job(f"other{number}", SPEC)
+            worker = self.add_worker(f"x{number}")
+            self.start(other, worker)
+            self.start(beside, worker)
+            self.crash(worker)
+        self.assertFalse(beside.has_failed)
+
+    def test_an_isolated_run_is_the_only_suspect(self):
+        earlier, suspect = self.add_job("earlier", SPEC), self.add_job("suspect", SPEC)
+        self.start(earlier, self.workers[0])
+        self.clock.advance(QUIET_S)
+        run = self.start(suspect, self.workers[0])
+        self.owner.crashes.isolate(run)
+        self.crash(self.workers[0])
+        crashes = [j.occurrences[0][0].tasks[0].crashes for j in (earlier, suspect)]
+        self.assertEqual(crashes, [0, 1])
+
+    def test_what_is_no_crash_is_not_counted(self):
+        rows = (("answers again", False, True), ("drained", True, False))
+        for name, is_draining, answers in self.each(rows):
+            worker = self.add_worker(name, is_draining=is_draining)
+            job = self.add_job(name, SPEC)
+            run = self.start(job, worker)
+            self.owner.mark_unreachable(worker, "no answer")
+            if answers:
+                self.report(worker, (run, 1.0, 0.0))
+                self.clock.advance(2 * ACQUITTED_S)
+                self.report(worker, ends=((run, "done"),))
+            else:
+                self.owner.replace_worker(worker, "another incarnation")
+            self.assertEqual(run.task.crashes, 0)
+
+    def test_a_cut_worker_that_expired_and_restarted_later_is_counted(self):
+        job = self.add_job("j", SPEC)
+        run = self.start(job, self.workers[0])
+        self.owner.mark_unreachable(self.workers[0], "no answer")
+        self.owner.expire_worker_lease(self.workers[0])
+        self.assertEqual(run.task.crashes, 0)
+        self.owner.replace_worker(self.workers[0], "another incarnation")
+        self.assertEqual(run.task.crashes, 1)
+
+    def test_a_long_run_clears_its_task(self):
+        job = self.add_job("j", LONG_RUNNING)
+        self.start_and_crash(job, 0, 0.01)
+        run = self.start(job, self.workers[0])
+        for seconds, expected in ((ACQUITTED_S / 2, 1), (ACQUITTED_S, 0)):
+            self.clock.advance(seconds)
+            self.report(self.workers[0], (run, 100.0, 0.0))
+            self.assertEqual(run.task.crashes, expected)
+
+    def test_the_next_owner_knows_the_crashes(self):
+        job = self.add_job("j", SPEC)
+        self.start_and_crash(job, 0, 0.01)
+        restored = self.add_job("restored", SPEC)
+        self.assertIsNone(restore_progress(restored, pack_progress(job)))
+        crashes = [task.crashes for task in restored.occurrences[0][0].tasks]
+        self.assertEqual(crashes, [1, 0])
+
+    def test_a_suspect_gets_no_copies(self):
+        spec = StepSpec(cpu_m=1000, is_speculative=True)
+        for name, crashes, expected in self.each((("usual", 0, True), ("", 1, False))):
+            run = self.start(self.add_job(name or "suspect", spec), self.workers[0])
+            run.task.crashes = crashes
+            self.assertEqual(self.owner.request_copy(run, "slow"), expected)
+
+
+class IsolationTests(OwnerTestCase):
+    def setUp(self):
+        super().setUp()
+        self.planner = Planner(self.owner, lambda spec, worker: 0.0)
+
+    def add_suspect(self, name: str) -> Job:
+        job = self.add_job(name, StepSpec(cpu_m=1000))
+        job.occurrences[0][0].tasks[0].crashes = 1
+        return job
+
+    def test_a_suspect_runs_where_nothing_else_has_just_started(self):
+        usual = self.add_job("usual", StepSpec(cpu_m=1000))
+        self.planner.plan()
+        suspect = self.add_suspect("suspect")
+        later = self.add_job("later", StepSpec(count=20, cpu_m=1000))
+        self.planner.plan()
+        used, isolated = (next(iter(job.runs())).worker for job in (usual, suspect))
+        self.assertIsNot(used, isolated)
+        self.assertEqual({run.worker for run in later.runs()}, {used})
+        self.clock.advance(ISOLATION_S)
+        self.assertTrue(isolated.accepts_runs(self.clock.now))
+
+    def test_a_task_with_several_crashes_waits_for_isolation(self):
+        for worker in self.workers:
+            worker.last_start_s = self.clock.now
+        suspect = self.add_suspect("suspect")
+        suspect.occurrences[0][0].tasks[0].crashes = 2
+        usual = self.add_job("usual", StepSpec(cpu_m=1000))
+        self.planner.plan()
+        self.assertEqual((suspect.has_runs, usual.has_runs), (False, True))
+        self.clock.advance(QUIET_S)
+        self.planner.plan()
+        self.assertTrue(suspect.has_runs)
+
+    def test_many_suspects_do_not_isolate_the_fleet(self):
+        workers = 20
+        for number in range(workers - len(self.workers)):
+            self.add_worker(f"x{number}")
+        self.clock.advance(QUIET_S)
+        for number in range(3 * workers):
+            self.add_suspect(f"s{number}")
+        self.assertEqual(self.planner.plan(), 3 * workers)
+        accepting = sum(w.accepts_runs(self.clock.now) for w in self.owner.fleet)
+        self.assertEqual(accepting, workers - MAX_ISOLATED_SHARE * workers)
