Ignore odd entries of the list of workers, and refuse odd jobs

The same class elsewhere: jobs of callers (sizes and times of any size, NaN, lists for names), answers of workers, store and admission service.

Change: platform/json_values.py decodes all JSON of the platform's interface, with one list of errors and numbers and addresses within limits.

--- a/packages/fulmarleverd/fulmarleverd/platform/admission.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/admission.py
@@ -4,6 +4,7 @@
 
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable, failed
 from fulmarleverd.platform.http import HTTPClient
+from fulmarleverd.platform.json_values import FORMAT_ERRORS
 from fulmarleverd.scheduling.ports import Admission
 
 
@@ -44,7 +45,7 @@
             # the step.
             tickets = {str(row[0]): str(row[1]) for row in response.body["good"]}
             return Admission(tickets, response.body.get("validityMs", 0) / 1000.0)
-        except (KeyError, TypeError, IndexError, AttributeError) as exc:
+        except FORMAT_ERRORS as exc:
             return Unavailable(
                 f"malformed response from the admission service: {exc!r}"
             )
--- a/packages/fulmarleverd/fulmarleverd/platform/formats.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/formats.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from fulmarlever.outcomes import Failure, Refused
+from fulmarleverd.platform.json_values import (
+    FORMAT_ERRORS,
+    decode_json,
+    require_address,
+    require_count,
+    require_number,
+    require_type,
+)
 from fulmarleverd.scheduling.ports import StoredRow
 from fulmarleverd.scheduling.specs import (
     JobSpec,
@@ -19,7 +26,6 @@
 OPERATOR_TABLE = "op"
 CONFIG_KEY = "config"
 WORKERS_TABLE = "servers"
-FORMAT_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
 WORKER_STATES = ("ready", "draining")
 MAX_PAYLOAD_BYTES = 4000
 MAX_TASKS = 20_000
@@ -34,7 +40,7 @@
 def parse_config(row: StoredRow) -> SchedulingConfig | Undecodable:
     """Decode the operator's configuration."""
     try:
-        data = json.loads(row.value)
+        data = decode_json(row.value)
         return SchedulingConfig(
             int(data["version"]),
             tuple(_parse_queue(route) for route in data["routes"]),
@@ -82,7 +88,7 @@
 def parse_worker(row: StoredRow) -> WorkerEntry | Undecodable:
     """Decode a worker's entry; a malformed one is ``Undecodable``."""
     try:
-        return _parse_worker_fields(row.key, json.loads(row.value))
+        return _parse_worker_fields(row.key, decode_json(row.value))
     except FORMAT_ERRORS as exc:
         return Undecodable(f"worker entry {row.key}: {exc!r}")
 
@@ -95,26 +101,20 @@
     return WorkerEntry(
         id=key,
         # The Unix time at which this incarnation of the worker started identifies it.
-        incarnation=str(_require_type(data.get("born", 0), int)),
-        service=_require_type(data["service"], str),
-        address=_require_type(data["address"], str),
-        zone=_require_type(data["zone"], str),
-        cpu_m=_require_type(capacity["cpu"], int),
-        memory_mb=_require_type(capacity["memMb"], int),
-        gpus=_require_type(capacity.get("gpus", 0), int),
-        labels=tuple(_require_type(label, str) for label in data.get("labels", ())),
+        incarnation=str(require_count(data.get("born", 0))),
+        service=require_type(data["service"], str),
+        address=require_address(data["address"]),
+        zone=require_type(data["zone"], str),
+        cpu_m=require_count(capacity["cpu"]),
+        memory_mb=require_count(capacity["memMb"]),
+        gpus=require_count(capacity.get("gpus", 0)),
+        labels=tuple(require_type(label, str) for label in data.get("labels", ())),
         machine=str(data.get("machine", "")),
         is_draining=state == "draining",
-        remaining_s=data.get("remainingMs", 0) / 1000.0,
+        remaining_s=require_number(data.get("remainingMs", 0)) / 1000.0,
     )
 
 
-def _require_type(value: Any, kind: type) -> Any:
-    if not isinstance(value, kind) or isinstance(value, bool):
-        raise TypeError(f"{value!r} is not of type {kind.__name__}")
-    return value
-
-
 def parse_job(job_id: str, raw: bytes) -> JobSpec | Refused:
     """Decode the body of a caller's submission.
 
@@ -122,7 +122,7 @@
     with more than ``MAX_TASKS`` tasks is ``Refused``.
     """
     try:
-        data = json.loads(raw)
+        data = decode_json(raw)
         job = _parse_job_fields(job_id, data)
     except FORMAT_ERRORS as exc:
         return Refused(f"the job is malformed: {exc!r}")
@@ -136,35 +136,36 @@
 def _parse_job_fields(job_id: str, data: dict) -> JobSpec:
     return JobSpec(
         job_id,
-        _require_type(data.get("spec", ""), str),
+        require_type(data.get("spec", ""), str),
         tuple(_parse_step(step) for step in data["phases"]),
-        int(data.get("repetitions", 0)),
-        data.get("startAtMs", 0) / 1000.0,
-        data.get("intervalMs", 0) / 1000.0,
+        require_count(data.get("repetitions", 0)),
+        require_number(data.get("startAtMs", 0)) / 1000.0,
+        require_number(data.get("intervalMs", 0)) / 1000.0,
     )
 
 
 def _parse_step(step: dict) -> StepSpec:
+    may_miss = step.get("mayMiss")
     return StepSpec(
-        count=_require_type(step.get("count", 0), int),
-        cpu_m=_require_type(step.get("cpu", 0), int),
-        memory_mb=_require_type(step.get("memMb", 0), int),
-        gpus=_require_type(step.get("gpus", 0), int),
-        estimate_s=step.get("estimateMs", 0) / 1000.0,
-        after=tuple(_require_type(number, int) for number in step.get("after", ())),
+        count=require_count(step.get("count", 0)),
+        cpu_m=require_count(step.get("cpu", 0)),
+        memory_mb=require_count(step.get("memMb", 0)),
+        gpus=require_count(step.get("gpus", 0)),
+        estimate_s=require_number(step.get("estimateMs", 0)) / 1000.0,
+        after=tuple(require_type(number, int) for number in step.get("after", ())),
         checkpoints=bool(step.get("checkpointing")),
         is_gang=bool(step.get("gang")),
         is_rack_bound=bool(step.get("sameRack")),
-        required_label=step.get("constraints", ""),
+        required_label=require_type(step.get("constraints", ""), str),
         # The rack that holds the step's data.
-        preferred_rack=step.get("affinity", ""),
+        preferred_rack=require_type(step.get("affinity", ""), str),
         # The maximum number of tasks of the step on one worker.
-        max_per_worker=int(step.get("antiAffinity", 0)),
+        max_per_worker=require_count(step.get("antiAffinity", 0)),
         is_speculative=bool(step.get("speculative")),
         is_long_running=bool(step.get("longRunning")),
-        image=step.get("image", ""),
-        latency_target_s=step.get("targetMs", 0) / 1000.0,
+        image=require_type(step.get("image", ""), str),
+        latency_target_s=require_number(step.get("targetMs", 0)) / 1000.0,
         # The step's cores do not count against a worker's capacity.
         is_best_effort=bool(step.get("fills")),
-        max_unavailable=step.get("mayMiss"),
+        max_unavailable=None if may_miss is None else require_count(may_miss),
     )
--- a/packages/fulmarleverd/fulmarleverd/platform/http.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/http.py
@@ -11,6 +11,7 @@
 from fulmarleverd.deadline import Deadline
 from fulmarleverd.loop_delay import LoopDelay
 from fulmarleverd.platform.connection import Connection, RawResponse
+from fulmarleverd.platform.json_values import decode_json
 
 CONNECT_TIMEOUT_S = 0.6
 KEEPALIVE_S = 20.0
@@ -72,7 +73,7 @@
         if failed(response):
             return response
         try:
-            return Response(response.status, json.loads(response.body or "null"))
+            return Response(response.status, decode_json(response.body or "null"))
         except ValueError as exc:
             return OutcomeUnknown(f"answer {response.status} is not JSON: {exc}")
 
@@ -168,7 +169,8 @@
         try:
             opening = Connection.open(host, int(port), self._local_address)
             return await deadline.sooner(CONNECT_TIMEOUT_S).wait(opening)
-        except (TimeoutError, OSError, ValueError) as exc:
+        except (TimeoutError, OSError, ValueError, OverflowError) as exc:
+            # The last two come from an address that is none.
             reason = f"no connection to {self._address}: {type(exc).__name__} {exc}"
             return Unavailable(reason.strip())
 
--- a/packages/fulmarleverd/fulmarleverd/platform/store.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/store.py
@@ -8,6 +8,7 @@
 
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable, failed
 from fulmarleverd.platform.http import CallResult, HTTPClient, Response
+from fulmarleverd.platform.json_values import FORMAT_ERRORS
 from fulmarleverd.scheduling.metrics import STORE_CALLS
 from fulmarleverd.scheduling.ports import (
     ABSENT,
@@ -62,7 +63,7 @@
             if response.status == 412:
                 rows = response.body.get("rows") or ()
                 return ConditionFailed(tuple(_decode_row(row) for row in rows))
-        except (KeyError, TypeError, ValueError) as exc:
+        except FORMAT_ERRORS as exc:
             return OutcomeUnknown(f"malformed answer of the store: {exc!r}")
         return Unavailable(f"the store answers {response.status}: {response.body}")
 
@@ -119,7 +120,7 @@
         body = response.body
         rows = tuple(_decode_row(row) for row in body.get("rows") or ())
         return RowSet(rows, int(body["ver"]), bool(body.get("hasMore")))
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except FORMAT_ERRORS as exc:
         return Unavailable(f"malformed answer of the store: {exc!r}")
 
 
--- a/packages/fulmarleverd/fulmarleverd/platform/workers.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/workers.py
@@ -4,6 +4,7 @@
 
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable, failed
 from fulmarleverd.platform.http import CallResult, HTTPClient
+from fulmarleverd.platform.json_values import FORMAT_ERRORS
 from fulmarleverd.scheduling.ports import (
     REJECT_CAPACITY,
     REJECT_INCARNATION,
@@ -99,7 +100,7 @@
             return _rejected(response.status, response.body)
         try:
             return _report(response.body)
-        except (KeyError, TypeError, ValueError, IndexError) as exc:
+        except FORMAT_ERRORS as exc:
             return OutcomeUnknown(f"malformed report from the worker: {exc!r}")
 
     async def _send_command(
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/formats_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/formats_tests.py
@@ -23,6 +23,10 @@
     "machine": "m-1",
     "sequence": 4,
 }
+DEEP = b"[" * 100_000 + b"]" * 100_000
+HUGE = 10**400
+# Numbers that JSON texts can hold, but that are no sizes, counts or times.
+ODD_NUMBERS = (HUGE, -1, float("inf"), float("nan"), True, "1", None, [1])
 ROUTE = {
     "name": "r-1",
     "host": "a.example",
@@ -87,6 +91,30 @@
         for _, value in self.each(rows):
             self.assertTrue(failed(parse_worker(row(value))))
 
+    # Guards against daemons that end, or give up the lease, again and again because of
+    # one odd entry in the list of workers.
+    def test_an_odd_entry_names_no_worker(self):
+        capacity = ENTRY["capacity"]
+        rows = [
+            ("nested", DEEP),
+            (
+                "nested field",
+                b'{"service":"desk","state":"ready","zone":' + DEEP + b"}",
+            ),
+            ("digits", b'{"born":' + b"9" * 10_000 + b"}"),
+        ]
+        for number in ODD_NUMBERS:
+            rows.append((f"born {number!r:.9}", {**ENTRY, "born": number}))
+            rows.append((f"left {number!r:.9}", {**ENTRY, "remainingMs": number}))
+            for name in capacity:
+                odd = {**ENTRY, "capacity": {**capacity, name: number}}
+                rows.append((f"{name} {number!r:.9}", odd))
+        for port in ("", "0", "65536", "99999999999", "-1", "x", "\u0661"):
+            rows.append((f"port {port}", {**ENTRY, "address": f"10.0.0.1:{port}"}))
+        rows += [("no port", {**ENTRY, "address": "10.0.0.1"})]
+        for _, value in self.each(rows):
+            self.assertTrue(failed(parse_worker(row(value))))
+
     @given(JSON_VALUES)
     def test_decoders_accept_any_json_without_an_exception(self, value):
         parse_worker(row(value))
@@ -150,6 +178,25 @@
         for _, value in self.each(rows):
             self.assertTrue(failed(self.parse(value)))
 
+    def test_jobs_with_odd_values_are_refused(self):
+        rows = [("nested", DEEP)]
+        numbers = ("count", "cpu", "memMb", "gpus", "estimateMs", "targetMs")
+        for number in ODD_NUMBERS:
+            for name in (*numbers, "antiAffinity"):
+                value = {"phases": [{**STEP, name: number}]}
+                rows.append((f"{name} {number!r:.9}", json.dumps(value).encode()))
+            for name in ("repetitions", "startAtMs", "intervalMs"):
+                value = {"phases": [STEP], name: number}
+                rows.append((f"{name} {number!r:.9}", json.dumps(value).encode()))
+            if number is not None:
+                value = {"phases": [{**STEP, "mayMiss": number}]}
+                rows.append((f"mayMiss {number!r:.9}", json.dumps(value).encode()))
+        for name in ("image", "constraints", "affinity"):
+            value = {"phases": [{**STEP, name: ["a"]}]}
+            rows.append((name, json.dumps(value).encode()))
+        for _, raw in self.each(rows):
+            self.assertTrue(failed(parse_job("0" * 16, raw)))
+
     def test_steps_after_themselves_or_later_steps_are_errors(self):
         rows = (
             ("itself", [{**STEP, "after": [0]}], True),
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/http_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/http_tests.py
@@ -108,7 +108,8 @@
                     self.assertIsInstance(result, expected or OutcomeUnknown)
 
     async def test_a_call_with_a_refused_connection_is_unavailable(self) -> None:
-        self.assertIsInstance(await self.call(f"{LOOPBACK}:1"), Unavailable)
+        for address in (f"{LOOPBACK}:1", f"{LOOPBACK}:70000", f"{LOOPBACK}:x", ""):
+            self.assertIsInstance(await self.call(address), Unavailable)
 
     async def test_the_request_is_encoded(self) -> None:
         address = await self.serve()
