--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -186,17 +186,22 @@
             yield from self._start_gang(step)
             return
         candidates = self._candidates_for_some(step, limit)
-        for task in list(step.waiting.values())[:limit]:
+        started = 0
+        for task in list(step.waiting.values()):
+            if started >= limit:
+                return
             _reset_avoided_workers(task, self._startable_workers(step))
             if task.crashes:
-                if self._place_suspect(task, candidates):
-                    yield task
-                continue
-            if not candidates.place(task, self._owner.assign):
+                # It may wait for isolation, which the other tasks need not.
+                started += self._place_suspect(task, candidates) is not None
+            elif candidates.place(task, self._owner.assign):
+                started += 1
+            else:
                 # The remaining tasks have the same size.
                 self._unplaced_sizes.record_size(task)
                 return
-            yield task
+            if not task.is_waiting:
+                yield task
 
     def _place_suspect(self, task: Task, candidates: Candidates) -> Worker | None:
         """Start a task that may have crashed a worker, if possible in isolation."""
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/crashes_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/crashes_tests.py
@@ -168,6 +168,15 @@
         self.planner.plan()
         self.assertTrue(suspect.has_runs)
 
+    def test_a_waiting_suspect_does_not_hold_back_its_step(self):
+        for worker in self.workers:
+            worker.last_start_s = self.clock.now
+        job = self.add_job("j", StepSpec(count=3, cpu_m=1000))
+        step = job.occurrences[0][0]
+        step.tasks[0].crashes = 2
+        started = list(self.planner._start_step(step, 1))
+        self.assertEqual(started, [step.tasks[1]])
+
     def test_many_suspects_do_not_isolate_the_fleet(self):
         workers = 20
         for number in range(workers - len(self.workers)):
