Bear a worker whose capacity shrinks to nothing

With a capacity of 0 the loads of its runs were divided by zero, which ended the scheduler of each owner in turn (scheduler-fault). Found by reading; test: interference_tests.test_the_capacity_of_a_worker_may_shrink_to_nothing, before ZeroDivisionError. Starts follow the shrunk capacity: free cores become negative.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
@@ -203,7 +203,7 @@
 
         Return None if less than ``min_headroom`` would remain to an image.
         """
-        load = spec.cpu_m / worker.entry.cpu_m
+        load = _share_of_worker(spec.cpu_m, worker)
         taken_by_image = {
             image: self.model.headroom_taken(image, spec.image, load)
             for image in worker.headroom_by_image
@@ -292,12 +292,20 @@
 
 def nominal_load(run: Run, worker: Worker) -> float:
     """Return a run's declared cores as a share of its worker's cores."""
-    return run.task.step.spec.cpu_m / worker.entry.cpu_m
+    return _share_of_worker(run.task.step.spec.cpu_m, worker)
 
 
 def load_of(run: Run, worker: Worker) -> float:
     """Return a best-effort run's cores in use as a share of its worker's cores."""
-    return run.latency_ms_or_cpu_m / worker.entry.cpu_m
+    return _share_of_worker(run.latency_ms_or_cpu_m, worker)
+
+
+def _share_of_worker(cpu_m: float, worker: Worker) -> float:
+    """Return thousandths of a core as a share of a worker's cores.
+
+    The capacity of a worker may shrink while it runs tasks, also to nothing.
+    """
+    return cpu_m / max(1, worker.entry.cpu_m)
 
 
 def best_effort_runs(worker: Worker) -> Iterator[Run]:
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/interference_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/interference_tests.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from fulmarleverd.scheduling.interference import InterferenceGuard
+from fulmarleverd.scheduling.planner import Planner
 from fulmarleverd.scheduling.reports import ReportProcessor
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
@@ -61,6 +64,19 @@
             admitted += 1
         self.assertEqual(admitted, 2)
 
+    # Guards against an owner that ends as a worker's capacity shrinks to nothing.
+    def test_the_capacity_of_a_worker_may_shrink_to_nothing(self):
+        run = self.start(self.add_job("f", best_effort_step("heavy")), self.worker)
+        self.report_headroom(1.5, run)
+        shrunk = replace(self.worker.entry, cpu_m=0, memory_mb=0)
+        self.assertIs(self.owner.add_worker(shrunk), self.worker)
+        self.clock.advance(1.0)
+        self.report_headroom(1.2, run)
+        self.add_job("j", StepSpec(cpu_m=1), best_effort_step("light"))
+        planner = Planner(self.owner, self.guard.headroom_taken)
+        planner.plan()
+        self.assertEqual(set(self.worker.runs.values()), {self.serving, run})
+
     def test_the_cause_of_low_headroom_is_paused_and_resumed(self):
         self.train_model("heavy", 6.0)
         self.train_model("light", 0.1)
