Start nothing on a worker while it has a run that no job accounts for

After a change of the owner the runs of ended jobs are not known any more, so the capacity that they take until they have stopped was given away. How much they take is not known either: the worker gets nothing until they are gone. Test: reports_tests, which failed before.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
@@ -14,6 +14,9 @@
 
 END_DONE = "done"
 END_FAILED = "failed"
+# A run that no job accounts for takes capacity until it has stopped. How much is not
+# known, so its worker gets no runs for this long, in seconds, after each report of it.
+UNKNOWN_RUN_PAUSE_S = 1.0
 
 
 class ReportProcessor:
@@ -154,7 +157,12 @@
             run.task.checkpoint = item.checkpoint
 
     def _stop_unknown(self, worker: Worker, item: RunningTask) -> None:
-        """Stop a run that the worker has, but that no job accounts for."""
+        """Stop a run that the worker has, but that no job accounts for.
+
+        Until it is gone the worker gets no runs: it may not guard its capacity itself.
+        """
+        until_s = self._owner.now_s() + UNKNOWN_RUN_PAUSE_S
+        worker.no_starts_until_s = max(worker.no_starts_until_s, until_s)
         record(
             "run-unknown",
             "stopped, as it is not assigned to this worker",
