Bound the pauses after long plans by what is kept of the starts

On a VM with an eighth of a core a plan may take 0.3 s or more; plan and pause then took longer than the second for which starts are kept, and the rest lapsed. The pauses are in a module of their own, plan_pace.py; a plan and its pause take no longer than the starts are kept.

Test: plan_pace_tests.test_long_plans_do_not_lower_the_rate_of_starts; with the pause unbounded it fails from 0.3 s a plan on.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
@@ -9,6 +9,7 @@
 
 from fulmarlever.clock import Clock
 from fulmarlever.outcomes import failed
+from fulmarleverd.scheduling import plan_pace
 from fulmarleverd.scheduling.backlog import Backlog
 from fulmarleverd.scheduling.commits import CommitQueue
 from fulmarleverd.scheduling.decisions import record
@@ -39,15 +40,6 @@
 from fulmarleverd.scheduling.worker_commands import WorkerCommands
 from fulmarleverd.scheduling.worker_loop import WorkerLoop
 
-PLAN_PAUSE_S = 0.004
-# After a plan that could not start anything; little has changed a moment later.
-IDLE_PLAN_PAUSE_S = 0.02
-# While the rate of starts is limited, so that a plan starts more than one task and the
-# processor is left to reports.
-LIMITED_PLAN_PAUSE_S = 0.1
-LIMITED_PAUSE_PER_PLAN = 5.0
-# After each pass of the planner, other work gets this multiple of the pass's duration.
-PAUSE_PER_PLAN = 2.0
 PROGRESS_RETRY_S = 0.1
 # A worker's reports come with each ended run, but what they say of the other runs
 # changes more slowly, so those are examined at most this often.
@@ -244,14 +236,8 @@
             started_s = self._clock.monotonic()
             started = self._planner.plan() if self._lease.is_valid else 0
             took_s = self._clock.monotonic() - started_s
-            await asyncio.sleep(self._plan_pause_s(started, took_s))
-
-    def _plan_pause_s(self, started: int, took_s: float) -> float:
-        """Return how long to wait after a plan that took ``took_s`` seconds."""
-        if self._start_rate.is_limiting:
-            return max(LIMITED_PLAN_PAUSE_S, LIMITED_PAUSE_PER_PLAN * took_s)
-        pause_s = PLAN_PAUSE_S if started else IDLE_PLAN_PAUSE_S
-        return max(pause_s, PAUSE_PER_PLAN * took_s)
+            is_limiting = self._start_rate.is_limiting
+            await asyncio.sleep(plan_pace.pause_s(started, took_s, is_limiting))
 
     async def _run_housekeeping(self) -> None:
         while True:
