Begin the owner's periodic work before the workers are known

By the logs the new owner takes the lease at 20.3 s and knows the jobs at 21.4, but published the number of waiting jobs only once it had read the list of workers (22.0) and made its first tick, over a link that the workers' answers then fill.

Cause: housekeeping, which publishes that number, was started last; it needs no workers. It starts once the jobs are known. What it does to workers and orphans goes by time alone.

--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/takeover_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/takeover_tests.py
@@ -32,6 +32,19 @@
     cluster.network.cut(cluster.owner().vm, *addresses)
 
 
+def delay_worker_list(cluster: SimulatedCluster) -> None:
+    """Let calls for the list of workers wait for ever."""
+    store = cluster.network.store
+    handle = store.handle
+
+    async def handle_or_wait(method: str, url: str, body: dict | None) -> tuple:
+        if "table=servers" in url:
+            await asyncio.Event().wait()
+        return await handle(method, url, body)
+
+    store.handle = handle_or_wait
+
+
 class TakeoverTests(SimulatedClusterTestCase):
     ROWS = (
         ("killed", kill_owner, 1.0),
@@ -64,6 +77,20 @@
             cluster = self.run_scenario(scenario)
             self.assertEqual(sum(cluster.record.done.values()), 6)
 
+    # Regression (MIXED): a new owner that takes long to read the list of workers left
+    # the number of waiting jobs that the earlier owner had published.
+    def test_the_number_of_waiting_jobs_is_known_before_the_workers(self):
+        async def scenario(cluster):
+            delay_worker_list(cluster)
+            cluster.add_daemons("vm-1", "vm-2")
+            daemon = cluster.daemons["vm-1"]
+            for number in range(3):
+                self.assertIsNone(await daemon.submit(job(f"j{number}", LONG)))
+            await asyncio.sleep(3.0)
+            self.assertEqual(await daemon.intake.pending("labels"), 3)
+
+        self.run_scenario(scenario)
+
     def test_a_job_cancelled_without_an_owner_is_stopped(self):
         async def scenario(cluster):
             cluster.add_daemons("vm-1")
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
@@ -144,10 +144,11 @@
         # not known.
         self._spawn(self._follow_jobs(progress))
         await self._has_jobs.wait()
+        # It publishes the number of waiting jobs, which does not depend on workers.
+        self._spawn(self._run_housekeeping())
         self._spawn(self._follow_workers())
         await self._has_workers.wait()
         self._spawn(self._run_planner())
-        self._spawn(self._run_housekeeping())
         self._spawn(self._tickets.run())
         record(
             "recovered",
