Use ordinary terms for crashing tasks and malformed entries

Renamed in code, tests and docs; two test modules moved. No change of behaviour: identifiers, docstrings and test ids alone. crash, malformed and formats tests: 27 passed.

--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/crashing_tasks_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/crashing_tasks_tests.py
@@ -15,7 +15,7 @@
 from fulmarleverd.scheduling.specs import StepSpec
 
 WORKERS = 12
-DEADLY_JOBS = 4
+CRASHING_JOBS = 4
 RESTART_S = 3.2
 TASK_S = 1.0
 # The users' requirement: a task may be started at most twice more after three workers
@@ -31,9 +31,9 @@
 
 
 class Crashes:
-    """Crashes the workers that start a run of a deadly task, and counts the crashes.
+    """Crashes the workers that start a run of a crashing task, and counts the crashes.
 
-    The tasks are deadly whose job's id begins with ``deadly`` and whose index is 0.
+    The tasks are crashing whose job's id begins with ``crashing`` and whose index is 0.
     """
 
     def __init__(self, cluster: SimulatedCluster, delay_s: float, new_id: bool) -> None:
@@ -43,13 +43,13 @@
         self.by_task: Counter[str] = Counter()
 
     def attach(self, worker: WorkerCore) -> None:
-        """Crash a worker once it has started a deadly task."""
+        """Crash a worker once it has started a crashing task."""
         record = worker.on_start
         worker.task_duration_s = self._duration_s
 
         def start(worker: WorkerCore, key: RunKey) -> None:
             record(worker, key)
-            if key[0].startswith("deadly") and key[0].endswith(".0"):
+            if key[0].startswith("crashing") and key[0].endswith(".0"):
                 loop = asyncio.get_running_loop()
                 loop.call_later(self._delay_s, self._crash, worker, key)
 
@@ -114,19 +114,19 @@
             await cluster.wait_for_owner()
             dying = asyncio.create_task(self.kill_owners(cluster, owner_dies_s))
             spec = StepSpec(count=3, **options)
-            deadly = [f"deadly-{kind}-{number}" for number in range(DEADLY_JOBS)]
+            crashing = [f"crashing-{kind}-{number}" for number in range(CRASHING_JOBS)]
             usual = [f"usual-{number}" for number in range(20)]
             innocent = job("innocent-lasting", StepSpec(count=6, **LASTING))
             await self.submit(cluster, innocent)
             for number, job_id in enumerate(usual):
-                if number < DEADLY_JOBS:
-                    await self.submit(cluster, job(deadly[number], spec))
+                if number < CRASHING_JOBS:
+                    await self.submit(cluster, job(crashing[number], spec))
                 await self.submit(cluster, job(job_id, StepSpec(count=6, **BATCH)))
                 await asyncio.sleep(0.3)
             await asyncio.sleep(SETTLE_S)
             dying.cancel()
             reader = next(iter(cluster.daemons.values()))
-            for job_id in deadly:
+            for job_id in crashing:
                 await cluster.wait_for_state(reader, job_id, "failed")
                 status = await reader.state(job_id)
                 self.assertIn("crash", status.cause)
@@ -136,7 +136,7 @@
 
         cluster = self.run_scenario(scenario)
         for task, starts in cluster.record.starts.items():
-            if task.startswith("deadly") and task.endswith(".0"):
+            if task.startswith("crashing") and task.endswith(".0"):
                 self.assertLessEqual(starts, MAX_STARTS, f"{name}: {task}")
         return seen[0]
 
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/odd_entries_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/malformed_entries_tests.py
@@ -1,4 +1,4 @@
-"""Entries of other writers in the list of workers do not disturb the scheduler."""
+"""Malformed entries in the list of workers do not disturb the scheduler."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from fulmarlever_standins.tests.authority.base import SimulatedClusterTestCase
 
 
-class OddEntriesTests(SimulatedClusterTestCase):
+class MalformedEntriesTests(SimulatedClusterTestCase):
     # Regression: one entry with deeply nested values, a number too large or a port out
     # of range ended the scheduler of each owner in turn.
     def test_the_owner_keeps_the_lease_and_completes_jobs(self):
@@ -22,14 +22,14 @@
             ("time", lambda entry: {**entry, "remainingMs": 10**400}),
             ("port", lambda entry: {**entry, "address": "10.0.0.1:70000"}),
         )
-        for _, make_odd in self.each(rows):
+        for _, make_entry in self.each(rows):
 
-            async def scenario(cluster, make_odd=make_odd):
+            async def scenario(cluster, make_entry=make_entry):
                 cluster.add_daemons("vm-1", "vm-2")
                 workers = cluster.add_workers(2)
                 owner = await cluster.wait_for_owner()
                 term = owner.term
-                self.add_entry(cluster, make_odd(workers[0].entry()))
+                self.add_entry(cluster, make_entry(workers[0].entry()))
                 await asyncio.sleep(2.0)
                 await owner.submit(job("j"))
                 await cluster.wait_for_state(owner, "j", "completed", 5.0)
@@ -43,9 +43,9 @@
         """Write an entry, as given or as JSON."""
         store = cluster.network.store
         if isinstance(entry, dict):
-            store.put_json("servers", "odd", entry)
+            store.put_json("servers", "other", entry)
             return
         value = base64.b64encode(entry).decode()
-        row = {"table": "servers", "part": "", "key": "odd", "value": value}
+        row = {"table": "servers", "part": "", "key": "other", "value": value}
         status, _ = store.transact({"expected": [], "setKeys": [row], "remove": []})
         self.assertEqual(status, 200)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/crashes.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/crashes.py
@@ -42,7 +42,7 @@
 # many suspects.
 MAX_ISOLATED_SHARE = 0.25
 # The crashes of a task are forgotten once a run of it has been at work for this long.
-ACQUITTED_S = 10.0
+CRASHES_KEPT_S = 10.0
 
 
 class CrashTracker:
@@ -66,7 +66,7 @@
         worker.crash_suspects = None
         now = self._owner.now_s()
         for run in worker.runs.values():
-            if run.task.crashes and _is_acquitted(run, now):
+            if run.task.crashes and _is_long_at_work(run, now):
                 run.task.crashes = 0
                 self._owner.commits.stage(run.task.step.job)
 
@@ -133,7 +133,7 @@
         most = max(1.0, MAX_ISOLATED_SHARE * len(self._owner.fleet))
         return len(self._isolated_until_s) < most
 
-    def unquiet_ids(self, workers: Iterable[Worker]) -> set[str]:
+    def recently_started_ids(self, workers: Iterable[Worker]) -> set[str]:
         """Return the ids of the workers on which an isolated run may not start now."""
         now = self._owner.now_s()
         return {worker.id for worker in workers if now - worker.last_start_s < QUIET_S}
@@ -159,7 +159,7 @@
     return run.started_s or run.sent_s
 
 
-def _is_acquitted(run: Run, now_s: float) -> bool:
-    """Return whether a run has been at work long enough to clear its task."""
+def _is_long_at_work(run: Run, now_s: float) -> bool:
+    """Return whether a run has been at work for ``CRASHES_KEPT_S``."""
     is_at_work = run.state is RunState.RUNNING and run.started_s > 0.0
-    return is_at_work and now_s - run.started_s >= ACQUITTED_S
+    return is_at_work and now_s - run.started_s >= CRASHES_KEPT_S
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -208,8 +208,8 @@
         crashes = self._owner.crashes
         worker = None
         if crashes.may_isolate():
-            unquiet = crashes.unquiet_ids(self._index(task.step).workers)
-            worker = candidates.place(task, self._assign_isolated, unquiet)
+            busy = crashes.recently_started_ids(self._index(task.step).workers)
+            worker = candidates.place(task, self._assign_isolated, busy)
         if worker is None and not crashes.must_wait(task):
             worker = candidates.place(task, self._owner.assign)
         return worker
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/formats_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/formats_tests.py
@@ -26,7 +26,7 @@
 DEEP = b"[" * 100_000 + b"]" * 100_000
 HUGE = 10**400
 # Numbers that JSON texts can hold, but that are no sizes, counts or times.
-ODD_NUMBERS = (HUGE, -1, float("inf"), float("nan"), True, "1", None, [1])
+INVALID_NUMBERS = (HUGE, -1, float("inf"), float("nan"), True, "1", None, [1])
 ROUTE = {
     "name": "r-1",
     "host": "a.example",
@@ -92,8 +92,8 @@
             self.assertTrue(failed(parse_worker(row(value))))
 
     # Guards against daemons that end, or give up the lease, again and again because of
-    # one odd entry in the list of workers.
-    def test_an_odd_entry_names_no_worker(self):
+    # one malformed entry in the list of workers.
+    def test_an_entry_out_of_range_names_no_worker(self):
         capacity = ENTRY["capacity"]
         rows = [
             ("nested", DEEP),
@@ -103,12 +103,12 @@
             ),
             ("digits", b'{"born":' + b"9" * 10_000 + b"}"),
         ]
-        for number in ODD_NUMBERS:
+        for number in INVALID_NUMBERS:
             rows.append((f"born {number!r:.9}", {**ENTRY, "born": number}))
             rows.append((f"left {number!r:.9}", {**ENTRY, "remainingMs": number}))
             for name in capacity:
-                odd = {**ENTRY, "capacity": {**capacity, name: number}}
-                rows.append((f"{name} {number!r:.9}", odd))
+                invalid = {**ENTRY, "capacity": {**capacity, name: number}}
+                rows.append((f"{name} {number!r:.9}", invalid))
         for port in ("", "0", "65536", "99999999999", "-1", "x", "\u0661"):
             rows.append((f"port {port}", {**ENTRY, "address": f"10.0.0.1:{port}"}))
         rows += [("no port", {**ENTRY, "address": "10.0.0.1"})]
@@ -178,10 +178,10 @@
         for _, value in self.each(rows):
             self.assertTrue(failed(self.parse(value)))
 
-    def test_jobs_with_odd_values_are_refused(self):
+    def test_jobs_with_values_out_of_range_are_refused(self):
         rows = [("nested", DEEP)]
         numbers = ("count", "cpu", "memMb", "gpus", "estimateMs", "targetMs")
-        for number in ODD_NUMBERS:
+        for number in INVALID_NUMBERS:
             for name in (*numbers, "antiAffinity"):
                 value = {"phases": [{**STEP, name: number}]}
                 rows.append((f"{name} {number!r:.9}", json.dumps(value).encode()))
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/crashes_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/crashes_tests.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from fulmarleverd.scheduling.crashes import (
-    ACQUITTED_S,
+    CRASHES_KEPT_S,
     ISOLATION_S,
     MAX_CRASHES,
     MAX_CRASHES_LATER,
@@ -50,17 +50,17 @@
             self.assertIs(job.state, JobState.FAILED)
             self.assertIn(f"{crashes} workers crashed", job.cause)
 
-    def test_tasks_beside_a_deadly_one_are_not_given_up(self):
-        deadly, early, beside = (self.add_job(n, SPEC) for n in ("d", "e", "b"))
+    def test_tasks_beside_a_crashing_one_are_not_given_up(self):
+        crashing, early, beside = (self.add_job(n, SPEC) for n in ("c", "e", "b"))
         first, second = self.workers
         self.start(early, first)
         self.clock.advance(2 * RECENT_S)
-        self.start(deadly, first)
+        self.start(crashing, first)
         self.start(beside, first)
         self.crash(first)
-        self.start(deadly, second)
+        self.start(crashing, second)
         self.crash(second)
-        self.assertTrue(deadly.has_failed)
+        self.assertTrue(crashing.has_failed)
         crashes = [job.occurrences[0][0].tasks[0].crashes for job in (early, beside)]
         self.assertEqual(crashes, [0, 1])
         self.assertFalse(early.has_failed or beside.has_failed)
@@ -94,7 +94,7 @@
             self.owner.mark_unreachable(worker, "no answer")
             if answers:
                 self.report(worker, (run, 1.0, 0.0))
-                self.clock.advance(2 * ACQUITTED_S)
+                self.clock.advance(2 * CRASHES_KEPT_S)
                 self.report(worker, ends=((run, "done"),))
             else:
                 self.owner.replace_worker(worker, "another incarnation")
@@ -113,7 +113,7 @@
         job = self.add_job("j", LONG_RUNNING)
         self.start_and_crash(job, 0, 0.01)
         run = self.start(job, self.workers[0])
-        for seconds, expected in ((ACQUITTED_S / 2, 1), (ACQUITTED_S, 0)):
+        for seconds, expected in ((CRASHES_KEPT_S / 2, 1), (CRASHES_KEPT_S, 0)):
             self.clock.advance(seconds)
             self.report(self.workers[0], (run, 100.0, 0.0))
             self.assertEqual(run.task.crashes, expected)
