--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,60 +1,47 @@
-"""Another writer's entry without ``born`` makes the owner start live tasks again."""
+"""A worker with more than 500 ends to report: the owner starts done tasks again."""
 
 from __future__ import annotations
 
 import asyncio
-import random
 from pathlib import Path
 
-from review.standins import (
-    HEARTBEAT_S,
-    Deployment,
-    Minion,
-    find_twice,
-    make_job,
-    run_case,
-)
+from review.standins import Deployment, find_twice, make_job, run_case
 
-# The owner has been in office for longer than the leases of earlier owners last.
-CALM_S = 14.0
-DISTURBED_S = 60.0
-JOBS_PER_S = 4.0
-
-
-async def send_jobs(deployment: Deployment) -> None:
-    """Hand in batch jobs of a few tasks each, until cancelled."""
-    while True:
-        count = random.randint(2, 8)
-        job = make_job(count, 3100, 6200, random.randint(600, 3000))
-        deployment.spawn(deployment.submit(job))
-        await asyncio.sleep(random.expovariate(JOBS_PER_S))
-
-
-async def write_entries(deployment: Deployment, minion: Minion) -> None:
-    """Write entries of a worker that lack a field, one each heartbeat interval."""
-    while True:
-        await asyncio.sleep(HEARTBEAT_S * random.uniform(0.95, 1.05))
-        entry = minion.entry()
-        del entry["born"]
-        deployment.store.put("servers", minion.name, entry)
-        deployment.record.add(f"another writer's entry for {minion.name}, without born")
+TASKS = 1200
+TASK_CPU = 25
+TASK_MEMORY_MB = 100
+TASK_MS = 8000
+# As long as the site's largest dose of ``node_kill``.
+DOWN_S = 3.5
+# The owner is killed as the first of the tasks end.
+KILL_AT_S = 7.9
 
 
 async def scenario(deployment: Deployment, is_disturbed: bool) -> list[str]:
-    """Send jobs; after a calm while, another writer writes malformed entries."""
-    traffic = deployment.spawn(send_jobs(deployment))
-    await asyncio.sleep(CALM_S)
-    writers = [
-        deployment.spawn(write_entries(deployment, minion))
-        for minion in (deployment.minions if is_disturbed else ())
-    ]
-    await asyncio.sleep(DISTURBED_S)
-    for task in (traffic, *writers):
-        task.cancel()
-    await asyncio.sleep(8.0)
-    deployment.record.say(f"{sum(1 for _ in deployment.runs())} runs")
-    return find_twice(deployment.runs())
+    """Run one wide job on the worker with its label and kill the owner meanwhile."""
+    await asyncio.sleep(3.0)
+    started = asyncio.Event()
+    for minion in deployment.minions:
+        minion.on_start = lambda run: started.set()
+    job = make_job(TASKS, TASK_CPU, TASK_MEMORY_MB, TASK_MS, constraints="b")
+    await deployment.submit(job)
+    await started.wait()
+    await asyncio.sleep(KILL_AT_S)
+    if is_disturbed:
+        deployment.spawn(deployment.kill_for(deployment.leader(), DOWN_S))
+    for _ in range(60):
+        await asyncio.sleep(1.0)
+        if await deployment.ask(job) == "completed":
+            break
+    await asyncio.sleep(2.0)
+    runs = list(deployment.runs())
+    deployment.record.say(
+        f"job {job.id} of {TASKS} tasks is {job.state} after {len(runs)} runs"
+    )
+    return find_twice(iter(runs))
 
 
 if __name__ == "__main__":
-    run_case(scenario, Path(__file__).resolve().parent)
+    run_case(
+        scenario, Path(__file__).resolve().parent, labels=("a", "a", "b", "a", "a", "a")
+    )
--- a/review/standins.py
+++ b/review/standins.py
@@ -46,6 +46,7 @@
 CONTACT_S = 3.0
 
 STORE_PORT = 8169
+ADVICE_PORT = 8169
 WORKER_PORT = 8329
 CALLER_PORT = 8161
 READY_PORT = 8167
@@ -54,6 +55,11 @@
 SERVICE = "desk"
 HOST = "desk.example"
 PREFIX = "/jobs/"
+# The queue whose steps need a ticket of the advice service.
+ADVISED_PREFIX = "/advised/"
+DECIDE_MS = 20
+DECIDE_PER_WORKER_MS = 2
+TICKET_VALIDITY_MS = 3000
 
 BOUNDS = {
     "contactMs": 3000,
@@ -222,6 +228,43 @@
                     await self._changed.wait()
 
 
+class Advice:
+    """The advice service, which knows the workers that may run a step.
+
+    ``may_run`` tells that from the name of the step and the id of a worker.
+    """
+
+    def __init__(self, record: Record) -> None:
+        self.record = record
+        self.may_run: Callable[[str, str], bool] = lambda step, worker: True
+        self._issued_s: dict[str, float] = {}
+        self._locks: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
+
+    async def handle(self, req: web.BaseRequest) -> Answer:
+        """Answer one call; the calls of one daemon are handled in turn."""
+        body = await req.json()
+        step, workers = body["step"], body["workers"]
+        async with self._locks[req.remote or ""]:
+            delay_ms = DECIDE_MS + DECIDE_PER_WORKER_MS * len(workers)
+            await asyncio.sleep(delay_ms / 1000.0)
+        good = [w for w in workers if self.may_run(step, w)]
+        self.record.add(f"advice for {step}: {good} of {len(workers)} workers")
+        rows = [[worker, self._issue(step, worker)] for worker in good]
+        return 200, {"good": rows, "validityMs": TICKET_VALIDITY_MS}
+
+    def _issue(self, step: str, worker: str) -> str:
+        ticket = f"{step}/{worker}/{random.getrandbits(32):08x}"
+        self._issued_s[ticket] = time.monotonic()
+        return ticket
+
+    def is_valid(self, ticket: str, task: str, worker: str) -> bool:
+        """Return whether a start of a task may carry a ticket on a worker now."""
+        age_s = time.monotonic() - self._issued_s.get(ticket, float("-inf"))
+        step = task.rpartition(".")[0]
+        is_own = ticket.startswith(f"{step}/{worker}/")
+        return is_own and age_s * 1000 <= TICKET_VALIDITY_MS
+
+
 def _find_fault(
     changes: list[tuple[RowName, str | None]],
     expected: list[tuple[RowName, int]],
@@ -299,6 +342,10 @@
         self.refusals = 0
         # Called with each start that is carried out.
         self.on_start: Callable[[Run], None] = lambda run: None
+        # Whether the worker fails what it starts now.
+        self.fails = False
+        # Whether a start of a task with a ticket is accepted.
+        self.accepts: Callable[[str, str], bool] = lambda task, ticket: True
         self._sizes: dict[str, tuple[int, int]] = {}
         self._active: dict[tuple[str, int], Run] = {}
         self._ended: list[Run] = []
@@ -385,6 +432,8 @@
         if body.get("deadlineMs", 0) <= self.clock_ms():
             return self._answer("late")
         self._extend(body["deadlineMs"])
+        if not self.accepts(body["task"], body.get("ticket", "")):
+            return self._answer("ticket")
         spec = json.loads(body["spec"])
         memory_mb = sum(run.spec["memMb"] for run in self._active.values())
         if (
@@ -402,7 +451,8 @@
         self.runs.append(run)
         if duration_s:
             loop = asyncio.get_running_loop()
-            run.timer = loop.call_later(duration_s, self._end, run, "done")
+            how = "failed" if self.fails else "done"
+            run.timer = loop.call_later(duration_s, self._end, run, how)
         self.record.add(f"start {key[0]} run {key[1]} on {self.name} by {sender}")
         self.on_start(run)
         return self._answer()
@@ -489,6 +539,7 @@
     body: dict
     is_accepted: bool = False
     accepted_s: float = 0.0
+    prefix: str = PREFIX
     answers: list[int] = field(default_factory=list)
     state: str = ""
 
@@ -513,7 +564,7 @@
 class Daemon:
     """One process of the system, started with the command of the deploy file."""
 
-    def __init__(self, name: str, ip: str, store_address: str, folder: Path) -> None:
+    def __init__(self, name: str, ip: str, platform_ip: str, folder: Path) -> None:
         self.name = name
         self.ip = ip
         self.is_ready = False
@@ -551,8 +602,9 @@
             "heartbeatMs": 1100,
             "bounds": BOUNDS,
             "controlMode": "call",
+            "advice": f"{_advice_ip(platform_ip)}:{ADVICE_PORT}",
             "platform": {
-                "address": store_address,
+                "address": f"{platform_ip}:{STORE_PORT}",
                 "form": "table",
                 "writesPerS": 800,
                 "readsPerS": 2000,
@@ -607,17 +659,22 @@
             await asyncio.sleep(1.0)
 
 
+def _advice_ip(platform_ip: str) -> str:
+    return platform_ip.rpartition(".")[0] + ".2"
+
+
 class Deployment:
     """A small deployment: a store, workers, daemons and callers."""
 
     def __init__(self, daemons: int, workers: int, labels: list[str]) -> None:
         self.record = Record()
         self.store = Store(self.record)
+        self.advice = Advice(self.record)
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.prefix = _free_prefix()
         self.daemons = [
             Daemon(
-                f"edge-{n}", f"{self.prefix}.1.{n + 1}", self.store_address, self.folder
+                f"edge-{n}", f"{self.prefix}.1.{n + 1}", self.platform_ip, self.folder
             )
             for n in range(daemons)
         ]
@@ -632,14 +689,16 @@
             for n in range(workers)
         ]
         self.jobs: list[Job] = []
+        for minion in self.minions:
+            minion.accepts = self._accepts_on(minion)
         self._runners: list[web.ServerRunner] = []
         self._tasks: list[asyncio.Task] = []
         self.session: ClientSession | None = None
 
     @property
-    def store_address(self) -> str:
-        """Return the address of the store."""
-        return f"{self.prefix}.0.1:{STORE_PORT}"
+    def platform_ip(self) -> str:
+        """Return the address of the host of the store."""
+        return f"{self.prefix}.0.1"
 
     async def open(self) -> None:
         """Start everything and wait until every daemon is ready."""
@@ -656,10 +715,19 @@
             "maxAttempts": 4,
             "stretch": 2.0,
         }
+        advice = {
+            "decideMs": DECIDE_MS,
+            "periodMs": DECIDE_PER_WORKER_MS,
+            "validityMs": TICKET_VALIDITY_MS,
+        }
+        advised = {**route, "name": "advised", "pathPrefix": ADVISED_PREFIX}
+        routes = [route, {**advised, "advice": advice}]
         service = {"name": SERVICE, "healthPath": "/health", "admissionCheck": True}
-        config = {"version": 7, "routes": [route], "services": [service]}
+        config = {"version": 7, "routes": routes, "services": [service]}
         self.store.put("op", "config", {**config, "limits": {"maxBodyBytes": 262144}})
-        await self._listen(self.store.handle, self.store_address)
+        await self._listen(self.store.handle, f"{self.platform_ip}:{STORE_PORT}")
+        advice_ip = _advice_ip(self.platform_ip)
+        await self._listen(self.advice.handle, f"{advice_ip}:{ADVICE_PORT}")
         for minion in self.minions:
             await self._listen(minion.handle, minion.address)
             self.spawn(minion.send_heartbeats())
@@ -703,12 +771,24 @@
         await web.TCPSite(runner, host, int(port), backlog=1024).start()
         self._runners.append(runner)
 
+    def _accepts_on(self, minion: Minion) -> Callable[[str, str], bool]:
+        """Return whether a worker takes a start: a step with advice needs a ticket."""
+
+        def accepts(task: str, ticket: str) -> bool:
+            job_id = task.partition(".")[0]
+            needs_ticket = any(
+                job.id == job_id and job.prefix == ADVISED_PREFIX for job in self.jobs
+            )
+            return not needs_ticket or self.advice.is_valid(ticket, task, minion.name)
+
+        return accepts
+
     # Callers
 
     async def call(self, method: str, job: Job, body: dict | None = None) -> tuple:
         """Make one call at a ready daemon; return its status and its body."""
         ready = [daemon for daemon in self.daemons if daemon.is_ready] or self.daemons
-        url = f"http://{random.choice(ready).ip}:{CALLER_PORT}{PREFIX}{job.id}"
+        url = f"http://{random.choice(ready).ip}:{CALLER_PORT}{job.prefix}{job.id}"
         headers = {"Host": HOST, "X-Deadline-Ms": "3000"}
         try:
             async with self.session.request(
