--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,7 +7,9 @@
 
 from review.standins import Deployment, find_twice, make_job, run_case
 
-TASKS = 1200
+# As wide as the widest step of the site's own traffic.
+TASKS = 36
+JOBS = 34
 TASK_CPU = 25
 TASK_MEMORY_MB = 100
 TASK_MS = 8000
@@ -18,25 +20,29 @@
 
 
 async def scenario(deployment: Deployment, is_disturbed: bool) -> list[str]:
-    """Run one wide job on the worker with its label and kill the owner meanwhile."""
+    """Run many small tasks on the worker with their label and kill the owner."""
     await asyncio.sleep(3.0)
     started = asyncio.Event()
     for minion in deployment.minions:
         minion.on_start = lambda run: started.set()
-    job = make_job(TASKS, TASK_CPU, TASK_MEMORY_MB, TASK_MS, constraints="b")
-    await deployment.submit(job)
+    jobs = [
+        make_job(TASKS, TASK_CPU, TASK_MEMORY_MB, TASK_MS, constraints="b")
+        for _ in range(JOBS)
+    ]
+    await asyncio.gather(*(deployment.submit(job) for job in jobs))
     await started.wait()
     await asyncio.sleep(KILL_AT_S)
     if is_disturbed:
         deployment.spawn(deployment.kill_for(deployment.leader(), DOWN_S))
     for _ in range(60):
         await asyncio.sleep(1.0)
-        if await deployment.ask(job) == "completed":
+        states = {await deployment.ask(job) for job in jobs}
+        if states == {"completed"}:
             break
     await asyncio.sleep(2.0)
     runs = list(deployment.runs())
     deployment.record.say(
-        f"job {job.id} of {TASKS} tasks is {job.state} after {len(runs)} runs"
+        f"{JOBS} jobs of {TASKS} tasks are {sorted(states)} after {len(runs)} runs"
     )
     return find_twice(iter(runs))
 
