--- a/review/standins.py
+++ b/review/standins.py
@@ -923,7 +923,12 @@
     The scenario gets the deployment and whether to disturb it, and returns a line for
     each breach of its rule. Exit codes: 1 for a breach, 0 for none, 2 if it cannot run.
     """
-    sys.exit(asyncio.run(_run(scenario, folder, daemons, workers, labels, limit_s)))
+    code = EXIT_NOT_RUN
+    try:
+        code = asyncio.run(_run(scenario, folder, daemons, workers, labels, limit_s))
+    except Exception as exc:
+        print(f"the case could not run: {exc!r}")
+    sys.exit(code)
 
 
 async def _run(
