--- a/review/standins.py
+++ b/review/standins.py
@@ -944,6 +944,9 @@
     record = deployment.record
     record.say(f"disruption: {'yes' if is_disturbed else 'no'}")
     code = EXIT_NOT_RUN
+    # A run that is told to end still ends every process that it has started.
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     try:
         async with asyncio.timeout(limit_s):
             await deployment.open()
@@ -952,7 +955,7 @@
             record.say(line)
         record.say(f"{len(found)} breaches of the rule")
         code = EXIT_BROKEN if found else EXIT_HELD
-    except Exception as exc:
+    except (Exception, asyncio.CancelledError) as exc:
         record.say(f"the case could not run: {exc!r}")
     finally:
         await deployment.close()
