Count a crash for a task only if its worker had begun to run it

Cause: the suspects of a crash were taken from the runs assigned to the worker, by the time at which their start was sent. A start that a silenced worker never answered counted as a run under which it crashed.

Ruled out: runs that had ended unreported before the crash; the logs show no job for which this made the difference. Found on a related path by reading: a crash after the lease of the runs had expired, and runs of an earlier owner that the worker never reported.

Change: a run has begun once this incarnation of its worker has accepted or reported it. Other possible crashes are counted apart as unproven; they isolate the next run and count for the last limit (five) alone.

--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/crashing_tasks_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/crashing_tasks_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections import Counter
 
 from fulmarlever_standins.authority.simulated_cluster import (
@@ -24,6 +25,11 @@
 # A task under which fewer workers have crashed must not be given up.
 MIN_CRASHES = 2
 SETTLE_S = 25.0
+# Workers that crash in waves by themselves, none of them because of a task.
+WAVES = 14
+WAVE_PERIOD_S = 2.5
+SILENT_S = 2.0
+WORKERS_PER_WAVE = 2
 
 BATCH = {"cpu_m": 1000, "memory_mb": 100, "estimate_s": TASK_S}
 LASTING = {**BATCH, "is_long_running": True}
@@ -155,3 +161,74 @@
                 del cluster.daemons[owner.vm]
                 await owner.kill()
                 cluster.add_daemons(owner.vm)
+
+
+class CrashWavesTests(SimulatedClusterTestCase):
+    """Workers fall silent in waves and come back as new ones, at most some at once."""
+
+    # The seed decides which workers crash.
+    SEEDS = range(4)
+
+    # Regression (LOST): a start that a crashed worker never answered counted as a crash
+    # under the task, so jobs were given up though one worker or none had crashed so.
+    def test_no_task_is_given_up_under_which_fewer_than_two_workers_crashed(self):
+        for seed in self.SEEDS:
+            with self.subTest(seed=seed):
+                self.play(seed)
+
+    def play(self, seed: int) -> None:
+        crashes: Counter[str] = Counter()
+
+        async def scenario(cluster: SimulatedCluster) -> None:
+            cluster.add_daemons("vm-1", "vm-2", "vm-3")
+            for worker in cluster.add_workers(WORKERS):
+                worker.task_duration_s = lambda task: TASK_S
+            await cluster.wait_for_owner()
+            waves = asyncio.create_task(self.crash_in_waves(cluster, crashes))
+            job_ids = [f"usual-{number}" for number in range(6 * WAVES)]
+            for job_id in job_ids:
+                daemon = cluster.daemons["vm-1"]
+                spec = StepSpec(count=12, **BATCH)
+                self.assertIsNone(await daemon.submit(job(job_id, spec)))
+                await asyncio.sleep(WAVE_PERIOD_S / 6)
+            await waves
+            await asyncio.sleep(SETTLE_S)
+            for job_id in job_ids:
+                status = await cluster.daemons["vm-1"].state(job_id)
+                if status.state == "failed":
+                    task = status.cause.split()[-1]
+                    self.assertGreaterEqual(crashes[task], MIN_CRASHES, status.cause)
+                else:
+                    self.assertEqual(status.state, "completed")
+
+        self.run_scenario(scenario, seed)
+
+    async def crash_in_waves(
+        self, cluster: SimulatedCluster, crashes: Counter[str]
+    ) -> None:
+        """Crash workers and count the tasks that have a run on them at that time."""
+        rng = random.Random(random.random())
+        for wave in range(WAVES):
+            await asyncio.sleep(WAVE_PERIOD_S)
+            workers = sorted(cluster.network.workers.values(), key=lambda w: w.id)
+            for worker in rng.sample(workers, WORKERS_PER_WAVE):
+                crashes.update(task for task, _ in worker.running)
+                self.silence(cluster, worker)
+                loop = asyncio.get_running_loop()
+                loop.call_later(SILENT_S, self.restart, cluster, worker, wave)
+
+    def silence(self, cluster: SimulatedCluster, worker: WorkerCore) -> None:
+        """Crash a worker so that calls to it get no answer rather than an error."""
+        for vm in cluster.daemons:
+            cluster.network.cut(vm, worker.address)
+        cluster.crash_worker(worker)
+
+    def restart(self, cluster: SimulatedCluster, old: WorkerCore, wave: int) -> None:
+        """Start a worker at the address of a crashed one, under another id."""
+        for vm in cluster.daemons:
+            cluster.network.cuts.discard((vm, old.address))
+        cluster.network.store.remove("servers", old.id)
+        worker = WorkerCore(f"{old.address}-{wave}", old.address, old.zone)
+        worker.task_duration_s = old.task_duration_s
+        cluster.record.attach(worker)
+        cluster.network.add_worker(worker)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/crashes.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/crashes.py
@@ -5,9 +5,11 @@
 
 A crash is proved once the worker's next incarnation answers or is listed. Suspects are
 the tasks that were started shortly before the worker fell silent, else the one that was
-started last. The next run of a suspect is isolated: no other run is started on its
-worker shortly before or after it. So a second crash tells whether the task is its
-cause, and tasks that were beside it are not given up with it.
+started last. A start without an answer may never have reached the worker: its crash is
+counted apart as unproven, and a few of these are no reason to give a task up. The next
+run of a suspect is isolated: no other run is started on its worker shortly before or
+after it. So a second crash tells whether the task is its cause, and tasks that were
+beside it are not given up with it.
 """
 
 from __future__ import annotations
@@ -28,7 +30,8 @@
 # before the worker's last answer.
 RECENT_S = 0.5
 # A task is given up after this many crashes of which it was the only suspect in the
-# last one; after this many if it was not started shortly before; and in any case.
+# last one; after this many if it was not started shortly before; and in any case. Only
+# for the last limit, unproven crashes count as well.
 MAX_CRASHES_ALONE = 2
 MAX_CRASHES_LATER = 3
 MAX_CRASHES = 5
@@ -66,8 +69,8 @@
         worker.crash_suspects = None
         now = self._owner.now_s()
         for run in worker.runs.values():
-            if run.task.crashes and _is_long_at_work(run, now):
-                run.task.crashes = 0
+            if run.task.is_crash_suspect and _is_long_at_work(run, now):
+                run.task.crashes = run.task.unproven_crashes = 0
                 self._owner.commits.stage(run.task.step.job)
 
     def _find_suspects(self, worker: Worker) -> CrashSuspects:
@@ -75,21 +78,30 @@
 
         The runs that an earlier owner started count as older than all others.
         """
-        runs = [
-            run for run in worker.runs.values() if run.state is not RunState.PLANNED
-        ]
-        latest = max(runs, key=_begun_s, default=None)
-        if latest is None:
-            return CrashSuspects([], are_recent=False)
         # The worker may have fallen silent long before a call to it has timed out.
         since_s = worker.clock_read_s - RECENT_S
-        if _begun_s(latest) < since_s:
-            last = [r.task for r in runs if _begun_s(r) == _begun_s(latest)]
-            return CrashSuspects(last, are_recent=False)
-        if latest.is_isolated:
-            return CrashSuspects([latest.task], are_recent=True)
-        recent = [run.task for run in runs if _begun_s(run) >= since_s]
-        return CrashSuspects(recent, are_recent=True)
+        unanswered = [run for run in worker.runs.values() if _is_unanswered(run)]
+        # An answer after the start, but without the run, shows that it had not begun.
+        unanswered = [run for run in unanswered if run.sent_s >= since_s]
+        isolated = [run.task for run in unanswered if run.is_isolated]
+        if isolated:
+            return CrashSuspects([], True, isolated)
+        at_work = [run for run in worker.runs.values() if _is_at_work(run)]
+        begun_s = max((run.started_s for run in at_work), default=0.0)
+        are_recent = begun_s >= since_s
+        oldest_s = since_s if are_recent else begun_s
+        suspects = [run for run in at_work if run.started_s >= oldest_s]
+        if are_recent and any(run.is_isolated for run in suspects):
+            suspects = [run for run in suspects if run.started_s == begun_s]
+        tasks = [run.task for run in suspects]
+        return CrashSuspects(tasks, are_recent, [run.task for run in unanswered])
+
+    def record_lease_end(self, worker: Worker) -> None:
+        """Note that a silent worker's runs have ended, perhaps before it crashed."""
+        suspects = worker.crash_suspects
+        if suspects is not None:
+            suspects.unproven_tasks += suspects.tasks
+            suspects.tasks = []
 
     def record_crash(self, worker: Worker) -> None:
         """Count a crash for the suspects of a worker that has certainly restarted.
@@ -98,15 +110,22 @@
         """
         self.record_silence(worker)
         suspects, worker.crash_suspects = worker.crash_suspects, None
-        if not worker.entry.is_draining:
-            for task in suspects.tasks:
-                self._count_crash(worker, task, suspects)
-
-    def _count_crash(self, worker: Worker, task: Task, suspects: CrashSuspects) -> None:
-        job = task.step.job
-        if job.is_final or task.is_done:
+        if worker.entry.is_draining:
             return
-        task.crashes += 1
+        for task in suspects.tasks:
+            if _may_be_counted(task):
+                task.crashes += 1
+                self._evaluate(worker, task, suspects, _max_crashes(suspects))
+        for task in suspects.unproven_tasks:
+            if _may_be_counted(task):
+                task.unproven_crashes += 1
+                self._evaluate(worker, task, suspects, MAX_CRASHES)
+
+    def _evaluate(
+        self, worker: Worker, task: Task, suspects: CrashSuspects, limit: int
+    ) -> None:
+        """Log and store the crashes of a task, and give it up at its limits."""
+        job = task.step.job
         CRASHES_SUSPECTED.inc()
         record(
             "crash-suspected",
@@ -114,12 +133,14 @@
             task=task.name,
             worker=worker.id,
             crashes=task.crashes,
-            suspects=len(suspects.tasks),
+            unproven=task.unproven_crashes,
+            suspects=suspects.count,
             recent=suspects.are_recent,
         )
         self._owner.commits.stage(job)
-        if task.crashes >= _max_crashes(suspects):
-            cause = f"{task.crashes} workers crashed after a start of task {task.name}"
+        crashes = task.crashes + task.unproven_crashes
+        if task.crashes >= limit or crashes >= MAX_CRASHES:
+            cause = f"{crashes} workers crashed after a start of task {task.name}"
             self._owner.fail_job(job, cause)
 
     def must_wait(self, task: Task) -> bool:
@@ -147,16 +168,26 @@
         record_run("run-isolated", run, crashes=run.task.crashes)
 
 
+def _may_be_counted(task: Task) -> bool:
+    """Return whether a crash still matters for a task."""
+    return not task.step.job.is_final and not task.is_done
+
+
 def _max_crashes(suspects: CrashSuspects) -> int:
     """Return the crashes after which a task is given up, by its last suspicion."""
-    if not suspects.are_recent:
-        return MAX_CRASHES_LATER if len(suspects.tasks) == 1 else MAX_CRASHES
-    return MAX_CRASHES_ALONE if len(suspects.tasks) == 1 else MAX_CRASHES
+    if suspects.count > 1:
+        return MAX_CRASHES
+    return MAX_CRASHES_ALONE if suspects.are_recent else MAX_CRASHES_LATER
+
+
+def _is_at_work(run: Run) -> bool:
+    """Return whether the worker said that it runs a run, which nobody stops."""
+    return run.has_begun and run.state is RunState.RUNNING
 
 
-def _begun_s(run: Run) -> float:
-    """Return when the start of a run was accepted or sent; 0 for an earlier owner's."""
-    return run.started_s or run.sent_s
+def _is_unanswered(run: Run) -> bool:
+    """Return whether a start was sent, perhaps by an earlier owner, without answer."""
+    return not run.has_begun and run.state is not RunState.PLANNED
 
 
 def _is_long_at_work(run: Run, now_s: float) -> bool:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
@@ -22,14 +22,24 @@
 class CrashSuspects:
     """The tasks that may have crashed a worker.
 
-    ``are_recent`` tells whether they were started shortly before it fell silent.
+    ``tasks`` had a run there as it fell silent; ``are_recent`` tells whether these were
+    started shortly before. ``unproven_tasks`` may
+    have had a run there, but nothing shows that they had.
     """
 
-    __slots__ = ("tasks", "are_recent")
+    __slots__ = ("tasks", "are_recent", "unproven_tasks")
 
-    def __init__(self, tasks: list[Task], are_recent: bool) -> None:
+    def __init__(
+        self, tasks: list[Task], are_recent: bool, unproven_tasks: list[Task]
+    ) -> None:
         self.tasks = tasks
         self.are_recent = are_recent
+        self.unproven_tasks = unproven_tasks
+
+    @property
+    def count(self) -> int:
+        """Return the number of suspects of both kinds."""
+        return len(self.tasks) + len(self.unproven_tasks)
 
 
 class Worker:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -240,7 +240,7 @@
         task = run.task
         if not task.step.spec.is_speculative or len(task.runs) > 1:
             return False
-        if task.crashes:
+        if task.is_crash_suspect:
             return False
         if task not in self.requested_copies:
             self.requested_copies[task] = None
@@ -360,6 +360,7 @@
         """Drop the runs of a worker whose lease has certainly expired."""
         record("worker-lease-lapsed", worker=worker.id, runs=len(worker.runs))
         worker.is_reconciled = False
+        self.crashes.record_lease_end(worker)
         for run in list(worker.runs.values()):
             self.drop_run(run, "the lease of its unreachable worker has expired")
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -191,7 +191,7 @@
             if started >= limit:
                 return
             _reset_avoided_workers(task, self._startable_workers(step))
-            if task.crashes:
+            if task.is_crash_suspect:
                 # It may wait for isolation, which the other tasks need not.
                 started += self._place_suspect(task, candidates) is not None
             elif candidates.place(task, self._owner.assign):
--- a/packages/fulmarleverd/fulmarleverd/scheduling/progress_rows.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/progress_rows.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from fulmarleverd.scheduling.rows import FORMAT_ERRORS, BadRow, pack_large, unpack
 from fulmarleverd.scheduling.runs import Run, WorkerKey
@@ -18,8 +18,9 @@
 
     It holds the state, whether the job has begun, the cause of its end, the keys of
     workers with runs, the tasks that have run, which refer to the keys by index, and
-    the indices of the done tasks of each step. The last field counts the crashes that
-    tasks are suspected of; rows of earlier versions lack it.
+    the indices of the done tasks of each step. The last two fields count the crashes
+    that tasks are suspected of, proved to have had a run there and not; rows of earlier
+    versions lack one or both.
     """
     keys: dict[WorkerKey, int] = {}
     started_tasks = [
@@ -28,7 +29,9 @@
     incarnations = [(key.id, key.incarnation) for key in keys]
     done = list(_done_indices(job))
     fields = [str(job.state), job.has_begun, job.cause, incarnations]
-    return pack_large([*fields, started_tasks, done, list(_crash_counts(job))])
+    crashes = list(_counts(job, "crashes"))
+    unproven_crashes = list(_counts(job, "unproven_crashes"))
+    return pack_large([*fields, started_tasks, done, crashes, unproven_crashes])
 
 
 def restore_progress(job: Job, data: bytes) -> BadRow | None:
@@ -47,8 +50,8 @@
         # Rows of earlier versions list done tasks among the started ones.
         for occurrence, number, indices in rest[0] if rest else ():
             _restore_done(job.open_occurrence(occurrence)[number], indices)
-        for occurrence, number, index, crashes in rest[1] if len(rest) > 1 else ():
-            job.open_occurrence(occurrence)[number].tasks[index].crashes = crashes
+        _restore_counts(job, "crashes", rest[1] if len(rest) > 1 else ())
+        _restore_counts(job, "unproven_crashes", rest[2] if len(rest) > 2 else ())
     except FORMAT_ERRORS as exc:
         return BadRow(f"progress of job {job.id}: {type(exc).__name__}: {exc}")
     return None
@@ -86,11 +89,17 @@
             yield [step.occurrence, step.number, indices]
 
 
-def _crash_counts(job: Job) -> Iterator[list]:
-    """Yield occurrence, step, index and crashes of each suspected task."""
+def _counts(job: Job, field: str) -> Iterator[list]:
+    """Yield occurrence, step, index and count of each task whose count is not 0."""
     for task in job.tasks():
-        if task.crashes:
-            yield [task.step.occurrence, task.step.number, task.index, task.crashes]
+        count = getattr(task, field)
+        if count:
+            yield [task.step.occurrence, task.step.number, task.index, count]
+
+
+def _restore_counts(job: Job, field: str, counts: Iterable[list]) -> None:
+    for occurrence, number, index, count in counts:
+        setattr(job.open_occurrence(occurrence)[number].tasks[index], field, count)
 
 
 def _pack_task(task: Task, keys: dict[WorkerKey, int]) -> Iterator[list]:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
@@ -151,6 +151,7 @@
         if run.state is RunState.SENT:
             run.state = RunState.RUNNING
             run.started_s = run.started_s or self._owner.now_s()
+        run.has_begun = True
         run.progress_percent = item.progress_percent
         run.latency_ms_or_cpu_m = item.latency_ms_or_cpu_m
         if item.checkpoint:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/runs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/runs.py
@@ -45,6 +45,9 @@
     speed that the run may use, 0 to pause it; ``is_speed_limit_known`` is false for a
     run that an earlier owner may have limited.
 
+    ``has_begun`` is set once this incarnation of the worker has accepted or reported
+    the run; until then the start may not have reached it.
+
     ``latency_ms_or_cpu_m`` is the tail latency in milliseconds of a serving task and
     the processor use in thousandths of a core of any other. ``headroom_sample`` is the
     last sample of a serving run's headroom; ``target_missed_since_s`` is when a serving
@@ -65,6 +68,7 @@
         "sent_s",
         "started_s",
         "is_isolated",
+        "has_begun",
         "progress_percent",
         "latency_ms_or_cpu_m",
         "speed_limit_percent",
@@ -88,6 +92,7 @@
         self.sent_s = 0.0
         self.started_s = 0.0
         self.is_isolated = False
+        self.has_begun = False
         self.confirmed_at_s = 0.0
         self.progress_percent = 0.0
         self.latency_ms_or_cpu_m = 0.0
@@ -107,6 +112,7 @@
         What reports said about it is reset.
         """
         self.worker_key = worker_key
+        self.has_begun = False
         self.progress_percent = self.latency_ms_or_cpu_m = 0.0
         self.speed_limit_percent = 100
         self.headroom_sample = None
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -50,7 +50,9 @@
     the last checkpoint, if any. ``avoided_worker_ids`` are the ids of workers on which
     the task failed or was too slow. ``lost_when_behind_s`` sums the seconds of the runs
     that were moved because they were far behind their estimate. ``crashes`` counts the
-    workers that the task is suspected to have crashed.
+    workers that crashed under a run of the task which may be the cause,
+    ``unproven_crashes`` those that crashed when it may have had no run there: its
+    start had no answer, or the lease of its run had expired.
     """
 
     __slots__ = (
@@ -64,6 +66,7 @@
         "avoided_worker_ids",
         "lost_when_behind_s",
         "crashes",
+        "unproven_crashes",
     )
 
     def __init__(self, step: Step, index: int) -> None:
@@ -77,6 +80,12 @@
         self.avoided_worker_ids: set[str] = set()
         self.lost_when_behind_s = 0.0
         self.crashes = 0
+        self.unproven_crashes = 0
+
+    @property
+    def is_crash_suspect(self) -> bool:
+        """Return whether the task may have crashed a worker."""
+        return self.crashes + self.unproven_crashes > 0
 
     @property
     def name(self) -> str:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
@@ -140,6 +140,7 @@
         if isinstance(result, Accepted):
             worker.record_clock(result.clock_ms, now)
             run.started_s = now
+            run.has_begun = True
             if run.state is RunState.SENT:
                 run.state = RunState.RUNNING
                 run.confirmed_at_s = now
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/base.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/base.py
@@ -114,6 +114,7 @@
         run = self.owner.assign(task, worker)
         run.state = RunState.RUNNING
         run.confirmed_at_s = run.started_s = self.clock.now
+        run.has_begun = True
         return run
 
     def report(self, worker: Worker, *rows: tuple, ends: tuple = ()) -> None:
