Compare a worker's runs with its report only once all ends are known

Cause: a worker reports at most 500 ends at a time. The owner took each run that was neither listed nor among the first 500 ends for lost and started its task again; the next report told of its end.

Ruled out: a lost commit of the first ends; all tasks that ran twice were behind the first page.

Change: a report with a full page of ends says that more follow. Until the last page no run is missing and the worker is not reconciled.

--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/takeover_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/takeover_tests.py
@@ -141,6 +141,46 @@
         self.assertEqual(set(cluster.record.starts.values()), {1})
 
 
+class ManyEndsTests(SimulatedClusterTestCase):
+    """A worker ends more runs than one report of it holds while the owner changes."""
+
+    ALL_END_AFTER_S = 4.0
+    # Seconds from the moment at which all tasks end to the fault, number of tasks.
+    ROWS = (
+        ("killed before the ends", kill_owner, -0.05, 1300),
+        ("killed shortly after the ends", kill_owner, 0.01, 1300),
+        ("killed after some reports", kill_owner, 0.2, 1300),
+        ("exactly one report", kill_owner, -0.05, 500),
+        ("refused by the store", refuse_owner, -0.05, 1300),
+        ("cut from everything", cut_owner_from_all, -0.05, 1300),
+    )
+
+    # Regression (TWICE): a new owner took the runs behind the first 500 ends of a
+    # report for lost, and started tasks again that were done.
+    def test_no_task_whose_end_follows_in_a_later_report_starts_again(self):
+        for _, fault, fault_after_s, tasks in self.each(self.ROWS):
+
+            async def scenario(
+                cluster, fault=fault, fault_after_s=fault_after_s, tasks=tasks
+            ):
+                loop = asyncio.get_running_loop()
+                cluster.add_daemons("vm-1", "vm-2", "vm-3")
+                worker = cluster.add_workers(1)[0]
+                owner = await cluster.wait_for_owner()
+                end_s = loop.time() + self.ALL_END_AFTER_S
+                worker.task_duration_s = lambda task: end_s - loop.time()
+                other = next(d for d in cluster.daemons.values() if d is not owner)
+                spec = StepSpec(count=tasks, cpu_m=1, estimate_s=self.ALL_END_AFTER_S)
+                self.assertIsNone(await other.submit(job("j", spec)))
+                await asyncio.sleep(end_s - loop.time() + fault_after_s)
+                self.assertEqual(len(cluster.record.starts), tasks)
+                await fault(cluster)
+                await cluster.wait_for_state(other, "j", "completed")
+
+            cluster = self.run_scenario(scenario)
+            self.assertEqual(set(cluster.record.starts.values()), {1})
+
+
 class RepeatedTakeoverTests(SimulatedClusterTestCase):
     """Two owners are killed after a worker has crashed for good."""
 
--- a/packages/fulmarleverd/fulmarleverd/platform/workers.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/workers.py
@@ -29,6 +29,8 @@
 COMMAND_TIMEOUT_S = 0.5
 # How much longer than its wait a call for a report may take.
 REPORT_MARGIN_S = 0.6
+# A worker reports at most this many ends at a time, the earliest ones.
+MAX_ENDS_PER_REPORT = 500
 # Carries the id of the worker that a call is meant for.
 INCARNATION_HEADER = "X-Target-Instance"
 
@@ -142,12 +144,14 @@
 
 
 def _report(body: dict) -> WorkerReport:
+    ended = tuple(_ended(row) for row in body.get("finished") or ())
     return WorkerReport(
         int(body["clockMs"]),
         # The Unix time at which this incarnation of the worker started identifies it.
         str(body.get("born", "")),
         tuple(_running(row) for row in body.get("running") or ()),
-        tuple(_ended(row) for row in body.get("finished") or ()),
+        ended,
+        has_more_ends=len(ended) >= MAX_ENDS_PER_REPORT,
     )
 
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/ports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/ports.py
@@ -180,13 +180,16 @@
 class WorkerReport:
     """A worker's answer to the extension of its lease.
 
-    ``clock_ms`` is the time of the worker's clock in milliseconds.
+    ``clock_ms`` is the time of the worker's clock in milliseconds. With
+    ``has_more_ends`` the worker has ended further runs, which it reports once those in
+    ``ended`` are acknowledged.
     """
 
     clock_ms: int
     incarnation: str
     running: tuple[RunningTask, ...] = ()
     ended: tuple[EndedTask, ...] = ()
+    has_more_ends: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 from fulmarleverd.scheduling.decisions import record, record_run
 from fulmarleverd.scheduling.fleet import Worker
@@ -14,6 +14,8 @@
 
 END_DONE = "done"
 END_FAILED = "failed"
+# The name of a task and the number of its run.
+RunKey = tuple[str, int]
 # A run that no job accounts for takes capacity until it has stopped. How much is not
 # known, so its worker gets no runs for this long, in seconds, after each report of it.
 UNKNOWN_RUN_PAUSE_S = 1.0
@@ -47,6 +49,17 @@
         running = {(item.task, item.run): item for item in report.running}
         for key, item in running.items():
             self._update_running(worker, key, item)
+        if report.has_more_ends:
+            # A run that is not in the report may be among the ends that follow.
+            record("more-ends-follow", worker=worker.id, number=worker.last_end_seen)
+        else:
+            self._reconcile(worker, running.keys(), requested_at_s)
+        self._on_processed(worker)
+
+    def _reconcile(
+        self, worker: Worker, running: Container[RunKey], requested_at_s: float
+    ) -> None:
+        """Handle the runs that a worker neither has nor has ended."""
         for key, run in list(worker.runs.items()):
             is_certain = run.state in (RunState.RUNNING, RunState.STOPPING)
             if (
@@ -59,7 +72,6 @@
             worker.is_reconciled = True
             record("worker-reconciled", worker=worker.id, runs=len(worker.runs))
             self._owner.changed.set()
-        self._on_processed(worker)
 
     def _handle_missing_run(self, run: Run) -> None:
         """Drop a run that its worker lacks, or stop it if it may still start there."""
@@ -141,9 +153,7 @@
                 job, f"task {task.name} has failed {task.failures} times"
             )
 
-    def _update_running(
-        self, worker: Worker, key: tuple[str, int], item: RunningTask
-    ) -> None:
+    def _update_running(self, worker: Worker, key: RunKey, item: RunningTask) -> None:
         run = worker.runs.get(key)
         if run is None:
             self._stop_unknown(worker, item)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/reports_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/reports_tests.py
@@ -1,9 +1,9 @@
-"""Reports of runs that no job accounts for."""
+"""Reports of runs that no job accounts for, and reports that are not complete."""
 
 from __future__ import annotations
 
 from fulmarleverd.scheduling.planner import Planner
-from fulmarleverd.scheduling.ports import RunningTask, WorkerReport
+from fulmarleverd.scheduling.ports import EndedTask, RunningTask, WorkerReport
 from fulmarleverd.scheduling.reports import UNKNOWN_RUN_PAUSE_S
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
@@ -27,3 +27,20 @@
             planner.plan()
             self.assertEqual({run.worker for run in job.runs()}, expected)
         self.assertEqual(len(self.commands.stops_of_unknown), 2)
+
+
+class MoreEndsTests(OwnerTestCase):
+    # Regression (TWICE): a run that was neither in the list of runs nor among the first
+    # 500 ends was taken for lost, though its end followed in the next report.
+    def test_a_run_is_missing_only_if_no_more_ends_follow(self):
+        for has_more_ends, is_kept in self.each(((True, True), (False, False))):
+            worker = self.add_worker(f"w-{has_more_ends}")
+            worker.is_reconciled = False
+            job = self.add_job(worker.id, StepSpec(count=2, cpu_m=1000))
+            ended, missing = (self.start(job, worker, 0, index) for index in (0, 1))
+            ends = (EndedTask(1, ended.task.name, ended.number, "done"),)
+            report = WorkerReport(1000, "1", (), ends, has_more_ends)
+            self.reports.process(worker, report, self.clock.now)
+            self.assertTrue(ended.task.is_done)
+            self.assertEqual(missing.is_active, is_kept)
+            self.assertEqual(worker.is_reconciled, not has_more_ends)
