Let a task return to a worker on which it failed after two seconds

Cause: a task avoided a worker until it avoided all workers of its service that accept runs, also those that cannot run it for want of the label, the size, a place beside its siblings, or because lasting tasks fill them.

Ruled out: the limit on workers that fail in a row. step-waits counts the worker as avoided (in the emulator workers_avoided 1, workers_label 5).

Change: the avoidance ends by time, two seconds after the failure, and the check of the other workers is gone. The same for runs that stood still or were far behind and for starts that were not understood. A task that avoids a worker no longer ends the planning of the tasks behind it.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/candidates.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/candidates.py
@@ -85,7 +85,8 @@
         found = None
         while found is None and (self._heap or self._examine_batch()):
             entry = heapq.heappop(self._heap)
-            if entry[2].id in task.avoided_worker_ids or entry[2].id in excluded:
+            worker_id = entry[2].id
+            if worker_id in excluded or task.avoids(worker_id, self._now_s):
                 skipped.append(entry)
             else:
                 found = entry
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -144,7 +144,7 @@
         step = task.step
         if not worker.accepts_runs(self._owner.now_s()):
             return Obstacle.NO_STARTS
-        if worker.id in task.avoided_worker_ids:
+        if task.avoids(worker.id, self._owner.now_s()):
             return Obstacle.AVOIDED
         needs_ticket = step.job.queue.needs_ticket
         if needs_ticket and not has_ticket(step, worker, self._owner.now_s()):
@@ -190,13 +190,12 @@
         for task in list(step.waiting.values()):
             if started >= limit:
                 return
-            _reset_avoided_workers(task, self._startable_workers(step))
             if task.is_crash_suspect:
                 # It may wait for isolation, which the other tasks need not.
                 started += self._place_suspect(task, candidates) is not None
             elif candidates.place(task, self._owner.assign):
                 started += 1
-            else:
+            elif not task.avoids_any(self._owner.now_s()):
                 # The remaining tasks have the same size.
                 self._unplaced_sizes.record_size(task)
                 return
@@ -243,8 +242,6 @@
     ) -> Iterator[list[Worker]]:
         """Yield the workers of each rack for a rack-bound step, then all workers."""
         workers = self._startable_workers(step)
-        for task in tasks:
-            _reset_avoided_workers(task, workers)
         if step.spec.is_rack_bound:
             racks = sorted({worker.rack for worker in workers})
             yield from ([w for w in workers if w.rack == rack] for rack in racks)
@@ -292,8 +289,7 @@
         """
         spec = task.step.spec
         has_other_constraint = (
-            task.avoided_worker_ids
-            or spec.required_label
+            spec.required_label
             or spec.max_per_worker
             or spec.gpus
             or task.step.job.queue.needs_ticket
@@ -311,11 +307,3 @@
 
 def _size_key(step: Step) -> tuple[str, str, bool]:
     return step.job.queue.service, step.spec.image, step.spec.is_best_effort
-
-
-def _reset_avoided_workers(task: Task, workers: list[Worker]) -> None:
-    """Allow all workers again for a task that avoids every one of them."""
-    if task.avoided_worker_ids and all(
-        worker.id in task.avoided_worker_ids for worker in workers
-    ):
-        task.avoided_worker_ids.clear()
--- a/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
@@ -63,7 +63,7 @@
             self._stop_stalled(worker, run, now)
         for run in list(self._far_behind(worker)):
             run.task.lost_when_behind_s += now - run.started_s if run.started_s else 0.0
-            run.task.avoided_worker_ids.add(worker.id)
+            run.task.avoid(worker.id, now)
             self._move(run, "far behind its estimate")
         if worker.is_slow:
             for run in list(self._faster_elsewhere(worker)):
@@ -142,7 +142,7 @@
 
     def _stop_stalled(self, worker: Worker, run: Run, now_s: float) -> None:
         record_run("run-stalled", run, percent=run.progress_percent)
-        run.task.avoided_worker_ids.add(worker.id)
+        run.task.avoid(worker.id, now_s)
         worker.no_starts_until_s = max(
             worker.no_starts_until_s, now_s + STALLED_NO_STARTS_S
         )
--- a/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
@@ -143,7 +143,7 @@
     def _handle_failed(self, worker: Worker, task: Task) -> None:
         """Count a failure of a task; the last attempt fails its job."""
         task.failures += 1
-        task.avoided_worker_ids.add(worker.id)
+        task.avoid(worker.id, self._owner.now_s())
         if worker.count_failure(self._owner.now_s()):
             record("worker-distrusted", worker=worker.id, failures=worker.failures)
         job = task.step.job
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -13,6 +13,9 @@
 # so that the average follows the faster runs of the step.
 FASTER_SAMPLE_WEIGHT = 0.3
 SLOWER_SAMPLE_WEIGHT = 0.05
+# How long a task avoids a worker on which it failed or was too slow. Other workers are
+# free for it at once; if there are none, it must not stand still for much longer.
+AVOIDANCE_S = 2.0
 
 
 class JobState(StrEnum):
@@ -47,12 +50,13 @@
 
     ``last_run`` is the number of its last run, 0 before the first; ``runs`` are its
     active runs by number, two while a copy runs beside a slow run. ``checkpoint`` names
-    the last checkpoint, if any. ``avoided_worker_ids`` are the ids of workers on which
-    the task failed or was too slow. ``lost_when_behind_s`` sums the seconds of the runs
-    that were moved because they were far behind their estimate. ``crashes`` counts the
-    workers that crashed under a run of the task which may be the cause,
-    ``unproven_crashes`` those that crashed when it may have had no run there: its
-    start had no answer, or the lease of its run had expired.
+    the last checkpoint, if any. ``avoided_until_s`` maps the ids of workers on which
+    the task failed or was too slow to the end of its avoidance on the owner's clock.
+    ``lost_when_behind_s`` sums the seconds of the runs that were moved because they
+    were far behind their estimate. ``crashes`` counts the workers that crashed under a
+    run of the task which may be the cause, ``unproven_crashes`` those that crashed when
+    it may have had no run there: its start had no answer, or the lease of its run had
+    expired.
     """
 
     __slots__ = (
@@ -63,7 +67,7 @@
         "last_run",
         "checkpoint",
         "runs",
-        "avoided_worker_ids",
+        "avoided_until_s",
         "lost_when_behind_s",
         "crashes",
         "unproven_crashes",
@@ -77,7 +81,7 @@
         self.last_run = 0
         self.checkpoint = ""
         self.runs: dict[int, Run] = {}
-        self.avoided_worker_ids: set[str] = set()
+        self.avoided_until_s: dict[str, float] = {}
         self.lost_when_behind_s = 0.0
         self.crashes = 0
         self.unproven_crashes = 0
@@ -102,6 +106,18 @@
         """Return whether a worker has accepted or reported one of the runs."""
         return any(run.state is RunState.RUNNING for run in self.runs.values())
 
+    def avoid(self, worker_id: str, now_s: float) -> None:
+        """Keep the task from a worker for a while."""
+        self.avoided_until_s[worker_id] = now_s + AVOIDANCE_S
+
+    def avoids(self, worker_id: str, now_s: float) -> bool:
+        """Return whether the task avoids a worker at a time."""
+        return now_s < self.avoided_until_s.get(worker_id, 0.0)
+
+    def avoids_any(self, now_s: float) -> bool:
+        """Return whether the task avoids any worker at a time."""
+        return any(now_s < until_s for until_s in self.avoided_until_s.values())
+
     def add_run(self, worker_key: WorkerKey, number: int = 0) -> Run:
         """Add a planned run, by default under the next number."""
         self.last_run = number or self.last_run + 1
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
@@ -179,7 +179,7 @@
             }
             worker.no_starts_until_s = now + pauses.get(result.reason, 0.0)
             if result.reason == REJECT_INVALID:
-                run.task.avoided_worker_ids.add(worker.id)
+                run.task.avoid(worker.id, now)
             self._prevent_start(run, result.reason)
         return True
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/backlog_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/backlog_tests.py
@@ -98,7 +98,7 @@
 
     def test_line_counts_avoided_and_unreachable_workers(self):
         def avoid(job):
-            job.occurrences[0][0].tasks[0].avoided_worker_ids.add("w1")
+            job.occurrences[0][0].tasks[0].avoided_until_s["w1"] = float("inf")
 
         def make_unreachable(job):
             self.workers[0].is_reachable = False
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/candidates_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/candidates_tests.py
@@ -55,7 +55,7 @@
             worker.add(new_step(other).tasks[0].add_run(worker.key))
         if is_avoided:
             for task in step.tasks[::2]:
-                task.avoided_worker_ids.add(worker.id)
+                task.avoid(worker.id, NOW_S)
         workers.append(worker)
     return step, workers
 
@@ -83,8 +83,7 @@
         costs = [
             (cost(step.spec, worker), number)
             for number, worker in enumerate(workers)
-            if find_obstacle(step, worker) is None
-            and worker.id not in task.avoided_worker_ids
+            if find_obstacle(step, worker) is None and not task.avoids(worker.id, NOW_S)
         ]
         best = min((c for c in costs if c[0] is not None), default=None)
         if best is not None:
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/progress_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/progress_tests.py
@@ -43,7 +43,7 @@
             run = self.start(self.add_job(name, spec), self.slow)
             self.report_progress(run, percents, 0.5)
             self.assertEqual(run in self.commands.stops, expected)
-            self.assertEqual("w1" in run.task.avoided_worker_ids, expected)
+            self.assertEqual(run.task.avoids("w1", self.clock.now), expected)
             self.report(self.slow, ends=((run, "stopped"),))
 
     # Guards against a task that stays on a second slow worker after one move.
@@ -101,7 +101,7 @@
     def test_a_run_that_failed_elsewhere_is_moved_when_far_behind(self):
         spec = StepSpec(cpu_m=1, estimate_s=0.5)
         run = self.start(self.add_job("j", spec), self.slow)
-        run.task.avoided_worker_ids.add("w2")
+        run.task.avoid("w2", self.clock.now)
         self.report_progress(run, (2.0, 4.0, 5.0), 0.5)
         self.assertIn(run, self.commands.stops)
 
