Restore occurrences that had not begun when a later one had

Cause: the progress row holds the occurrences with a task that has run. The next owner took their number for the number of the next occurrence, so all that had not begun below it were left out.

Ruled out: the admission service and the planner; the next owner logs no step-waits for the occurrence (emulator).

Change: the next occurrence is a count of its own, which begins at 0 with each owner; restored occurrences are kept. They are sorted then, so that the earliest goes first.

--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/features_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/features_tests.py
@@ -4,7 +4,11 @@
 
 import asyncio
 
-from fulmarlever_standins.authority.simulated_cluster import SimulatedCluster, job
+from fulmarlever_standins.authority.simulated_cluster import (
+    TICKET_QUEUE,
+    SimulatedCluster,
+    job,
+)
 from fulmarlever_standins.authority.virtual_time import START_UNIX_TIME_S
 from fulmarlever_standins.authority.worker import RunKey, WorkerCore
 from fulmarlever_standins.tests.authority.base import SimulatedClusterTestCase
@@ -20,6 +24,8 @@
     is_rack_bound=True,
 )
 SHORT = StepSpec(count=1, cpu_m=1000, memory_mb=100, estimate_s=0.5)
+# Takes all cores of the worker with the label.
+BUSY = StepSpec(count=1, cpu_m=32000, estimate_s=16.0, required_label="b")
 CHECKPOINTED = StepSpec(
     count=1, cpu_m=1000, memory_mb=100, estimate_s=4.0, checkpoints=True
 )
@@ -138,6 +144,64 @@
             self.run_scenario(scenario)
 
 
+class WaitingOccurrencesTests(SimulatedClusterTestCase):
+    """Occurrences wait for a full worker while later ones run on the others."""
+
+    REPETITIONS = 4
+    BUSY_S = 16.0
+    # Numbers of the occurrences that only the full worker may run, seconds from the
+    # start of the job to the ends of its owners.
+    ROWS = (
+        ("the first waits", {0}, (9.0,)),
+        ("one in the middle waits", {2}, (9.0,)),
+        ("several wait", {0, 2}, (9.0,)),
+        ("all wait", {0, 1, 2, 3}, (9.0,)),
+        ("killed between two due times", {0}, (4.5,)),
+        ("two owners are killed", {0, 1}, (5.0, 9.0)),
+    )
+
+    # Regression (LOST): a new owner took the number of occurrences that had begun for
+    # the number of the next one, and never started those that waited below it.
+    def test_a_new_owner_starts_occurrences_that_waited(self):
+        for _, waiting, killed_at_s in self.each(self.ROWS):
+
+            async def scenario(cluster, waiting=waiting, killed_at_s=killed_at_s):
+                loop = asyncio.get_running_loop()
+                cluster.add_daemons("vm-1", "vm-2", "vm-3")
+                for worker in cluster.add_workers(3):
+                    worker.task_duration_s = lambda task: (
+                        self.BUSY_S if task.startswith("busy") else 0.5
+                    )
+                cluster.network.workers["w0:1"].labels = ["b", "r1-1"]
+                cluster.network.add_worker(cluster.network.workers["w0:1"])
+                admission = cluster.network.admission
+                admission.is_admitted = lambda step, worker: (
+                    (worker == "w0") == (int(step.split(".")[1]) in waiting)
+                )
+                starts = StartLog(cluster)
+                owner = await cluster.wait_for_owner()
+                await owner.submit(job("busy", BUSY))
+                await asyncio.sleep(1.0)
+                begin_s = loop.time()
+                start_at_s = START_UNIX_TIME_S + begin_s + INTERVAL_S
+                spec = JobSpec(
+                    "j", "p", (SHORT,), self.REPETITIONS, start_at_s, INTERVAL_S
+                )
+                self.assertIsNone(await owner.submit(spec, TICKET_QUEUE))
+                for at_s in killed_at_s:
+                    await asyncio.sleep(begin_s + at_s - loop.time())
+                    killed = cluster.owner()
+                    del cluster.daemons[killed.vm]
+                    await killed.kill()
+                reader = next(iter(cluster.daemons.values()))
+                await cluster.wait_for_state(reader, "j", "completed")
+                names = sorted(row[1] for row in starts.rows if row[1] != "busy.0.0.0")
+                expected = [f"j.{n}.0.0" for n in range(self.REPETITIONS)]
+                self.assertEqual(names, expected)
+
+            self.run_scenario(scenario)
+
+
 class CheckpointTests(SimulatedClusterTestCase):
     async def run_until_checkpoint(
         self, cluster: SimulatedCluster
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -100,6 +100,7 @@
         JOBS_OPEN.set(len(self.jobs))
         self.size_classes.classify_job(job)
         self.open_due_occurrences(job)
+        job.sort_occurrences()
         for run in job.runs():
             run.state = RunState.RUNNING
             run.is_speed_limit_known = False
@@ -121,10 +122,11 @@
 
     def open_due_occurrences(self, job: Job) -> None:
         """Create the steps of the job's occurrences that are due."""
-        for occurrence in range(len(job.occurrences), job.spec.occurrences):
-            if job.spec.due_s(occurrence) > self.clock.wall():
+        while job.next_occurrence < job.spec.occurrences:
+            if job.spec.due_s(job.next_occurrence) > self.clock.wall():
                 break
-            job.open_occurrence(occurrence)
+            job.open_occurrence(job.next_occurrence)
+            job.next_occurrence += 1
             self.changed.set()
 
     def _attach_run(self, run: Run) -> None:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -208,11 +208,13 @@
 
     ``accepted_s`` is the Unix time of the daemon that accepted it, ``since_s`` the same
     moment on the owner's clock. ``occurrences`` are the steps of the occurrences that
-    are due, by number; ``unfinished_steps`` counts the steps of all occurrences that
-    are not done. ``has_begun`` is set by the first run. ``first_start_s`` and
-    ``last_start_s`` are when this owner first and last started a run, 0 for never, and
-    ``final_at_s`` when the job ended, all on the owner's clock; ``cause`` is why it
-    ended. ``interrupted_runs`` counts the runs that this owner stopped or lost.
+    are due, by number; ``next_occurrence`` is the first one that this owner has not yet
+    found due, though an earlier owner may have. ``unfinished_steps`` counts the steps
+    of all occurrences that are not done. ``has_begun`` is set by the first run.
+    ``first_start_s`` and ``last_start_s`` are when this owner first and last started a
+    run, 0 for never, and ``final_at_s`` when the job ended, all on the owner's clock;
+    ``cause`` is why it ended. ``interrupted_runs`` counts the runs that this owner
+    stopped or lost.
 
     ``size_class`` is the class of the job's size among the jobs of its queue, from 0
     for small, ``is_outcome_counted`` whether its outcome is counted for that class, and
@@ -228,6 +230,7 @@
         "accepted_s",
         "since_s",
         "occurrences",
+        "next_occurrence",
         "unfinished_steps",
         "is_cancelled",
         "has_failed",
@@ -250,6 +253,7 @@
         self.accepted_s = row.accepted_s
         self.since_s = 0.0
         self.occurrences: dict[int, list[Step]] = {}
+        self.next_occurrence = 0
         self.unfinished_steps = row.spec.occurrences * len(row.spec.steps)
         self.is_cancelled = False
         self.has_failed = False
@@ -314,6 +318,10 @@
             ]
         return self.occurrences[occurrence]
 
+    def sort_occurrences(self) -> None:
+        """Put the occurrences in order, so that the earliest one comes first."""
+        self.occurrences = dict(sorted(self.occurrences.items()))
+
     def ready_steps(self) -> Iterator[Step]:
         """Yield the steps with waiting tasks that depend on no unfinished step."""
         if self.is_final:
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/progress_rows_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/progress_rows_tests.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from fulmarlever.outcomes import failed
 from fulmarleverd.scheduling.progress_rows import (
     pack_progress,
@@ -11,7 +14,7 @@
 from fulmarleverd.scheduling.rows import ZLIB_MARK, JobRow, pack
 from fulmarleverd.scheduling.runs import WorkerKey
 from fulmarleverd.scheduling.specs import JobSpec, StepSpec
-from fulmarleverd.scheduling.tasks import Job, JobState
+from fulmarleverd.scheduling.tasks import Job, JobState, Task
 from fulmarleverd.tests.scheduling.base import QUEUE, OwnerTestCase
 
 WORKER = WorkerKey("w1", "7")
@@ -72,6 +75,50 @@
     return {"state": job.state, "tasks": tasks, "done": done, "waiting": waiting}
 
 
+# What has happened to the first task of an occurrence, by name.
+OCCURRENCE_STATES = {
+    "waiting": lambda task: None,
+    "running": lambda task: task.add_run(WORKER),
+    "failed": lambda task: fail(task),
+    "done": lambda task: task.step.complete(task),
+}
+
+
+def fail(task: Task) -> None:
+    task.add_run(WORKER)
+    task.runs.clear()
+    task.failures += 1
+
+
+class RepeatedJobTests(OwnerTestCase):
+    """The next owner is compared with one that keeps everything."""
+
+    REPETITIONS = 5
+
+    # Regression (LOST): what had not begun was left out below the number of
+    # occurrences that had.
+    @given(
+        st.lists(
+            st.sampled_from(sorted(OCCURRENCE_STATES)),
+            min_size=REPETITIONS,
+            max_size=REPETITIONS,
+        )
+    )
+    def test_occurrences_are_as_the_last_owner_knew_them(self, states):
+        self.setUp()
+        spec = JobSpec("j", "payload", STEPS, self.REPETITIONS, 0.0, 1.0)
+        row = JobRow(spec, QUEUE, 0.0)
+        self.owner.add_job(row)
+        job = self.owner.jobs.pop("j")
+        for occurrence, state in enumerate(states):
+            task = job.occurrences[occurrence][0].tasks[0]
+            OCCURRENCE_STATES[state](task)
+            task.step.refresh(task)
+            job.has_begun |= state != "waiting"
+        self.owner.add_job(row, pack_progress(job), is_new=False)
+        self.assertEqual(facts(self.owner.jobs["j"]), facts(job))
+
+
 class ProgressRowsTests(OwnerTestCase):
     ROWS = (
         ("nothing has begun", lambda job: None),
