Replace an incarnation of a worker only once the next one answers

Cause: an entry with another incarnation was taken as proof that the known one had ended: its runs were moved at once, and the moved runs expired, as this owner had granted their new worker no lease. A missing born counted as 0, thus as another incarnation.

Ruled out as the sole cause: the default of born. In the emulator, entries with an earlier and with a later born did the same.

Change: born, labels and each number of the capacity are required. Another incarnation is called beside the known one and replaces it with its first answer; an answer of another incarnation than the one called proves the same.

--- a/packages/fulmarleverd/fulmarleverd/platform/formats.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/formats.py
@@ -101,14 +101,16 @@
     return WorkerEntry(
         id=key,
         # The Unix time at which this incarnation of the worker started identifies it.
-        incarnation=str(require_count(data.get("born", 0))),
+        incarnation=str(require_count(data["born"])),
         service=require_type(data["service"], str),
         address=require_address(data["address"]),
         zone=require_type(data["zone"], str),
         cpu_m=require_count(capacity["cpu"]),
         memory_mb=require_count(capacity["memMb"]),
-        gpus=require_count(capacity.get("gpus", 0)),
-        labels=tuple(require_type(label, str) for label in data.get("labels", ())),
+        gpus=require_count(capacity["gpus"]),
+        labels=tuple(
+            require_type(label, str) for label in require_type(data["labels"], list)
+        ),
         machine=str(data.get("machine", "")),
         is_draining=state == "draining",
         remaining_s=require_number(data.get("remainingMs", 0)) / 1000.0,
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -253,14 +253,20 @@
     # Workers
 
     def add_worker(self, entry: WorkerEntry) -> Worker:
-        """Add or update a worker; earlier incarnations under its id have ended."""
+        """Add or update a worker by its entry in the list of workers.
+
+        The entry may come from another writer, so other incarnations under its id stay
+        until this one answers; those that have never answered make way.
+        """
         is_new = self.fleet.find(WorkerKey(entry.id, entry.incarnation)) is None
         worker = self.fleet.add(entry)
         if entry.is_draining and not worker.drain_until_s:
             worker.drain_until_s = self.now_s() + entry.remaining_s
             record("worker-draining", worker=worker.id, remaining_s=entry.remaining_s)
+        for other in self.fleet.incarnations_of(worker.id):
+            if other is not worker and not other.first_answer_s and not other.runs:
+                self.fleet.remove(other)
         if is_new:
-            self._replace_earlier_incarnations(worker)
             self._adopt_orphans(worker)
             self.on_worker_added(worker)
             record(
@@ -272,10 +278,14 @@
         self.changed.set()
         return worker
 
-    def _replace_earlier_incarnations(self, worker: Worker) -> None:
+    def confirm_incarnation(self, worker: Worker) -> None:
+        """Remove the other incarnations of a worker that has answered.
+
+        Their runs are kept until the answer has been processed.
+        """
         for other in self.fleet.incarnations_of(worker.id):
             if other is not worker:
-                record("worker-lost", "restarted", worker=worker.id)
+                record("worker-lost", "another life answers", worker=worker.id)
                 self.crashes.record_crash(other)
                 for run in list(other.runs.values()):
                     other.remove(run)
@@ -352,11 +362,11 @@
 
         It gets no starts until its own entry in the list of workers describes it.
         """
-        if self.fleet.find(WorkerKey(worker.id, incarnation)) is None:
-            next_incarnation = self.add_worker(
-                replace(worker.entry, incarnation=incarnation)
-            )
-            next_incarnation.is_listed = False
+        answering = self.fleet.find(WorkerKey(worker.id, incarnation))
+        if answering is None:
+            answering = self.add_worker(replace(worker.entry, incarnation=incarnation))
+            answering.is_listed = False
+        self.confirm_incarnation(answering)
 
     def expire_worker_lease(self, worker: Worker) -> None:
         """Drop the runs of a worker whose lease has certainly expired."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
@@ -196,11 +196,12 @@
             if row.is_deleted:
                 self.owner.mark_unlisted(row.key)
                 continue
+            # What is known of the worker holds if its entry cannot be decoded.
+            listed.add(row.key)
             entry = self._interface.parse_worker(row)
             if failed(entry):
                 record("worker-entry-ignored", entry.reason, key=row.key)
                 continue
-            listed.add(entry.id)
             self.owner.add_worker(entry)
         if batch.is_snapshot:
             for worker in list(self.owner.fleet):
--- a/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
@@ -40,6 +40,8 @@
         tells nothing about runs that were confirmed later.
         """
         now = self._owner.now_s()
+        if not worker.first_answer_s:
+            self._owner.confirm_incarnation(worker)
         worker.record_clock(report.clock_ms, now)
         worker.is_reachable = True
         worker.is_unresponsive = False
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/formats_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/formats_tests.py
@@ -63,6 +63,12 @@
     return StoredRow("t", "i-1", raw, 1)
 
 
+def without_capacity(name: str) -> dict:
+    """Return an entry that lacks one number of its capacity."""
+    capacity = {k: v for k, v in ENTRY["capacity"].items() if k != name}
+    return {**ENTRY, "capacity": capacity}
+
+
 class WorkerEntryTests(TableTestCase):
     def test_an_entry_is_decoded(self):
         entry = parse_worker(row(ENTRY))
@@ -82,7 +88,16 @@
             ("bytes", b"\xff\xfe\x00"),
             ("not an object", [1, 2]),
             ("unknown state", {**ENTRY, "state": "odd"}),
+            *(
+                (f"no {name}", {k: v for k, v in ENTRY.items() if k != name})
+                for name in ("service", "address", "zone", "state", "labels", "born")
+            ),
             ("no capacity", {k: v for k, v in ENTRY.items() if k != "capacity"}),
+            ("labels of text", {**ENTRY, "labels": "a"}),
+            *(
+                (f"no {name} of the capacity", without_capacity(name))
+                for name in ENTRY["capacity"]
+            ),
             ("capacity of text", {**ENTRY, "capacity": {"cpu": "1", "memMb": 1}}),
             ("service of number", {**ENTRY, "service": 5}),
             ("labels of numbers", {**ENTRY, "labels": [1]}),
