Split the progress of large jobs; let a rejected change stop no other

Cause: its progress row outgrew rowBytes, and the owner sent the rejected transaction again for ever, together with everything else.

Change: a larger value is split over rows of one transaction. Answers that will be the same each time are told from outages: the changes are committed one by one, and a job whose progress is rejected ends as failed. A specification that no row holds is refused at once.

--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/store.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/store.py
@@ -11,6 +11,8 @@
 HISTORY_ROWS = 5000
 PAGE_ROWS = 500
 MAX_TRANSACTION_ROWS = 100
+MAX_TRANSACTION_BYTES = 1_000_000
+MAX_ROW_BYTES = 65536
 
 RowName = tuple[str, str, str]
 
@@ -50,14 +52,18 @@
         """Apply a transaction if each row that it expects has the expected version.
 
         Status 412 means that a version differs; the answer then holds the current rows.
-        Status 400 means that the transaction has too many rows, or rows of several
-        partitions without ``across``.
+        Status 400 means that the transaction or a value is too large, or has rows of
+        several partitions without ``across``.
         """
         entries = body["expected"] + body["setKeys"] + body["remove"]
         if len(entries) > MAX_TRANSACTION_ROWS:
             return 400, {"reason": "too many entries"}
         if len({row.get("part", "") for row in entries}) > 1 and not body.get("across"):
             return 400, {"reason": "rows of several parts"}
+        if sum(len(row["value"]) for row in body["setKeys"]) > MAX_TRANSACTION_BYTES:
+            return 400, {"reason": "the transaction is too large"}
+        if any(_value_bytes(row) > MAX_ROW_BYTES for row in body["setKeys"]):
+            return 400, {"reason": "a value is too large"}
         expected_names = [_row_name(row) for row in body["expected"]]
         conditions_hold = all(
             self._version_of(name) == row["ver"]
@@ -164,6 +170,10 @@
         ]
 
 
+def _value_bytes(row: dict) -> int:
+    return len(base64.b64decode(row["value"]))
+
+
 def _row_name(row: dict) -> RowName:
     return (row["table"], row.get("part", ""), row["key"])
 
--- a/packages/fulmarleverd/fulmarleverd/platform/settings.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/settings.py
@@ -9,6 +9,7 @@
 
 from fulmarlever.outcomes import Failure
 from fulmarleverd.scheduling.specs import (
+    DEFAULT_ROW_BYTES,
     UNKNOWN_LINK_MBPS,
     Bounds,
     SchedulingSettings,
@@ -66,6 +67,7 @@
         # The share of a core, times the core's speed relative to a standard core.
         cores=float(limits.get("cpuShare", 1.0)) * float(limits.get("cores", 1)),
         link_mbps=float(limits.get("linkMbps") or UNKNOWN_LINK_MBPS),
+        row_bytes=int(data["platform"].get("rowBytes") or DEFAULT_ROW_BYTES),
         bounds=bounds,
         drain_limit_s=max(MIN_DRAIN_S, bounds.grace_s - KILL_MARGIN_S),
     )
--- a/packages/fulmarleverd/fulmarleverd/platform/store.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/store.py
@@ -19,11 +19,14 @@
     RowSet,
     StoredRow,
     Transaction,
+    TransactionRejected,
 )
 
 MAX_CONNECTIONS = 24
 # How much longer than its wait a call for changes may take.
 FEED_MARGIN_S = 0.7
+# The answers to a transaction that would be the same each time.
+REJECTIONS = (400, 403, 413)
 
 
 class AuthorityStore:
@@ -65,7 +68,10 @@
                 return ConditionFailed(tuple(_decode_row(row) for row in rows))
         except FORMAT_ERRORS as exc:
             return OutcomeUnknown(f"malformed answer of the store: {exc!r}")
-        return Unavailable(f"the store answers {response.status}: {response.body}")
+        reason = f"the store answers {response.status}: {response.body}"
+        if response.status in REJECTIONS:
+            return TransactionRejected(reason)
+        return Unavailable(reason)
 
     async def read(
         self,
--- a/packages/fulmarleverd/fulmarleverd/scheduling/commits.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/commits.py
@@ -24,10 +24,11 @@
     Store,
     StoredRow,
     Transaction,
+    TransactionRejected,
 )
-from fulmarleverd.scheduling.progress_rows import pack_progress
-from fulmarleverd.scheduling.rows import lease_row, progress_row
-from fulmarleverd.scheduling.specs import UNKNOWN_LINK_MBPS
+from fulmarleverd.scheduling.progress_rows import progress_rows
+from fulmarleverd.scheduling.rows import lease_row
+from fulmarleverd.scheduling.specs import DEFAULT_ROW_BYTES, UNKNOWN_LINK_MBPS
 from fulmarleverd.scheduling.tasks import Job
 
 # The store accepts 100 rows in a transaction, of which the lease's row is one.
@@ -46,12 +47,28 @@
 Action = Callable[[], None]
 
 
+class Change:
+    """Rows that are committed together, and the job whose progress they hold."""
+
+    __slots__ = ("rows", "job")
+
+    def __init__(self, rows: list[StoredRow], job: Job | None = None) -> None:
+        self.rows = rows
+        self.job = job
+
+    @property
+    def size(self) -> int:
+        """Return the bytes of all values."""
+        return sum(len(row.value) for row in self.rows)
+
+
 class CommitQueue:
     """The changes that wait for the next commit, and the loop that commits them.
 
     If nothing is staged, a commit follows every ``RENEW_PERIOD_S`` seconds, so that the
     lease is renewed. ``link_mbps`` is the bandwidth of the VM's link in megabits per
-    second.
+    second, ``row_bytes`` the largest value of a row. ``on_rejected`` is called with a
+    job whose progress the store rejects for good.
     """
 
     __slots__ = (
@@ -63,7 +80,9 @@
         "_wake",
         "_timeout",
         "_bytes_per_s",
+        "_row_bytes",
         "_pause_s",
+        "on_rejected",
     )
 
     def __init__(
@@ -71,11 +90,14 @@
         store: Store,
         lease: SchedulerLease,
         link_mbps: float = UNKNOWN_LINK_MBPS,
+        row_bytes: int = DEFAULT_ROW_BYTES,
     ) -> None:
         self._store = store
         self._lease = lease
         self._bytes_per_s = link_mbps * BITS_PER_MEGABIT / 8 * LINK_SHARE
+        self._row_bytes = row_bytes
         self._pause_s = 0.0
+        self.on_rejected: Callable[[Job], None] = lambda job: None
         self._staged_jobs: dict[str, Job] = {}
         self._staged_rows: dict[tuple[str, str], StoredRow] = {}
         self._actions: list[Action] = []
@@ -122,24 +144,26 @@
 
     async def _commit_all(self) -> None:
         self._wake.clear()
-        rows = [
-            progress_row(job.id, pack_progress(job))
+        changes = [
+            Change(progress_rows(job, self._row_bytes), job)
             for job in self._staged_jobs.values()
         ]
-        rows += self._staged_rows.values()
-        size = sum(len(row.value) for row in rows)
+        changes += [Change([row]) for row in self._staged_rows.values()]
+        size = sum(change.size for change in changes)
         self._pause_s = min(MAX_PAUSE_S, size / self._bytes_per_s)
         actions = self._actions
         self._staged_jobs = {}
         self._staged_rows = {}
         self._actions = []
-        for group in split_rows(rows):
+        for group in split_changes(changes):
             if not await self._commit(group):
                 return
         for action in actions:
             action()
 
-    async def _commit(self, rows: list[StoredRow]) -> bool:
+    async def _commit(self, changes: list[Change]) -> bool:
+        """Commit changes; return whether the lease is still held."""
+        rows = [row for change in changes for row in change.rows]
         lease = self._lease
         value = lease.next_row_value()
         tx = Transaction(
@@ -157,10 +181,26 @@
                 return True
             if isinstance(result, ConditionFailed):
                 return self._resolve_conflict(result, value, first_sent_s)
+            if isinstance(result, TransactionRejected) and changes:
+                return await self._commit_apart(changes, result.reason)
             log.bind(event="commit-retry", rows=len(rows)).warning(result.reason)
             await asyncio.sleep(RETRY_S)
         return False
 
+    async def _commit_apart(self, changes: list[Change], reason: str) -> bool:
+        """Commit rejected changes one by one, and give up the one that is at fault."""
+        if len(changes) > 1:
+            for change in changes:
+                if not await self._commit([change]):
+                    return False
+            return True
+        change = changes[0]
+        key = f"{change.rows[0].table}/{change.rows[0].key}"
+        log.bind(event="commit-rejected", key=key, bytes=change.size).error(reason)
+        if change.job is not None:
+            self.on_rejected(change.job)
+        return True
+
     def _record_result(self, result: CommitResult, took_s: float) -> None:
         COMMITS.labels(type(result).__name__).inc()
         COMMIT_SECONDS.observe(took_s)
@@ -187,18 +227,19 @@
         return False
 
 
-def split_rows(rows: list[StoredRow]) -> Iterator[list[StoredRow]]:
-    """Yield the rows in groups that fit into one transaction, at least one group.
+def split_changes(changes: list[Change]) -> Iterator[list[Change]]:
+    """Yield the changes in groups that fit into one transaction, at least one group.
 
     A group has at most ``MAX_ROWS`` rows and ``MAX_BYTES`` bytes of values. A larger
-    row forms a group of its own.
+    change forms a group of its own.
     """
-    group: list[StoredRow] = []
-    size = 0
-    for row in rows:
-        if group and (len(group) >= MAX_ROWS or size + len(row.value) > MAX_BYTES):
+    group: list[Change] = []
+    rows = size = 0
+    for change in changes:
+        rows += len(change.rows)
+        size += change.size
+        if group and (rows > MAX_ROWS or size > MAX_BYTES):
             yield group
-            group, size = [], 0
-        group.append(row)
-        size += len(row.value)
+            group, rows, size = [], len(change.rows), change.size
+        group.append(change)
     yield group
--- a/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
@@ -31,6 +31,7 @@
     Store,
     StoredRow,
     Transaction,
+    TransactionRejected,
 )
 from fulmarleverd.scheduling.progress_rows import unpack_state
 from fulmarleverd.scheduling.rows import (
@@ -102,7 +103,7 @@
         ``until_s`` is the time at which the attempts end, in seconds on the steady
         clock. Return ``None`` once the job is stored, also if it was before; ``NotRun``
         if it certainly is not; ``OutcomeUnknown`` if it may be; ``Refused`` if the
-        specification is invalid.
+        specification is invalid or too large for the store.
         """
         error = spec.find_error()
         if error:
@@ -125,7 +126,7 @@
 
     async def _insert(
         self, tx: Transaction, spec: JobSpec, until_s: float
-    ) -> None | NotRun | OutcomeUnknown:
+    ) -> None | NotRun | OutcomeUnknown | Refused:
         may_be_applied = False
         started_s = self._clock.monotonic()
         while True:
@@ -136,6 +137,8 @@
             if isinstance(result, Committed | ConditionFailed):
                 # A row with the same id is this job, submitted before.
                 return None
+            if isinstance(result, TransactionRejected):
+                return Refused(result.reason)
             if isinstance(result, Unavailable):
                 return self._failure(result.reason, may_be_applied)
             may_be_applied = True
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -23,7 +23,7 @@
 from fulmarleverd.scheduling.lease import SchedulerLease
 from fulmarleverd.scheduling.lease_ends import LeaseEnds
 from fulmarleverd.scheduling.metrics import FIRST_START_SECONDS, JOBS_OPEN
-from fulmarleverd.scheduling.progress_rows import restore_progress
+from fulmarleverd.scheduling.progress_rows import StoredProgress, restore_progress
 from fulmarleverd.scheduling.rows import JobRow, UnresponsiveWorker
 from fulmarleverd.scheduling.runs import Run, RunState, WorkerKey
 from fulmarleverd.scheduling.size_classes import SizeClasses
@@ -36,6 +36,7 @@
 # A job that is this old counts as late in any case. A larger age may come from the
 # difference between the clocks of two VMs.
 MAX_RESTORED_AGE_S = 60.0
+NO_PROGRESS = StoredProgress()
 
 
 class Owner:
@@ -66,6 +67,7 @@
         self.on_worker_added: Callable[[Worker], None] = lambda worker: None
         self.lease_ends = LeaseEnds(lease, clock, bounds)
         self.crashes = CrashTracker(self)
+        commits.on_rejected = self.give_up_unstorable_job
 
     def now_s(self) -> float:
         """Return the time in seconds on the clock of the leases."""
@@ -77,17 +79,23 @@
 
     # Jobs
 
-    def add_job(self, row: JobRow, progress: bytes = b"", is_new: bool = True) -> None:
+    def add_job(
+        self,
+        row: JobRow,
+        progress: StoredProgress = NO_PROGRESS,
+        is_new: bool = True,
+    ) -> None:
         """Add a job with its committed progress, unless it is known already.
 
-        ``progress`` is the value of the job's progress row, empty if there is none. If
-        it cannot be decoded, the job is logged and left out. A job read from a snapshot
-        is not new; its age is known only from the Unix times of two VMs.
+        If the progress cannot be decoded, the job is logged and left out. A job read
+        from a snapshot is not new; its age is known only from the Unix times of two
+        VMs.
         """
         if row.spec.id in self.jobs or row.spec.id in self.ended_jobs:
             return
         job = Job(row)
-        error = restore_progress(job, progress) if progress else None
+        job.progress_parts = progress.parts
+        error = restore_progress(job, progress.value) if progress.value else None
         if failed(error):
             log.bind(event="progress-unreadable", job=job.id).error(error.reason)
             return
@@ -155,6 +163,10 @@
             job.has_failed = True
             self.finish_job(job, cause)
 
+    def give_up_unstorable_job(self, job: Job) -> None:
+        """End a job whose progress the store rejects, so that others go on."""
+        self.fail_job(job, "its progress is too large for the store")
+
     def finish_job(self, job: Job, cause: str) -> None:
         """Record the end of a job and stop its remaining runs."""
         job.cause = cause
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
@@ -25,6 +25,7 @@
 from fulmarleverd.scheduling.planner import Planner
 from fulmarleverd.scheduling.ports import Interface, StoredRow
 from fulmarleverd.scheduling.progress import ProgressMonitor
+from fulmarleverd.scheduling.progress_rows import join_progress
 from fulmarleverd.scheduling.reports import ReportProcessor
 from fulmarleverd.scheduling.rows import (
     CANCEL_SUFFIX,
@@ -58,7 +59,10 @@
         self._interface = interface
         self._clock = clock
         self._lease = lease
-        commits = CommitQueue(interface.store, lease, interface.settings.link_mbps)
+        settings = interface.settings
+        commits = CommitQueue(
+            interface.store, lease, settings.link_mbps, settings.row_bytes
+        )
         self.owner = Owner(lease, commits, clock, interface.settings.bounds)
         lease.unresponsive_workers = self.owner.unresponsive_workers
         self._start_rate = StartRate(
@@ -229,7 +233,7 @@
         if failed(job):
             log.bind(event="job-unreadable", job=row.key).error(job.reason)
             return
-        self.owner.add_job(job, progress.get(row.key, b""), is_new)
+        self.owner.add_job(job, join_progress(row.key, progress), is_new)
 
     async def _run_planner(self) -> None:
         while True:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/ports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/ports.py
@@ -71,6 +71,15 @@
     has_more: bool = False
 
 
+class TransactionRejected(Failure):
+    """The store never accepts a transaction, such as for its size.
+
+    It has changed nothing.
+    """
+
+    __slots__ = ()
+
+
 class ConditionFailed(Failure):
     """A condition did not hold, so the transaction changed nothing.
 
@@ -90,7 +99,9 @@
     __slots__ = ()
 
 
-CommitResult = Committed | ConditionFailed | Unavailable | OutcomeUnknown
+CommitResult = (
+    Committed | ConditionFailed | TransactionRejected | Unavailable | OutcomeUnknown
+)
 
 
 class Store(Protocol):
--- a/packages/fulmarleverd/fulmarleverd/scheduling/progress_rows.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/progress_rows.py
@@ -1,16 +1,76 @@
 """Stored form of a job's progress, written by one owner and read by the next.
 
 The row is written anew with each change, so it is kept small: a done task is stored as
-its index alone, and larger rows are compressed.
+its index alone, and larger rows are compressed. A value that is too large for a row is
+split over further rows, which are written in the same transaction.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
-
-from fulmarleverd.scheduling.rows import FORMAT_ERRORS, BadRow, pack_large, unpack
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+
+from fulmarleverd.scheduling.ports import StoredRow
+from fulmarleverd.scheduling.rows import (
+    FORMAT_ERRORS,
+    BadRow,
+    pack,
+    pack_large,
+    progress_part_row,
+    progress_row,
+    unpack,
+)
 from fulmarleverd.scheduling.runs import Run, WorkerKey
-from fulmarleverd.scheduling.tasks import Job, JobState, Step, Task
+from fulmarleverd.scheduling.tasks import FINAL_STATES, Job, JobState, Step, Task
+
+# The number of fields in the progress row of a value that is split.
+SPLIT_FIELDS = 4
+
+
+def progress_rows(job: Job, max_bytes: int) -> list[StoredRow]:
+    """Return the rows that hold a job's progress, each of at most ``max_bytes``.
+
+    Rows that are no longer needed have no value. The progress row of a value that is
+    split holds the state, whether the job has begun, the cause of its end and the
+    number of parts; an ended job needs none, as nobody goes on from its progress.
+    Earlier versions do not decode such a row, and leave the job out.
+    """
+    value = pack_progress(job)
+    parts: list[bytes] = []
+    if len(value) > max_bytes:
+        if not job.is_final:
+            starts = range(0, len(value), max_bytes)
+            parts = [value[start : start + max_bytes] for start in starts]
+        value = pack([str(job.state), job.has_begun, job.cause, len(parts)])
+    earlier, job.progress_parts = job.progress_parts, len(parts)
+    removed = [b""] * (earlier - len(parts))
+    return [
+        progress_row(job.id, value),
+        *(
+            progress_part_row(job.id, number, part)
+            for number, part in enumerate(parts + removed)
+        ),
+    ]
+
+
+@dataclass(slots=True, frozen=True)
+class StoredProgress:
+    """A job's progress as stored: its value, empty if none, and its further rows."""
+
+    value: bytes = b""
+    parts: int = 0
+
+
+def join_progress(job_id: str, rows: Mapping[str, bytes]) -> StoredProgress:
+    """Return the progress of a job from the values of all progress rows by key.
+
+    The parts of a value are written together, so those that exist are all of them.
+    """
+    parts: list[bytes] = []
+    while (key := progress_part_row(job_id, len(parts)).key) in rows:
+        parts.append(rows[key])
+    value = b"".join(parts) if parts else rows.get(job_id, b"")
+    return StoredProgress(value, len(parts))
 
 
 def pack_progress(job: Job) -> bytes:
@@ -41,6 +101,8 @@
     """
     try:
         fields = unpack(data)
+        if len(fields) == SPLIT_FIELDS:
+            return _restore_end(job, fields)
         state, job.has_begun, job.cause, incarnations, started_tasks, *rest = fields
         job.is_cancelled = state == JobState.CANCELLED
         job.has_failed = state == JobState.FAILED
@@ -57,6 +119,17 @@
     return None
 
 
+def _restore_end(job: Job, fields: list) -> BadRow | None:
+    """Set the state of an ended job whose progress row holds nothing else."""
+    state, job.has_begun, job.cause, parts = fields
+    if parts or state not in FINAL_STATES:
+        return BadRow(f"progress of job {job.id}: parts are missing")
+    job.is_cancelled = state == JobState.CANCELLED
+    job.has_failed = state == JobState.FAILED
+    job.unfinished_steps = 0
+    return None
+
+
 def _restore_task(job: Job, packed: list, keys: list[WorkerKey]) -> None:
     occurrence, number, index, is_done, failures, last_run, ckpt, runs = packed
     step = job.open_occurrence(occurrence)[number]
--- a/packages/fulmarleverd/fulmarleverd/scheduling/rows.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/rows.py
@@ -28,6 +28,7 @@
 OVERLOAD_KEY = "overload"
 INTERFERENCE_KEY = "pressure"
 CANCEL_SUFFIX = "/cancel"
+PART_INFIX = "/part-"
 # The store applies the transactions of one partition one at a time. Jobs are spread
 # over many partitions, so that while the store is slow, submissions wait neither for
 # each other nor for the owner's commits.
@@ -197,6 +198,14 @@
     return StoredRow(PROGRESS_TABLE, job_id, value)
 
 
+def progress_part_row(job_id: str, number: int, value: bytes = b"") -> StoredRow:
+    """Return a row with a part of a job's progress that one row cannot hold.
+
+    The parts are numbered from 0.
+    """
+    return StoredRow(PROGRESS_TABLE, f"{job_id}{PART_INFIX}{number}", value)
+
+
 def lease_row(value: bytes = b"", version: int = 0) -> StoredRow:
     """Return the row of the scheduler's lease."""
     return StoredRow(LEASE_TABLE, LEASE_KEY, value, version)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
@@ -235,12 +235,15 @@
 
 # Assumed for a VM whose settings do not tell the bandwidth of its link.
 UNKNOWN_LINK_MBPS = 1000.0
+# Assumed for a store whose settings do not tell the largest value of a row.
+DEFAULT_ROW_BYTES = 65536
 
 
 @dataclass(slots=True, frozen=True)
 class SchedulingSettings:
     """The settings of a daemon from the platform's settings file.
 
+    ``row_bytes`` is the largest value of a row in the platform's store.
     ``memory_mb``, ``cores`` and ``link_mbps`` (megabits per second) are what the daemon
     itself may use, ``drain_limit_s`` is the time that it has to hand over its work when
     it is stopped.
@@ -257,6 +260,7 @@
     memory_mb: int = 300
     cores: float = 1.0
     link_mbps: float = UNKNOWN_LINK_MBPS
+    row_bytes: int = DEFAULT_ROW_BYTES
     bounds: Bounds = field(default_factory=Bounds)
     drain_limit_s: float = 5.0
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -221,6 +221,8 @@
     ``is_size_underserved`` whether jobs of its class complete in time less often than
     others, so that it goes before them. From an age of ``hard_deadline_s`` seconds on,
     completing the job is of no use.
+
+    ``progress_parts`` counts the rows beside the progress row that hold its value.
     """
 
     __slots__ = (
@@ -244,6 +246,7 @@
         "is_outcome_counted",
         "is_size_underserved",
         "hard_deadline_s",
+        "progress_parts",
     )
 
     def __init__(self, row: JobRow) -> None:
@@ -267,6 +270,7 @@
         self.is_outcome_counted = False
         self.is_size_underserved = False
         self.hard_deadline_s = 0.0
+        self.progress_parts = 0
 
     @property
     def state(self) -> JobState:
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/progress_rows_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/progress_rows_tests.py
@@ -7,7 +7,10 @@
 
 from fulmarlever.outcomes import failed
 from fulmarleverd.scheduling.progress_rows import (
+    StoredProgress,
+    join_progress,
     pack_progress,
+    progress_rows,
     restore_progress,
     unpack_state,
 )
@@ -18,6 +21,7 @@
 from fulmarleverd.tests.scheduling.base import QUEUE, OwnerTestCase
 
 WORKER = WorkerKey("w1", "7")
+MAX_BYTES = 40
 STEPS = (StepSpec(count=40), StepSpec(count=2, after=(0,)))
 
 
@@ -115,7 +119,7 @@
             OCCURRENCE_STATES[state](task)
             task.step.refresh(task)
             job.has_begun |= state != "waiting"
-        self.owner.add_job(row, pack_progress(job), is_new=False)
+        self.owner.add_job(row, StoredProgress(pack_progress(job)), is_new=False)
         self.assertEqual(facts(self.owner.jobs["j"]), facts(job))
 
 
@@ -139,6 +143,28 @@
             expected = {(r.task.name, r.number, r.worker_key) for r in job.runs()}
             self.assertEqual(runs, expected)
 
+    # Regression: the progress of a large job outgrew its row, the store rejected each
+    # commit with it, and nothing of any job was committed any more.
+    def test_progress_that_no_row_holds_is_split(self):
+        rows: dict[str, bytes] = {}
+        for name, advance in self.each((*self.ROWS, ("smaller again", in_part))):
+            job = new_job()
+            advance(job)
+            job.has_begun = name != "nothing has begun"
+            job.progress_parts = sum("/part-" in key for key in rows)
+            written = progress_rows(job, MAX_BYTES)
+            self.assertLessEqual(max(len(row.value) for row in written), MAX_BYTES)
+            rows.update((row.key, row.value) for row in written)
+            rows = {key: value for key, value in rows.items() if value}
+            self.assertEqual(unpack_state(rows["j"]), (job.state, ""))
+            stored, restored = join_progress("j", rows), new_job()
+            self.assertEqual(stored.parts, job.progress_parts)
+            self.assertEqual(stored.parts, sum("/part-" in key for key in rows))
+            self.assertIsNone(restore_progress(restored, stored.value))
+            self.assertEqual(restored.state, job.state)
+            if not job.is_final:
+                self.assertEqual(facts(restored), facts(job))
+
     def test_rows_of_the_earlier_format_are_read(self):
         row = pack(
             ["running", True, "", [["w1", "7"]], [[0, 0, 1, True, 0, 1, "", []]]]
