--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/store.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/store.py
@@ -82,8 +82,11 @@
 
     def put_json(self, table: str, key: str, value: object) -> None:
         """Write a value as JSON without conditions, as the operator and workers do."""
-        encoded = base64.b64encode(json.dumps(value).encode()).decode()
-        self._apply([((table, "", key), encoded)])
+        self.put(table, key, json.dumps(value).encode())
+
+    def put(self, table: str, key: str, value: bytes) -> None:
+        """Write any value without conditions or limits."""
+        self._apply([((table, "", key), base64.b64encode(value).decode())])
 
     def remove(self, table: str, key: str) -> None:
         """Remove a row without conditions."""
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/malformed_entries_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/malformed_entries_tests.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import base64
 import random
 
 from fulmarlever_standins.authority.simulated_cluster import SimulatedCluster, job
@@ -46,11 +45,8 @@
         store = cluster.network.store
         if isinstance(entry, dict):
             store.put_json("servers", "other", entry)
-            return
-        value = base64.b64encode(entry).decode()
-        row = {"table": "servers", "part": "", "key": "other", "value": value}
-        status, _ = store.transact({"expected": [], "setKeys": [row], "remove": []})
-        self.assertEqual(status, 200)
+        else:
+            store.put("servers", "other", entry)
 
 
 class OtherWriterTests(SimulatedClusterTestCase):
