Bound the open tasks of a job whose occurrences have been due for long

Cause: all due occurrences were opened at once and kept after their end.

Change: a job opens occurrences while it has at most 1,000 open tasks; ended ones are forgotten and kept as ranges of numbers, in the progress row as well.

--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/large_jobs_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/large_jobs_tests.py
@@ -1,4 +1,4 @@
-"""Jobs whose progress or specification no row of the store can hold."""
+"""Jobs with very many tasks or occurrences, or with too large a specification."""
 
 from __future__ import annotations
 
@@ -7,14 +7,67 @@
 
 from fulmarlever.outcomes import Refused
 from fulmarlever_standins.authority.simulated_cluster import SimulatedCluster, job
+from fulmarlever_standins.authority.virtual_time import START_UNIX_TIME_S
 from fulmarlever_standins.tests.authority.base import SimulatedClusterTestCase
 from fulmarlever_standins.tests.authority.takeover_tests import kill_owner
-from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.scheduling.specs import JobSpec, StepSpec
+from fulmarleverd.scheduling.tasks import MAX_OPEN_TASKS
 
 TASK_S = 4.0
 LARGE = StepSpec(count=6000, cpu_m=1, memory_mb=1, estimate_s=TASK_S, checkpoints=True)
 SMALL = StepSpec(count=2, cpu_m=100, memory_mb=10, estimate_s=0.5)
 
+YEAR_S = 365 * 86_400.0
+MINUTE_S = 60.0
+OCCURRENCE = StepSpec(cpu_m=1000, memory_mb=10, estimate_s=0.5)
+
+
+class LongSchedulesTests(SimulatedClusterTestCase):
+    """Schedules that began long ago, so that many occurrences are due at once."""
+
+    def schedule(self, repetitions: int) -> JobSpec:
+        start_at_s = START_UNIX_TIME_S - YEAR_S
+        return JobSpec("old", "p", (OCCURRENCE,), repetitions, start_at_s, MINUTE_S)
+
+    # Regression (LOST): all due occurrences were opened at once, which took the owner
+    # over its memory and kept all other jobs from running.
+    def test_other_jobs_run_and_few_tasks_are_open(self):
+        async def scenario(cluster: SimulatedCluster) -> None:
+            cluster.add_daemons("vm-1")
+            for worker in cluster.add_workers(3):
+                worker.task_duration_s = lambda task: 0.5
+            owner = await cluster.wait_for_owner()
+            self.assertIsNone(await owner.submit(self.schedule(525_600)))
+            await asyncio.sleep(1.0)
+            for number in range(5):
+                name = f"s{number}"
+                self.assertIsNone(await owner.submit(job(name, SMALL)))
+                await cluster.wait_for_state(owner, name, "completed", 5.0)
+                old = owner.term.owner.jobs["old"]
+                self.assertLessEqual(sum(1 for _ in old.tasks()), MAX_OPEN_TASKS)
+
+        self.run_scenario(scenario)
+
+    def test_each_occurrence_runs_once_under_any_number_of_owners(self):
+        repetitions = 3000
+
+        async def scenario(cluster: SimulatedCluster) -> None:
+            cluster.add_daemons("vm-0")
+            for worker in cluster.add_workers(3):
+                worker.task_duration_s = lambda task: 0.5
+            owner = await cluster.wait_for_owner()
+            self.assertIsNone(await owner.submit(self.schedule(repetitions)))
+            for number in range(1, 5):
+                await asyncio.sleep(2.0)
+                await kill_owner(cluster)
+                cluster.add_daemons(f"vm-{number}")
+                owner = await cluster.wait_for_owner()
+            await cluster.wait_for_state(owner, "old", "completed", 120.0)
+
+        cluster = self.run_scenario(scenario)
+        self.assertEqual(len(cluster.record.done), repetitions)
+        self.assertEqual(set(cluster.record.done.values()), {1})
+
 
 class LargeJobsTests(SimulatedClusterTestCase):
     # Regression (LOST): the progress of one large job outgrew its row. Each owner sent
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -129,11 +129,16 @@
         self.changed.set()
 
     def open_due_occurrences(self, job: Job) -> None:
-        """Create the steps of the job's occurrences that are due."""
-        while job.next_occurrence < job.spec.occurrences:
-            if job.spec.due_s(job.next_occurrence) > self.clock.wall():
+        """Create the steps of the occurrences that are due, and forget ended ones."""
+        if job.spec.repetitions:
+            job.retire_occurrences()
+        while job.may_open_occurrence:
+            occurrence = job.ended_occurrences.first_missing(job.next_occurrence)
+            job.next_occurrence = occurrence
+            is_last = occurrence >= job.spec.occurrences
+            if is_last or job.spec.due_s(occurrence) > self.clock.wall():
                 break
-            job.open_occurrence(job.next_occurrence)
+            job.open_occurrence(occurrence)
             job.next_occurrence += 1
             self.changed.set()
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/progress_rows.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/progress_rows.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
+from fulmarleverd.scheduling.number_ranges import NumberRanges
 from fulmarleverd.scheduling.ports import StoredRow
 from fulmarleverd.scheduling.rows import (
     FORMAT_ERRORS,
@@ -37,7 +38,9 @@
     """
     value = pack_progress(job)
     parts: list[bytes] = []
-    if len(value) > max_bytes:
+    # A value with ended occurrences is always split: earlier versions would run these
+    # again, and leave split ones out.
+    if len(value) > max_bytes or job.ended_occurrences:
         if not job.is_final:
             starts = range(0, len(value), max_bytes)
             parts = [value[start : start + max_bytes] for start in starts]
@@ -78,9 +81,9 @@
 
     It holds the state, whether the job has begun, the cause of its end, the keys of
     workers with runs, the tasks that have run, which refer to the keys by index, and
-    the indices of the done tasks of each step. The last two fields count the crashes
-    that tasks are suspected of, proved to have had a run there and not; rows of earlier
-    versions lack one or both.
+    the indices of the done tasks of each step. The last fields count the crashes that
+    tasks are suspected of, proved to have had a run there and not, and list the ranges
+    of ended occurrences; rows of earlier versions lack some of these.
     """
     keys: dict[WorkerKey, int] = {}
     started_tasks = [
@@ -91,7 +94,8 @@
     fields = [str(job.state), job.has_begun, job.cause, incarnations]
     crashes = list(_counts(job, "crashes"))
     unproven_crashes = list(_counts(job, "unproven_crashes"))
-    return pack_large([*fields, started_tasks, done, crashes, unproven_crashes])
+    ended = job.ended_occurrences.to_list()
+    return pack_large([*fields, started_tasks, done, crashes, unproven_crashes, ended])
 
 
 def restore_progress(job: Job, data: bytes) -> BadRow | None:
@@ -113,6 +117,8 @@
         for occurrence, number, indices in rest[0] if rest else ():
             _restore_done(job.open_occurrence(occurrence)[number], indices)
         _restore_counts(job, "crashes", rest[1] if len(rest) > 1 else ())
+        ended = rest[3] if len(rest) > 3 else ()
+        job.restore_ended_occurrences(NumberRanges(ended))
         _restore_counts(job, "unproven_crashes", rest[2] if len(rest) > 2 else ())
     except FORMAT_ERRORS as exc:
         return BadRow(f"progress of job {job.id}: {type(exc).__name__}: {exc}")
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from enum import StrEnum
 
+from fulmarleverd.scheduling.number_ranges import NumberRanges
 from fulmarleverd.scheduling.rows import JobRow
 from fulmarleverd.scheduling.runs import Run, RunState, WorkerKey
 from fulmarleverd.scheduling.specs import StepSpec
@@ -16,6 +17,9 @@
 # How long a task avoids a worker on which it failed or was too slow. Other workers are
 # free for it at once; if there are none, it must not stand still for much longer.
 AVOIDANCE_S = 2.0
+# A job whose occurrences have been due for long opens more of them only as its open
+# tasks end, so that its memory and the time of a plan are bounded.
+MAX_OPEN_TASKS = 1000
 
 
 class JobState(StrEnum):
@@ -208,8 +212,9 @@
 
     ``accepted_s`` is the Unix time of the daemon that accepted it, ``since_s`` the same
     moment on the owner's clock. ``occurrences`` are the steps of the occurrences that
-    are due, by number; ``next_occurrence`` is the first one that this owner has not yet
-    found due, though an earlier owner may have. ``unfinished_steps`` counts the steps
+    are due and have not ended, by number, ``ended_occurrences`` the numbers of those
+    that have. ``next_occurrence`` is the first one that this owner has not yet opened,
+    though an earlier owner may have. ``unfinished_steps`` counts the steps
     of all occurrences that are not done. ``has_begun`` is set by the first run.
     ``first_start_s`` and ``last_start_s`` are when this owner first and last started a
     run, 0 for never, and ``final_at_s`` when the job ended, all on the owner's clock;
@@ -232,6 +237,7 @@
         "accepted_s",
         "since_s",
         "occurrences",
+        "ended_occurrences",
         "next_occurrence",
         "unfinished_steps",
         "is_cancelled",
@@ -256,6 +262,7 @@
         self.accepted_s = row.accepted_s
         self.since_s = 0.0
         self.occurrences: dict[int, list[Step]] = {}
+        self.ended_occurrences = NumberRanges()
         self.next_occurrence = 0
         self.unfinished_steps = row.spec.occurrences * len(row.spec.steps)
         self.is_cancelled = False
@@ -322,6 +329,25 @@
             ]
         return self.occurrences[occurrence]
 
+    def retire_occurrences(self) -> None:
+        """Forget the tasks of the occurrences that have ended."""
+        ended = [number for number, steps in self.occurrences.items() if _ended(steps)]
+        for number in ended:
+            del self.occurrences[number]
+            self.ended_occurrences.add(number)
+
+    def restore_ended_occurrences(self, ended: NumberRanges) -> None:
+        """Set the occurrences that ended under earlier owners."""
+        self.ended_occurrences = ended
+        self.unfinished_steps -= len(ended) * len(self.spec.steps)
+
+    @property
+    def may_open_occurrence(self) -> bool:
+        """Return whether the job has few enough open tasks for one more occurrence."""
+        tasks = sum(step.count for step in self.spec.steps)
+        open_tasks = len(self.occurrences) * tasks
+        return not self.occurrences or open_tasks + tasks <= MAX_OPEN_TASKS
+
     def sort_occurrences(self) -> None:
         """Put the occurrences in order, so that the earliest one comes first."""
         self.occurrences = dict(sorted(self.occurrences.items()))
@@ -334,3 +360,10 @@
             for step in steps:
                 if step.waiting and all(steps[n].is_done for n in step.spec.after):
                     yield step
+
+
+def _ended(steps: list[Step]) -> bool:
+    """Return whether all tasks of an occurrence are done and nothing of them runs."""
+    return all(step.is_done for step in steps) and not any(
+        task.runs for step in steps for task in step.tasks
+    )
