--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -9,7 +9,6 @@
 
 import asyncio
 from collections.abc import Callable, Iterator
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from loguru import logger as log
@@ -20,6 +19,7 @@
 from fulmarleverd.scheduling.crashes import CrashTracker
 from fulmarleverd.scheduling.decisions import record, record_run
 from fulmarleverd.scheduling.fleet import Fleet, Worker
+from fulmarleverd.scheduling.incarnations import Incarnations
 from fulmarleverd.scheduling.lease import SchedulerLease
 from fulmarleverd.scheduling.lease_ends import LeaseEnds
 from fulmarleverd.scheduling.metrics import FIRST_START_SECONDS, JOBS_OPEN
@@ -67,6 +67,7 @@
         self.on_worker_added: Callable[[Worker], None] = lambda worker: None
         self.lease_ends = LeaseEnds(lease, clock, bounds)
         self.crashes = CrashTracker(self)
+        self.incarnations = Incarnations(self)
         commits.on_rejected = self.give_up_unstorable_job
 
     def now_s(self) -> float:
@@ -280,11 +281,9 @@
         if entry.is_draining and not worker.drain_until_s:
             worker.drain_until_s = self.now_s() + entry.remaining_s
             record("worker-draining", worker=worker.id, remaining_s=entry.remaining_s)
-        for other in self.fleet.incarnations_of(worker.id):
-            if other is not worker and not other.first_answer_s and not other.runs:
-                self.fleet.remove(other)
+        self.incarnations.remove_unanswered(worker)
         if is_new:
-            self._adopt_orphans(worker)
+            self.incarnations.adopt_orphans(worker)
             self.on_worker_added(worker)
             record(
                 "worker-known",
@@ -295,52 +294,6 @@
         self.changed.set()
         return worker
 
-    def confirm_incarnation(self, worker: Worker) -> None:
-        """Remove the other incarnations of a worker that has answered.
-
-        Their runs are kept until the answer has been processed.
-        """
-        for other in self.fleet.incarnations_of(worker.id):
-            if other is not worker:
-                record("worker-lost", "another life answers", worker=worker.id)
-                self.crashes.record_crash(other)
-                for run in list(other.runs.values()):
-                    other.remove(run)
-                    self._move_to_next_incarnation(run, worker)
-                self.fleet.remove(other)
-        for run in list(self.orphans):
-            if run.worker_key.id == worker.id and run.worker_key != worker.key:
-                self.orphans.discard(run)
-                self._move_to_next_incarnation(run, worker)
-
-    def _move_to_next_incarnation(self, run: Run, worker: Worker) -> None:
-        """Keep a run until the first report of its worker's next incarnation.
-
-        Both incarnations answer under one id, so either may have accepted the start. A
-        start that is delivered late runs on the next incarnation.
-        """
-        if run.state is RunState.PLANNED:
-            self.drop_run(run, "its worker has restarted")
-            return
-        run.move_to_incarnation(worker.key)
-        worker.add(run)
-        record_run("run-moved", run, "its worker has restarted")
-        run.may_arrive_late |= run.state is RunState.SENT
-        job = run.task.step.job
-        if job.is_final:
-            self.stop_run(run, "its job ended before its worker was known")
-            return
-        self.commits.stage(job)
-        if run.state is RunState.SENT:
-            self.stop_run(run, "its worker has restarted")
-
-    def _adopt_orphans(self, worker: Worker) -> None:
-        for run in [run for run in self.orphans if run.worker_key == worker.key]:
-            self.orphans.discard(run)
-            worker.add(run)
-            if run.task.step.job.is_final:
-                self.stop_run(run, "its job ended before its worker was known")
-
     def mark_unlisted(self, worker_id: str) -> None:
         """Record that a worker is no longer listed; it may still run tasks."""
         for worker in self.fleet.incarnations_of(worker_id):
@@ -374,17 +327,6 @@
             self.drop_run(run, "its worker has ended: " + reason)
         self.fleet.remove(worker)
 
-    def add_incarnation(self, worker: Worker, incarnation: str) -> None:
-        """Add another incarnation that answers under a worker's id and address.
-
-        It gets no starts until its own entry in the list of workers describes it.
-        """
-        answering = self.fleet.find(WorkerKey(worker.id, incarnation))
-        if answering is None:
-            answering = self.add_worker(replace(worker.entry, incarnation=incarnation))
-            answering.is_listed = False
-        self.confirm_incarnation(answering)
-
     def expire_worker_lease(self, worker: Worker) -> None:
         """Drop the runs of a worker whose lease has certainly expired."""
         record("worker-lease-lapsed", worker=worker.id, runs=len(worker.runs))
--- a/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
@@ -41,7 +41,7 @@
         """
         now = self._owner.now_s()
         if not worker.first_answer_s:
-            self._owner.confirm_incarnation(worker)
+            self._owner.incarnations.confirm(worker)
         worker.record_clock(report.clock_ms, now)
         worker.is_reachable = True
         worker.is_unresponsive = False
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
@@ -109,7 +109,7 @@
 
     async def _process(self, report: WorkerReport, requested_at_s: float) -> None:
         if is_other_incarnation(self._worker, report):
-            self._owner.add_incarnation(self._worker, report.incarnation)
+            self._owner.incarnations.add_answering(self._worker, report.incarnation)
             return
         if not self._worker.is_reachable:
             record("worker-reached", worker=self._worker.id, failures=self._failures)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/next_incarnation_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/next_incarnation_tests.py
@@ -59,14 +59,14 @@
             others = self.owner.fleet.incarnations_of("w1")
             self.assertEqual([w.key.incarnation for w in others], ["1", incarnation])
             self.assertIs(run.worker, worker)
-        self.owner.add_incarnation(others[1], "1")
+        self.owner.incarnations.add_answering(others[1], "1")
         self.assertEqual(self.owner.fleet.incarnations_of("w1"), [worker])
         self.assertTrue(run.is_active)
         self.assertEqual(run.task.crashes + run.task.unproven_crashes, 0)
 
     def test_an_incarnation_known_by_its_report_gets_no_starts_before_its_entry(self):
         worker = self.workers[0]
-        self.owner.add_incarnation(worker, "2")
+        self.owner.incarnations.add_answering(worker, "2")
         next_incarnation = next(iter(self.owner.fleet.incarnations_of("w1")))
         next_incarnation.is_reconciled = next_incarnation.is_reachable = True
         self.assertEqual(next_incarnation.entry.incarnation, "2")
