Pair few runs of a worker in the search for a preemption

What users would see: an owner that answers nobody for a second while a long-running job starves on workers full of small long-running tasks.

Cause: all pairs of the runs of each worker were tried, 44,700 groups for 300 runs. Change: one run of each step, as all of them free the same, and the 24 of these that free the most.

Test: failed before (44,700 groups, limit 576).

--- a/packages/fulmarleverd/fulmarleverd/scheduling/fair_shares.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fair_shares.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
+from heapq import nlargest
 from itertools import combinations, islice
 from operator import itemgetter
 
@@ -34,8 +35,9 @@
 MAX_RESERVATIONS = 8
 # Limits the runs that one preemption stops.
 MAX_RUNS_PER_PREEMPTION = 2
-# All pairs of the runs of each of these workers are considered.
+# All pairs of the largest runs of each of these workers are considered, one run a step.
 MAX_WORKERS_PER_CHECK = 100
+MAX_STEPS_PER_WORKER = 24
 
 
 class FairShares:
@@ -285,20 +287,28 @@
 ) -> Iterator[tuple[Run, ...]]:
     """Yield groups of preemptible runs whose end frees enough capacity for a task.
 
-    The runs of a group are of different steps.
+    The runs of a group are of different steps. All runs of a step free the same, so one
+    of each is considered.
     """
-    runs = [
-        run
-        for run in worker.runs.values()
-        if _is_preemptible(run, task, starved, by_step)
-    ]
+    by_step_of_run: dict[Step, Run] = {}
+    for run in worker.runs.values():
+        if run.task.step in by_step_of_run:
+            continue
+        if _is_preemptible(run, task, starved, by_step):
+            by_step_of_run[run.task.step] = run
+    runs = nlargest(MAX_STEPS_PER_WORKER, by_step_of_run.values(), key=_freed)
     for count in range(1, MAX_RUNS_PER_PREEMPTION + 1):
         for chosen in combinations(runs, count):
-            are_of_different_steps = len({run.task.step for run in chosen}) == count
-            if are_of_different_steps and _fits_without(chosen, task.step.spec, worker):
+            if _fits_without(chosen, task.step.spec, worker):
                 yield chosen
 
 
+def _freed(run: Run) -> tuple[int, int, int]:
+    """Return the accelerators, cores and memory that the end of a run frees."""
+    spec = run.task.step.spec
+    return spec.gpus, spec.cpu_m, spec.memory_mb
+
+
 def _fits_without(runs: Iterable[Run], spec: StepSpec, worker: Worker) -> bool:
     """Return whether one more task fits on a worker once some of its runs ended."""
     entry = worker.entry
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/fair_shares_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/fair_shares_tests.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+from unittest.mock import patch
+
+from fulmarleverd.scheduling import fair_shares
 from fulmarleverd.scheduling.fair_shares import (
+    MAX_STEPS_PER_WORKER,
     PREEMPTION_TIMEOUT_S,
     RESERVATION_S,
     FairShares,
+    StepShare,
 )
 from fulmarleverd.scheduling.obstacles import Obstacle
 from fulmarleverd.scheduling.planner import Planner
@@ -67,6 +72,36 @@
         self.assertEqual([run.worker for run in job.runs()], [stopped.worker])
         self.assertIsNone(stopped.worker.reserved_for)
 
+    # Guards against an owner that is blocked: all pairs of the runs of a worker were
+    # tried, 44,700 groups for 300 small tasks.
+    def test_few_groups_are_tried_on_a_worker_with_many_runs(self):
+        rows = (("many steps", 75, 4), ("many tasks of a step", 3, 100))
+        for name, jobs, tasks in self.each(rows):
+            worker = self.add_worker(name)
+            spec = StepSpec(count=tasks, cpu_m=100, is_long_running=True)
+            for number in range(jobs):
+                job = self.add_job(f"{name} {number}", spec)
+                for index in range(tasks):
+                    run = self.start(job, worker, index=index)
+                    run.progress_percent = 100.0
+            step = self.add_job(f"{name} large", serving(2, 8)).occurrences[0][0]
+            steps = [other.occurrences[0][0] for other in self.owner.jobs.values()]
+            by_step = {other: StepShare(other, 0) for other in steps}
+            tried = 0
+
+            def count_group(runs, spec, worker):
+                nonlocal tried
+                tried += 1
+                return False
+
+            with patch.object(fair_shares, "_fits_without", count_group):
+                groups = fair_shares._sufficient_runs(
+                    step.tasks[0], worker, by_step[step], by_step
+                )
+                self.assertEqual(list(groups), [])
+            self.assertLessEqual(tried, MAX_STEPS_PER_WORKER**2)
+            self.assertGreater(tried, 0)
+
     def test_no_job_ends_up_with_less_than_the_preempting_job(self):
         self.fill()
         self.add_job("large", serving(2, 8))
