Add a simulation of random jobs and faults in virtual time

Features of jobs, faults and promises are functions in registries; a seed draws a plan, its play is checked by what callers and workers see, and a plan that breaks a promise is shrunk to a replay file.

--- a/packages/fulmarlever_standins/fulmarlever_standins/arguments.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/arguments.py
@@ -119,6 +119,25 @@
     no_starvation: Annotated[bool, Long] = False
 
 
+@cappa.command(name="simulate", invoke=f"{COMMANDS}.simulate.run_simulation")
+@dataclass(slots=True)
+class SimulateArguments:
+    """Play random jobs and faults in virtual time and check the scheduler's promises.
+
+    Seed 0 stands for a random first seed. A play that breaks a promise is shrunk and
+    written to a file in ``results``, which ``replay`` plays again.
+    """
+
+    seed: Annotated[int, Long] = 0
+    seeds: Annotated[int, Long] = 20
+    jobs: Annotated[int, Long] = 1
+    seconds: Annotated[float, Long] = 20.0
+    daemons: Annotated[int, Long] = 3
+    workers: Annotated[int, Long] = 8
+    replay: Annotated[Path | None, Long] = None
+    results: Annotated[Path, Long] = Path("results/simulation")
+
+
 @cappa.command(name="fulmarlever_standins")
 @dataclass(slots=True)
 class Arguments:
@@ -135,4 +154,5 @@
         | CompareArguments
         | YardstickArguments
         | SoakArguments
+        | SimulateArguments
     ]
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/observed.py
@@ -0,0 +1,103 @@
+"""What callers and workers see during a play."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter, defaultdict
+
+from fulmarlever_standins.authority.worker import RunKey, WorkerCore
+from fulmarlever_standins.simulation.jobs import DrawnJob
+from fulmarleverd.scheduling.specs import JobSpec, StepSpec
+
+
+class CallerJob:
+    """A job as its caller knows it.
+
+    ``is_accepted`` and ``is_refused`` are both false while the answer is uncertain.
+    ``cancelled_at_s`` is when a cancellation was acknowledged, and
+    ``may_be_cancelled`` whether one was sent.
+    """
+
+    __slots__ = (
+        "drawn",
+        "spec",
+        "is_accepted",
+        "is_refused",
+        "may_be_cancelled",
+        "cancelled_at_s",
+    )
+
+    def __init__(self, drawn: DrawnJob) -> None:
+        self.drawn = drawn
+        self.spec: JobSpec = drawn.spec()
+        self.is_accepted = False
+        self.is_refused = False
+        self.may_be_cancelled = False
+        self.cancelled_at_s: float | None = None
+
+    def step_of(self, task: str) -> StepSpec:
+        """Return the step of one of the job's tasks."""
+        return self.spec.steps[int(task.split(".")[2])]
+
+    def task_names(self) -> list[str]:
+        """Return the names of all tasks of all occurrences."""
+        return [
+            name
+            for occurrence in range(self.spec.occurrences)
+            for step in range(len(self.spec.steps))
+            for name in self.step_task_names(occurrence, step)
+        ]
+
+    def step_task_names(self, occurrence: int, step: int) -> list[str]:
+        """Return the names of the tasks of a step of an occurrence."""
+        count = self.spec.steps[step].count
+        return [f"{self.spec.id}.{occurrence}.{step}.{n}" for n in range(count)]
+
+
+class Observed:
+    """The jobs by id, and the starts, ends and crashes of their tasks.
+
+    ``done`` are the tasks with an end as done, ``active`` counts their active runs,
+    ``crashes`` the workers that crashed under a run of a task, and ``failed_ends``
+    holds for each task the worker and the number of each end as failed. ``trace`` has a
+    line for each event.
+    """
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, CallerJob] = {}
+        self.done: set[str] = set()
+        self.active: Counter[str] = Counter()
+        self.crashes: Counter[str] = Counter()
+        self.failed_ends: defaultdict[str, list[tuple[WorkerCore, int]]] = defaultdict(
+            list
+        )
+        self.trace: list[str] = []
+
+    def job_of(self, task: str) -> CallerJob | None:
+        """Return the job of a task by the task's name."""
+        return self.jobs.get(task.split(".")[0])
+
+    def record_start(self, worker: WorkerCore, key: RunKey) -> None:
+        """Record that a worker has started a run."""
+        self.active[key[0]] += 1
+        self._trace("start", worker, key)
+
+    def record_end(self, worker: WorkerCore, key: RunKey, outcome: str) -> None:
+        """Record that a run has ended on a worker."""
+        self.active[key[0]] -= 1
+        if outcome == "done":
+            self.done.add(key[0])
+        elif outcome == "failed":
+            self.failed_ends[key[0]].append((worker, worker.ends[-1][0]))
+        self._trace(outcome, worker, key)
+
+    def record_crash(self, worker: WorkerCore) -> None:
+        """Record that a worker crashes now, with all of its runs."""
+        for key in worker.running:
+            self.active[key[0]] -= 1
+            self.crashes[key[0]] += 1
+            self._trace("crash", worker, key)
+
+    def _trace(self, event: str, worker: WorkerCore, key: RunKey) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self.trace.append(f"{now_s:.4f} {event} {key[0]} {key[1]} {worker.id}")
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/plan.py
@@ -0,0 +1,124 @@
+"""The plan of a play: which jobs come and which faults strike when, from one seed.
+
+Each part of a plan has a seed of its own, so that parts can be left out without a
+change of the others. A plan is stored as YAML.
+"""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass, replace
+from pathlib import Path
+from random import Random
+
+import yaml
+
+from fulmarlever.outcomes import Failure
+from fulmarlever_standins.simulation.faults import FAULTS
+
+JOBS_PER_S = 2.0
+MIN_FAULTS = 2
+MAX_SEED = 1 << 32
+
+
+class BadPlan(Failure):
+    """A stored plan cannot be read; the reason names the line or the field."""
+
+    __slots__ = ()
+
+
+@dataclass(slots=True, frozen=True)
+class PlannedJob:
+    """A job that is drawn from a seed and submitted at a time, in seconds."""
+
+    at_s: float
+    seed: int
+
+
+@dataclass(slots=True, frozen=True)
+class PlannedFault:
+    """A fault of a kind in ``FAULTS`` that begins at a time, in seconds."""
+
+    at_s: float
+    kind: str
+    seed: int
+
+
+@dataclass(slots=True, frozen=True)
+class Plan:
+    """A play: its size, for how long jobs come, and its parts in order of time."""
+
+    seed: int
+    workers: int
+    daemons: int
+    seconds: float
+    jobs: tuple[PlannedJob, ...]
+    faults: tuple[PlannedFault, ...]
+
+    @classmethod
+    def draw(cls, seed: int, workers: int, daemons: int, seconds: float) -> Plan:
+        """Draw a plan; faults come in series, and several may overlap."""
+        rng = Random(seed)
+        jobs = [
+            PlannedJob(round(rng.uniform(0.0, seconds), 3), rng.randrange(MAX_SEED))
+            for _ in range(int(JOBS_PER_S * seconds))
+        ]
+        kinds = rng.sample(list(FAULTS), rng.randint(1, 4))
+        faults = [
+            PlannedFault(
+                round(rng.uniform(1.0, seconds), 3),
+                rng.choice(kinds),
+                rng.randrange(MAX_SEED),
+            )
+            for _ in range(rng.randint(MIN_FAULTS, max(MIN_FAULTS, int(seconds / 3))))
+        ]
+        return cls(
+            seed,
+            workers,
+            daemons,
+            seconds,
+            tuple(sorted(jobs, key=lambda job: job.at_s)),
+            tuple(sorted(faults, key=lambda fault: fault.at_s)),
+        )
+
+    @classmethod
+    def from_file(cls, path: Path) -> Plan | BadPlan:
+        """Read a plan from a file."""
+        try:
+            return cls.from_yaml(path.read_text(encoding="utf-8"))
+        except (OSError, UnicodeDecodeError) as exc:
+            return BadPlan(f"cannot be read: {exc}")
+
+    @classmethod
+    def from_yaml(cls, text: str) -> Plan | BadPlan:
+        """Read a stored plan."""
+        try:
+            fields = yaml.safe_load(text)
+            jobs = tuple(PlannedJob(**job) for job in fields.pop("jobs"))
+            faults = tuple(PlannedFault(**fault) for fault in fields.pop("faults"))
+            plan = cls(**fields, jobs=jobs, faults=faults)
+        except yaml.YAMLError as exc:
+            return BadPlan(f"not YAML: {exc}")
+        except (TypeError, KeyError, AttributeError) as exc:
+            return BadPlan(f"a field is missing or unknown: {exc}")
+        for fault in plan.faults:
+            if fault.kind not in list(FAULTS):
+                known = ", ".join(FAULTS)
+                return BadPlan(f"no fault {fault.kind!r}; known: {known}")
+        return plan
+
+    def to_yaml(self) -> str:
+        """Return the plan as YAML."""
+        fields = {
+            **asdict(self),
+            "jobs": [asdict(job) for job in self.jobs],
+            "faults": [asdict(fault) for fault in self.faults],
+        }
+        return yaml.safe_dump(fields, sort_keys=False, default_flow_style=None)
+
+    def without_jobs(self, first: int, count: int) -> Plan:
+        """Return the plan without some of its jobs."""
+        return replace(self, jobs=self.jobs[:first] + self.jobs[first + count :])
+
+    def without_faults(self, first: int, count: int) -> Plan:
+        """Return the plan without some of its faults."""
+        return replace(self, faults=self.faults[:first] + self.faults[first + count :])
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/runner.py
@@ -0,0 +1,316 @@
+"""Plays a plan on a simulated cluster and returns the violations of promises."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from hashlib import sha256
+from itertools import product
+from random import Random
+
+from fulmarlever.outcomes import NotRun, Refused, failed
+from fulmarlever_standins.authority.simulated_cluster import SimulatedCluster
+from fulmarlever_standins.authority.virtual_time import run_virtual
+from fulmarlever_standins.authority.worker import RunKey, WorkerCore
+from fulmarlever_standins.simulation.faults import FAULTS, RESTART_S
+from fulmarlever_standins.simulation.jobs import draw_job
+from fulmarlever_standins.simulation.observed import CallerJob, Observed
+from fulmarlever_standins.simulation.plan import Plan, PlannedFault, PlannedJob
+from fulmarlever_standins.simulation.promises import END_CHECKS, START_CHECKS
+from fulmarleverd.scheduling.intake import JobStatus
+from fulmarleverd.scheduling.specs import StepSpec
+
+# Jobs have time to end after the last fault.
+SETTLE_S = 40.0
+OWNER_POLL_S = 0.1
+SUBMIT_ATTEMPTS = 5
+RETRY_S = 0.3
+CANCEL_TIMEOUT_S = 2.5
+STATE_ATTEMPTS = 20
+# The labels and the memory of the first workers; all others have the defaults.
+SPECIAL_WORKERS = (
+    (["a", "b", "r1-0"], 256_000),
+    (["a", "b", "r1-1"], 128_000),
+    (["a", "c", "r1-1"], 256_000),
+)
+DEFAULT_WORKER = (["a", "r1-2"], 128_000)
+MAX_TASK_S = 2.0
+STALLED_S = 1000.0
+
+
+class Result:
+    """The outcome of a play.
+
+    ``violations`` has a line for each broken promise, ``tasks_done`` counts the tasks
+    that ended as done, ``pairs`` how often each feature met each fault, and ``digest``
+    identifies the order of all events.
+    """
+
+    __slots__ = ("plan", "violations", "tasks_done", "pairs", "digest", "trace")
+
+    def __init__(self, plan: Plan, sim: Simulation) -> None:
+        self.plan = plan
+        self.violations = sim.violations
+        self.tasks_done = len(sim.observed.done)
+        kinds = {fault.kind for fault in plan.faults}
+        features = {
+            feature
+            for job in sim.observed.jobs.values()
+            for feature in job.drawn.features
+        }
+        self.pairs = Counter(product(sorted(features), sorted(kinds)))
+        self.trace = sim.observed.trace
+        self.digest = sha256("\n".join(self.trace).encode()).hexdigest()[:16]
+
+
+def play(plan: Plan) -> Result:
+    """Play a plan in virtual time."""
+    random.seed(plan.seed)
+
+    async def run() -> Result:
+        sim = Simulation(plan)
+        await sim.run()
+        return Result(plan, sim)
+
+    return run_virtual(run())
+
+
+class Simulation:
+    """One play: the cluster, its callers, and what is observed.
+
+    ``rng`` is the generator of the fault that begins now. ``failing`` and ``stalling``
+    hold the ids of workers that fail, or hold up, what they start.
+    """
+
+    def __init__(self, plan: Plan) -> None:
+        self.plan = plan
+        self.rng = Random(plan.seed)
+        self.cluster = SimulatedCluster()
+        self.observed = Observed()
+        self.failing: set[str] = set()
+        self.stalling: set[str] = set()
+        self.violations: list[str] = []
+        self._traits: dict[str, tuple[list[str], int]] = {}
+        self._started = 0
+
+    # The play
+
+    async def run(self) -> None:
+        """Play the plan, then check the end of each job."""
+        self.cluster.network.admission.is_admitted = self.is_admitted
+        self.cluster.add_daemons(*(f"vm-{n}" for n in range(self.plan.daemons)))
+        for number in range(self.plan.workers):
+            special = number < len(SPECIAL_WORKERS)
+            traits = SPECIAL_WORKERS[number] if special else DEFAULT_WORKER
+            self._traits[f"w{number}:1"] = traits
+            self._add_worker(f"w{number}", f"w{number}:1")
+        await self.cluster.wait_for_owner()
+        watch = asyncio.create_task(self._watch_owners())
+        jobs = [asyncio.create_task(self._call(job)) for job in self.plan.jobs]
+        faults = [asyncio.create_task(self._strike(f)) for f in self.plan.faults]
+        await asyncio.gather(*jobs, *faults)
+        await asyncio.sleep(SETTLE_S)
+        watch.cancel()
+        await self._check_ends()
+
+    async def _watch_owners(self) -> None:
+        while True:
+            count = self.cluster.count_owners()
+            if count > 1:
+                self._report("scheduler", f"{count} owners at the same time")
+            await asyncio.sleep(OWNER_POLL_S)
+
+    async def _strike(self, fault: PlannedFault) -> None:
+        await asyncio.sleep(fault.at_s)
+        self.rng = Random(fault.seed)
+        await FAULTS.find(fault.kind)(self)
+
+    def _report(self, what: str, violation: str) -> None:
+        now_s = asyncio.get_running_loop().time()
+        line = f"{now_s:.2f} {what}: {violation}"
+        if line not in self.violations:
+            self.violations.append(line)
+
+    # Callers
+
+    async def _call(self, planned: PlannedJob) -> None:
+        """Submit a job at its time, and cancel it if its caller wants to."""
+        await asyncio.sleep(planned.at_s)
+        now_s = asyncio.get_running_loop().time()
+        rng = Random(planned.seed)
+        drawn = draw_job(f"{planned.seed:016x}", rng, now_s)
+        job = self.observed.jobs[drawn.id] = CallerJob(drawn)
+        await self._submit(job, rng)
+        if drawn.is_sent_again and job.is_accepted:
+            await self._submit(job, rng)
+        if job.is_accepted and drawn.cancel_after_s is not None:
+            await asyncio.sleep(drawn.cancel_after_s)
+            await self._cancel(job, rng)
+
+    def _daemon(self, rng: Random) -> object:
+        return rng.choice(
+            [daemon for _, daemon in sorted(self.cluster.daemons.items())]
+        )
+
+    async def _submit(self, job: CallerJob, rng: Random) -> None:
+        is_certain = True
+        for _ in range(SUBMIT_ATTEMPTS):
+            if not self.cluster.daemons:
+                await asyncio.sleep(RETRY_S)
+                continue
+            result = await self._daemon(rng).submit(job.spec, job.drawn.queue)
+            if result is None:
+                job.is_accepted = True
+                return
+            if isinstance(result, Refused) or (
+                isinstance(result, NotRun) and is_certain
+            ):
+                job.is_refused = not job.is_accepted
+                return
+            is_certain = False
+            await asyncio.sleep(RETRY_S)
+
+    async def _cancel(self, job: CallerJob, rng: Random) -> None:
+        job.may_be_cancelled = True
+        for _ in range(SUBMIT_ATTEMPTS):
+            if self.cluster.daemons:
+                daemon = self._daemon(rng)
+                until_s = daemon.clock.monotonic() + CANCEL_TIMEOUT_S
+                result = await daemon.intake.cancel(job.spec.id, until_s)
+                if not failed(result):
+                    job.cancelled_at_s = asyncio.get_running_loop().time()
+                    return
+            await asyncio.sleep(RETRY_S)
+
+    # Workers
+
+    def workers(self) -> list[WorkerCore]:
+        """Return the workers that run, by address."""
+        return [worker for _, worker in sorted(self.cluster.network.workers.items())]
+
+    def draw_workers(self) -> list[WorkerCore]:
+        """Return up to a third of the workers; one with a rare label at times."""
+        workers = self.workers()
+        count = self.rng.randint(1, max(1, len(workers) // 3))
+        drawn = self.rng.sample(workers, min(count, len(workers)))
+        special = self.rng.randrange(2 * len(SPECIAL_WORKERS))
+        rare = [w for w in workers if w.address == f"w{special}:1" and w not in drawn]
+        return drawn + rare
+
+    def is_running(self, worker: WorkerCore) -> bool:
+        """Return whether this incarnation of a worker runs."""
+        return self.cluster.network.workers.get(worker.address) is worker
+
+    def crash(self, worker: WorkerCore, is_silent: bool) -> None:
+        """Crash a worker; another one comes at its address after ``RESTART_S``."""
+        if not self.is_running(worker):
+            return
+        cuts = {(vm, worker.address) for vm in self.cluster.daemons if is_silent}
+        self.cluster.network.cuts |= cuts
+        self.observed.record_crash(worker)
+        self.cluster.crash_worker(worker)
+        loop = asyncio.get_running_loop()
+        loop.call_later(RESTART_S, self._replace, worker, cuts)
+
+    def leave(self, worker: WorkerCore) -> None:
+        """Let a worker leave as planned; another one comes at its address at once."""
+        self.observed.record_crash(worker)
+        self.cluster.crash_worker(worker)
+        self._replace(worker, set())
+
+    def restart(self, worker: WorkerCore, entry_delay_s: float) -> None:
+        """Restart a worker under its id at once; its entry comes later."""
+        if self.is_running(worker):
+            self.observed.record_crash(worker)
+            self._attach(self.cluster.restart_worker(worker, entry_delay_s))
+
+    def _replace(self, worker: WorkerCore, cuts: set[tuple[str, str]]) -> None:
+        self.cluster.network.cuts -= cuts
+        self.cluster.network.store.remove("servers", worker.id)
+        self._started += 1
+        self._add_worker(f"{worker.address}-{self._started}", worker.address)
+
+    def _add_worker(self, worker_id: str, address: str) -> None:
+        worker = WorkerCore(worker_id, address, "z")
+        self.cluster.record.attach(worker)
+        self._attach(worker)
+        self.cluster.network.add_worker(worker)
+
+    def _attach(self, worker: WorkerCore) -> None:
+        """Decide on the runs of a worker, observe them and check their starts."""
+        record_start, record_end = worker.on_start, worker.on_end
+
+        def on_start(worker: WorkerCore, key: RunKey) -> None:
+            record_start(worker, key)
+            self.observed.record_start(worker, key)
+            self._check_start(worker, key)
+
+        def on_end(worker: WorkerCore, key: RunKey, outcome: str) -> None:
+            record_end(worker, key, outcome)
+            self.observed.record_end(worker, key, outcome)
+
+        labels, worker.memory_mb = self._traits[worker.address]
+        worker.labels = list(labels)
+        worker.on_start, worker.on_end = on_start, on_end
+        worker.task_fails = lambda task: worker.id in self.failing
+        worker.task_duration_s = lambda task: self._duration_s(worker, task)
+
+    def _duration_s(self, worker: WorkerCore, task: str) -> float | None:
+        if worker.id in self.stalling:
+            return STALLED_S
+        step = self.step_of(task)
+        if step.is_long_running and worker.id not in self.failing:
+            return None
+        return min(MAX_TASK_S, step.estimate_s * Random(task).uniform(0.5, 2.0))
+
+    # What checks ask for
+
+    def step_of(self, task: str) -> StepSpec:
+        """Return the step of a task."""
+        return self.observed.job_of(task).step_of(task)
+
+    def used(self, worker: WorkerCore) -> tuple[int, int]:
+        """Return the reserved thousandths of a core and megabytes of a worker."""
+        steps = [self.step_of(task) for task, _ in worker.running]
+        cpu_m = sum(step.cpu_m for step in steps if not step.is_best_effort)
+        return cpu_m, sum(step.memory_mb for step in steps)
+
+    def is_admitted(self, step: str, worker_id: str) -> bool:
+        """Return whether the policy allows a step on a worker.
+
+        Special workers are allowed for all steps, others for half of them.
+        """
+        address = worker_id.split(":")[0]
+        is_special = address in [f"w{n}" for n in range(len(SPECIAL_WORKERS))]
+        return is_special or Random(f"{step} {address}").random() < 0.5
+
+    def _check_start(self, worker: WorkerCore, key: RunKey) -> None:
+        for name in START_CHECKS:
+            for violation in START_CHECKS.find(name)(self, worker, key):
+                self._report(f"{key[0]} run {key[1]}", violation)
+
+    async def _check_ends(self) -> None:
+        for job in self.observed.jobs.values():
+            state = await self._state(job)
+            for name in END_CHECKS:
+                for violation in END_CHECKS.find(name)(self, job, state):
+                    self._report(f"job {job.spec.id} {job.drawn.features}", violation)
+        record = self.cluster.record
+        for task in record.overlaps:
+            if not self.step_of(task).is_speculative:
+                self._report(task, "two runs at the same time")
+        for task in record.restarted_after_known_end():
+            if not self.step_of(task).is_speculative:
+                self._report(task, "started again after its end was known")
+
+    async def _state(self, job: CallerJob) -> str:
+        daemon = self._daemon(self.rng)
+        for _ in range(STATE_ATTEMPTS):
+            status = await daemon.state(job.spec.id)
+            if isinstance(status, JobStatus):
+                return str(status.state)
+            if isinstance(status, Refused):
+                return "unknown"
+            await asyncio.sleep(RETRY_S)
+        return "no answer"
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the simulation in virtual time."""
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/simulation/plan_tests.py
@@ -0,0 +1,48 @@
+"""Plans are drawn from seeds, stored, read again and shrunk."""
+
+from __future__ import annotations
+
+from fulmarlever.outcomes import failed
+from fulmarlever.tests.base import TableTestCase
+from fulmarlever_standins.simulation.plan import Plan
+from fulmarlever_standins.simulation.shrink import shrink
+
+
+def draw(seed: int) -> Plan:
+    return Plan.draw(seed, 8, 3, 20.0)
+
+
+class PlanTests(TableTestCase):
+    def test_a_stored_plan_is_read_again(self):
+        for seed in range(20):
+            self.assertEqual(draw(seed), draw(seed))
+            self.assertEqual(Plan.from_yaml(draw(seed).to_yaml()), draw(seed))
+
+    def test_bad_input_is_a_finding(self):
+        text = draw(1).to_yaml()
+        rows = (
+            ("not YAML", "jobs: [", "line 1"),
+            ("a list", "[1, 2]", "missing or unknown"),
+            ("a missing field", text.replace("workers:", "servers:"), "servers"),
+            ("no such fault", text.replace("kind: ", "kind: x"), "known: "),
+        )
+        for _, bad, reason in self.each(rows):
+            plan = Plan.from_yaml(bad)
+            self.assertTrue(failed(plan))
+            self.assertIn(reason, plan.reason)
+
+
+class ShrinkTests(TableTestCase):
+    def test_what_is_not_needed_is_left_out(self):
+        plan = draw(3)
+        job, fault = plan.jobs[7], plan.faults[1]
+        rows = (
+            ("one job", lambda p: job in p.jobs, (1, 0)),
+            ("one fault", lambda p: fault in p.faults, (0, 1)),
+            ("both", lambda p: job in p.jobs and fault in p.faults, (1, 1)),
+            ("all", lambda p: p == plan, (len(plan.jobs), len(plan.faults))),
+        )
+        for _, is_broken, expected in self.each(rows):
+            smaller = shrink(plan, is_broken, max_plays=400)
+            self.assertTrue(is_broken(smaller))
+            self.assertEqual((len(smaller.jobs), len(smaller.faults)), expected)
