Preempt nothing for long-running steps whose turn has not come

Cause: a step that waits for an earlier one counted as starved, so workers were reserved and emptied for it, again and again.

Change: such steps are left out of the comparison of shares.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/fair_shares.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fair_shares.py
@@ -87,9 +87,11 @@
         self._reservations = kept
 
     def _long_running_steps(self) -> Iterator[Step]:
+        """Yield the long-running steps that wait for no other step."""
         for job in self._owner.jobs.values():
             if job.spec.is_long_running:
-                yield from (s for s in job.steps() if s.spec.is_long_running)
+                steps = (s for s in job.steps() if s.spec.is_long_running)
+                yield from (step for step in steps if job.may_begin(step))
 
     def _steps_past_timeout(self, starved: Iterable[Step], now_s: float) -> list[Step]:
         """Return the steps starved for the preemption timeout, smallest share first."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -358,9 +358,14 @@
             return
         for steps in self.occurrences.values():
             for step in steps:
-                if step.waiting and all(steps[n].is_done for n in step.spec.after):
+                if step.waiting and self.may_begin(step):
                     yield step
 
+    def may_begin(self, step: Step) -> bool:
+        """Return whether all steps are done that one of the job's steps waits for."""
+        steps = self.occurrences[step.occurrence]
+        return all(steps[number].is_done for number in step.spec.after)
+
 
 def _ended(steps: list[Step]) -> bool:
     """Return whether all tasks of an occurrence are done and nothing of them runs."""
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/fair_shares_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/fair_shares_tests.py
@@ -102,6 +102,18 @@
             self.assertLessEqual(tried, MAX_STEPS_PER_WORKER**2)
             self.assertGreater(tried, 0)
 
+    # Regression: workers were emptied and reserved, again and again, for steps that
+    # still wait for an earlier one.
+    def test_nothing_is_preempted_for_a_step_whose_turn_has_not_come(self):
+        self.fill()
+        batch = StepSpec(count=1, cpu_m=33000)
+        job = self.add_job("later", batch, serving(2, 8, after=(0,)))
+        self.pass_time(3.0 + 2 * PREEMPTION_TIMEOUT_S)
+        self.assertEqual(self.commands.stops, [])
+        job.occurrences[0][0].complete(job.occurrences[0][0].tasks[0])
+        self.pass_time(2.0 + PREEMPTION_TIMEOUT_S)
+        self.assertEqual(len(self.commands.stops), 1)
+
     def test_no_job_ends_up_with_less_than_the_preempting_job(self):
         self.fill()
         self.add_job("large", serving(2, 8))
