Ignore the answer of a worker that the fleet no longer has

An incarnation that has never answered makes way for the next entry under its id, while a call to it may be on the way. Its answer would have moved the runs of the others to an object that the fleet does not know. Also two comments of crashes.py and fleet.py, which were out of date.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/crashes.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/crashes.py
@@ -3,13 +3,13 @@
 Pattern: a task crashes each worker that starts it, so moving it from one worker to the
 next takes one worker after the other from all other tasks.
 
-A crash is proved once the worker's next incarnation answers or is listed. Suspects are
-the tasks that were started shortly before the worker fell silent, else the one that was
-started last. A start without an answer may never have reached the worker: its crash is
-counted apart as unproven, and a few of these are no reason to give a task up. The next
-run of a suspect is isolated: no other run is started on its worker shortly before or
-after it. So a second crash tells whether the task is its cause, and tasks that were
-beside it are not given up with it.
+A crash is proved once the worker's next incarnation answers. Suspects are the tasks
+that were started shortly before the worker fell silent, else the one that was started
+last. A start without an answer may never have reached the worker: its crash is counted
+apart as unproven, and a few of these are no reason to give a task up. The next run of a
+suspect is isolated: no other run is started on its worker shortly before or after it.
+So a second crash tells whether the task is its cause, and tasks that were beside it are
+not given up with it.
 """
 
 from __future__ import annotations
@@ -85,6 +85,7 @@
         unanswered = [run for run in unanswered if run.sent_s >= since_s]
         isolated = [run.task for run in unanswered if run.is_isolated]
         if isolated:
+            # Nothing else was started there shortly before.
             return CrashSuspects([], True, isolated)
         at_work = [run for run in worker.runs.values() if _is_at_work(run)]
         begun_s = max((run.started_s for run in at_work), default=0.0)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
@@ -23,8 +23,8 @@
     """The tasks that may have crashed a worker.
 
     ``tasks`` had a run there as it fell silent; ``are_recent`` tells whether these were
-    started shortly before. ``unproven_tasks`` may
-    have had a run there, but nothing shows that they had.
+    started shortly before. ``unproven_tasks`` may have had a run there, but nothing
+    shows that they had.
     """
 
     __slots__ = ("tasks", "are_recent", "unproven_tasks")
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
@@ -55,13 +55,16 @@
 
     async def run(self) -> None:
         """Call the worker until it is removed from the fleet, or until cancelled."""
-        worker = self._worker
-        while self._owner.fleet.find(worker.key) is worker:
+        while self._is_known():
             if not self._may_call():
                 await asyncio.sleep(LEASE_POLL_S)
                 continue
             await self._call()
 
+    def _is_known(self) -> bool:
+        """Return whether the fleet still has the worker."""
+        return self._owner.fleet.find(self._worker.key) is self._worker
+
     def _may_call(self) -> bool:
         """Return whether the worker may be called now.
 
@@ -102,6 +105,9 @@
             worker.last_end_committed,
             self._max_wait_s(),
         )
+        if not self._is_known():
+            # Removed during the call; its answer tells nothing about the fleet.
+            return
         if isinstance(report, WorkerReport):
             await self._process(report, requested_at_s)
         elif failed(report):
