--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -37,6 +37,9 @@
 # difference between the clocks of two VMs.
 MAX_RESTORED_AGE_S = 60.0
 NO_PROGRESS = StoredProgress()
+# A job whose occurrences have been due for long opens more of them only as its waiting
+# tasks get runs, so that its memory and the time of a plan are bounded.
+MAX_WAITING_TASKS = 1000
 
 
 class Owner:
@@ -133,11 +136,14 @@
         """Create the steps of the occurrences that are due, and forget ended ones."""
         if job.spec.repetitions:
             job.retire_occurrences()
-        while job.may_open_occurrence:
+        limit = MAX_WAITING_TASKS - job.tasks_per_occurrence
+        while job.next_occurrence < job.spec.occurrences:
             occurrence = job.ended_occurrences.first_missing(job.next_occurrence)
             job.next_occurrence = occurrence
-            is_last = occurrence >= job.spec.occurrences
-            if is_last or job.spec.due_s(occurrence) > self.clock.wall():
+            is_over = occurrence >= job.spec.occurrences
+            if is_over or job.spec.due_s(occurrence) > self.clock.wall():
+                break
+            if job.occurrences and job.waiting_tasks > limit:
                 break
             job.open_occurrence(occurrence)
             job.next_occurrence += 1
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -17,9 +17,6 @@
 # How long a task avoids a worker on which it failed or was too slow. Other workers are
 # free for it at once; if there are none, it must not stand still for much longer.
 AVOIDANCE_S = 2.0
-# A job whose occurrences have been due for long opens more of them only as its open
-# tasks end, so that its memory and the time of a plan are bounded.
-MAX_OPEN_TASKS = 1000
 
 
 class JobState(StrEnum):
@@ -342,11 +339,14 @@
         self.unfinished_steps -= len(ended) * len(self.spec.steps)
 
     @property
-    def may_open_occurrence(self) -> bool:
-        """Return whether the job has few enough open tasks for one more occurrence."""
-        tasks = sum(step.count for step in self.spec.steps)
-        open_tasks = len(self.occurrences) * tasks
-        return not self.occurrences or open_tasks + tasks <= MAX_OPEN_TASKS
+    def tasks_per_occurrence(self) -> int:
+        """Return the number of tasks that each occurrence has."""
+        return sum(step.count for step in self.spec.steps)
+
+    @property
+    def waiting_tasks(self) -> int:
+        """Return how many tasks of the occurrences so far neither run nor are done."""
+        return sum(len(step.waiting) for step in self.steps())
 
     def sort_occurrences(self) -> None:
         """Put the occurrences in order, so that the earliest one comes first."""
