Take a start's answer as proof of a run only if the clock is the worker's

Cause: a worker that restarts under its id answers starts before its entry comes. The acceptance was taken for one of the incarnation that had crashed.

Change: the clock of another incarnation starts anew, so an answer whose clock is not where it is expected leaves the crash unproven.

Test: five rows, of which the first of a clock that began anew failed before.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
@@ -12,6 +12,9 @@
 
 # The least seconds that a worker's steady clock advances in a second of true time.
 MIN_CLOCK_RATE = 0.98
+# How far a worker's clock may be from the expected time, for delays of answers; another
+# incarnation's clock starts anew.
+CLOCK_TOLERANCE_MS = 250.0
 # A worker that failed this many runs in a row gets one run at a time for a while.
 FAILURES_BEFORE_LIMIT = 2
 SINGLE_RUN_S = 6.0
@@ -242,6 +245,14 @@
             self.clock_ms = clock_ms
             self.clock_read_s = now_s
 
+    def has_expected_clock(self, clock_ms: int, now_s: float) -> bool:
+        """Return whether an answer with this clock may be from this incarnation."""
+        if not self.clock_ms or not clock_ms:
+            return True
+        passed_ms = (now_s - self.clock_read_s) * 1000.0
+        tolerance_ms = CLOCK_TOLERANCE_MS + 2 * (1.0 - MIN_CLOCK_RATE) * passed_ms
+        return abs(clock_ms - self.clock_ms - passed_ms) <= tolerance_ms
+
     def lease_until_ms(self, now_s: float, lease_s: float) -> int:
         """Return when a lease of some seconds from now ends on the worker's clock.
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
@@ -138,9 +138,10 @@
         owner = self._owner
         now = owner.now_s()
         if isinstance(result, Accepted):
+            # Another incarnation may have answered under the worker's id.
+            run.has_begun = worker.has_expected_clock(result.clock_ms, now)
             worker.record_clock(result.clock_ms, now)
             run.started_s = now
-            run.has_begun = True
             if run.state is RunState.SENT:
                 run.state = RunState.RUNNING
                 run.confirmed_at_s = now
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/crashes_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/crashes_tests.py
@@ -13,10 +13,12 @@
 )
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.planner import Planner
+from fulmarleverd.scheduling.ports import Accepted
 from fulmarleverd.scheduling.progress_rows import pack_progress, restore_progress
 from fulmarleverd.scheduling.runs import RunState
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.scheduling.tasks import Job, JobState
+from fulmarleverd.scheduling.worker_commands import WorkerCommands
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
 SPEC = StepSpec(count=2, cpu_m=1000, estimate_s=1.0)
@@ -121,6 +123,31 @@
             self.assertIs(job.state, JobState.FAILED)
             self.assertIn(f"{MAX_CRASHES} workers crashed", job.cause)
 
+    # Regression (LOST): the next incarnation had accepted the start, before its entry
+    # came, so the run had never been on the one that crashed.
+    def test_a_start_that_the_next_incarnation_accepted_is_no_proof(self):
+        rows = (
+            ("same clock", 5000, 5100, 0.1, True),
+            ("slow clock", 5000, 24_620, 20.0, True),
+            ("late answer", 5000, 5000, 0.2, True),
+            ("began anew", 5000, 136, 0.1, False),
+            ("began anew later", 1000, 1136, 1.4, False),
+        )
+        for name, earlier_ms, clock_ms, passed_s, expected in self.each(rows):
+            worker = self.add_worker(name)
+            worker.record_clock(earlier_ms, self.clock.now)
+            self.clock.advance(passed_s)
+            run = self.owner.assign(
+                self.add_job(name, SPEC).occurrences[0][0].tasks[0], worker
+            )
+            run.state, run.sent_s = RunState.SENT, self.clock.now
+            commands = WorkerCommands(self.owner, None)
+            commands._process_start_result(run, worker, Accepted(clock_ms))
+            self.assertEqual(run.has_begun, expected)
+            self.owner.replace_worker(worker, "another incarnation")
+            crashes = (run.task.crashes, run.task.unproven_crashes)
+            self.assertEqual(crashes, (1, 0) if expected else (0, 1))
+
     def send_without_answer(self, job: Job, worker: Worker) -> None:
         run = self.start(job, worker)
         run.state, run.has_begun, run.started_s = RunState.SENT, False, 0.0
