--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/large_jobs_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/large_jobs_tests.py
@@ -54,22 +54,24 @@
 
     # Guards against occurrences that wait for tasks that never end.
     def test_long_running_occurrences_start_beside_those_before(self):
-        spec = StepSpec(
-            count=700, cpu_m=20, memory_mb=10, estimate_s=0.5, is_long_running=True
-        )
-
-        async def scenario(cluster: SimulatedCluster) -> None:
-            cluster.add_daemons("vm-1")
-            for worker in cluster.add_workers(3):
-                worker.task_duration_s = lambda task: None
-            owner = await cluster.wait_for_owner()
-            start_at_s = START_UNIX_TIME_S - YEAR_S
-            repeated = JobSpec("j", "p", (spec,), 4, start_at_s, MINUTE_S)
-            self.assertIsNone(await owner.submit(repeated))
-            await asyncio.sleep(20.0)
-            self.assertEqual(len(cluster.record.running()), 4 * 700)
+        rows = (("fewer tasks than may wait", 700), ("more", MAX_WAITING_TASKS + 300))
+        for _, tasks in self.each(rows):
+            spec = StepSpec(
+                tasks, 20, memory_mb=10, estimate_s=0.5, is_long_running=True
+            )
+
+            async def scenario(cluster, spec=spec):
+                cluster.add_daemons("vm-1")
+                for worker in cluster.add_workers(3):
+                    worker.task_duration_s = lambda task: None
+                owner = await cluster.wait_for_owner()
+                start_at_s = START_UNIX_TIME_S - YEAR_S
+                repeated = JobSpec("j", "p", (spec,), 4, start_at_s, MINUTE_S)
+                self.assertIsNone(await owner.submit(repeated))
+                await asyncio.sleep(20.0)
+                self.assertEqual(len(cluster.record.running()), 4 * spec.count)
 
-        self.run_scenario(scenario)
+            self.run_scenario(scenario)
 
     def test_each_occurrence_runs_once_under_any_number_of_owners(self):
         repetitions = 3000
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -136,7 +136,7 @@
         """Create the steps of the occurrences that are due, and forget ended ones."""
         if job.spec.repetitions:
             job.retire_occurrences()
-        limit = MAX_WAITING_TASKS - job.tasks_per_occurrence
+        limit = max(0, MAX_WAITING_TASKS - job.tasks_per_occurrence)
         while job.next_occurrence < job.spec.occurrences:
             occurrence = job.ended_occurrences.first_missing(job.next_occurrence)
             job.next_occurrence = occurrence
