--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/large_jobs_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/large_jobs_tests.py
@@ -54,22 +54,27 @@
 
     # Guards against occurrences that wait for tasks that never end.
     def test_long_running_occurrences_start_beside_those_before(self):
-        rows = (("fewer tasks than may wait", 700), ("more", MAX_WAITING_TASKS + 300))
-        for _, tasks in self.each(rows):
+        # Tasks of an occurrence, occurrences.
+        rows = (
+            ("fewer tasks than may wait", 700, 4),
+            ("more", MAX_WAITING_TASKS + 300, 3),
+        )
+        for _, tasks, repetitions in self.each(rows):
             spec = StepSpec(
                 tasks, 20, memory_mb=10, estimate_s=0.5, is_long_running=True
             )
 
-            async def scenario(cluster, spec=spec):
+            async def scenario(cluster, spec=spec, repetitions=repetitions):
                 cluster.add_daemons("vm-1")
                 for worker in cluster.add_workers(3):
                     worker.task_duration_s = lambda task: None
                 owner = await cluster.wait_for_owner()
                 start_at_s = START_UNIX_TIME_S - YEAR_S
-                repeated = JobSpec("j", "p", (spec,), 4, start_at_s, MINUTE_S)
+                repeated = JobSpec("j", "p", (spec,), repetitions, start_at_s, MINUTE_S)
                 self.assertIsNone(await owner.submit(repeated))
                 await asyncio.sleep(20.0)
-                self.assertEqual(len(cluster.record.running()), 4 * spec.count)
+                running = len(cluster.record.running())
+                self.assertEqual(running, repetitions * spec.count)
 
             self.run_scenario(scenario)
 
