Store the features of planned jobs, and add what the simulation lacked

A stored plan names the features of its jobs, so that it stays valid when features are added. New: jobs whose tasks take the same time, slow and wide ones, a stricter policy of tickets, a kill of the owner as a run ends.

The seed list of runner_tests becomes a folder of plans: 1016 draws other jobs now.

--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/faults.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/faults.py
@@ -32,6 +32,13 @@
     sim.cluster.add_daemons(owner.vm)
 
 
+@FAULTS.register("owner killed as a run ends")
+async def kill_owner_at_an_end(sim: Simulation) -> None:
+    """Kill the owner at the moment at which the next run ends."""
+    await sim.wait_for_end()
+    await kill_owner(sim)
+
+
 @FAULTS.register("owners killed in turn")
 async def kill_owners(sim: Simulation) -> None:
     """Kill the owner, and the next one as it takes over."""
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/jobs.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/jobs.py
@@ -26,7 +26,8 @@
 
     ``steps`` holds the fields of each step. ``cancel_after_s`` is when the caller
     cancels the job after its acceptance, ``None`` for never. A job that
-    ``is_sent_again`` is submitted twice. ``features`` names what has been drawn.
+    ``is_sent_again`` is submitted twice; the tasks of one that ``is_even`` take the
+    same time. ``features`` names what has been drawn.
     """
 
     __slots__ = (
@@ -40,6 +41,7 @@
         "interval_s",
         "cancel_after_s",
         "is_sent_again",
+        "is_even",
         "features",
     )
 
@@ -61,6 +63,7 @@
         self.interval_s = 0.0
         self.cancel_after_s: float | None = None
         self.is_sent_again = False
+        self.is_even = False
         self.features: list[str] = []
 
     def set_all(self, **fields: object) -> None:
@@ -84,11 +87,18 @@
 FEATURES: Registry[Feature] = Registry("feature of a job")
 
 
-def draw_job(job_id: str, rng: Random, now_s: float) -> DrawnJob:
-    """Return a job with up to ``MAX_FEATURES`` features."""
+def draw_features(rng: Random) -> tuple[str, ...]:
+    """Return the names of up to ``MAX_FEATURES`` features."""
+    return tuple(rng.sample(list(FEATURES), rng.randint(0, MAX_FEATURES)))
+
+
+def draw_job(
+    job_id: str, features: tuple[str, ...], rng: Random, now_s: float
+) -> DrawnJob:
+    """Return a job with the given features, drawn in their order."""
     drawn = DrawnJob(job_id, rng, now_s)
-    drawn.features = rng.sample(list(FEATURES), rng.randint(0, MAX_FEATURES))
-    for name in drawn.features:
+    drawn.features = list(features)
+    for name in features:
         FEATURES.find(name)(drawn)
     return drawn
 
@@ -104,7 +114,21 @@
 @FEATURES.register("wide")
 def widen(job: DrawnJob) -> None:
     """Make a step so wide that a worker has more ends than a report holds."""
-    job.steps[0].update(count=job.rng.choice((200, 700)), cpu_m=20, memory_mb=10)
+    count = job.rng.choice((200, 700, 1300))
+    job.steps[0].update(count=count, cpu_m=20, memory_mb=10)
+    job.repetitions = min(job.repetitions, 2)
+
+
+@FEATURES.register("even")
+def even_out(job: DrawnJob) -> None:
+    """Let all tasks of a step take the same time, so that many end at once."""
+    job.is_even = True
+
+
+@FEATURES.register("slow")
+def slow_down(job: DrawnJob) -> None:
+    """Let few tasks take many cores for long, so that others wait for them."""
+    job.set_all(count=job.rng.randint(1, 3), cpu_m=16_000, estimate_s=6.0)
 
 
 @FEATURES.register("rare label")
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/plan.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/plan.py
@@ -14,6 +14,7 @@
 
 from fulmarlever.outcomes import Failure
 from fulmarlever_standins.simulation.faults import FAULTS
+from fulmarlever_standins.simulation.jobs import FEATURES, draw_features
 
 JOBS_PER_S = 2.0
 MIN_FAULTS = 2
@@ -28,10 +29,11 @@
 
 @dataclass(slots=True, frozen=True)
 class PlannedJob:
-    """A job that is drawn from a seed and submitted at a time, in seconds."""
+    """A job with features, drawn from a seed and submitted at a time, in seconds."""
 
     at_s: float
     seed: int
+    features: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
@@ -59,7 +61,11 @@
         """Draw a plan; faults come in series, and several may overlap."""
         rng = Random(seed)
         jobs = [
-            PlannedJob(round(rng.uniform(0.0, seconds), 3), rng.randrange(MAX_SEED))
+            PlannedJob(
+                round(rng.uniform(0.0, seconds), 3),
+                rng.randrange(MAX_SEED),
+                draw_features(rng),
+            )
             for _ in range(int(JOBS_PER_S * seconds))
         ]
         kinds = rng.sample(list(FAULTS), rng.randint(1, 4))
@@ -93,18 +99,24 @@
         """Read a stored plan."""
         try:
             fields = yaml.safe_load(text)
-            jobs = tuple(PlannedJob(**job) for job in fields.pop("jobs"))
+            jobs = tuple(_read_job(job) for job in fields.pop("jobs"))
             faults = tuple(PlannedFault(**fault) for fault in fields.pop("faults"))
             plan = cls(**fields, jobs=jobs, faults=faults)
         except yaml.YAMLError as exc:
             return BadPlan(f"not YAML: {exc}")
         except (TypeError, KeyError, AttributeError) as exc:
             return BadPlan(f"a field is missing or unknown: {exc}")
-        for fault in plan.faults:
-            if fault.kind not in list(FAULTS):
-                known = ", ".join(FAULTS)
-                return BadPlan(f"no fault {fault.kind!r}; known: {known}")
-        return plan
+        return plan.find_unknown() or plan
+
+    def find_unknown(self) -> BadPlan | None:
+        """Return the first fault or feature that is not registered, if any."""
+        names = [(FAULTS, fault.kind) for fault in self.faults]
+        names += [(FEATURES, name) for job in self.jobs for name in job.features]
+        for registry, name in names:
+            if name not in list(registry):
+                known = ", ".join(registry)
+                return BadPlan(f"no {registry.kind} {name!r}; known: {known}")
+        return None
 
     def to_yaml(self) -> str:
         """Return the plan as YAML."""
@@ -122,3 +134,8 @@
     def without_faults(self, first: int, count: int) -> Plan:
         """Return the plan without some of its faults."""
         return replace(self, faults=self.faults[:first] + self.faults[first + count :])
+
+
+def _read_job(fields: dict) -> PlannedJob:
+    features = tuple(fields.pop("features", ()))
+    return PlannedJob(**fields, features=features)
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/runner.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/runner.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections import Counter
+from contextlib import suppress
 from hashlib import sha256
 from itertools import product
 from random import Random
@@ -35,7 +36,8 @@
     (["a", "c", "r1-1"], 256_000),
 )
 DEFAULT_WORKER = (["a", "r1-2"], 128_000)
-MAX_TASK_S = 2.0
+MAX_TASK_S = 8.0
+END_TIMEOUT_S = 5.0
 STALLED_S = 1000.0
 
 
@@ -93,6 +95,7 @@
         self.violations: list[str] = []
         self._traits: dict[str, tuple[list[str], int]] = {}
         self._started = 0
+        self._ended = asyncio.Event()
 
     # The play
 
@@ -139,7 +142,7 @@
         await asyncio.sleep(planned.at_s)
         now_s = asyncio.get_running_loop().time()
         rng = Random(planned.seed)
-        drawn = draw_job(f"{planned.seed:016x}", rng, now_s)
+        drawn = draw_job(f"{planned.seed:016x}", planned.features, rng, now_s)
         job = self.observed.jobs[drawn.id] = CallerJob(drawn)
         await self._submit(job, rng)
         if drawn.is_sent_again and job.is_accepted:
@@ -249,6 +252,7 @@
         def on_end(worker: WorkerCore, key: RunKey, outcome: str) -> None:
             record_end(worker, key, outcome)
             self.observed.record_end(worker, key, outcome)
+            self._ended.set()
 
         labels, worker.memory_mb = self._traits[worker.address]
         worker.labels = list(labels)
@@ -262,7 +266,16 @@
         step = self.step_of(task)
         if step.is_long_running and worker.id not in self.failing:
             return None
-        return min(MAX_TASK_S, step.estimate_s * Random(task).uniform(0.5, 2.0))
+        job = self.observed.job_of(task)
+        factor = 1.0 if job.drawn.is_even else Random(task).uniform(0.5, 2.0)
+        return min(MAX_TASK_S, step.estimate_s * factor)
+
+    async def wait_for_end(self) -> None:
+        """Wait until the next run ends, for ``END_TIMEOUT_S`` at most."""
+        self._ended.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(END_TIMEOUT_S):
+                await self._ended.wait()
 
     # What checks ask for
 
@@ -279,11 +292,14 @@
     def is_admitted(self, step: str, worker_id: str) -> bool:
         """Return whether the policy allows a step on a worker.
 
-        Special workers are allowed for all steps, others for half of them.
+        Special workers are allowed for all steps, others for half of them. For a third
+        of the steps, special workers alone are allowed.
         """
         address = worker_id.split(":")[0]
         is_special = address in [f"w{n}" for n in range(len(SPECIAL_WORKERS))]
-        return is_special or Random(f"{step} {address}").random() < 0.5
+        is_strict = Random(step).random() < 1.0 / 3.0
+        is_allowed = Random(f"{step} {address}").random() < 0.5
+        return is_special or (is_allowed and not is_strict)
 
     def _check_start(self, worker: WorkerCore, key: RunKey) -> None:
         for name in START_CHECKS:
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/simulation/plan_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/simulation/plan_tests.py
@@ -25,6 +25,7 @@
             ("a list", "[1, 2]", "missing or unknown"),
             ("a missing field", text.replace("workers:", "servers:"), "servers"),
             ("no such fault", text.replace("kind: ", "kind: x"), "known: "),
+            ("no such feature", text.replace("features: [", "features: [x, "), "'x'"),
         )
         for _, bad, reason in self.each(rows):
             plan = Plan.from_yaml(bad)
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/simulation/runner_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/simulation/runner_tests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 from loguru import logger as log
 
 from fulmarlever.tests.base import TableTestCase
@@ -12,10 +14,8 @@
 SEEDS = range(1, 9)
 
 
-# Seeds that once broke a promise, played for 20 s, with the cause.
-FOUND_SEEDS = (
-    (1016, "long-running tasks were preempted for steps whose turn had not come"),
-)
+# Plans that once broke a promise; the first line of each file names the cause.
+PLANS = Path(__file__).parent / "plans"
 
 
 class SeedTests(TableTestCase):
@@ -29,11 +29,12 @@
                 self.assertEqual(result.violations, [])
                 self.assertGreater(result.tasks_done, 20)
 
-    def test_seeds_that_found_a_fault(self):
-        for seed, cause in FOUND_SEEDS:
-            with self.subTest(seed=seed, cause=cause):
-                result = play(Plan.draw(seed, 8, 3, 20.0))
+    def test_plans_that_found_a_fault(self):
+        for path in sorted(PLANS.glob("*.yaml")):
+            with self.subTest(path.name):
+                result = play(Plan.from_file(path))
                 self.assertEqual(result.violations, [])
+                self.assertTrue(result.trace)
 
     def test_a_seed_gives_the_same_trace_each_time(self):
         plan = Plan.draw(2, 8, 3, SECONDS)
