--- a/packages/fulmarleverd/fulmarleverd/scheduling/crashes.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/crashes.py
@@ -30,12 +30,11 @@
 # before the worker's last answer.
 RECENT_S = 0.5
 # A task is given up after this many crashes of which it was the only suspect in the
-# last one; after this many if it was not started shortly before; and in any case.
+# last one; after this many if it was not started shortly before; and in any case. Only
+# for the last limit, unproven crashes count as well.
 MAX_CRASHES_ALONE = 2
 MAX_CRASHES_LATER = 3
 MAX_CRASHES = 5
-# The limit with unproven crashes, for tasks that crash workers before they answer.
-MAX_CRASHES_WITH_UNPROVEN = 10
 # A task with this many crashes is started in isolation only, and waits for it.
 MIN_CRASHES_TO_WAIT = 2
 # An isolated run needs a worker without a start for this long before it ...
@@ -141,7 +140,7 @@
         )
         self._owner.commits.stage(job)
         crashes = task.crashes + task.unproven_crashes
-        if task.crashes >= limit or crashes >= MAX_CRASHES_WITH_UNPROVEN:
+        if task.crashes >= limit or crashes >= MAX_CRASHES:
             cause = f"{crashes} workers crashed after a start of task {task.name}"
             self._owner.fail_job(job, cause)
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/crashes_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/crashes_tests.py
@@ -7,7 +7,6 @@
     ISOLATION_S,
     MAX_CRASHES,
     MAX_CRASHES_LATER,
-    MAX_CRASHES_WITH_UNPROVEN,
     MAX_ISOLATED_SHARE,
     QUIET_S,
     RECENT_S,
@@ -115,14 +114,14 @@
         for name, start in self.each(rows):
             job = self.add_job(name, SPEC)
             task = job.occurrences[0][0].tasks[0]
-            for number in range(MAX_CRASHES_WITH_UNPROVEN):
+            for number in range(MAX_CRASHES):
                 self.assertEqual((task.crashes, task.unproven_crashes), (0, number))
                 self.assertFalse(job.has_failed)
                 worker = self.add_worker(f"x{number}")
                 start(job, worker)
                 self.owner.replace_worker(worker, "another incarnation")
             self.assertIs(job.state, JobState.FAILED)
-            self.assertIn(f"{MAX_CRASHES_WITH_UNPROVEN} workers crashed", job.cause)
+            self.assertIn(f"{MAX_CRASHES} workers crashed", job.cause)
 
     # Regression (LOST): the next incarnation had accepted the start, before its entry
     # came, so the run had never been on the one that crashed.
