--- a/packages/fulmarleverd/fulmarleverd/scheduling/crashes.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/crashes.py
@@ -187,8 +187,10 @@
 
 
 def _is_unanswered(run: Run) -> bool:
-    """Return whether a start was sent, perhaps by an earlier owner, without answer."""
-    return not run.has_begun and run.state is not RunState.PLANNED
+    """Return whether a start was sent that may have begun without an answer."""
+    if run.has_begun or run.state is RunState.PLANNED:
+        return False
+    return run.may_arrive_late or not run.is_refused
 
 
 def _is_long_at_work(run: Run, now_s: float) -> bool:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/runs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/runs.py
@@ -53,6 +53,7 @@
     last sample of a serving run's headroom; ``target_missed_since_s`` is when a serving
     run began to miss its latency target, 0 while it meets it.
 
+    ``is_refused`` tells whether the last start certainly did not reach the worker.
     ``may_arrive_late`` is set once a start got no answer: the worker may still carry it
     out. ``confirmed_at_s`` is when the worker accepted the last start or stop of the
     run; only a report requested later proves that the run is absent. It is infinite
@@ -80,6 +81,7 @@
         "last_progress_at_s",
         "speed",
         "may_arrive_late",
+        "is_refused",
         "confirmed_at_s",
     )
 
@@ -105,6 +107,7 @@
         self.last_progress_at_s = 0.0
         self.speed = 0.0
         self.may_arrive_late = False
+        self.is_refused = False
 
     def move_to_incarnation(self, worker_key: WorkerKey) -> None:
         """Assign the run to another incarnation of its worker.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
@@ -111,6 +111,7 @@
             worker = run.worker
             sent_s = self._owner.now_s()
             worker.lease_granted_at_s = max(worker.lease_granted_at_s, sent_s)
+            run.is_refused = False
             result = await self._calls.start(worker.entry, self._command(run, worker))
             self._on_start_answered(self._owner.now_s() - sent_s)
             STARTS.labels(_outcome(result)).inc()
@@ -150,8 +151,8 @@
         record_run("run-not-started", run, result.reason)
         if isinstance(result, Rejected):
             return self._process_rejection(run, worker, result)
-        if not isinstance(result, Unavailable):
-            run.may_arrive_late = True
+        run.is_refused = isinstance(result, Unavailable)
+        run.may_arrive_late |= not run.is_refused
         return False
 
     def _process_rejection(self, run: Run, worker: Worker, result: Rejected) -> bool:
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/crashes_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/crashes_tests.py
@@ -165,6 +165,17 @@
         self.owner.mark_unreachable(worker, "no answer")
         self.owner.expire_worker_lease(worker)
 
+    def test_a_refused_start_is_no_crash(self):
+        for name, may_arrive, expected in self.each((("", False, 0), ("t", True, 1))):
+            worker = self.add_worker(f"x{name}")
+            job = self.add_job(f"j{name}", SPEC)
+            run = self.start(job, worker)
+            run.state, run.has_begun = RunState.SENT, False
+            run.is_refused, run.may_arrive_late = True, may_arrive
+            self.owner.mark_unreachable(worker, "connection refused")
+            self.owner.replace_worker(worker, "another incarnation")
+            self.assertEqual(run.task.unproven_crashes, expected)
+
     def test_a_run_that_is_absent_from_a_later_answer_is_no_suspect(self):
         job = self.add_job("j", SPEC)
         self.send_without_answer(job, self.workers[0])
