--- a/packages/fulmarlever_standins/fulmarlever_standins/arguments.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/arguments.py
@@ -122,10 +122,10 @@
 @cappa.command(name="simulate", invoke=f"{COMMANDS}.simulate.run_simulation")
 @dataclass(slots=True)
 class SimulateArguments:
-    """Play random jobs and faults in virtual time and check the scheduler's promises.
+    """Play random jobs and faults in virtual time and check the invariants.
 
-    Seed 0 stands for a random first seed. A play that breaks a promise is shrunk and
-    written to a file in ``results``, which ``replay`` plays again.
+    Seed 0 stands for a random first seed. A play that violates an invariant is shrunk
+    and written to a file in ``results``, which ``replay`` plays again.
     """
 
     seed: Annotated[int, Long] = 0
--- a/packages/fulmarlever_standins/fulmarlever_standins/commands/simulate.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/commands/simulate.py
@@ -23,7 +23,7 @@
 
 
 def run_simulation(arguments: SimulateArguments) -> None:
-    """Play plans in several processes; exit 1 if one breaks a promise."""
+    """Play plans in several processes; exit 1 if one violates an invariant."""
     plans = list(_plans(arguments))
     pairs: Counter[tuple[str, str]] = Counter()
     broken = 0
@@ -36,7 +36,7 @@
                 smaller = pool.submit(_shrink, result.plan).result()
                 print(f"  replay file: {_save(smaller, arguments.results)}", flush=True)
     _print_pairs(pairs)
-    print(f"{broken} of {len(plans)} plays broke a promise")
+    print(f"{broken} of {len(plans)} plays violated an invariant")
     raise cappa.Exit(code=1 if broken else 0)
 
 
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/runner.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/runner.py
@@ -1,4 +1,4 @@
-"""Plays a plan on a simulated cluster and returns the violations of promises."""
+"""Plays a plan on a simulated cluster and returns the violations of invariants."""
 
 from __future__ import annotations
 
@@ -15,10 +15,10 @@
 from fulmarlever_standins.authority.virtual_time import run_virtual
 from fulmarlever_standins.authority.worker import RunKey, WorkerCore
 from fulmarlever_standins.simulation.faults import FAULTS, RESTART_S
+from fulmarlever_standins.simulation.invariants import END_CHECKS, START_CHECKS
 from fulmarlever_standins.simulation.jobs import draw_job
 from fulmarlever_standins.simulation.observed import CallerJob, Observed
 from fulmarlever_standins.simulation.plan import Plan, PlannedFault, PlannedJob
-from fulmarlever_standins.simulation.promises import END_CHECKS, START_CHECKS
 from fulmarleverd.scheduling.intake import JobStatus
 from fulmarleverd.scheduling.specs import StepSpec
 
@@ -44,7 +44,7 @@
 class Result:
     """The outcome of a play.
 
-    ``violations`` has a line for each broken promise, ``tasks_done`` counts the tasks
+    ``violations`` has a line for each broken invariant, ``tasks_done`` counts the tasks
     that ended as done, ``pairs`` how often each feature met each fault, and ``digest``
     identifies the order of all events.
     """
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/shrink.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/shrink.py
@@ -1,4 +1,4 @@
-"""Leaves out parts of a plan for as long as its play still breaks a promise."""
+"""Leaves out parts of a plan for as long as its play still violates an invariant."""
 
 from __future__ import annotations
 
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/simulation/runner_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/simulation/runner_tests.py
@@ -14,7 +14,7 @@
 SEEDS = range(1, 9)
 
 
-# Plans that once broke a promise; the first line of each file names the cause.
+# Plans that once violated an invariant; the first line of each file names the cause.
 PLANS = Path(__file__).parent / "plans"
 
 
@@ -22,7 +22,7 @@
     def setUp(self):
         log.remove()
 
-    def test_no_promise_is_broken(self):
+    def test_no_invariant_is_violated(self):
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 result = play(Plan.draw(seed, 8, 3, SECONDS))
