Start no runs in the zones that the operator has evacuated

Cause: the row evacuate/ZONE of the table op was read by nobody, so an evacuated zone got new runs like any other.

At a change, planned runs are dropped and starts without an answer are stopped, a gang as a whole; runs at work stay, also when they would be moved but no other zone can run them. A start is checked again after its commit and before each attempt.

Workers with coldLeftMs over 0 come after warm ones of equal cost. A malformed value counts as 0, as it was ignored before.

The watchers of the emulated daemons draw losses from generators of their own.

--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections import defaultdict
+from types import ModuleType
 
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable
 from fulmarlever_standins.authority.admission import (
@@ -22,6 +23,9 @@
 # TCP sends a lost packet again after this time, then after twice as long each time.
 RETRANSMISSION_S = 0.2
 
+# A generator of random numbers, or the module with the global one.
+Rng = random.Random | ModuleType
+
 
 class Network:
     """The connections of VMs to the store, the admission service and the workers.
@@ -70,9 +74,18 @@
         """Unblock all calls."""
         self.cuts.clear()
 
-    def client(self, vm: str, delay: SimulatedLoopDelay | None = None) -> NetworkClient:
-        """Return the HTTP client of a VM, by default one whose work takes no time."""
-        return NetworkClient(self, vm, delay or SimulatedLoopDelay(Processor()))
+    def client(
+        self,
+        vm: str,
+        delay: SimulatedLoopDelay | None = None,
+        rng: Rng = random,
+    ) -> NetworkClient:
+        """Return the HTTP client of a VM, by default one whose work takes no time.
+
+        Losses of its calls are drawn from ``rng``, by default the global generator.
+        """
+        delay = delay or SimulatedLoopDelay(Processor())
+        return NetworkClient(self, vm, delay, rng)
 
     async def call(
         self,
@@ -82,34 +95,35 @@
         path: str,
         body: dict | None,
         target: str,
+        rng: Rng = random,
     ) -> CallResult:
         """Make one call and return its result.
 
         ``target`` is the id of the worker that the caller means. A call that is blocked
-        or whose answer is lost never returns.
+        or whose answer is lost never returns. Losses are drawn from ``rng``.
         """
-        await self._transmit()
+        await self._transmit(rng)
         if (vm, address) in self.cuts or (
             address == STORE_ADDRESS and self.is_store_down
         ):
             await asyncio.Event().wait()
         if address == STORE_ADDRESS:
-            return await self._call_store(vm, method, path, body)
+            return await self._call_store(vm, method, path, body, rng)
         if address == ADMISSION_ADDRESS:
             return Response(*await self.admission.handle(body))
-        return await self._call_worker(address, path, body, target)
+        return await self._call_worker(address, path, body, target, rng)
 
-    async def _transmit(self) -> None:
+    async def _transmit(self, rng: Rng) -> None:
         """Wait until a request or an answer has crossed the network."""
         delay_s = ONE_WAY_LATENCY_S
         retransmission_s = RETRANSMISSION_S
-        while random.random() < self.loss:
+        while rng.random() < self.loss:
             delay_s += retransmission_s
             retransmission_s *= 2
         await asyncio.sleep(delay_s)
 
     async def _call_store(
-        self, vm: str, method: str, path: str, body: dict | None
+        self, vm: str, method: str, path: str, body: dict | None, rng: Rng
     ) -> CallResult:
         if vm in self.refused_vms:
             return Response(503, None)
@@ -124,7 +138,7 @@
         if is_write and self.lose_answers > 0:
             self.lose_answers -= 1
             await asyncio.Event().wait()
-        await self._transmit()
+        await self._transmit(rng)
         return Response(status, answer)
 
     async def _wait_for_partition(self, body: dict) -> None:
@@ -134,7 +148,7 @@
                 await asyncio.sleep(self.transaction_s)
 
     async def _call_worker(
-        self, address: str, path: str, body: dict, target: str
+        self, address: str, path: str, body: dict, target: str, rng: Rng
     ) -> CallResult:
         worker = self.workers.get(address)
         if worker is None:
@@ -146,7 +160,7 @@
         status, answer = await worker.handle(path, body, target)
         if self.workers.get(address) is not worker:
             return OutcomeUnknown("the worker crashed before it answered")
-        await self._transmit()
+        await self._transmit(rng)
         return Response(status, answer)
 
     def _run_later(self, work: object) -> None:
@@ -166,12 +180,15 @@
     limits exclude the wait for it if the delay of the event loop is measured.
     """
 
-    __slots__ = ("_network", "_vm", "_delay")
+    __slots__ = ("_network", "_vm", "_delay", "_rng")
 
-    def __init__(self, network: Network, vm: str, delay: SimulatedLoopDelay) -> None:
+    def __init__(
+        self, network: Network, vm: str, delay: SimulatedLoopDelay, rng: Rng = random
+    ) -> None:
         self._network = network
         self._vm = vm
         self._delay = delay
+        self._rng = rng
 
     async def call(
         self,
@@ -195,7 +212,7 @@
                 if excludes_delay:
                     limit.reschedule(asyncio.get_running_loop().time() + timeout_s)
                 answer = await self._network.call(
-                    self._vm, method, address, path, body, target
+                    self._vm, method, address, path, body, target, self._rng
                 )
                 if excludes_delay:
                     limit.reschedule(None)
--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/simulated_cluster.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/simulated_cluster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 from fulmarlever.outcomes import Failure
 from fulmarlever_standins.authority.admission import (
@@ -17,13 +18,16 @@
 from fulmarleverd.platform.admission import AuthorityAdmission
 from fulmarleverd.platform.formats import (
     CONFIG_KEY,
+    EVACUATION_PREFIX,
     OPERATOR_TABLE,
     WORKERS_TABLE,
     parse_config,
+    parse_evacuated_zone,
     parse_worker,
 )
 from fulmarleverd.platform.store import AuthorityStore
 from fulmarleverd.platform.workers import AuthorityWorkers
+from fulmarleverd.scheduling.config_watcher import ConfigWatcher
 from fulmarleverd.scheduling.intake import Intake, JobStatus
 from fulmarleverd.scheduling.lease import SchedulerLease
 from fulmarleverd.scheduling.owner_term import OwnerTerm
@@ -55,6 +59,7 @@
     config_key = CONFIG_KEY
     workers_table = WORKERS_TABLE
     parse_config = staticmethod(parse_config)
+    parse_evacuated_zone = staticmethod(parse_evacuated_zone)
     parse_worker = staticmethod(parse_worker)
 
     def __init__(self, network: Network, vm: str, bounds: Bounds, cores: float) -> None:
@@ -68,6 +73,18 @@
         self.admission = AuthorityAdmission(ADMISSION_ADDRESS, http)
 
 
+class WatcherPlatform(DaemonPlatform):
+    """The interfaces of the platform for the watcher of the operator's table.
+
+    Its calls take no processor time, and draw losses from a generator of their own, so
+    that they do not change what the scheduler draws under a seed.
+    """
+
+    def __init__(self, network: Network, vm: str) -> None:
+        http = network.client(vm, rng=random.Random(vm))
+        self.store = AuthorityStore(STORE_ADDRESS, http)
+
+
 class Daemon:
     """The scheduler of one daemon, without its HTTP server.
 
@@ -83,12 +100,16 @@
         self.intake = Intake(self.platform.store, self.clock)
         self.lease = SchedulerLease(self.platform.store, self.clock, vm)
         self.term: OwnerTerm | None = None
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self.watcher = ConfigWatcher(WatcherPlatform(cluster.network, vm), self.clock)
+        loop = asyncio.get_running_loop()
+        self._watch = loop.create_task(self.watcher.run())
+        self._task = loop.create_task(self._run())
 
     async def _run(self) -> None:
+        evacuated = self.watcher.evacuated
         while True:
             await self.lease.acquire()
-            self.term = OwnerTerm(self.platform, self.lease, self.clock)
+            self.term = OwnerTerm(self.platform, self.lease, self.clock, evacuated)
             await self.term.run()
 
     async def submit(
@@ -108,11 +129,12 @@
     def kill_nowait(self) -> None:
         """Crash the daemon, without a release of its lease and without waiting."""
         self._task.cancel()
+        self._watch.cancel()
 
     async def kill(self) -> None:
         """Crash the daemon, without a release of its lease, and wait for its end."""
         self.kill_nowait()
-        await asyncio.gather(self._task, return_exceptions=True)
+        await asyncio.gather(self._task, self._watch, return_exceptions=True)
 
 
 class SimulatedCluster:
@@ -138,13 +160,21 @@
         """Add workers named by a prefix and a number from 0, with their entries."""
         return [self.add_worker(f"{prefix}{number}") for number in range(count)]
 
-    def add_worker(self, worker_id: str, born: int = 1) -> WorkerCore:
+    def add_worker(self, worker_id: str, born: int = 1, zone: str = "z") -> WorkerCore:
         """Add one worker, or a new incarnation of one under the same id."""
-        worker = WorkerCore(worker_id, f"{worker_id}:1", "z", born)
+        worker = WorkerCore(worker_id, f"{worker_id}:1", zone, born)
         self.record.attach(worker)
         self.network.add_worker(worker)
         return worker
 
+    def evacuate(self, zone: str) -> None:
+        """Write the operator's row for a zone, acknowledged at once."""
+        self.network.store.put_json(OPERATOR_TABLE, EVACUATION_PREFIX + zone, {})
+
+    def restore(self, zone: str) -> None:
+        """Remove the operator's row that evacuates a zone."""
+        self.network.store.remove(OPERATOR_TABLE, EVACUATION_PREFIX + zone)
+
     def restart_worker(self, old: WorkerCore, entry_delay_s: float) -> WorkerCore:
         """Begin another incarnation of a worker under its id and address at once.
 
--- a/packages/fulmarleverd/fulmarleverd/platform/formats.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/formats.py
@@ -25,6 +25,7 @@
 
 OPERATOR_TABLE = "op"
 CONFIG_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
 WORKERS_TABLE = "servers"
 WORKER_STATES = ("ready", "draining")
 MAX_PAYLOAD_BYTES = 4000
@@ -85,6 +86,18 @@
     return ServiceSpec(service["name"], checks_capacity, service.get("healthPath", ""))
 
 
+def parse_evacuated_zone(key: str) -> str | None | Undecodable:
+    """Return the zone that a row of the operator's table evacuates.
+
+    Return ``None`` if the row is about something else. The value of the row does not
+    matter.
+    """
+    if not key.startswith(EVACUATION_PREFIX):
+        return None
+    zone = key.removeprefix(EVACUATION_PREFIX)
+    return zone or Undecodable(f"evacuation {key!r} names no zone")
+
+
 def parse_worker(row: StoredRow) -> WorkerEntry | Undecodable:
     """Decode a worker's entry; a malformed one is ``Undecodable``."""
     try:
@@ -114,9 +127,21 @@
         machine=str(data.get("machine", "")),
         is_draining=state == "draining",
         remaining_s=require_number(data.get("remainingMs", 0)) / 1000.0,
+        cold_left_s=_parse_cold_left_s(data.get("coldLeftMs")),
     )
 
 
+def _parse_cold_left_s(value: Any) -> float:
+    """Return how long a worker is slow; 0 if the field is missing or malformed.
+
+    The field only affects the order of workers, so a wrong one hides no worker.
+    """
+    try:
+        return require_number(value) / 1000.0
+    except FORMAT_ERRORS:
+        return 0.0
+
+
 def parse_job(job_id: str, raw: bytes) -> JobSpec | Refused:
     """Decode the body of a caller's submission.
 
--- a/packages/fulmarleverd/fulmarleverd/platform/interface.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/interface.py
@@ -11,6 +11,7 @@
     OPERATOR_TABLE,
     WORKERS_TABLE,
     parse_config,
+    parse_evacuated_zone,
     parse_worker,
 )
 from fulmarleverd.platform.http import HTTPClient
@@ -93,6 +94,10 @@
         """Decode the operator's configuration."""
         return parse_config(row)
 
+    def parse_evacuated_zone(self, key: str) -> str | None | Failure:
+        """Return the zone that a row of the operator's table evacuates, if any."""
+        return parse_evacuated_zone(key)
+
     def parse_worker(self, row: StoredRow) -> WorkerEntry | Failure:
         """Decode a worker's entry."""
         return parse_worker(row)
--- a/packages/fulmarleverd/fulmarleverd/platform/settings.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/settings.py
@@ -98,6 +98,7 @@
         early_s=_seconds(data, "early_ms", default.early_s),
         remote_factor=float(data.get("remoteFactor", default.remote_factor)),
         gang_wait_s=_seconds(data, "gangTimeoutMs", default.gang_wait_s),
+        evacuate_s=_seconds(data, "evacuateMs", default.evacuate_s),
     )
 
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/backlog.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/backlog.py
@@ -86,6 +86,7 @@
     def _record_load(self, waiting: list[Step]) -> None:
         owner = self._owner
         runs = [run for worker in owner.fleet for run in worker.runs.values()]
+        evacuated = [worker for worker in owner.fleet if worker.is_evacuated]
         best_effort = [run for run in runs if run.task.step.spec.is_best_effort]
         tasks: Counter[str] = Counter()
         for step in waiting:
@@ -103,6 +104,8 @@
             best_effort=_cores(worker.best_effort_cpu_m for worker in owner.fleet),
             best_effort_used=_cores(run.latency_ms_or_cpu_m for run in best_effort),
             runs=len(runs),
+            evacuated_workers=len(evacuated),
+            evacuated_runs=sum(len(worker.runs) for worker in evacuated),
             jobs=len(owner.jobs),
             waiting_tasks=tasks.total(),
             waiting_long_running=tasks["long-running"],
@@ -137,11 +140,11 @@
             obstacle = self._planner.find_obstacle(task, worker)
             if obstacle is not None:
                 obstacles[obstacle] += 1
-            if obstacle is not Obstacle.NO_STARTS:
+            if obstacle not in (Obstacle.NO_STARTS, Obstacle.EVACUATED):
                 free_m.append(worker.free_cpu_m())
         record(
             "step-waits",
-            f"mostly for {max(obstacles, key=obstacles.get)}" if obstacles else "",
+            f"mostly for {_main_obstacle(obstacles)}" if obstacles else "",
             job=step.job.id,
             step=step.name,
             kind=step.spec.kind,
@@ -168,6 +171,18 @@
         self.next_log_s = since_s + LONG_WAIT_S
 
 
+def _main_obstacle(obstacles: Counter[Obstacle]) -> Obstacle:
+    """Return the most frequent obstacle that may pass.
+
+    Workers without the label of the step will never run it, so they count only if there
+    are no others.
+    """
+    passing = {name: n for name, n in obstacles.items() if name is not Obstacle.LABEL}
+    if Obstacle.EVACUATED not in passing:
+        passing = obstacles
+    return max(passing, key=passing.get)
+
+
 def _cores(cpu_m: Iterable[float]) -> int:
     """Return the sum of thousandths of a core in whole cores."""
     return round(sum(cpu_m) / 1000.0)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/candidates.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/candidates.py
@@ -13,8 +13,9 @@
 
 # Returns the cost of one more task of a step on a worker, None if it may not run there.
 WorkerCost = Callable[[StepSpec, Worker], tuple | None]
-# Cost, index in the list of workers (breaks ties), worker.
-HeapEntry = tuple[tuple, int, Worker]
+# Cost, whether the worker is cold, index in the list of workers, worker. The two in the
+# middle break ties.
+HeapEntry = tuple[tuple, bool, int, Worker]
 
 
 class Candidates:
@@ -23,7 +24,8 @@
     All tasks of a step are identical, and assigning one changes the cost of its worker
     only. So the cost of each worker is computed once for the step and once more for
     each task assigned to it. Workers that accept no runs or face an obstacle are left
-    out. ``now_s`` is on the owner's clock.
+    out. Of workers with equal cost, those that are cold come last. ``now_s`` is on the
+    owner's clock.
 
     With a ``batch_size`` the workers are examined in batches until there is one
     candidate for each of ``wanted`` tasks, and again once no candidate is left. A batch
@@ -67,7 +69,7 @@
         if find_obstacle(self._step, worker) is not None:
             return None
         cost = self._cost(self._step.spec, worker)
-        return None if cost is None else (cost, index, worker)
+        return None if cost is None else (cost, worker.is_cold, index, worker)
 
     def place(
         self,
@@ -85,7 +87,7 @@
         found = None
         while found is None and (self._heap or self._examine_batch()):
             entry = heapq.heappop(self._heap)
-            worker_id = entry[2].id
+            worker_id = entry[3].id
             if worker_id in excluded or task.avoids(worker_id, self._now_s):
                 skipped.append(entry)
             else:
@@ -94,7 +96,7 @@
             heapq.heappush(self._heap, entry)
         if found is None:
             return None
-        _, index, worker = found
+        _, _, index, worker = found
         assign(task, worker)
         entry = self._heap_entry(worker, index)
         if entry is not None:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/config_watcher.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/config_watcher.py
@@ -1,4 +1,4 @@
-"""The operator's configuration that this daemon applies, followed in the store.
+"""The operator's configuration and evacuated zones, followed in the store.
 
 Ages are seconds on the boot clock, which includes time spent suspended.
 """
@@ -9,7 +9,8 @@
 
 from fulmarlever.clock import Clock
 from fulmarlever.outcomes import failed
-from fulmarleverd.scheduling.feeds import follow
+from fulmarleverd.scheduling.evacuated_zones import EvacuatedZones
+from fulmarleverd.scheduling.feeds import Batch, follow
 from fulmarleverd.scheduling.ports import Interface, StoredRow
 from fulmarleverd.scheduling.specs import SchedulingConfig
 
@@ -26,10 +27,15 @@
 
 
 class ConfigWatcher:
-    """Follows the configuration; its version never decreases while the daemon runs."""
+    """Follows the configuration; its version never decreases while the daemon runs.
+
+    ``evacuated`` are the zones that the operator has evacuated.
+    """
 
     def __init__(self, interface: Interface, clock: Clock) -> None:
         self.config = NO_CONFIG
+        self.evacuated = EvacuatedZones(clock)
+        self._unreadable_keys: set[str] = set()
         self._interface = interface
         self._clock = clock
         self._checked_at_s = float("-inf")
@@ -58,6 +64,24 @@
             for row in batch.rows:
                 if row.key == interface.config_key and not row.is_deleted:
                     self._apply(row)
+            self._apply_evacuations(batch)
+
+    def _apply_evacuations(self, batch: Batch) -> None:
+        """Update the evacuated zones by all rows of a batch at once."""
+        zones = set() if batch.is_snapshot else set(self.evacuated.zones)
+        for row in batch.rows:
+            zone = self._interface.parse_evacuated_zone(row.key)
+            if failed(zone):
+                if row.key not in self._unreadable_keys:
+                    self._unreadable_keys.add(row.key)
+                    log.bind(event="evacuation-unreadable").error(zone.reason)
+            elif zone is not None and row.is_deleted:
+                zones.discard(zone)
+            elif zone is not None:
+                zones.add(zone)
+        if zones != self.evacuated.zones:
+            log.bind(event="evacuations-known", zones=sorted(zones)).info("")
+        self.evacuated.update(zones, batch.requested_at_s)
 
     def _apply(self, row: StoredRow) -> None:
         cfg = self._interface.parse_config(row)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
@@ -72,7 +72,8 @@
     successful one; until ``single_run_until_s`` the worker gets one run at a time,
     until ``no_starts_until_s`` none. ``last_start_s`` is when it was last given a run,
     ``crash_suspects`` are the tasks that may have crashed it, while it is silent. A
-    draining worker stops at ``drain_until_s``.
+    draining worker stops at ``drain_until_s``. ``is_evacuated`` tells whether the
+    operator has evacuated the worker's zone: it gets no new runs.
 
     Speed: ``relative_speed`` is the speed of the worker's runs divided by the usual
     speed of their steps; ``is_slow`` is set while it is low. ``headroom_by_image`` is
@@ -115,6 +116,7 @@
         "drain_until_s",
         "reserved_for",
         "examined_at_s",
+        "is_evacuated",
     )
 
     def __init__(self, entry: WorkerEntry) -> None:
@@ -150,6 +152,7 @@
         self.drain_until_s = 0.0
         self.reserved_for: Step | None = None
         self.examined_at_s = 0.0
+        self.is_evacuated = False
 
     @property
     def id(self) -> str:
@@ -166,10 +169,16 @@
         """Return the label of the worker's rack: its last label, or ``""``."""
         return self.entry.labels[-1] if self.entry.labels else ""
 
+    @property
+    def is_cold(self) -> bool:
+        """Return whether the worker is slow for a while, as it has just come back."""
+        return self.entry.cold_left_s > 0.0
+
     def accepts_runs(self, now_s: float) -> bool:
         """Return whether new runs may be assigned to the worker."""
         return (
             self.is_reconciled
+            and not self.is_evacuated
             and self.is_listed
             and self.is_reachable
             and not self.entry.is_draining
@@ -280,11 +289,15 @@
 
 
 class Fleet:
-    """The known workers, each incarnation of a worker id by itself."""
+    """The known workers, each incarnation of a worker id by itself.
+
+    ``evacuated_zones`` are the zones whose workers get no new runs.
+    """
 
-    __slots__ = ("_workers", "_clock")
+    __slots__ = ("evacuated_zones", "_workers", "_clock")
 
     def __init__(self, clock: Clock) -> None:
+        self.evacuated_zones: frozenset[str] = frozenset()
         self._workers: dict[WorkerKey, Worker] = {}
         self._clock = clock
 
@@ -309,10 +322,22 @@
         if worker is None:
             worker = self._workers[key] = Worker(entry)
         worker.entry = entry
+        worker.is_evacuated = entry.zone in self.evacuated_zones
         worker.is_listed = True
         worker.unlisted_since_s = 0.0
         return worker
 
+    def set_evacuated_zones(self, zones: frozenset[str]) -> None:
+        """Keep new runs from the workers of these zones, and from no others.
+
+        What is reserved on these workers is released.
+        """
+        self.evacuated_zones = zones
+        for worker in self:
+            worker.is_evacuated = worker.entry.zone in zones
+            if worker.is_evacuated:
+                worker.reserved_for = None
+
     def remove(self, worker: Worker) -> None:
         """Remove a worker; other incarnations of its id stay."""
         self._workers.pop(worker.key, None)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
@@ -130,7 +130,7 @@
 
     def _count_workers(self) -> None:
         states = Counter(_state(worker) for worker in self._owner.fleet)
-        for state in ("ready", "draining", "unreachable", "unlisted"):
+        for state in ("ready", "evacuated", "draining", "unreachable", "unlisted"):
             WORKERS.labels(state).set(states[state])
 
 
@@ -139,4 +139,6 @@
         return "unlisted"
     if not worker.is_reachable:
         return "unreachable"
-    return "draining" if worker.entry.is_draining else "ready"
+    if worker.entry.is_draining:
+        return "draining"
+    return "evacuated" if worker.is_evacuated else "ready"
--- a/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
@@ -176,7 +176,8 @@
         """Stop tasks that have been paused for too long, to run them elsewhere."""
         for run in list(best_effort_runs(worker)):
             is_paused = run.speed_limit_percent == PAUSED_SPEED_PERCENT
-            if is_paused and now_s - run.paused_at_s > MAX_PAUSE_S:
+            is_long_paused = is_paused and now_s - run.paused_at_s > MAX_PAUSE_S
+            if is_long_paused and self._owner.may_move(run):
                 self._owner.stop_run(run, "paused for too long")
 
     def _limit_speed(
--- a/packages/fulmarleverd/fulmarleverd/scheduling/metrics.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/metrics.py
@@ -42,6 +42,11 @@
 )
 JOBS_OPEN = Gauge("fulmarlever_jobs_open", "Accepted jobs that have not ended.")
 WORKERS = Gauge("fulmarlever_workers", "Workers by state.", ["state"])
+EVACUATED_RUNS = Gauge(
+    "fulmarlever_evacuated_zone_runs",
+    "Runs in progress on the workers of a zone that is evacuated.",
+    ["zone"],
+)
 LEASE_HELD = Gauge("fulmarlever_lease_held", "Whether this daemon schedules.")
 LOOP_DELAY_SECONDS = Gauge(
     "fulmarlever_event_loop_delay_seconds",
--- a/packages/fulmarleverd/fulmarleverd/scheduling/obstacles.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/obstacles.py
@@ -17,8 +17,9 @@
 
     ``NO_STARTS`` means that the worker accepts no runs now, ``RESERVED`` that it is
     reserved for another step, ``ANTI_AFFINITY`` that it has the most runs of the step
-    allowed, ``AVOIDED`` that the task avoids it, and ``PLACEMENT`` that the placement
-    policy forbids it. The values are log field names, after the prefix ``workers_``.
+    allowed, ``AVOIDED`` that the task avoids it, ``PLACEMENT`` that the placement
+    policy forbids it, and ``EVACUATED`` that the operator has evacuated its zone. The
+    values are log field names, after the prefix ``workers_``.
     """
 
     NO_STARTS = "no_starts"
@@ -31,6 +32,7 @@
     AVOIDED = "avoided"
     TICKET = "ticket"
     PLACEMENT = "placement"
+    EVACUATED = "evacuated"
 
 
 def min_free_cpu_m(spec: StepSpec) -> float:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -23,6 +23,7 @@
 from fulmarleverd.scheduling.lease import SchedulerLease
 from fulmarleverd.scheduling.lease_ends import LeaseEnds
 from fulmarleverd.scheduling.metrics import FIRST_START_SECONDS, JOBS_OPEN
+from fulmarleverd.scheduling.obstacles import find_constraint_obstacle
 from fulmarleverd.scheduling.progress_rows import StoredProgress, restore_progress
 from fulmarleverd.scheduling.rows import JobRow, UnresponsiveWorker
 from fulmarleverd.scheduling.runs import Run, RunState, WorkerKey
@@ -37,6 +38,8 @@
 # difference between the clocks of two VMs.
 MAX_RESTORED_AGE_S = 60.0
 NO_PROGRESS = StoredProgress()
+# Why a run is withdrawn from a worker.
+ZONE_EVACUATED = "its zone is evacuated"
 # A job whose occurrences have been due for long opens more of them only as its waiting
 # tasks get runs, so that its memory and the time of a plan are bounded.
 MAX_WAITING_TASKS = 1000
@@ -257,6 +260,19 @@
             record_run("run-stop", run, reason)
             self.commands.send_stop(run)
 
+    def may_move(self, run: Run) -> bool:
+        """Return whether a run may be stopped so that its task starts again elsewhere.
+
+        A run in an evacuated zone stays if that zone alone has workers for it, as its
+        task would have to wait until the zone is restored.
+        """
+        if run.worker is None or not run.worker.is_evacuated:
+            return True
+        step = run.task.step
+        service = step.job.queue.service
+        accepting = self.fleet.workers_accepting_runs(service, self.now_s())
+        return any(find_constraint_obstacle(step, other) is None for other in accepting)
+
     def request_copy(self, run: Run, reason: str) -> bool:
         """Request a second run of the task of a run that may be lost or slow.
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
@@ -13,13 +13,15 @@
 from fulmarleverd.scheduling.backlog import Backlog
 from fulmarleverd.scheduling.commits import CommitQueue
 from fulmarleverd.scheduling.decisions import record
+from fulmarleverd.scheduling.evacuated_zones import EvacuatedZones
+from fulmarleverd.scheduling.evacuation import Evacuation
 from fulmarleverd.scheduling.fair_shares import FairShares
 from fulmarleverd.scheduling.feeds import Batch, follow, read_all
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.housekeeping import TICK_S, Housekeeping
 from fulmarleverd.scheduling.interference import InterferenceGuard
 from fulmarleverd.scheduling.lease import SchedulerLease
-from fulmarleverd.scheduling.metrics import LEASE_HELD
+from fulmarleverd.scheduling.metrics import EVACUATED_RUNS, LEASE_HELD
 from fulmarleverd.scheduling.overload import OverloadPublisher
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.planner import Planner
@@ -54,7 +56,11 @@
     """
 
     def __init__(
-        self, interface: Interface, lease: SchedulerLease, clock: Clock
+        self,
+        interface: Interface,
+        lease: SchedulerLease,
+        clock: Clock,
+        evacuated: EvacuatedZones,
     ) -> None:
         self._interface = interface
         self._clock = clock
@@ -84,6 +90,9 @@
         )
         self._housekeeping = Housekeeping(self.owner, self._guard.model)
         self._fair_shares = FairShares(self.owner, self._planner)
+        self._evacuation = Evacuation(self.owner, evacuated)
+        # Nothing is planned or preempted before the evacuated zones are known.
+        self._is_planning = False
         self._overload = OverloadPublisher(self.owner, self._start_rate)
         self._backlog = Backlog(
             self.owner, self._planner, self._start_rate, interface.loop_delay
@@ -103,6 +112,7 @@
             recover.cancel()
         finally:
             LEASE_HELD.set(0)
+            EVACUATED_RUNS.clear()
             self.owner.commands.close()
             for task in self._tasks:
                 task.cancel()
@@ -152,6 +162,9 @@
         self._spawn(self._run_housekeeping())
         self._spawn(self._follow_workers())
         await self._has_workers.wait()
+        await self._evacuation.prepare()
+        self._is_planning = True
+        self._spawn(self._evacuation.run())
         self._spawn(self._run_planner())
         self._spawn(self._tickets.run())
         record(
@@ -249,7 +262,9 @@
         while True:
             await asyncio.sleep(TICK_S)
             self._housekeeping.tick()
-            self._fair_shares.tick()
+            if self._is_planning:
+                self._fair_shares.tick()
+                self._evacuation.update_gauge()
             self._overload.tick()
             self._backlog.tick()
             # Workers accept runs again and jobs become late merely as time passes.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -142,6 +142,8 @@
     def find_constraint_obstacle(self, task: Task, worker: Worker) -> Obstacle | None:
         """Return why a worker with enough capacity may not run a waiting task."""
         step = task.step
+        if worker.is_evacuated:
+            return find_constraint_obstacle(step, worker) or Obstacle.EVACUATED
         if not worker.accepts_runs(self._owner.now_s()):
             return Obstacle.NO_STARTS
         if task.avoids(worker.id, self._owner.now_s()):
--- a/packages/fulmarleverd/fulmarleverd/scheduling/ports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/ports.py
@@ -328,5 +328,11 @@
     def parse_config(self, row: StoredRow) -> SchedulingConfig | Failure:
         """Decode the operator's configuration."""
 
+    def parse_evacuated_zone(self, key: str) -> str | None | Failure:
+        """Return the zone that a row of the configuration's table evacuates.
+
+        ``None`` means that the row is about something else.
+        """
+
     def parse_worker(self, row: StoredRow) -> WorkerEntry | Failure:
         """Decode a worker's entry."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from fulmarleverd.scheduling.decisions import record, record_run
 from fulmarleverd.scheduling.fleet import Worker
@@ -59,16 +59,19 @@
             if run.state is RunState.RUNNING:
                 self._update_progress(worker, run, now)
         self._classify_speed(worker, now)
-        for run in list(self._stalled(worker, now)):
+        for run in self._movable(self._stalled(worker, now)):
             self._stop_stalled(worker, run, now)
-        for run in list(self._far_behind(worker)):
+        for run in self._movable(self._far_behind(worker)):
             run.task.lost_when_behind_s += now - run.started_s if run.started_s else 0.0
             run.task.avoid(worker.id, now)
             self._move(run, "far behind its estimate")
         if worker.is_slow:
-            for run in list(self._faster_elsewhere(worker)):
+            for run in self._movable(self._faster_elsewhere(worker)):
                 self._move(run, "its worker is slow")
 
+    def _movable(self, runs: Iterable[Run]) -> list[Run]:
+        return [run for run in list(runs) if self._owner.may_move(run)]
+
     def _move(self, run: Run, reason: str) -> None:
         """Start a copy of a run elsewhere if its step allows copies, else stop it."""
         if not self._owner.request_copy(run, reason):
--- a/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
@@ -193,7 +193,8 @@
     ``incarnation`` identifies one process of the worker from start to end; it differs
     between two processes under the same id. ``cpu_m``, ``memory_mb`` and ``gpus`` are
     its capacity; the last label names its rack. ``remaining_s`` is the least time that
-    a draining worker still runs.
+    a draining worker still runs. A worker is slow for ``cold_left_s`` more after it has
+    come back, 0 at other times.
     """
 
     id: str
@@ -208,6 +209,7 @@
     machine: str = ""
     is_draining: bool = False
     remaining_s: float = 0.0
+    cold_left_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -217,7 +219,9 @@
     ``worker_lease_s`` is the longest lease of the tasks on a worker. ``status_kept_s``
     is how long the status of an ended job is kept, ``harm_s`` how long a serving task
     may miss its latency target before that counts as harm, and ``grace_s`` how long a
-    terminated daemon may still run. The other limits are read, but not used.
+    terminated daemon may still run. ``evacuate_s`` is the time from the operator's
+    request to evacuate a zone after which no run begins there. The other limits are
+    read, but not used.
     """
 
     worker_lease_s: float = 10.0
@@ -231,6 +235,7 @@
     early_s: float = 0.25
     remote_factor: float = 2.0
     gang_wait_s: float = 3.0
+    evacuate_s: float = 5.0
 
 
 # Assumed for a VM whose settings do not tell the bandwidth of its link.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
@@ -14,7 +14,7 @@
 from fulmarleverd.scheduling.decisions import record, record_run
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.metrics import STARTS
-from fulmarleverd.scheduling.owner import Owner
+from fulmarleverd.scheduling.owner import ZONE_EVACUATED, Owner
 from fulmarleverd.scheduling.ports import (
     REJECT_CAPACITY,
     REJECT_INCARNATION,
@@ -92,13 +92,16 @@
     def send_start(self, run: Run) -> None:
         """Send the start of a planned run; its assignment must be committed.
 
-        The run is dropped if its job has ended.
+        The run is dropped if its job has ended or its worker's zone is evacuated.
         """
         if run.state is not RunState.PLANNED or not run.is_active:
             return
         if run.task.step.job.is_final:
             self._owner.drop_run(run, "its job has ended before the start")
             return
+        if run.worker.is_evacuated:
+            self._owner.drop_run(run, ZONE_EVACUATED)
+            return
         run.state = RunState.SENT
         run.sent_s = self._owner.now_s()
         self._spawn(self._start(run))
@@ -124,6 +127,9 @@
         """Wait until a start may be sent; return False if it is no longer needed."""
         lease = self._owner.lease
         while run.state is RunState.SENT and run.is_active:
+            if run.worker.is_evacuated:
+                self._prevent_start(run, ZONE_EVACUATED)
+                return False
             if lease.is_valid and lease.may_grant_lease(run.worker.key):
                 return True
             if lease.is_valid and not run.worker.is_reachable:
--- a/packages/fulmarleverd/fulmarleverd/services/scheduler.py
+++ b/packages/fulmarleverd/fulmarleverd/services/scheduler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from fulmarleverd.kernel import SERVICES, Kernel, Service
+from fulmarleverd.scheduling.evacuated_zones import EvacuatedZones
 from fulmarleverd.scheduling.lease import SchedulerLease
 from fulmarleverd.scheduling.owner_term import OwnerTerm
 from fulmarleverd.scheduling.ports import Interface
@@ -24,12 +25,13 @@
         self.lease = SchedulerLease(
             interface.store, self.clock, self.settings.vm, self.settings.cores
         )
-        self.spawn(self._compete(interface), "scheduler")
+        evacuated = self.kernel.find("queues").config_watcher.evacuated
+        self.spawn(self._compete(interface, evacuated), "scheduler")
 
-    async def _compete(self, interface: Interface) -> None:
+    async def _compete(self, interface: Interface, evacuated: EvacuatedZones) -> None:
         while True:
             await self.lease.acquire()
-            await OwnerTerm(interface, self.lease, self.clock).run()
+            await OwnerTerm(interface, self.lease, self.clock, evacuated).run()
 
     async def drain(self) -> None:
         """Stop scheduling and release the lease for another daemon."""
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/formats_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/formats_tests.py
@@ -9,7 +9,12 @@
 
 from fulmarlever.outcomes import failed
 from fulmarlever.tests.base import TableTestCase
-from fulmarleverd.platform.formats import parse_config, parse_job, parse_worker
+from fulmarleverd.platform.formats import (
+    parse_config,
+    parse_evacuated_zone,
+    parse_job,
+    parse_worker,
+)
 from fulmarleverd.scheduling.ports import StoredRow
 
 ENTRY = {
@@ -136,6 +141,31 @@
         parse_config(row(value))
         parse_job("0" * 16, json.dumps(value).encode())
 
+    def test_a_worker_may_be_slow_for_a_while(self):
+        rows = (
+            ("slow", {"coldLeftMs": 2500}, 2.5),
+            ("no longer", {"coldLeftMs": 0}, 0.0),
+            ("not told", {}, 0.0),
+            *((f"{n!r:.9}", {"coldLeftMs": n}, 0.0) for n in INVALID_NUMBERS),
+        )
+        for _, fields, expected in self.each(rows):
+            entry = parse_worker(row({**ENTRY, **fields}))
+            self.assertEqual(entry.cold_left_s, expected)
+
+
+class EvacuationTests(TableTestCase):
+    def test_the_key_names_the_zone(self):
+        rows = (
+            ("a zone", "evacuate/z-1", "z-1"),
+            ("a zone with a slash", "evacuate/a/b", "a/b"),
+            ("the configuration", "config", None),
+            ("no slash", "evacuate", None),
+            ("another prefix", "evacuated/z", None),
+        )
+        for _, key, expected in self.each(rows):
+            self.assertEqual(parse_evacuated_zone(key), expected)
+        self.assertTrue(failed(parse_evacuated_zone("evacuate/")))
+
 
 class ConfigTests(TableTestCase):
     def test_the_queue_with_the_longest_path_prefix_is_found(self):
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/base.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/base.py
@@ -98,8 +98,8 @@
         self, name: str, incarnation: str = "1", **options: object
     ) -> Worker:
         defaults = {"cpu_m": 32000, "memory_mb": 100000, "labels": ("a", "r1")}
-        fields = {**defaults, **options}
-        entry = WorkerEntry(name, incarnation, "desk", f"{name}:1", "z", **fields)
+        fields = {"zone": "z", **defaults, **options}
+        entry = WorkerEntry(name, incarnation, "desk", f"{name}:1", **fields)
         worker = self.owner.add_worker(entry)
         worker.is_reconciled = worker.is_reachable = True
         return worker
