Keep runs whose worker is not known in their order

Cause: Owner.orphans was a set of runs, which hash by memory address. Its order decides which of their tasks waits first and so where each task starts.

The fault that some of the orders find is not mended by this.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/incarnations.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/incarnations.py
@@ -33,7 +33,7 @@
         """Assign the runs to a worker that were left to its incarnation."""
         owner = self._owner
         for run in [run for run in owner.orphans if run.worker_key == worker.key]:
-            owner.orphans.discard(run)
+            del owner.orphans[run]
             worker.add(run)
             if run.task.step.job.is_final:
                 owner.stop_run(run, "its job ended before its worker was known")
@@ -66,7 +66,7 @@
                 owner.fleet.remove(other)
         for run in list(owner.orphans):
             if run.worker_key.id == worker.id and run.worker_key != worker.key:
-                owner.orphans.discard(run)
+                del owner.orphans[run]
                 self._move(run, worker)
 
     def _move(self, run: Run, worker: Worker) -> None:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -47,9 +47,10 @@
 
     ``jobs`` are the open jobs by id. ``ended_jobs`` maps the ids of ended jobs to the
     end's time in seconds on the clock of the leases. ``orphans`` are runs whose worker
-    is not known yet. ``requested_copies`` holds the tasks that need a second run, in
-    the order of the requests. ``changed`` is set when the planner has to run again, and
-    ``on_worker_added`` is called with each new incarnation of a worker.
+    is not known yet, in the order in which they were found. ``requested_copies`` holds
+    the tasks that need a second run, in the order of the requests. ``changed`` is set
+    when the planner has to run again, and ``on_worker_added`` is called with each new
+    incarnation of a worker.
     """
 
     def __init__(
@@ -62,7 +63,9 @@
         self.fleet = Fleet(clock)
         self.jobs: dict[str, Job] = {}
         self.ended_jobs: dict[str, float] = {}
-        self.orphans: set[Run] = set()
+        # Not a set, whose order would depend on memory addresses: the order decides
+        # which of their tasks is started first.
+        self.orphans: dict[Run, None] = {}
         self.requested_copies: dict[Task, None] = {}
         self.size_classes = SizeClasses()
         self.commands: WorkerCommands | None = None
@@ -153,7 +156,7 @@
         """Add a run to its worker, or to the orphans until its worker is known."""
         worker = self.fleet.find(run.worker_key)
         if worker is None:
-            self.orphans.add(run)
+            self.orphans[run] = None
         else:
             worker.add(run)
 
@@ -238,7 +241,7 @@
             task.step.job.interrupted_runs += 1
         if run.worker is not None:
             run.worker.remove(run)
-        self.orphans.discard(run)
+        self.orphans.pop(run, None)
         task.step.refresh(task)
         record_run("run-dropped", run, reason)
         if not task.step.job.is_final:
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/lease_ends_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/lease_ends_tests.py
@@ -61,7 +61,7 @@
     def test_unknown_workers_with_runs_are_listed(self):
         job = self.add_job("j", STEP)
         job.occurrences[0][0].tasks[0].add_run(WorkerKey("gone", "1"))
-        self.owner.orphans.update(job.runs())
+        self.owner.orphans.update(dict.fromkeys(job.runs()))
         self.assertAlmostEqual(
             self.seconds_left()["gone"], EXTENSIONS_END_S + MAX_LEASE_S
         )
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/next_incarnation_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/next_incarnation_tests.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fulmarleverd.scheduling.runs import RunState
+from fulmarleverd.scheduling.runs import RunState, WorkerKey
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
@@ -41,7 +41,7 @@
         run = self.start(self.add_job("j", STEP), worker)
         worker.remove(run)
         run.worker = None
-        self.owner.orphans.add(run)
+        self.owner.orphans[run] = None
         self.owner.cancel_job("j")
         self.assertEqual(self.commands.stops, [])
         next_incarnation = self.add_worker("w3", incarnation="2")
@@ -49,6 +49,19 @@
         self.report(next_incarnation)
         self.assertEqual(self.commands.stops, [run])
 
+    # Regression: the order of a set, by memory addresses, decided which task was
+    # started first, so a play of the simulation could not be repeated.
+    def test_runs_whose_worker_is_not_known_keep_their_order(self):
+        job = self.add_job("j", StepSpec(count=40, cpu_m=100))
+        tasks = job.occurrences[0][0].tasks
+        runs = [task.add_run(WorkerKey("w3", "1")) for task in tasks]
+        # Neither the order of their addresses nor its reverse.
+        runs = runs[20:] + runs[:20]
+        for run in runs:
+            self.owner._attach_run(run)
+        worker = self.add_worker("w3")
+        self.assertEqual(list(worker.runs.values()), runs)
+
     # Regression (TWICE): an entry by another writer removed the live incarnation.
     def test_an_entry_replaces_no_incarnation_before_it_answers(self):
         worker = self.workers[0]
