Record the run times of whole, undisturbed runs

Only runs whose time at work is certain may change estimates, or overload would make them longer. A run counts if this owner knows when it was accepted and it was neither resumed, limited, short of cores, sent twice nor stopped; if its worker is of usual speed; and if the report of its end was requested soon enough. Its time is taken on the worker's clock, from the accepted start to the report of the end: on the owner's clock, an owner that is late would measure its own delay. On a worker a little slower than others the time is multiplied by the relative speed.

Ruled out: scaling the times of best-effort runs by their share of the cores, as reports show it at moments only.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
@@ -6,7 +6,7 @@
 
 from fulmarlever.clock import Clock
 from fulmarleverd.scheduling.ports import WorkerReport
-from fulmarleverd.scheduling.runs import Run, WorkerKey
+from fulmarleverd.scheduling.runs import FULL_PERCENT, Run, WorkerKey
 from fulmarleverd.scheduling.specs import StepSpec, WorkerEntry
 from fulmarleverd.scheduling.tasks import Step, Task
 
@@ -66,13 +66,13 @@
     Lease and health: ``is_listed`` tells whether the platform lists the worker,
     ``unlisted_since_s`` since when it does not. A report sets ``is_reachable``; a call
     without an answer clears it and sets ``is_unresponsive``, until the next report. So
-    neither is set before the first call. ``first_answer_s`` is the time of the first
-    report to this owner, ``lease_granted_at_s`` that of the last call that could
-    extend the worker's lease. ``failures`` counts the failed runs since the last
-    successful one; until ``single_run_until_s`` the worker gets one run at a time,
-    until ``no_starts_until_s`` none. ``last_start_s`` is when it was last given a run,
-    ``crash_suspects`` are the tasks that may have crashed it, while it is silent. A
-    draining worker stops at ``drain_until_s``.
+    neither is set before the first call. ``first_answer_s`` and ``last_report_s`` are
+    the times of the first and the last report to this owner, ``lease_granted_at_s``
+    that of the last call that could extend the worker's lease. ``failures`` counts the
+    failed runs since the last successful one; until ``single_run_until_s`` the worker
+    gets one run at a time, until ``no_starts_until_s`` none. ``last_start_s`` is when
+    it was last given a run, ``crash_suspects`` are the tasks that may have crashed it,
+    while it is silent. A draining worker stops at ``drain_until_s``.
 
     Speed: ``relative_speed`` is the speed of the worker's runs divided by the usual
     speed of their steps; ``is_slow`` is set while it is low. ``headroom_by_image`` is
@@ -95,6 +95,7 @@
         "is_reachable",
         "is_unresponsive",
         "first_answer_s",
+        "last_report_s",
         "clock_ms",
         "clock_read_s",
         "lease_granted_at_s",
@@ -130,6 +131,7 @@
         self.is_reachable = False
         self.is_unresponsive = False
         self.first_answer_s = 0.0
+        self.last_report_s = 0.0
         self.clock_ms = 0
         self.clock_read_s = 0.0
         self.lease_granted_at_s = 0.0
@@ -222,6 +224,7 @@
         """Record a run's speed limit, 0 to 100, and count its cores in proportion."""
         change = percent - run.speed_limit_percent
         run.speed_limit_percent = percent
+        run.was_limited |= percent < FULL_PERCENT
         if (run.task.name, run.number) in self.runs:
             self._count_best_effort(run, change)
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
@@ -9,6 +9,7 @@
 from fulmarleverd.scheduling.metrics import ENDS
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.ports import EndedTask, RunningTask, WorkerReport
+from fulmarleverd.scheduling.run_times.whole_runs import lacks_cores, whole_run_s
 from fulmarleverd.scheduling.runs import Run, RunState
 from fulmarleverd.scheduling.tasks import Task
 
@@ -47,7 +48,8 @@
         worker.is_unresponsive = False
         self._owner.crashes.record_answer(worker)
         worker.first_answer_s = worker.first_answer_s or now
-        self._process_ends(worker, report)
+        self._process_ends(worker, report, requested_at_s)
+        worker.last_report_s = now
         running = {(item.task, item.run): item for item in report.running}
         for key, item in running.items():
             self._update_running(worker, key, item)
@@ -83,13 +85,18 @@
         else:
             self._owner.drop_run(run, "its worker no longer has it")
 
-    def _process_ends(self, worker: Worker, report: WorkerReport) -> None:
+    def _process_ends(
+        self, worker: Worker, report: WorkerReport, requested_at_s: float
+    ) -> None:
         """Process the ends that no earlier report showed."""
+        gap_s = float("inf")
+        if worker.last_report_s and report.clock_ms:
+            gap_s = requested_at_s - worker.last_report_s
         previous = worker.last_end_seen
         for ended in report.ended:
             if ended.number > worker.last_end_seen:
                 worker.last_end_seen = ended.number
-                self._process_end(worker, ended)
+                self._process_end(worker, ended, gap_s)
         if worker.last_end_seen > previous:
             number = worker.last_end_seen
             self._owner.commits.after_commit(
@@ -97,7 +104,12 @@
             )
             self._owner.changed.set()
 
-    def _process_end(self, worker: Worker, ended: EndedTask) -> None:
+    def _process_end(self, worker: Worker, ended: EndedTask, gap_s: float) -> None:
+        """Process the end of a run.
+
+        ``gap_s`` is how long no report had been requested from the worker before,
+        infinite if this is not known.
+        """
         run = worker.runs.get((ended.task, ended.run))
         ENDS.labels(ended.outcome).inc()
         if run is None:
@@ -110,6 +122,7 @@
             task.checkpoint = ended.checkpoint
         record_run("run-ended", run, ended.outcome, number=ended.number)
         if ended.outcome == END_DONE and not task.step.spec.is_long_running:
+            self._record_run_time(worker, run, gap_s)
             self._handle_done(worker, run)
         elif ended.outcome == END_FAILED:
             self._handle_failed(worker, task)
@@ -127,6 +140,11 @@
             how=ended.outcome,
         )
 
+    def _record_run_time(self, worker: Worker, run: Run, gap_s: float) -> None:
+        if run.state is RunState.RUNNING:
+            seconds = whole_run_s(run, worker, gap_s)
+            self._owner.run_times.record_end(run.task.step, seconds)
+
     def _handle_done(self, worker: Worker, run: Run) -> None:
         """Mark the task of a run as done, or all tasks of its gang; stop copies."""
         task = run.task
@@ -166,6 +184,7 @@
         run.has_begun = True
         run.progress_percent = item.progress_percent
         run.latency_ms_or_cpu_m = item.latency_ms_or_cpu_m
+        run.was_limited |= lacks_cores(run)
         if item.checkpoint:
             run.task.checkpoint = item.checkpoint
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/runs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/runs.py
@@ -40,10 +40,13 @@
     100 once it has started up. ``last_progress_percent`` is the value at its last
     increase, at ``last_progress_at_s``. ``speed`` is the share of the run's work done
     per second, 0 while it is not known. ``sent_s`` is when this owner sent the start, 0
-    for a run of an earlier owner; an ``is_isolated`` run was started apart from others,
-    as its task may crash workers. ``speed_limit_percent`` is the share of its full
-    speed that the run may use, 0 to pause it; ``is_speed_limit_known`` is false for a
-    run that an earlier owner may have limited.
+    for a run of an earlier owner; ``accepted_clock_ms`` is the worker's own clock when
+    it accepted the start, 0 if this owner does not know it. An ``is_isolated`` run was
+    started apart from others, as its task may crash workers. ``speed_limit_percent`` is
+    the share of its full speed that the run may use, 0 to pause it;
+    ``is_speed_limit_known`` is false for a run that an earlier owner may have limited.
+    ``was_limited`` tells whether the run ever had a lower limit than its full speed or,
+    if it is best-effort, was reported without all its cores.
 
     ``has_begun`` is set once this incarnation of the worker has accepted or reported
     the run; until then the start may not have reached it.
@@ -68,11 +71,13 @@
         "state",
         "sent_s",
         "started_s",
+        "accepted_clock_ms",
         "is_isolated",
         "has_begun",
         "progress_percent",
         "latency_ms_or_cpu_m",
         "speed_limit_percent",
+        "was_limited",
         "is_speed_limit_known",
         "paused_at_s",
         "headroom_sample",
@@ -93,12 +98,14 @@
         self.state = RunState.PLANNED
         self.sent_s = 0.0
         self.started_s = 0.0
+        self.accepted_clock_ms = 0
         self.is_isolated = False
         self.has_begun = False
         self.confirmed_at_s = 0.0
         self.progress_percent = 0.0
         self.latency_ms_or_cpu_m = 0.0
         self.speed_limit_percent = 100
+        self.was_limited = False
         self.is_speed_limit_known = True
         self.paused_at_s = 0.0
         self.headroom_sample: HeadroomSample | None = None
@@ -116,6 +123,7 @@
         """
         self.worker_key = worker_key
         self.has_begun = False
+        self.accepted_clock_ms = 0
         self.progress_percent = self.latency_ms_or_cpu_m = 0.0
         self.speed_limit_percent = 100
         self.headroom_sample = None
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
@@ -143,6 +143,7 @@
             run.has_begun = worker.has_expected_clock(result.clock_ms, now)
             worker.record_clock(result.clock_ms, now)
             run.started_s = now
+            run.accepted_clock_ms = result.clock_ms if run.has_begun else 0
             if run.state is RunState.SENT:
                 run.state = RunState.RUNNING
                 run.confirmed_at_s = now
