Tell a long step from a slow worker by learned run times

A run was far behind if it took eight times the declared time, so tasks of a queue whose declared times are a tenth of the actual ones were moved in vain. The usual time is now the learned one. A step is long if runs of different tasks on two workers of usual speed show it, or, for its own estimate alone, if the runs of other steps on its worker are not slow. A worker on which more of the other steps are slow than not shows nothing.

One task that was moved between workers is no evidence: it may have met two slow workers (test_moves_lose_a_small_share_of_the_time_of_a_slow_task).

--- a/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
@@ -11,6 +11,8 @@
 from fulmarleverd.scheduling.decisions import record, record_run
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.owner import Owner
+from fulmarleverd.scheduling.run_times.run_times import samples_of
+from fulmarleverd.scheduling.run_times.whole_runs import is_usual_speed
 from fulmarleverd.scheduling.runs import FULL_PERCENT, Run, RunState
 from fulmarleverd.scheduling.tasks import Step
 
@@ -44,6 +46,8 @@
 # A wrong estimate is wrong on every worker and must not make a task move for ever. So a
 # run stays if its task has lost more than this share of its remaining time by moves.
 MAX_LOST_SHARE = 1.0 / 8.0
+# A step is long, or its worker slow, if it takes this many times the expected time.
+LONG_FACTOR = 1.6
 
 
 class ProgressMonitor:
@@ -108,6 +112,42 @@
                 relative_speed - worker.relative_speed
             )
         step.add_speed_sample(speed)
+        if step.speed_samples >= MIN_STEP_SAMPLES:
+            self._record_evidence(worker, run)
+
+    def _record_evidence(self, worker: Worker, run: Run) -> None:
+        """Record the duration of a step at its measured speed, and where it was seen.
+
+        A worker that seems to be slow shows nothing about the step.
+        """
+        step = run.task.step
+        samples = samples_of(step)
+        samples.progress_s = 1.0 / step.speed
+        if worker.id in samples.workers or not is_usual_speed(worker):
+            return
+        slow, normal = 0, 1
+        if samples.progress_s > LONG_FACTOR * self._expected_s(step):
+            slow, normal = self._count_other_steps(worker, step)
+        if slow <= normal:
+            samples.record_worker(worker.id, run.task.index, normal > 0)
+
+    def _count_other_steps(self, worker: Worker, step: Step) -> tuple[int, int]:
+        """Return how many other steps are slow on a worker, and how many are not."""
+        is_slow: dict[Step, bool] = {}
+        for run in worker.runs.values():
+            other = run.task.step
+            expected_s = self._expected_s(other) if run.speed else 0.0
+            if other is not step and expected_s:
+                duration_s = _cores_share(run) / run.speed
+                is_slow[other] = duration_s > LONG_FACTOR * expected_s
+        slow = sum(is_slow.values())
+        return slow, len(is_slow) - slow
+
+    def _expected_s(self, step: Step) -> float:
+        """Return the expected seconds of a task, without what its own runs show."""
+        return self._owner.run_times.expected_step_s(
+            step.job.queue.name, step.number, step.spec
+        )
 
     def _classify_speed(self, worker: Worker, now_s: float) -> None:
         """Mark a worker as slow or normal; a slow one gets no starts for a while."""
@@ -159,16 +199,33 @@
                 continue
             if not run.speed or run.speed_limit_percent < FULL_PERCENT:
                 continue
-            usual_duration_s = _usual_duration_s(step)
+            remaining_share = 1.0 - run.progress_percent / FULL_PERCENT
+            if remaining_share / run.speed <= FAR_BEHIND_S:
+                continue
+            usual_duration_s = self._usual_duration_s(step)
             limit_s = max(
-                FAR_BEHIND_S,
                 FAR_BEHIND_FACTOR * usual_duration_s / _cores_share(run),
                 run.task.lost_when_behind_s / MAX_LOST_SHARE,
             )
-            remaining_share = 1.0 - run.progress_percent / FULL_PERCENT
             if usual_duration_s and remaining_share / run.speed > limit_s:
                 yield run
 
+    def _usual_duration_s(self, step: Step) -> float:
+        """Return the usual duration of a task of a step, in seconds.
+
+        This is the lesser of the expected time and the duration at the measured speed,
+        since all runs of a step may be slow; 0 if neither is known. A step that takes
+        as long on several workers of usual speed is long.
+        """
+        expected_s = self._expected_s(step)
+        if step.speed_samples < MIN_STEP_SAMPLES or not step.speed:
+            return expected_s
+        measured_s = 1.0 / step.speed
+        is_long = step.samples is not None and step.samples.is_seen_elsewhere
+        if is_long or not expected_s:
+            return measured_s
+        return min(expected_s, measured_s)
+
     def _faster_elsewhere(self, worker: Worker) -> Iterator[Run]:
         """Yield the runs that would end sooner on a worker of normal speed."""
         for run in worker.runs.values():
@@ -190,15 +247,3 @@
     if not spec.is_best_effort or not spec.cpu_m:
         return 1.0
     return max(MIN_CORES_SHARE, min(1.0, run.latency_ms_or_cpu_m / spec.cpu_m))
-
-
-def _usual_duration_s(step: Step) -> float:
-    """Return the usual duration of a task of a step, in seconds.
-
-    This is the lesser of the estimate and the duration at the measured speed, since all
-    runs of a step may be slow; 0 if neither is known.
-    """
-    durations_s = [step.spec.estimate_s] if step.spec.estimate_s else []
-    if step.speed_samples >= MIN_STEP_SAMPLES and step.speed:
-        durations_s.append(1.0 / step.speed)
-    return min(durations_s, default=0.0)
