Keep learned run times across a change of owner and show them

The owner writes them to the row run-times of the table summary every 4 s if they changed, at most a fourth of the largest row, the steps with most runs first. A new owner reads the row; one that is malformed or of another version is logged as learned-unread, and the declared times apply. The log event run-times and two gauges show declared and actual times by queue and step.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/metrics.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/metrics.py
@@ -37,6 +37,16 @@
     "Time from the acceptance of a job to its first running task.",
     buckets=LATENCY_BUCKETS_S,
 )
+RUN_TIME_RATIO = Gauge(
+    "fulmarlever_run_time_ratio",
+    "Median ratio of actual to declared run time.",
+    ["queue", "step"],
+)
+RUN_TIME_SECONDS = Gauge(
+    "fulmarlever_run_time_seconds",
+    "Run time of a task: mean of the declared ones, median of the actual ones.",
+    ["source", "queue", "step"],
+)
 WAITING_TASKS = Gauge(
     "fulmarlever_waiting_tasks", "Tasks that wait for a worker.", ["kind"]
 )
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
@@ -32,10 +32,13 @@
     INTERFERENCE_KEY,
     JOBS_TABLE,
     PROGRESS_TABLE,
+    RUN_TIMES_KEY,
     SUMMARY_TABLE,
     unpack_interference,
     unpack_job,
+    unpack_run_times,
 )
+from fulmarleverd.scheduling.run_times_publisher import RunTimesPublisher
 from fulmarleverd.scheduling.start_rate import StartRate
 from fulmarleverd.scheduling.tickets import TicketRequester
 from fulmarleverd.scheduling.worker_commands import WorkerCommands
@@ -85,6 +88,7 @@
         self._housekeeping = Housekeeping(self.owner, self._guard.model)
         self._fair_shares = FairShares(self.owner, self._planner)
         self._overload = OverloadPublisher(self.owner, self._start_rate)
+        self._run_times = RunTimesPublisher(self.owner, settings.row_bytes)
         self._backlog = Backlog(
             self.owner, self._planner, self._start_rate, interface.loop_delay
         )
@@ -144,6 +148,7 @@
         """Load the state that earlier owners committed, then start all other tasks."""
         progress = await self._load_progress()
         await self._load_interference()
+        await self._load_run_times()
         # Load jobs before workers: the report of an ended run is ignored if the run is
         # not known.
         self._spawn(self._follow_jobs(progress))
@@ -174,19 +179,32 @@
 
         Without them, the model starts from its defaults.
         """
-        rows = await self._interface.store.read(
-            SUMMARY_TABLE, INTERFERENCE_KEY, INTERFERENCE_KEY + "\0"
-        )
-        if failed(rows):
-            log.bind(event="learned-unread").warning(rows.reason)
-            return
-        for row in rows.rows:
+        for row in await self._read_learned(INTERFERENCE_KEY):
             interference = unpack_interference(row)
             if failed(interference):
                 log.bind(event="learned-unread").warning(interference.reason)
             else:
                 self._guard.model.load_data(interference)
 
+    async def _load_run_times(self) -> None:
+        """Load the run times that an earlier owner learned, if any.
+
+        Without them, the declared times are used until runs have ended.
+        """
+        for row in await self._read_learned(RUN_TIMES_KEY):
+            data = unpack_run_times(row)
+            error = data if failed(data) else self.owner.run_times.load_data(data)
+            if failed(error):
+                log.bind(event="learned-unread").warning(error.reason)
+
+    async def _read_learned(self, key: str) -> tuple[StoredRow, ...]:
+        """Return the row of a key that an earlier owner wrote, if it can be read."""
+        rows = await self._interface.store.read(SUMMARY_TABLE, key, key + "\0")
+        if failed(rows):
+            log.bind(event="learned-unread").warning(rows.reason)
+            return ()
+        return rows.rows
+
     async def _follow_workers(self) -> None:
         store = self._interface.store
         table = self._interface.workers_table
@@ -251,6 +269,7 @@
             self._housekeeping.tick()
             self._fair_shares.tick()
             self._overload.tick()
+            self._run_times.tick()
             self._backlog.tick()
             # Workers accept runs again and jobs become late merely as time passes.
             self.owner.changed.set()
