Document learned run times and bound the labels of their metrics

A run counts if the gap before the request of its end's report is at most 0.1 s, and a declared time as right within 0.1 s: with 0.05 s, short runs on a busy worker would not have counted, as each end is committed before the next request.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/run_times/learned_times.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/run_times/learned_times.py
@@ -22,7 +22,7 @@
 # The second tolerance covers the delay with which the ends of short runs are seen.
 MIN_RIGHT_SHARE = 0.9
 TOLERANCE = 0.3
-TOLERANCE_S = 0.05
+TOLERANCE_S = 0.1
 # Before the first run the declared time counts as right in this many runs; this fades
 # until the second number of runs is reached. Half of this let two long runs among the
 # first twelve put right declared times aside.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/run_times/whole_runs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/run_times/whole_runs.py
@@ -10,7 +10,7 @@
 
 # A run may have ended while no report was requested from its worker, which is later
 # than its time at work by up to that gap.
-MAX_GAP_S = 0.05
+MAX_GAP_S = 0.1
 MAX_GAP_SHARE = 0.1
 # A worker below the first relative speed is disturbed. Below the second one the time
 # of its runs is multiplied by its relative speed, above it the difference is noise.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/run_times_publisher.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/run_times_publisher.py
@@ -30,6 +30,7 @@
         self._stored_at_s = self._logged_at_s = owner.now_s()
         # Samples by queue and number of the step when they were logged.
         self._logged_samples: dict[tuple[str, int], int] = {}
+        self._labels: set[tuple[str, str]] = set()
 
     def tick(self) -> None:
         """Do what is due now."""
@@ -51,11 +52,18 @@
             self._owner.commits.stage_row(row)
 
     def _set_metrics(self) -> None:
+        labels: set[tuple[str, str]] = set()
         for queue, number, learned in self._owner.run_times.entries():
-            labels = (queue, str(number))
-            RUN_TIME_RATIO.labels(*labels).set(learned.median_ratio)
-            RUN_TIME_SECONDS.labels("declared", *labels).set(learned.declared_s)
-            RUN_TIME_SECONDS.labels("median", *labels).set(learned.median_s)
+            labels.add(item := (queue, str(number)))
+            RUN_TIME_RATIO.labels(*item).set(learned.median_ratio)
+            RUN_TIME_SECONDS.labels("declared", *item).set(learned.declared_s)
+            RUN_TIME_SECONDS.labels("median", *item).set(learned.median_s)
+        # Queues that made way for others would add labels without bound.
+        for item in self._labels - labels:
+            RUN_TIME_RATIO.remove(*item)
+            RUN_TIME_SECONDS.remove("declared", *item)
+            RUN_TIME_SECONDS.remove("median", *item)
+        self._labels = labels
 
     def _log(self) -> None:
         """Log the entries that have new samples."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
@@ -67,9 +67,9 @@
 
     Jobs that are submitted to ``host`` under ``path_prefix`` belong to the queue and
     run on workers of ``service``. A job fails once one of its tasks has failed
-    ``max_attempts`` times. It should complete within ``stretch`` times the estimate of
-    its longest chain of steps plus ``target_latency_s``. ``timeout_s`` limits a request
-    to the queue.
+    ``max_attempts`` times. It should complete within ``stretch`` times the expected
+    time of its longest chain of steps plus ``target_latency_s``. ``timeout_s`` limits a
+    request to the queue.
 
     With ``needs_ticket`` an admission service decides which workers may run a step. A
     decision takes ``decision_s`` and ``decision_per_worker_s`` for each worker in the
