Bound declared times and stored errors in learned run times

A caller may declare up to 10^10 s; the mean would then exceed what from_data accepts, so that no owner could read the row. Ratios and means now take declared times within 1 ms and 10^6 s, and stored errors within those that can be learned.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/run_times/learned_times.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/run_times/learned_times.py
@@ -45,6 +45,11 @@
 # of a long history, and after each of the first ones.
 MAX_REFRESH_SAMPLES = 16
 MAX_SAMPLES = 1_000_000
+# Declared times are taken to lie within these, as callers may declare any.
+MIN_DECLARED_S = 0.001
+MAX_DECLARED_S = 1e6
+# No sum of samples is larger.
+MAX_SUM = 1e6
 ROUND_DIGITS = 4
 
 
@@ -104,6 +109,7 @@
         self, declared_s: float, seconds: float, own: tuple[float, int] = (0.0, 0)
     ) -> None:
         """Add a run; ``own`` is what the other runs of its step had shown before."""
+        declared_s = _bounded(declared_s)
         self._record_errors(declared_s, seconds, own)
         self.samples = min(MAX_SAMPLES, self.samples + 1)
         if self._time_histogram is None:
@@ -203,6 +209,7 @@
         """
         if not self.times_ms:
             return declared_s
+        declared_s = _bounded(declared_s)
         if declared_s and not own[1]:
             return self._factor * declared_s**self._exponent
         total = weights = 0.0
@@ -261,7 +268,8 @@
         if not 0 < learned.samples <= MAX_SAMPLES:
             raise ValueError("number of samples out of range")
         for name, value in zip(SUMS, sums, strict=True):
-            if not 0.0 <= float(value) < math.inf:
+            limit = MAX_ERROR if name.endswith("_error") else MAX_SUM
+            if not 0.0 <= float(value) <= limit:
                 raise ValueError(f"{name} out of range")
             setattr(learned, name, float(value))
         learned.ratios = _checked(ratios, MAX_RATIO) if ratios else ()
@@ -285,6 +293,13 @@
     return abs(seconds - declared_s) <= max(TOLERANCE * declared_s, TOLERANCE_S)
 
 
+def _bounded(declared_s: float) -> float:
+    """Return a declared time within its bounds, 0 if none was declared."""
+    if not declared_s:
+        return 0.0
+    return max(MIN_DECLARED_S, min(MAX_DECLARED_S, declared_s))
+
+
 def _error(estimate_s: float, seconds: float) -> float:
     return min(MAX_ERROR, abs(math.log(estimate_s / seconds)))
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/run_times/properties_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/run_times/properties_tests.py
@@ -64,6 +64,21 @@
             self.assertTrue(math.isfinite(estimate))
             self.assertGreater(estimate, 0.0)
 
+    # Guards against an owner that fails, or whose row no other can read, because a
+    # caller declares the smallest or the largest number.
+    @given(
+        st.sampled_from((5e-324, 1e-300, 1e-9, 1e9, 1e15, 1e300)),
+        SAMPLES,
+        st.booleans(),
+    )
+    def test_extreme_declared_times_do_no_harm(self, declared_s, samples, is_first):
+        extreme = [(declared_s, 1.0)] * 20
+        run_times = learn(extreme + samples if is_first else samples + extreme)
+        for step in (make_step(declared_s), make_step(1.0)):
+            estimate_s = reloaded(run_times).expected_s(step)
+            self.assertTrue(0.0 < estimate_s < math.inf)
+            self.assertEqual(estimate_s, run_times.expected_s(step))
+
     # Guards against samples of clocks that jump.
     @given(st.sampled_from((0.0, -1.0, math.inf, -math.inf, math.nan, 1e-9)))
     def test_impossible_times_are_ignored(self, seconds):
@@ -176,6 +191,7 @@
             ("no sums", [1, [[*entry[:3], [], *entry[4:]]]]),
             ("negative sum", [1, [[*entry[:3], [-1.0] * 6, *entry[4:]]]]),
             ("sum is not a number", [1, [[*entry[:3], [math.nan] * 6, *entry[4:]]]]),
+            ("huge error", [1, [[*entry[:3], [1.0] * 3 + [1e154] * 3, *entry[4:]]]]),
             ("few quantiles", [1, [[*entry[:4], entry[4][:2], entry[5]]]]),
             ("falling quantiles", [1, [[*entry[:5], entry[5][::-1][:-1] + [1]]]]),
             ("zero quantile", [1, [[*entry[:5], [0] * len(PERCENTILES)]]]),
