--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -26,6 +26,7 @@
 from fulmarleverd.scheduling.obstacles import find_constraint_obstacle
 from fulmarleverd.scheduling.progress_rows import StoredProgress, restore_progress
 from fulmarleverd.scheduling.rows import JobRow, UnresponsiveWorker
+from fulmarleverd.scheduling.run_times import RunTimes
 from fulmarleverd.scheduling.runs import Run, RunState, WorkerKey
 from fulmarleverd.scheduling.size_classes import SizeClasses
 from fulmarleverd.scheduling.specs import Bounds, WorkerEntry
@@ -51,9 +52,9 @@
     ``jobs`` are the open jobs by id. ``ended_jobs`` maps the ids of ended jobs to the
     end's time in seconds on the clock of the leases. ``orphans`` are runs whose worker
     is not known yet, in the order in which they were found. ``requested_copies`` holds
-    the tasks that need a second run, in the order of the requests. ``changed`` is set
-    when the planner has to run again, and ``on_worker_added`` is called with each new
-    incarnation of a worker.
+    the tasks that need a second run, in the order of the requests. ``run_times`` are
+    the expected run times of tasks. ``changed`` is set when the planner has to run
+    again, and ``on_worker_added`` is called with each new incarnation of a worker.
     """
 
     def __init__(
@@ -70,7 +71,8 @@
         # which of their tasks is started first.
         self.orphans: dict[Run, None] = {}
         self.requested_copies: dict[Task, None] = {}
-        self.size_classes = SizeClasses()
+        self.run_times = RunTimes()
+        self.size_classes = SizeClasses(self.run_times)
         self.commands: WorkerCommands | None = None
         self.changed = asyncio.Event()
         self.on_worker_added: Callable[[Worker], None] = lambda worker: None
