Start suspects only on workers that have just answered

Cause: of the four, two were starts sent to workers that had crashed unnoticed before. One was the first start, one a run that ended while there was no owner.

Ruled out: refused starts (counted for nothing), the number of the limit: a task that crashes its workers while owners die needs the limit of five.

Change: before a suspect is started, its worker is asked for a report; without one the run is dropped and was never sent. A run whose start waits for the lease or for this answer is no suspect either.

The new test failed before.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/runs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/runs.py
@@ -53,11 +53,11 @@
     last sample of a serving run's headroom; ``target_missed_since_s`` is when a serving
     run began to miss its latency target, 0 while it meets it.
 
-    ``is_refused`` tells whether the last start certainly did not reach the worker.
-    ``may_arrive_late`` is set once a start got no answer: the worker may still carry it
-    out. ``confirmed_at_s`` is when the worker accepted the last start or stop of the
-    run; only a report requested later proves that the run is absent. It is infinite
-    until a stop is accepted.
+    ``is_refused`` tells whether the last start certainly did not reach the worker, or
+    none was sent yet. ``may_arrive_late`` is set once a start got no answer: the worker
+    may still carry it out. ``confirmed_at_s`` is when the worker accepted the last
+    start or stop of the run; only a report requested later proves that the run is
+    absent. It is infinite until a stop is accepted.
     """
 
     __slots__ = (
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
@@ -12,7 +12,7 @@
 
 from fulmarlever.outcomes import Unavailable
 from fulmarleverd.scheduling.decisions import record, record_run
-from fulmarleverd.scheduling.fleet import Worker
+from fulmarleverd.scheduling.fleet import Worker, is_other_incarnation
 from fulmarleverd.scheduling.metrics import STARTS
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.ports import (
@@ -29,6 +29,7 @@
     CommandResult,
     Rejected,
     WorkerCalls,
+    WorkerReport,
 )
 from fulmarleverd.scheduling.runs import Run, RunState
 
@@ -100,16 +101,19 @@
             self._owner.drop_run(run, "its job has ended before the start")
             return
         run.state = RunState.SENT
-        run.sent_s = self._owner.now_s()
+        run.is_refused = True
         self._spawn(self._start(run))
 
     async def _start(self, run: Run) -> None:
         """Send a start until its result is known or all attempts have failed."""
+        if run.task.is_crash_suspect and not await self._is_worker_answering(run):
+            return
         for _ in range(MAX_START_ATTEMPTS):
             if not await self._may_start(run):
                 return
             worker = run.worker
             sent_s = self._owner.now_s()
+            run.sent_s = run.sent_s or sent_s
             worker.lease_granted_at_s = max(worker.lease_granted_at_s, sent_s)
             run.is_refused = False
             result = await self._calls.start(worker.entry, self._command(run, worker))
@@ -120,6 +124,35 @@
             await asyncio.sleep(RETRY_S)
         self._give_up(run, run.worker)
 
+    async def _is_worker_answering(self, run: Run) -> bool:
+        """Return whether the worker of a run answers now; drop the run if it does not.
+
+        A worker that crashed some time ago, unnoticed, would look as if the run had
+        crashed it.
+        """
+        if not await self._may_start(run):
+            return False
+        owner = self._owner
+        worker = run.worker
+        report = await self._calls.extend_lease(
+            worker.entry, owner.lease.token, 0, worker.last_end_committed, 0.0
+        )
+        if run.state is not RunState.SENT or not run.is_active:
+            return False
+        if isinstance(report, WorkerReport):
+            if not is_other_incarnation(worker, report):
+                worker.record_clock(report.clock_ms, owner.now_s())
+                return True
+            self._prevent_start(run, REJECT_INCARNATION)
+            owner.incarnations.add_answering(worker, report.incarnation)
+            return False
+        self._prevent_start(run, report.reason)
+        if not isinstance(report, Rejected):
+            owner.mark_unreachable(worker, report.reason)
+        elif report.reason == REJECT_INCARNATION:
+            owner.replace_worker(worker, report.reason)
+        return False
+
     async def _may_start(self, run: Run) -> bool:
         """Wait until a start may be sent; return False if it is no longer needed."""
         lease = self._owner.lease
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/base.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/base.py
@@ -47,6 +47,9 @@
 class ValidLease:
     """A fake lease that stays valid, after an owner without unresponsive workers."""
 
+    is_valid = True
+    token = 1
+
     def __init__(self):
         self.earlier_extensions_end_s = 0.0
         self.earlier_lease_ends_s: dict = {}
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/crashes_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/crashes_tests.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+
+from fulmarlever.outcomes import OutcomeUnknown, Unavailable
 from fulmarleverd.scheduling.crashes import (
     CRASHES_KEPT_S,
     ISOLATION_S,
@@ -13,10 +16,17 @@
 )
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.planner import Planner
-from fulmarleverd.scheduling.ports import Accepted
+from fulmarleverd.scheduling.ports import (
+    REJECT_INCARNATION,
+    REJECT_TOKEN,
+    Accepted,
+    Command,
+    Rejected,
+    WorkerReport,
+)
 from fulmarleverd.scheduling.progress_rows import pack_progress, restore_progress
-from fulmarleverd.scheduling.runs import RunState
-from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.scheduling.runs import Run, RunState
+from fulmarleverd.scheduling.specs import StepSpec, WorkerEntry
 from fulmarleverd.scheduling.tasks import Job, JobState
 from fulmarleverd.scheduling.worker_commands import WorkerCommands
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
@@ -25,6 +35,21 @@
 LONG_RUNNING = StepSpec(count=2, cpu_m=1000, is_long_running=True)
 
 
+class AnsweringCalls:
+    """Calls to workers that all get the same report and accept each start."""
+
+    def __init__(self, report: object) -> None:
+        self.report = report
+        self.starts: list[Command] = []
+
+    async def extend_lease(self, *args: object) -> object:
+        return self.report
+
+    async def start(self, entry: WorkerEntry, command: Command) -> Accepted:
+        self.starts.append(command)
+        return Accepted(1000)
+
+
 class CrashTrackerTests(OwnerTestCase):
     def crash(self, worker: Worker) -> None:
         """Let a worker answer, fall silent and have restarted 3 s later."""
@@ -148,6 +173,39 @@
             crashes = (run.task.crashes, run.task.unproven_crashes)
             self.assertEqual(crashes, (1, 0) if expected else (0, 1))
 
+    # Regression (LOST): five starts in a row were sent to workers that had crashed
+    # before, which looked like five crashes under the task.
+    def test_a_suspect_is_not_started_on_a_worker_that_does_not_answer(self):
+        report = WorkerReport(1000, "1", (), ())
+        other = WorkerReport(1000, "2", (), ())
+        rows = (
+            ("no suspect", 0, OutcomeUnknown("no answer"), True),
+            ("answers", 1, report, True),
+            ("no answer", 1, OutcomeUnknown("no answer"), False),
+            ("refused", 1, Unavailable("connection refused"), False),
+            ("another worker", 1, Rejected(REJECT_INCARNATION, 0), False),
+            ("another incarnation", 1, other, False),
+            ("rejected", 1, Rejected(REJECT_TOKEN, 0), False),
+        )
+        for name, suspicions, answer, expected in self.each(rows):
+            worker = self.add_worker(name)
+            job = self.add_job(name, SPEC)
+            task = job.occurrences[0][0].tasks[0]
+            task.unproven_crashes = suspicions
+            run = self.owner.assign(task, worker)
+            calls = AnsweringCalls(answer)
+            asyncio.run(self.send(run, calls))
+            self.assertEqual(bool(calls.starts), expected)
+            self.assertEqual(run.is_active, expected)
+            self.owner.replace_worker(worker, "another incarnation")
+            crashes = (task.crashes, task.unproven_crashes)
+            self.assertEqual(crashes, (int(expected), suspicions))
+
+    async def send(self, run: Run, calls: AnsweringCalls) -> None:
+        commands = WorkerCommands(self.owner, calls)
+        commands.send_start(run)
+        await asyncio.gather(*commands._tasks)
+
     def send_without_answer(self, job: Job, worker: Worker) -> None:
         run = self.start(job, worker)
         run.state, run.has_begun, run.started_s = RunState.SENT, False, 0.0
