Start on slow workers what would wait otherwise

Shown in the emulator only: a worker that was slow for some seconds, with a long-running task on it, gets no starts for 18 s, also of tasks that no other worker can run.

Cause: each report renews the pause of a slow worker, and its speed recovers by 2 % a report, as no new run measures it.

Ruled out by reading: the other causes of no starts last 6 s at most without new events, for a worker that answers.

Change: a slow worker accepts, after all others, long-running tasks and one task of a job that has had no run for 1.5 s. Plans without slow workers are the same.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/candidates.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/candidates.py
@@ -23,14 +23,23 @@
     All tasks of a step are identical, and assigning one changes the cost of its worker
     only. So the cost of each worker is computed once for the step and once more for
     each task assigned to it. Workers that accept no runs or face an obstacle are left
-    out. ``now_s`` is on the owner's clock.
+    out. ``now_s`` is on the owner's clock. With ``may_be_slow`` slow workers are taken,
+    too, after all others.
 
     With a ``batch_size`` the workers are examined in batches until there is one
     candidate for each of ``wanted`` tasks, and again once no candidate is left. A batch
     without a candidate ends the search.
     """
 
-    __slots__ = ("_step", "_cost", "_now_s", "_heap", "_unseen", "_batch_size")
+    __slots__ = (
+        "_step",
+        "_cost",
+        "_now_s",
+        "_heap",
+        "_unseen",
+        "_batch_size",
+        "_may_be_slow",
+    )
 
     def __init__(
         self,
@@ -40,6 +49,7 @@
         now_s: float,
         batch_size: int | None = None,
         wanted: int = 1,
+        may_be_slow: bool = False,
     ) -> None:
         self._step = step
         self._cost = cost
@@ -47,6 +57,7 @@
         self._heap: list[HeapEntry] = []
         self._unseen = iter(enumerate(workers))
         self._batch_size = batch_size
+        self._may_be_slow = may_be_slow
         while self._examine_batch() and len(self._heap) < wanted:
             pass
 
@@ -62,12 +73,14 @@
         return bool(found)
 
     def _heap_entry(self, worker: Worker, index: int) -> HeapEntry | None:
-        if not worker.accepts_runs(self._now_s):
+        if not worker.accepts_runs(self._now_s, self._may_be_slow):
             return None
         if find_obstacle(self._step, worker) is not None:
             return None
         cost = self._cost(self._step.spec, worker)
-        return None if cost is None else (cost, index, worker)
+        if cost is None:
+            return None
+        return ((worker.is_slow_at(self._now_s), *cost), index, worker)
 
     def place(
         self,
--- a/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
@@ -75,7 +75,8 @@
     draining worker stops at ``drain_until_s``.
 
     Speed: ``relative_speed`` is the speed of the worker's runs divided by the usual
-    speed of their steps; ``is_slow`` is set while it is low. ``headroom_by_image`` is
+    speed of their steps; ``is_slow`` is set while it is low, and until ``slow_until_s``
+    the worker gets only tasks that would wait otherwise. ``headroom_by_image`` is
     the lowest headroom of each serving image, ``target_missed_since_s`` since when a
     serving run misses its latency target, and ``speed_limits_effective_at_s`` when
     reports show the effect of the last change of a speed limit. The interference and
@@ -112,6 +113,7 @@
         "target_missed_since_s",
         "relative_speed",
         "is_slow",
+        "slow_until_s",
         "drain_until_s",
         "reserved_for",
         "examined_at_s",
@@ -147,6 +149,7 @@
         self.target_missed_since_s = 0.0
         self.relative_speed = 1.0
         self.is_slow = False
+        self.slow_until_s = 0.0
         self.drain_until_s = 0.0
         self.reserved_for: Step | None = None
         self.examined_at_s = 0.0
@@ -166,17 +169,25 @@
         """Return the label of the worker's rack: its last label, or ``""``."""
         return self.entry.labels[-1] if self.entry.labels else ""
 
-    def accepts_runs(self, now_s: float) -> bool:
-        """Return whether new runs may be assigned to the worker."""
+    def accepts_runs(self, now_s: float, may_be_slow: bool = False) -> bool:
+        """Return whether new runs may be assigned to the worker.
+
+        A slow worker accepts only runs of tasks that may run on slow workers.
+        """
         return (
             self.is_reconciled
             and self.is_listed
             and self.is_reachable
             and not self.entry.is_draining
             and now_s >= self.no_starts_until_s
+            and (may_be_slow or not self.is_slow_at(now_s))
             and not (now_s < self.single_run_until_s and self.runs)
         )
 
+    def is_slow_at(self, now_s: float) -> bool:
+        """Return whether the worker was found slow shortly before a time."""
+        return now_s < self.slow_until_s
+
     def free_cpu_m(self) -> int:
         """Return the thousandths of a core that are not reserved."""
         return self.entry.cpu_m - self.reserved_cpu_m
@@ -317,12 +328,15 @@
         """Remove a worker; other incarnations of its id stay."""
         self._workers.pop(worker.key, None)
 
-    def workers_accepting_runs(self, service: str, now_s: float) -> list[Worker]:
+    def workers_accepting_runs(
+        self, service: str, now_s: float, may_be_slow: bool = False
+    ) -> list[Worker]:
         """Return the workers of a service that accept runs at a time."""
         return [
             worker
             for worker in self
-            if worker.entry.service == service and worker.accepts_runs(now_s)
+            if worker.entry.service == service
+            and worker.accepts_runs(now_s, may_be_slow)
         ]
 
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -24,6 +24,9 @@
 
 # Limits the starts of one plan.
 MAX_STARTS_PER_PLAN = 200
+# A job without a run may use slow workers this long after its last start or its
+# acceptance: callers accept that it stands still for 3 s while there is room.
+SLOW_WORKERS_AFTER_S = 1.5
 
 
 class Planner:
@@ -50,8 +53,9 @@
         self._headroom_taken = headroom_taken
         self._tickets = tickets
         self._start_rate = start_rate
-        self._unplaced_sizes = UnplacedSizes(())
-        self._indexes: dict[str, CapacityIndex] = {}
+        self._unplaced_sizes = self._no_unplaced_sizes()
+        self._has_slow_workers = False
+        self._indexes: dict[tuple[str, bool], CapacityIndex] = {}
         self._plans = 0
 
     def plan(self) -> int:
@@ -73,9 +77,10 @@
         """Assign waiting tasks up to a limit, which the last gang may exceed."""
         self._plans += 1
         self._indexes = {}
-        self._unplaced_sizes = UnplacedSizes(
-            worker.reserved_for for worker in self._owner.fleet
-        )
+        now = self._owner.now_s()
+        fleet = self._owner.fleet
+        self._has_slow_workers = any(worker.is_slow_at(now) for worker in fleet)
+        self._unplaced_sizes = self._no_unplaced_sizes()
         started = sum(1 for _ in self._start_speculative_copies())
         lacking_tickets: list[Step] = []
         for quota in self._quotas():
@@ -121,12 +126,31 @@
         return [worker for worker in workers if has_ticket(step, worker, now)]
 
     def _index(self, step: Step) -> CapacityIndex:
-        service = step.job.queue.service
-        if service not in self._indexes:
+        key = step.job.queue.service, self._may_use_slow_workers(step)
+        if key not in self._indexes:
             now = self._owner.now_s()
-            workers = self._owner.fleet.workers_accepting_runs(service, now)
-            self._indexes[service] = CapacityIndex(workers)
-        return self._indexes[service]
+            workers = self._owner.fleet.workers_accepting_runs(key[0], now, key[1])
+            self._indexes[key] = CapacityIndex(workers)
+        return self._indexes[key]
+
+    def _no_unplaced_sizes(self) -> dict[bool, UnplacedSizes]:
+        """Return no sizes yet, apart for steps that may use slow workers."""
+        return {
+            may_be_slow: UnplacedSizes(w.reserved_for for w in self._owner.fleet)
+            for may_be_slow in (False, True)
+        }
+
+    def _may_use_slow_workers(self, step: Step) -> bool:
+        """Return whether tasks of a step start on a slow worker rather than wait.
+
+        Long-running tasks earn as long as they run, at any speed.
+        """
+        if not self._has_slow_workers or step.spec.is_long_running:
+            return self._has_slow_workers
+        job = step.job
+        idle_since_s = max(job.since_s, job.last_start_s)
+        is_due = self._owner.now_s() - idle_since_s >= SLOW_WORKERS_AFTER_S
+        return is_due and not job.has_runs
 
     def _cost(self, spec: StepSpec, worker: Worker) -> tuple | None:
         return self._placement(spec, worker, self._headroom_taken)
@@ -152,7 +176,9 @@
         return find_constraint_obstacle(step, worker)
 
     def _candidates(self, step: Step, workers: list[Worker]) -> Candidates:
-        return Candidates(step, workers, self._cost, self._owner.now_s())
+        now = self._owner.now_s()
+        may_be_slow = self._may_use_slow_workers(step)
+        return Candidates(step, workers, self._cost, now, may_be_slow=may_be_slow)
 
     def _candidates_for_some(self, step: Step, tasks: int) -> Candidates:
         """Return candidates for some tasks, in a large fleet only a part of them."""
@@ -161,7 +187,11 @@
         if size is not None and len(workers) > size:
             workers = search_order(step.spec, workers, self._plans)
         now = self._owner.now_s()
-        return Candidates(step, workers, self._cost, now, size, tasks)
+        may_be_slow = self._may_use_slow_workers(step)
+        if may_be_slow and size is not None:
+            # The search ends with the first batches.
+            workers = sorted(workers, key=lambda worker: worker.is_slow_at(now))
+        return Candidates(step, workers, self._cost, now, size, tasks, may_be_slow)
 
     def _start_speculative_copies(self) -> Iterator[Task]:
         """Start the requested second runs and yield their tasks.
@@ -180,15 +210,23 @@
 
     def _start_step(self, step: Step, limit: int) -> Iterator[Task]:
         """Start up to ``limit`` tasks of a step, or its whole gang, and yield them."""
-        if self._unplaced_sizes.excludes(step):
+        may_be_slow = self._may_use_slow_workers(step)
+        unplaced_sizes = self._unplaced_sizes[may_be_slow]
+        if unplaced_sizes.excludes(step):
             return
         if step.spec.is_gang:
             yield from self._start_gang(step)
             return
+        # The other tasks of a job that may use a slow worker wait for the next plan, in
+        # which the job has a run and they may not.
+        is_cut = may_be_slow and not step.spec.is_long_running and limit > 1
+        limit = 1 if is_cut else limit
         candidates = self._candidates_for_some(step, limit)
         started = 0
         for task in list(step.waiting.values()):
             if started >= limit:
+                if is_cut:
+                    self._owner.changed.set()
                 return
             if task.is_crash_suspect:
                 # It may wait for isolation, which the other tasks need not.
@@ -197,7 +235,7 @@
                 started += 1
             elif not task.avoids_any(self._owner.now_s()):
                 # The remaining tasks have the same size.
-                self._unplaced_sizes.record_size(task)
+                unplaced_sizes.record_size(task)
                 return
             if not task.is_waiting:
                 yield task
--- a/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
@@ -110,7 +110,7 @@
         step.add_speed_sample(speed)
 
     def _classify_speed(self, worker: Worker, now_s: float) -> None:
-        """Mark a worker as slow or normal; a slow one gets no starts for a while."""
+        """Mark a worker as slow or normal; a slow one gets few starts for a while."""
         if not worker.is_slow and worker.relative_speed < SLOW_RELATIVE_SPEED:
             worker.is_slow = True
             record(
@@ -122,9 +122,7 @@
                 "worker-sound", worker=worker.id, speed=round(worker.relative_speed, 2)
             )
         if worker.is_slow:
-            worker.no_starts_until_s = max(
-                worker.no_starts_until_s, now_s + SLOW_NO_STARTS_S
-            )
+            worker.slow_until_s = now_s + SLOW_NO_STARTS_S
             # A worker without new runs gets no new samples, so its speed is raised.
             worker.relative_speed += RECOVERY_WEIGHT * (1.0 - worker.relative_speed)
 
