Test daemons with crowds of clients that don't complete requests

The tests start a daemon's process with 120 MB and 4100 or 400 descriptors in its settings and let 400 connections send request heads, lines or bodies without an end. They check that the process is alive, its peak memory, its sockets and pipes, and that one ordinary request is answered afterwards.

They fail: the cost of a connection before its request is complete has no bound yet.

The crowd of 400 and the bounds, which are the limits in the settings, stay.

The options memory_bytes and max_descriptors of the settings are added without effect, as an unknown option ends a daemon at its start.

--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/connections/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of daemons whose callers don't complete their requests."""
--- a/packages/fulmarleverd/fulmarleverd/settings.py
+++ b/packages/fulmarleverd/fulmarleverd/settings.py
@@ -128,6 +128,8 @@
     timeline_events: Count = 10000
     admin_max_body_bytes: ByteCount = 4 << 20
     admin_requests_per_s: Rate = 50.0
+    memory_bytes: ByteCount = 300 << 20
+    max_descriptors: Count = 4100
 
     @classmethod
     def from_file(cls, path: str | Path) -> Settings | Findings:
