Limit callers' connections in bytes, time and number

Cause: aiohttp's parser keeps the fields of an endless head, each chunk of a body costs objects of its own, a body of legal size is kept as long as its client likes, and connections have no limit.

The package connections/ puts byte-counting filters in front of the parser, which now sees only complete heads and one piece per read of a chunked body. A budget is shared by all requests that are not answered; over it, the slowest incomplete request older than the time of a head is closed, else the new one is refused with 503. The number of connections follows from the memory and the descriptors of the VM. Each connection has one request at a time in the handler. Both servers for callers use it; the readiness address doesn't.

--- a/packages/fulmarleverd/fulmarleverd/platform/callers.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/callers.py
@@ -2,17 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import time
+from collections.abc import Callable
+from dataclasses import replace
 
-from aiohttp import web
+from aiohttp import ClientError, web
 from loguru import logger as log
 
 from fulmarlever.outcomes import Failure, NotRun, OutcomeUnknown, Refused, failed
+from fulmarleverd.connections.framing import LimitExceeded
+from fulmarleverd.connections.limits import ConnectionLimits
+from fulmarleverd.connections.listening import listen
+from fulmarleverd.connections.protocol import LimitedProtocol, LimitedServer
 from fulmarleverd.platform.formats import parse_job
 from fulmarleverd.scheduling.api import JobCalls, QueueNotFound
+from fulmarleverd.scheduling.config_watcher import NO_CONFIG
 from fulmarleverd.scheduling.intake import JobStatus, UnknownJob
 from fulmarleverd.scheduling.metrics import REQUEST_SECONDS, REQUESTS
+from fulmarleverd.scheduling.specs import SchedulingConfig
 
 READY_PATH = "/readiness"
 # The time in milliseconds for which a caller waits for the response.
@@ -20,6 +29,28 @@
 LISTEN_BACKLOG = 1024
 COUNTED_METHODS = ("GET", "POST", "DELETE")
 RETRY_AFTER_UNAVAILABLE_S = 1.0
+RETRY_AFTER_FULL_S = 1.0
+KEPT_OPEN_S = 75.0
+# The memory in bytes of a decoded step and of its row while a job is submitted.
+STEP_BYTES = 400
+
+
+class JobProtocol(LimitedProtocol):
+    """A caller's connection, with refusals in the format of the interface."""
+
+    __slots__ = ()
+
+    def refusal_response(self, exc: LimitExceeded) -> web.Response:
+        """Return the answer to a request that is over a limit; it has not run."""
+        # A body that is too large gets the same status whether it is chunked or not.
+        status = 400 if exc.status == 413 else exc.status
+        return web.json_response({"error": exc.detail}, status=status)
+
+
+class JobServer(LimitedServer):
+    """The server of callers' connections."""
+
+    protocol_class = JobProtocol
 
 
 class CallerServer:
@@ -29,10 +60,20 @@
     number of requests that are not answered yet.
     """
 
-    def __init__(self, calls: JobCalls, max_body_bytes: int) -> None:
+    def __init__(
+        self,
+        calls: JobCalls,
+        max_body_bytes: int,
+        limits: ConnectionLimits | None = None,
+        find_config: Callable[[], SchedulingConfig] = lambda: NO_CONFIG,
+    ) -> None:
         self._calls = calls
         self._max_body_bytes = max_body_bytes
+        self._limits = limits or ConnectionLimits()
+        self._find_config = find_config
+        self._config: SchedulingConfig | None = None
         self._runners: list[web.ServerRunner] = []
+        self._listener: asyncio.Server | None = None
         self.is_closing = False
         self.in_progress = 0
 
@@ -41,12 +82,20 @@
 
         Raise ``OSError`` if an address cannot be bound.
         """
-        await self._listen(self._handle, caller_address)
-        await self._listen(self._handle_readiness, ready_address)
-
-    async def _listen(self, handler: object, address: str) -> None:
+        callers = JobServer(
+            self._handle, self._find_limits, keepalive_timeout=KEPT_OPEN_S
+        )
+        self._runners.append(web.ServerRunner(callers))
+        await self._runners[-1].setup()
+        host, _, port = caller_address.rpartition(":")
+        self._listener = await listen(callers, host, int(port), LISTEN_BACKLOG)
+        await self._listen_for_probes(ready_address)
+
+    async def _listen_for_probes(self, address: str) -> None:
         host, _, port = address.rpartition(":")
-        server = web.Server(handler, access_log=None, keepalive_timeout=75.0)
+        server = web.Server(
+            self._handle_readiness, access_log=None, keepalive_timeout=KEPT_OPEN_S
+        )
         runner = web.ServerRunner(server)
         await runner.setup()
         await web.TCPSite(runner, host, int(port), backlog=LISTEN_BACKLOG).start()
@@ -54,9 +103,25 @@
 
     async def close(self) -> None:
         """Stop listening and close every connection."""
+        if self._listener is not None:
+            self._listener.close()
         for runner in self._runners:
             await runner.cleanup()
 
+    def _find_limits(self) -> ConnectionLimits:
+        """Return the limits with the values of the operator's configuration."""
+        cfg = self._find_config()
+        if cfg is not self._config:
+            self._config = cfg
+            self._limits = replace(
+                self._limits,
+                head_bytes=cfg.max_head_bytes,
+                head_s=cfg.head_s,
+                idle_s=cfg.idle_s,
+                body_bytes=min(self._max_body_bytes, cfg.max_body_bytes),
+            )
+        return self._limits
+
     async def _handle_readiness(self, req: web.BaseRequest) -> web.Response:
         if req.path != READY_PATH:
             return web.Response(status=404)
@@ -90,7 +155,11 @@
                 return _failure_response(raw, job_id, req.method)
             job = parse_job(job_id, raw)
             result = job
-            if not failed(job):
+            if not failed(job) and not req.protocol.reserve(
+                STEP_BYTES * len(job.steps)
+            ):
+                result = NotRun("too many jobs are being submitted", RETRY_AFTER_FULL_S)
+            elif not failed(job):
                 result = await self._calls.submit(job, found, until_s)
         elif req.method == "GET" and not job_id:
             result = await self._calls.pending(found)
@@ -108,10 +177,17 @@
         limit = min(self._max_body_bytes, self._calls.max_body_bytes())
         if (req.content_length or 0) > limit:
             return Refused(f"the body is over {limit} bytes")
-        raw = await req.content.read(limit + 1)
-        while len(raw) <= limit and not req.content.at_eof():
-            raw += await req.content.read(limit + 1 - len(raw))
-        return raw if len(raw) <= limit else Refused(f"the body is over {limit} bytes")
+        if req.headers.get("Expect", "").lower() == "100-continue":
+            req.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        body = bytearray()
+        try:
+            while not req.content.at_eof():
+                body += await req.content.readany()
+                if len(body) > limit:
+                    return Refused(f"the body is over {limit} bytes")
+        except (ClientError, web.RequestPayloadError, OSError):
+            return Refused("the body ended early")
+        return bytes(body)
 
 
 def _deadline_s(req: web.BaseRequest) -> float:
--- a/packages/fulmarleverd/fulmarleverd/platform/formats.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/formats.py
@@ -45,12 +45,33 @@
             int(data["version"]),
             tuple(_parse_queue(route) for route in data["routes"]),
             tuple(_parse_service(service) for service in data["services"]),
-            int(data.get("limits", {}).get("maxBodyBytes", 262144)),
+            **_parse_limits(data.get("limits")),
         )
     except FORMAT_ERRORS as exc:
         return Undecodable(f"configuration: {exc!r}")
 
 
+def _parse_limits(limits: Any) -> dict[str, Any]:
+    """Decode the limits of requests; invalid ones are left out."""
+    if not isinstance(limits, dict):
+        return {}
+    decoded = {
+        "max_body_bytes": _positive(limits.get("maxBodyBytes"), int),
+        "max_head_bytes": _positive(limits.get("maxHeaderBytes"), int),
+        "head_s": _positive(limits.get("headerTimeoutMs"), float) / 1000.0,
+        "idle_s": _positive(limits.get("idleTimeoutMs"), float) / 1000.0,
+    }
+    return {name: value for name, value in decoded.items() if value}
+
+
+def _positive(value: Any, kind: type) -> Any:
+    """Return a number that is over 0, and 0 for any other value."""
+    try:
+        return kind(max(0, require_number(value)))
+    except FORMAT_ERRORS:
+        return 0
+
+
 def _parse_queue(route: dict) -> QueueSpec:
     return QueueSpec(
         name=route["name"],
--- a/packages/fulmarleverd/fulmarleverd/platform/interface.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/interface.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from fulmarlever.outcomes import Failure, failed
+from fulmarleverd.connections.limits import ConnectionLimits
 from fulmarleverd.loop_delay import LoopDelay
 from fulmarleverd.platform.admission import AuthorityAdmission
 from fulmarleverd.platform.callers import CallerServer
@@ -87,7 +88,12 @@
 
     def build_server(self, calls: JobCalls) -> CallerServer:
         """Return the HTTP server for callers."""
-        return CallerServer(calls, MAX_BODY_BYTES)
+        limits = ConnectionLimits.from_settings(
+            self.settings.memory_mb << 20,
+            self.settings.max_fds,
+            self.settings.connections_per_address,
+        )
+        return CallerServer(calls, MAX_BODY_BYTES, limits, calls.config)
 
     def parse_config(self, row: StoredRow) -> SchedulingConfig | Failure:
         """Decode the operator's configuration."""
--- a/packages/fulmarleverd/fulmarleverd/platform/settings.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/settings.py
@@ -21,6 +21,8 @@
 # A graceful stop ends this long before the platform kills the process.
 KILL_MARGIN_S = 1.0
 MIN_DRAIN_S = 0.5
+# The fewest descriptors of a VM, assumed if the settings do not tell them.
+DEFAULT_MAX_FDS = 4100
 
 
 class BadSettings(Failure):
@@ -70,6 +72,8 @@
         row_bytes=int(data["platform"].get("rowBytes") or DEFAULT_ROW_BYTES),
         bounds=bounds,
         drain_limit_s=max(MIN_DRAIN_S, bounds.grace_s - KILL_MARGIN_S),
+        max_fds=int(limits.get("maxFds") or DEFAULT_MAX_FDS),
+        connections_per_address=int(limits.get("maxConnectionsPerAddress") or 0),
     )
 
 
--- a/packages/fulmarleverd/fulmarleverd/requests/caller_protocol.py
+++ b/packages/fulmarleverd/fulmarleverd/requests/caller_protocol.py
@@ -3,18 +3,27 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
 
 from fulmarlever.structure.request import Answer, Outcome
+from fulmarleverd.connections.framing import LimitExceeded
+from fulmarleverd.connections.limits import ConnectionLimits
+from fulmarleverd.connections.protocol import LimitedProtocol, LimitedServer
 from fulmarleverd.requests.metrics import BAD_REQUESTS
 
 MAX_LINE_BYTES = 8190
+# The titles of refusals by reason; any other one is a malformed request.
+FAULTS = {
+    "body-bytes": "body too large",
+    "head-time": "head late",
+    "body-time": "body late",
+}
 
 
-class CallerProtocol(RequestHandler):
+class CallerProtocol(LimitedProtocol):
     """A caller's connection that answers malformed requests with a problem document."""
 
     async def start(self) -> None:
@@ -29,6 +38,20 @@
                 self.transport.close()
             raise
 
+    def refusal_response(self, exc: LimitExceeded) -> web.Response:
+        """Return the problem answer to a request that is over a limit."""
+        if exc.status == 503:
+            fault = "too many requests"
+        else:
+            fault = FAULTS.get(exc.reason, "malformed request")
+            BAD_REQUESTS.labels(fault).inc()
+        # Heads over a limit are answered like any other malformed head.
+        status = 400 if exc.status == 431 else exc.status
+        answer = Answer.from_problem(status, fault, exc.detail)
+        response = web.Response(body=answer.body, status=status)
+        response.headers.update(answer.headers)
+        return response
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -40,6 +63,8 @@
 
         Raise ``ConnectionError`` when part of an answer has been sent already.
         """
+        if isinstance(exc, LimitExceeded):
+            return super().handle_error(request, status, exc, message)
         if request.writer.output_size > 0:
             raise ConnectionError("part of an answer has been sent already")
         if status >= 500:
@@ -55,18 +80,17 @@
         return response
 
 
-class CallerServer(web.Server):
+class CallerServer(LimitedServer):
     """Creates a :class:`CallerProtocol` for each connection of a caller."""
 
-    def __init__(self, handler: Any) -> None:
-        super().__init__(handler, access_log=None)
+    protocol_class = CallerProtocol
 
-    def __call__(self) -> CallerProtocol:
-        """Return the protocol for a new connection."""
-        return CallerProtocol(
-            self,
-            loop=self._loop,
-            access_log=None,
+    def __init__(
+        self, handler: Any, find_limits: Callable[[], ConnectionLimits]
+    ) -> None:
+        super().__init__(
+            handler,
+            find_limits,
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
         )
--- a/packages/fulmarleverd/fulmarleverd/scheduling/api.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/api.py
@@ -10,7 +10,7 @@
 from fulmarlever.outcomes import NotRun, OutcomeUnknown, Refused, Unavailable, failed
 from fulmarleverd.scheduling.config_watcher import RETRY_AFTER_S, ConfigWatcher
 from fulmarleverd.scheduling.intake import Intake, JobStatus, UnknownJob
-from fulmarleverd.scheduling.specs import JobSpec, QueueSpec
+from fulmarleverd.scheduling.specs import JobSpec, QueueSpec, SchedulingConfig
 
 # The answer has to be sent before the caller stops waiting for it.
 ANSWER_MARGIN_S = 0.1
@@ -46,6 +46,10 @@
         """Return the size limit of the body of a submitted job, in bytes."""
         return self._queues.config.max_body_bytes
 
+    def config(self) -> SchedulingConfig:
+        """Return the operator's configuration, with defaults before it is known."""
+        return self._queues.config
+
     def find_queue(self, host: str, path: str) -> QueueSpec | QueueNotFound | NotRun:
         """Return the queue of a request according to the current configuration.
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
@@ -160,13 +160,18 @@
 class SchedulingConfig:
     """One version of the operator's configuration.
 
-    ``max_body_bytes`` limits the body of a submitted job.
+    ``max_body_bytes`` limits the body of a submitted job, ``max_head_bytes`` the head
+    of any request. A head has ``head_s`` seconds from its first byte to its end, and a
+    body may pause for ``idle_s``.
     """
 
     version: int
     queues: tuple[QueueSpec, ...] = ()
     services: tuple[ServiceSpec, ...] = ()
     max_body_bytes: int = 262144
+    max_head_bytes: int = 16384
+    head_s: float = 3.0
+    idle_s: float = 15.0
 
     def find_queue(self, host: str, path: str) -> QueueSpec | None:
         """Return the queue of a host with the longest matching path prefix, if any."""
@@ -244,9 +249,10 @@
     """The settings of a daemon from the platform's settings file.
 
     ``row_bytes`` is the largest value of a row in the platform's store.
-    ``memory_mb``, ``cores`` and ``link_mbps`` (megabits per second) are what the daemon
-    itself may use, ``drain_limit_s`` is the time that it has to hand over its work when
-    it is stopped.
+    ``memory_mb``, ``cores``, ``link_mbps`` (megabits per second) and ``max_fds``
+    (descriptors) are what the daemon itself may use, ``drain_limit_s`` is the time that
+    it has to hand over its work when it is stopped. ``connections_per_address`` limits
+    callers' connections from one address, which a load balancer may share; 0 is none.
     """
 
     vm: str
@@ -263,6 +269,8 @@
     row_bytes: int = DEFAULT_ROW_BYTES
     bounds: Bounds = field(default_factory=Bounds)
     drain_limit_s: float = 5.0
+    max_fds: int = 4100
+    connections_per_address: int = 0
 
 
 def pack_fields(item: object, skip: Iterable[str] = ()) -> dict[str, object]:
--- a/packages/fulmarleverd/fulmarleverd/services/callers.py
+++ b/packages/fulmarleverd/fulmarleverd/services/callers.py
@@ -8,13 +8,16 @@
 
 import asyncio
 import itertools
+from dataclasses import replace
 
 from aiohttp import web
 from loguru import logger as log
 
 from fulmarlever.outcomes import failed
-from fulmarlever.structure.configuration import ServiceSpec
+from fulmarlever.structure.configuration import Configuration, ServiceSpec
 from fulmarlever.structure.request import Answer, Request
+from fulmarleverd.connections.limits import ConnectionLimits
+from fulmarleverd.connections.listening import listen
 from fulmarleverd.kernel import SERVICES, Kernel, Service
 from fulmarleverd.requests.caller_protocol import CallerServer
 from fulmarleverd.requests.caller_request import (
@@ -49,6 +52,7 @@
         self._request_numbers = itertools.count(1)
         self._server: CallerServer | None = None
         self._listener: asyncio.Server | None = None
+        self._limits_config: Configuration | None = None
 
     async def start(self) -> None:
         """Open the port for callers."""
@@ -57,15 +61,35 @@
         self.router = self.kernel.find("router")
         identity = self.kernel.find("membership").identity
         self._id_prefix = identity.replace("#", "-")
-        self._server = CallerServer(self._answer)
-        loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
+        self._limits = self._build_limits()
+        self._server = CallerServer(self._answer, self._find_limits)
+        self._listener = await listen(
             self._server,
             self.settings.address,
             self.settings.caller_port,
-            backlog=LISTEN_BACKLOG,
+            LISTEN_BACKLOG,
         )
 
+    def _build_limits(self) -> ConnectionLimits:
+        cfg = self.settings
+        return ConnectionLimits.from_settings(
+            cfg.memory_bytes,
+            cfg.max_descriptors,
+            cfg.max_connections_per_address,
+            head_bytes=cfg.max_head_bytes,
+            head_s=cfg.head_timeout_s,
+            idle_s=cfg.body_idle_s,
+        )
+
+    def _find_limits(self) -> ConnectionLimits:
+        """Return the limits, with the largest body that a service accepts."""
+        config = self.config.current()
+        if config is not self._limits_config:
+            self._limits_config = config
+            sizes = (spec.max_request_bytes for spec in config.services.values())
+            self._limits = replace(self._limits, body_bytes=max(sizes, default=0))
+        return self._limits
+
     @property
     def port(self) -> int:
         """Return the open port, which the system chooses if the setting is 0."""
--- a/packages/fulmarleverd/fulmarleverd/settings.py
+++ b/packages/fulmarleverd/fulmarleverd/settings.py
@@ -69,6 +69,7 @@
 LogLevel = Annotated[str, BeforeValidator(parse_log_level)]
 Port = Annotated[int, Field(ge=1, le=65535)]
 Count = Annotated[int, Field(ge=1)]
+NumberOrNone = Annotated[int, Field(ge=0)]
 Rate = Annotated[float, Field(gt=0)]
 RoutingPolicyName = Literal["two-choices", "least-loaded", "random", "round-robin"]
 AdmissionPolicyName = Literal["shares", "none"]
@@ -130,6 +131,10 @@
     admin_requests_per_s: Rate = 50.0
     memory_bytes: ByteCount = 300 << 20
     max_descriptors: Count = 4100
+    max_connections_per_address: NumberOrNone = 0
+    max_head_bytes: ByteCount = 16384
+    head_timeout_s: PositiveSeconds = 3.0
+    body_idle_s: PositiveSeconds = 15.0
 
     @classmethod
     def from_file(cls, path: str | Path) -> Settings | Findings:
