Evacuate zones at random in the simulation and in the soak

Cause: the random tests had one zone and an operator who wrote nothing but the configuration, so no play could show a run in an evacuated zone.

Workers are spread over three zones. The operator writes and removes rows at random times, before the first job at times, overlapping, taken back and asked again. The invariant of both: no worker of the zone begins a run later than evacuateMs after the row was written; while the store is out of reach of a daemon, the bound counts from the end of that.

Both draw evacuations from generators of their own, so seeds keep their jobs and their other faults; a test compares the draws of seeds 1 to 199 with those before this change. In the soak they are off for the kept seeds and on for the command, which has --no-evacuation.

--- a/packages/fulmarlever_standins/fulmarlever_standins/commands/simulate.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/commands/simulate.py
@@ -13,7 +13,7 @@
 
 from fulmarlever.outcomes import failed
 from fulmarlever_standins.arguments import SimulateArguments
-from fulmarlever_standins.simulation.faults import FAULTS
+from fulmarlever_standins.simulation.faults import APART_FAULTS, FAULTS
 from fulmarlever_standins.simulation.jobs import FEATURES
 from fulmarlever_standins.simulation.plan import Plan
 from fulmarlever_standins.simulation.runner import Result, play
@@ -87,8 +87,9 @@
 
 def _print_pairs(pairs: Counter[tuple[str, str]]) -> None:
     """Print how many plays each feature shared with each fault."""
+    kinds = [*FAULTS, *APART_FAULTS]
     print("plays with both, by feature and fault:")
     for feature in FEATURES:
-        counts = " ".join(f"{pairs[feature, kind]:4}" for kind in FAULTS)
+        counts = " ".join(f"{pairs[feature, kind]:4}" for kind in kinds)
         print(f"  {feature:16}{counts}")
-    print(f"  in the order of: {', '.join(FAULTS)}")
+    print(f"  in the order of: {', '.join(kinds)}")
--- a/packages/fulmarlever_standins/fulmarlever_standins/commands/soak.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/commands/soak.py
@@ -24,6 +24,7 @@
             arguments.workers,
             arguments.logs,
             starves=not arguments.no_starvation,
+            evacuates=not arguments.no_evacuation,
         )
         print(result.summary(), flush=True)
         for line in result.violations:
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/invariants.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/invariants.py
@@ -84,6 +84,15 @@
         yield f"started after {known} known failures"
 
 
+@START_CHECKS.register("not in an evacuated zone")
+def check_zone(sim: Simulation, worker: WorkerCore, key: RunKey) -> Iterator[str]:
+    """Nothing begins in a zone for long after the operator has evacuated it."""
+    late_s = sim.evacuations.late_s(worker)
+    if late_s > 0.0:
+        where = f"{worker.id} of the evacuated zone {worker.zone}"
+        yield f"began on {where}, {late_s:.2f} s late"
+
+
 @END_CHECKS.register("ended for cause")
 def check_final(sim: Simulation, job: CallerJob, state: str) -> Iterator[str]:
     """An accepted job is known, and fails only after enough failures or crashes."""
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/plan.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/plan.py
@@ -13,7 +13,7 @@
 import yaml
 
 from fulmarlever.outcomes import Failure
-from fulmarlever_standins.simulation.faults import FAULTS
+from fulmarlever_standins.simulation.faults import APART_FAULTS, FAULTS
 from fulmarlever_standins.simulation.jobs import FEATURES, draw_features
 
 JOBS_PER_S = 2.0
@@ -38,7 +38,10 @@
 
 @dataclass(slots=True, frozen=True)
 class PlannedFault:
-    """A fault of a kind in ``FAULTS`` that begins at a time, in seconds."""
+    """A fault that begins at a time, in seconds.
+
+    Its kind is a name in ``FAULTS`` or ``APART_FAULTS``.
+    """
 
     at_s: float
     kind: str
@@ -77,6 +80,7 @@
             )
             for _ in range(rng.randint(MIN_FAULTS, max(MIN_FAULTS, int(seconds / 3))))
         ]
+        faults += _draw_apart(seed, seconds)
         return cls(
             seed,
             workers,
@@ -110,7 +114,10 @@
 
     def find_unknown(self) -> BadPlan | None:
         """Return the first fault or feature that is not registered, if any."""
-        names = [(FAULTS, fault.kind) for fault in self.faults]
+        names = [
+            (APART_FAULTS if fault.kind in list(APART_FAULTS) else FAULTS, fault.kind)
+            for fault in self.faults
+        ]
         names += [(FEATURES, name) for job in self.jobs for name in job.features]
         for registry, name in names:
             if name not in list(registry):
@@ -136,6 +143,22 @@
         return replace(self, faults=self.faults[:first] + self.faults[first + count :])
 
 
+def _draw_apart(seed: int, seconds: float) -> list[PlannedFault]:
+    """Draw the faults that a generator of their own decides on.
+
+    Some begin before the first job comes.
+    """
+    rng = Random(f"{seed} apart")
+    return [
+        PlannedFault(
+            round(rng.choice((0.0, rng.uniform(0.0, seconds))), 3),
+            rng.choice(list(APART_FAULTS)),
+            rng.randrange(MAX_SEED),
+        )
+        for _ in range(rng.choice((0, 0, 1, 2, 3)))
+    ]
+
+
 def _read_job(fields: dict) -> PlannedJob:
     features = tuple(fields.pop("features", ()))
     return PlannedJob(**fields, features=features)
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/runner.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/runner.py
@@ -11,10 +11,19 @@
 from random import Random
 
 from fulmarlever.outcomes import NotRun, Refused, failed
+from fulmarlever_standins.authority.evacuations import (
+    EvacuationObserver,
+    is_store_disturbed,
+)
 from fulmarlever_standins.authority.simulated_cluster import SimulatedCluster
 from fulmarlever_standins.authority.virtual_time import run_virtual
 from fulmarlever_standins.authority.worker import RunKey, WorkerCore
-from fulmarlever_standins.simulation.faults import FAULTS, RESTART_S
+from fulmarlever_standins.simulation.faults import (
+    APART_FAULTS,
+    FAULTS,
+    RESTART_S,
+    ZONES,
+)
 from fulmarlever_standins.simulation.invariants import END_CHECKS, START_CHECKS
 from fulmarlever_standins.simulation.jobs import draw_job
 from fulmarlever_standins.simulation.observed import CallerJob, Observed
@@ -82,7 +91,8 @@
     """One play: the cluster, its callers, and what is observed.
 
     ``rng`` is the generator of the fault that begins now. ``failing`` and ``stalling``
-    hold the ids of workers that fail, or hold up, what they start.
+    hold the ids of workers that fail, or hold up, what they start. ``evacuations``
+    writes the operator's rows of evacuated zones.
     """
 
     def __init__(self, plan: Plan) -> None:
@@ -93,6 +103,9 @@
         self.failing: set[str] = set()
         self.stalling: set[str] = set()
         self.violations: list[str] = []
+        self.evacuations = EvacuationObserver(
+            self.cluster.network, self.cluster.bounds.evacuate_s
+        )
         self._traits: dict[str, tuple[list[str], int]] = {}
         self._started = 0
         self._ended = asyncio.Event()
@@ -122,10 +135,15 @@
             count = self.cluster.count_owners()
             if count > 1:
                 self._report("scheduler", f"{count} owners at the same time")
+            if is_store_disturbed(self.cluster.network):
+                self.evacuations.record_disturbance()
             await asyncio.sleep(OWNER_POLL_S)
 
     async def _strike(self, fault: PlannedFault) -> None:
         await asyncio.sleep(fault.at_s)
+        if fault.kind in list(APART_FAULTS):
+            await APART_FAULTS.find(fault.kind)(self, Random(fault.seed))
+            return
         self.rng = Random(fault.seed)
         await FAULTS.find(fault.kind)(self)
 
@@ -235,7 +253,8 @@
         self._add_worker(f"{worker.address}-{self._started}", worker.address)
 
     def _add_worker(self, worker_id: str, address: str) -> None:
-        worker = WorkerCore(worker_id, address, "z")
+        number = int(address.removeprefix("w").split(":")[0])
+        worker = WorkerCore(worker_id, address, ZONES[number % len(ZONES)])
         self.cluster.record.attach(worker)
         self._attach(worker)
         self.cluster.network.add_worker(worker)
--- a/packages/fulmarlever_standins/fulmarlever_standins/soak/deployment.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/deployment.py
@@ -10,12 +10,16 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
+from fulmarlever_standins.authority.evacuations import (
+    EvacuationObserver,
+    is_store_disturbed,
+)
 from fulmarlever_standins.authority.network import Network
 from fulmarlever_standins.authority.record import RunRecord
 from fulmarlever_standins.authority.server import PlatformServer
-from fulmarlever_standins.authority.worker import WorkerCore
+from fulmarlever_standins.authority.worker import RunKey, WorkerCore
 from fulmarlever_standins.processes import ChildProcess, ProcessError
-from fulmarlever_standins.relay import Link
+from fulmarlever_standins.relay import Link, LinkMode
 from fulmarlever_standins.topology import reserve_loopback_prefix
 from fulmarleverd.platform.formats import CONFIG_KEY, OPERATOR_TABLE, WORKERS_TABLE
 from fulmarleverd.platform.settings import SETTINGS_VARIABLE
@@ -29,7 +33,8 @@
 QUEUES = ("labels", "plans")
 READY_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.1
-BOUNDS = {"holdMaxMs": 6000, "stopTimeoutMs": 200, "graceS": 6}
+ZONES = ("x", "y", "z")
+BOUNDS = {"holdMaxMs": 6000, "stopTimeoutMs": 200, "graceS": 6, "evacuateMs": 5000}
 
 
 class SoakDaemon:
@@ -75,13 +80,21 @@
 
 
 class Deployment:
-    """Daemons, workers, the links between them and a record of every run."""
+    """Daemons, workers, the links between them and a record of every run.
+
+    ``late_starts`` has a line for each run that began in a zone too long after the
+    operator had evacuated it.
+    """
 
     def __init__(self, daemons: int, workers: int, directory: Path) -> None:
         prefix = reserve_loopback_prefix()
         self.directory = directory
         self.network = Network()
         self.record = RunRecord()
+        self.evacuations = EvacuationObserver(
+            self.network, BOUNDS["evacuateMs"] / 1000.0
+        )
+        self.late_starts: list[str] = []
         self.daemons = [
             SoakDaemon(f"vm{n}", f"127.{prefix}.1.{n + 1}", directory)
             for n in range(daemons)
@@ -131,6 +144,12 @@
             with daemon.process.log_path.open(errors="replace") as lines:
                 yield from lines
 
+    def is_store_disturbed(self) -> bool:
+        """Return whether the store is out of reach of a daemon, or slow to reach."""
+        links = [daemon.link for daemon in self.daemons if daemon.link is not None]
+        is_degraded = any(link.mode is not LinkMode.OPEN for link in links)
+        return is_degraded or is_store_disturbed(self.network)
+
     def change_config(self) -> None:
         """Write the operator's configuration under a higher version."""
         self.config_version += 3
@@ -163,11 +182,24 @@
         link = Link(name, listen, await self._server.serve_worker(listen))
         await link.start()
         self.worker_links[name] = link
-        self._begin_incarnation(WorkerCore(name, listen, "z"))
+        zone = ZONES[len(self.workers) % len(ZONES)]
+        self._begin_incarnation(WorkerCore(name, listen, zone))
 
     def _begin_incarnation(self, worker: WorkerCore) -> None:
         self.workers[worker.id] = worker
         self.record.attach(worker)
+        record_start = worker.on_start
+
+        def on_start(worker: WorkerCore, key: RunKey) -> None:
+            record_start(worker, key)
+            late_s = self.evacuations.late_s(worker)
+            if late_s > 0.0:
+                self.late_starts.append(
+                    f"{key[0]} run {key[1]} began on {worker.id} of the evacuated zone "
+                    f"{worker.zone}, {late_s:.2f} s late"
+                )
+
+        worker.on_start = on_start
         self.network.add_worker(worker)
 
     def crash_worker(self, name: str) -> None:
--- a/packages/fulmarlever_standins/fulmarlever_standins/soak/faults.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/faults.py
@@ -13,7 +13,7 @@
 
 from fulmarlever.registry import Registry
 from fulmarlever_standins.relay import Link, LinkMode
-from fulmarlever_standins.soak.deployment import Deployment, SoakDaemon
+from fulmarlever_standins.soak.deployment import ZONES, Deployment, SoakDaemon
 
 Fault = Callable[[Deployment, Random], Awaitable[str]]
 FAULTS: Registry[Fault] = Registry("fault of the soak")
@@ -21,6 +21,8 @@
 MAX_FAULT_DURATION_S = 4.0
 MAX_DOWNTIME_S = 3.0
 STOP_TIMEOUT_S = 8.0
+# Longer than the bound from which nothing may begin in an evacuated zone.
+MAX_EVACUATION_S = 9.0
 # Before that, no code of the daemon runs and any signal ends the process.
 INTERPRETER_START_S = 0.4
 # A daemon short of processor time runs for a share of each of these turns.
@@ -114,6 +116,21 @@
     return await inject_process_fault(deployment, rng, inject)
 
 
+async def evacuate(deployment: Deployment, rng: Random) -> str:
+    """Evacuate a zone for some seconds; take it back and ask again at times.
+
+    It is drawn apart from ``FAULTS``, so that earlier seeds keep their draws.
+    """
+    zone = rng.choice(ZONES)
+    for _ in range(rng.choice((1, 1, 3))):
+        if not deployment.evacuations.evacuate(zone):
+            return "none"
+        await asyncio.sleep(rng.uniform(0.0, MAX_EVACUATION_S))
+        deployment.evacuations.restore(zone)
+        await asyncio.sleep(rng.uniform(0.0, 0.2))
+    return zone
+
+
 @FAULTS.register("reload")
 async def reload(deployment: Deployment, rng: Random) -> str:
     """Change the settings file of a daemon and send it SIGHUP."""
--- a/packages/fulmarlever_standins/fulmarlever_standins/soak/invariants.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/invariants.py
@@ -37,6 +37,8 @@
     for job, state in zip(callers.jobs, states, strict=True):
         for line in find_job_violations(job, state, deployment):
             yield f"job {job.id} ({job.outcome}, {state}): {line}"
+    for line in deployment.late_starts:
+        yield line
     record = deployment.record
     for task in record.overlaps:
         yield f"task {task} ran twice at the same time"
--- a/packages/fulmarlever_standins/fulmarlever_standins/soak/runner.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/runner.py
@@ -10,13 +10,19 @@
 
 from fulmarlever_standins.soak.callers import Callers
 from fulmarlever_standins.soak.deployment import Deployment
-from fulmarlever_standins.soak.faults import FAULTS, starve
+from fulmarlever_standins.soak.faults import (
+    FAULTS,
+    MAX_EVACUATION_S,
+    evacuate,
+    starve,
+)
 from fulmarlever_standins.soak.invariants import find_violations
 
 MIN_PAUSE_S = 0.1
 MAX_PAUSE_S = 1.5
 # The first jobs are submitted before the first fault.
 FAULT_FREE_S = 2.0
+STORE_POLL_S = 0.05
 
 
 @dataclass(slots=True)
@@ -45,7 +51,8 @@
     """The soak test of one seed.
 
     It applies faults for ``seconds``. The daemons write their logs to ``directory``.
-    With ``starves``, one daemon after the other gets too little processor time.
+    With ``starves``, one daemon after the other gets too little processor time; with
+    ``evacuates``, the operator evacuates zones.
     """
 
     def __init__(
@@ -57,6 +64,7 @@
         directory: Path,
         *,
         starves: bool = False,
+        evacuates: bool = False,
     ) -> None:
         self.result = SoakResult(seed)
         self._seconds = seconds
@@ -65,7 +73,9 @@
         self._caller_rng = Random(seed)
         self._fault_rng = Random(seed + 1)
         self._starvation_rng = Random(seed + 2)
+        self._evacuation_rng = Random(seed + 3)
         self._starves = starves
+        self._evacuates = evacuates
 
     async def run(self) -> SoakResult:
         """Start the deployment, inject faults and check the invariants."""
@@ -74,11 +84,14 @@
         try:
             await deployment.start()
             callers = Callers(deployment.daemons, deployment.session, self._caller_rng)
+            watch = asyncio.create_task(self._watch_store())
             await asyncio.gather(
                 callers.run(self._seconds),
                 self._inject_faults(),
                 self._starve_daemons(),
+                self._evacuate_zones(),
             )
+            watch.cancel()
             self._record_ended_processes()
             result.violations += [
                 line async for line in find_violations(deployment, callers)
@@ -116,6 +129,30 @@
             self.result.faults.append(f"{at_s:6.2f} s starve: {where}")
             await asyncio.sleep(rng.uniform(MIN_PAUSE_S, MAX_PAUSE_S))
 
+    async def _evacuate_zones(self) -> None:
+        """Evacuate zones at random times, also two at the same time."""
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        rng = self._evacuation_rng
+        tasks = []
+        while self._evacuates and loop.time() - started_s < self._seconds:
+            at_s = loop.time() - started_s
+            own_rng = Random(rng.getrandbits(32))
+            tasks.append(asyncio.create_task(self._evacuate_zone(own_rng, at_s)))
+            await asyncio.sleep(rng.uniform(MIN_PAUSE_S, MAX_EVACUATION_S))
+        await asyncio.gather(*tasks)
+
+    async def _evacuate_zone(self, rng: Random, at_s: float) -> None:
+        where = await evacuate(self._deployment, rng)
+        self.result.faults.append(f"{at_s:6.2f} s evacuate: {where}")
+
+    async def _watch_store(self) -> None:
+        """Record while the store is disturbed, until cancelled."""
+        while True:
+            if self._deployment.is_store_disturbed():
+                self._deployment.evacuations.record_disturbance()
+            await asyncio.sleep(STORE_POLL_S)
+
     async def _inject_fault(self, name: str, rng: Random, at_s: float) -> None:
         where = await FAULTS.find(name)(self._deployment, rng)
         self.result.faults.append(f"{at_s:6.2f} s {name}: {where}")
@@ -137,6 +174,7 @@
     logs: Path | None = None,
     *,
     starves: bool = False,
+    evacuates: bool = False,
 ) -> SoakResult:
     """Run the soak test of one seed; see ``Soak``.
 
@@ -144,7 +182,15 @@
     is named by the seed.
     """
     with tempfile.TemporaryDirectory(prefix="fulmarlever-soak-") as directory:
-        soak = Soak(seed, seconds, daemons, workers, Path(directory), starves=starves)
+        soak = Soak(
+            seed,
+            seconds,
+            daemons,
+            workers,
+            Path(directory),
+            starves=starves,
+            evacuates=evacuates,
+        )
         result = await soak.run()
         if result.violations and logs is not None:
             keep_logs(Path(directory), logs / str(seed), result)
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/simulation/plan_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/simulation/plan_tests.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from hashlib import sha256
+
 from fulmarlever.outcomes import failed
 from fulmarlever.tests.base import TableTestCase
+from fulmarlever_standins.simulation.faults import FAULTS
 from fulmarlever_standins.simulation.plan import Plan
 from fulmarlever_standins.simulation.shrink import shrink
 
@@ -33,6 +36,24 @@
             self.assertIn(reason, plan.reason)
 
 
+class SeedTests(TableTestCase):
+    # The jobs and faults of these seeds as drawn before faults were drawn apart.
+    SEEDS = range(1, 200)
+    DIGEST = "c10bb9ed"
+
+    # Guards against a new fault that gives all earlier seeds another meaning.
+    def test_faults_drawn_apart_leave_the_draws_of_seeds_as_they_were(self):
+        digest = sha256()
+        apart = 0
+        for seed in self.SEEDS:
+            plan = draw(seed)
+            faults = [fault for fault in plan.faults if fault.kind in list(FAULTS)]
+            apart += len(plan.faults) - len(faults)
+            digest.update(repr([*plan.jobs, *faults]).encode())
+        self.assertEqual(digest.hexdigest()[:8], self.DIGEST)
+        self.assertGreater(apart, len(self.SEEDS) / 2)
+
+
 class ShrinkTests(TableTestCase):
     def test_what_is_not_needed_is_left_out(self):
         plan = draw(3)
