Count workers and runs of evacuated zones in one pass

The log of a change looked at the whole fleet once for each zone, and the watcher logged all zones in one line. With thousands of rows in the operator's table both would hold up the event loop. One pass counts all zones, and a line names at most 20 zones beside their number.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/config_watcher.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/config_watcher.py
@@ -21,6 +21,8 @@
 MAX_READY_CONFIG_AGE_S = 1.8
 # How long the store holds a request for changes while there are none.
 FEED_WAIT_S = 0.5
+# Bounds a log line; the table may hold any number of rows.
+MAX_ZONES_LOGGED = 20
 # An outage of the store lasts some seconds, and callers wait long enough for a few
 # retries at this interval.
 RETRY_AFTER_S = 1.0
@@ -80,7 +82,11 @@
             elif zone is not None:
                 zones.add(zone)
         if zones != self.evacuated.zones:
-            log.bind(event="evacuations-known", zones=sorted(zones)).info("")
+            log.bind(
+                event="evacuations-known",
+                count=len(zones),
+                zones=sorted(zones)[:MAX_ZONES_LOGGED],
+            ).info("")
         self.evacuated.update(zones, batch.requested_at_s)
 
     def _apply(self, row: StoredRow) -> None:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/evacuation.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/evacuation.py
@@ -41,18 +41,27 @@
         earlier = fleet.evacuated_zones
         zones = self._evacuated.zones
         fleet.set_evacuated_zones(zones)
-        self._record("zone-evacuated", zones - earlier)
-        self._record("zone-restored", earlier - zones)
+        self._record_changes(zones - earlier, earlier - zones)
         for run in list(self._unconfirmed_runs()):
             self._withdraw(run)
         self.update_gauge()
         self._owner.changed.set()
 
-    def _record(self, event: str, zones: Iterable[str]) -> None:
-        for zone in sorted(zones):
-            workers = [w for w in self._owner.fleet if w.entry.zone == zone]
-            runs = sum(len(worker.runs) for worker in workers)
-            record(event, zone=zone, workers=len(workers), runs=runs)
+    def _record_changes(
+        self, evacuated: Iterable[str], restored: Iterable[str]
+    ) -> None:
+        """Log each change with the number of the zone's workers and their runs."""
+        workers: Counter[str] = Counter()
+        runs: Counter[str] = Counter()
+        for worker in self._owner.fleet:
+            workers[worker.entry.zone] += 1
+            runs[worker.entry.zone] += len(worker.runs)
+        for event, zones in (
+            ("zone-evacuated", evacuated),
+            ("zone-restored", restored),
+        ):
+            for zone in sorted(zones):
+                record(event, zone=zone, workers=workers[zone], runs=runs[zone])
 
     def _unconfirmed_runs(self) -> Iterator[Run]:
         """Yield the runs in evacuated zones that no worker has accepted yet.
