Keep the reservation of a request until its handler ends

Cause: a connection released its reservation when its client disconnected. The handler keeps the body and the decoded job, and may wait for the store for seconds, so clients that send a whole body and leave could use any amount of memory outside of the budget.

Now the connection leaves the registry at once, and the reservation lasts until the handler ends.

--- a/packages/fulmarleverd/fulmarleverd/connections/protocol.py
+++ b/packages/fulmarleverd/fulmarleverd/connections/protocol.py
@@ -135,10 +135,16 @@
         self._waiting = b""
         self._head.reset()
         if self._is_admitted:
-            self.registry.remove(self)
+            self._leave()
             super().connection_lost(exc)
         self._own_transport = None
 
+    def _leave(self) -> None:
+        """Leave the registry; a handler in progress keeps the reservation."""
+        self.registry.remove(self)
+        if not self._request_in_progress:
+            self.registry.release(self)
+
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer that the next bytes are read into."""
         if self.phase is Phase.BUSY:
@@ -277,6 +283,13 @@
             super().data_received(b"0\r\n\r\n")
         return rest
 
+    async def _handle_request(self, *args: object) -> tuple[web.StreamResponse, bool]:
+        try:
+            return await super()._handle_request(*args)
+        finally:
+            if not self.registry.is_open(self):
+                self.registry.release(self)
+
     async def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float
     ) -> tuple[web.StreamResponse, bool]:
@@ -352,7 +365,7 @@
 
     def abort(self) -> None:
         """Close the connection at once, dropping what has not been sent."""
-        self.registry.remove(self)
+        self._leave()
         self._force_close = True
         if self._own_transport is not None:
             self._own_transport.abort()
--- a/packages/fulmarleverd/fulmarleverd/connections/registry.py
+++ b/packages/fulmarleverd/fulmarleverd/connections/registry.py
@@ -115,17 +115,23 @@
         return None
 
     def remove(self, conn: Connection) -> None:
-        """Forget a connection that has been closed, and release its reservation."""
+        """Forget a connection that has been closed.
+
+        Its reservation lasts until it is released, as its handler may still run.
+        """
         if self._by_phase[conn.phase].pop(conn, conn) is conn:
             return
         self._unsent.pop(conn, None)
-        self.release(conn)
         self.count -= 1
         self._by_address[conn.peer] -= 1
         if not self._by_address[conn.peer]:
             del self._by_address[conn.peer]
         OPEN_CONNECTIONS.dec()
 
+    def is_open(self, conn: Connection) -> bool:
+        """Return whether a connection has been admitted and not been removed."""
+        return conn in self._by_phase[conn.phase]
+
     def move(self, conn: Connection, phase: Phase) -> None:
         """Record that a connection entered another phase.
 
@@ -141,7 +147,7 @@
 
     def watch_unsent(self, conn: Connection) -> None:
         """Abort a connection once its client has taken no bytes for ``idle_s``."""
-        if conn in self._by_phase[conn.phase]:
+        if self.is_open(conn):
             self._unsent[conn] = (conn.unsent_bytes(), self.now())
             self._schedule_sweep()
 
