Refuse malformed size lines and trailers of chunked bodies

Cause: the filter in front of aiohttp's parser drops extensions and trailers. It took every line that ended with a carriage return and a line feed, also with a bare carriage return or NUL inside, spaces after a size, or a trailer that is not a field. The parser refused all of these before the filter existed. A proxy that reads such a line otherwise finds another end of the request, which allows request smuggling.

--- a/packages/fulmarleverd/fulmarleverd/connections/framing.py
+++ b/packages/fulmarleverd/fulmarleverd/connections/framing.py
@@ -18,7 +18,12 @@
 HEX_DIGITS = frozenset(b"0123456789abcdefABCDEF")
 # A longer number is over every limit of a body.
 MAX_SIZE_DIGITS = 8
-SIZE_LINE_PATTERN = re.compile(rb"([0-9a-fA-F]{1,8})[ \t]*(?:;[^\r\n]{0,128})?\r\n")
+SIZE_LINE_PATTERN = re.compile(
+    rb"([0-9a-fA-F]{1,8})(?:[ \t]{0,8};[^\r\n\0]{0,128})?\r\n"
+)
+# The same for a line that has been checked for its length.
+LONG_SIZE_PATTERN = re.compile(rb"0*([0-9a-fA-F]*)(?:[ \t]*;[^\r\n\0]*)?\r\n")
+TRAILER_PATTERN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n\0]*\r\n")
 # Chunks beyond the proportion to the payload are asked for in blocks of this size.
 SPARE_BLOCK = 256
 
@@ -242,14 +247,16 @@
             self._trailer += len(line)
             if line == LINE_END:
                 self._state = self.DONE
+            elif not TRAILER_PATTERN.fullmatch(line):
+                raise _malformed("a trailer is malformed")
         else:
             self._begin_chunk(line)
 
     def _begin_chunk(self, line: bytes) -> None:
-        digits = line[:-2].partition(b";")[0].rstrip(b" \t")
-        if not digits or not HEX_DIGITS.issuperset(digits):
+        found = LONG_SIZE_PATTERN.fullmatch(line)
+        if found is None or line[0] not in HEX_DIGITS:
             raise _malformed("a chunk has no size")
-        digits = digits.lstrip(b"0")
+        digits = found[1]
         if not digits:
             self._state = self.TRAILER
             return
