End the expansion of a compressed body with its answer

Cause: after an answer, aiohttp reads the rest of a body for up to 10 s only to drop it. A request after it on the same connection was refused as malformed, as the parser was not done.

Now such a connection is closed with the answer like that of a body over the limit.

Run: connections.expansion_tests failed before (the connection stayed open, and 64 MB were expanded) and passes; the 13 tests of both callers' interfaces and the 8 of connections pass.

--- a/packages/fulmarleverd/fulmarleverd/connections/protocol.py
+++ b/packages/fulmarleverd/fulmarleverd/connections/protocol.py
@@ -68,6 +68,7 @@
         "_waiting",
         "_discarded",
         "_is_admitted",
+        "_is_compressed",
         "_is_answered",
         "_is_ignoring",
         "_is_last",
@@ -100,6 +101,7 @@
         self._waiting = b""
         self._discarded = 0
         self._is_admitted = False
+        self._is_compressed = False
         # The request has been answered before its body was complete.
         self._is_answered = False
         # The body is over the limit, so that its handler refuses it unread.
@@ -240,7 +242,8 @@
                 self._is_ignoring = True
             else:
                 self.registry.reserve(self, int(self._left * BODY_FACTOR))
-        if message.compression:
+        self._is_compressed = bool(message.compression)
+        if self._is_compressed:
             self.registry.reserve(self, EXPANSION_BYTES + self._limits.body_bytes)
         self._payload = payload
         has_body = self._chunks is not None or self._left
@@ -294,10 +297,13 @@
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float
     ) -> tuple[web.StreamResponse, bool]:
         """Send an answer, then continue with the bytes that wait for it."""
-        if self._is_ignoring or self._is_last:
+        # aiohttp would expand the rest of a compressed body only to drop it.
+        is_expanding = self._is_compressed and not self._payload.is_eof()
+        is_dropping = self._is_ignoring or is_expanding
+        if is_dropping or self._is_last:
             resp.force_close()
         result = await super().finish_response(request, resp, start_time)
-        if self._is_ignoring and self.phase is Phase.BODY:
+        if is_dropping and self.phase in (Phase.BODY, Phase.BUSY):
             self.registry.move(self, Phase.CLOSING)
         if self.unsent_bytes():
             self.registry.watch_unsent(self)
@@ -327,6 +333,7 @@
         """Continue with the bytes of further requests, if there are any."""
         self.registry.release(self)
         self._payload = EMPTY_PAYLOAD
+        self._is_compressed = False
         self.registry.move(self, Phase.IDLE)
         if self._waiting:
             data, self._waiting = self._waiting, b""
