Do not count a pause of the daemon as time of its callers

Cause: the limits of time are compared with the steady clock. Bytes that were sent during a pause of the VM come only with the next retransmission. Requests were also taken for slow when room was made.

It goes on in a daemon that is always slow, so that slow requests still end.

Run: connections.pause_tests failed before (408 after a pause of 1.2 s with limits of 0.5 s) and passes.

--- a/packages/fulmarleverd/fulmarleverd/connections/registry.py
+++ b/packages/fulmarleverd/fulmarleverd/connections/registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import Counter
 from collections.abc import Callable, Iterator
 from enum import Enum
@@ -79,12 +80,14 @@
         self.find_limits = find_limits
         limits = find_limits()
         self.budget = ByteBudget(limits.buffered_bytes)
-        self.now = loop.time
+        self._loop = loop
+        # The time for which the sweep was late, and when it is due.
+        self._paused_s = 0.0
+        self._sweep_due_s = math.inf
         self._spare_chunks = SpareChunks(
             limits.spare_chunks_per_s, limits.spare_chunks, self.now()
         )
         self.count = 0
-        self._loop = loop
         self._log = RefusalLog()
         self._by_phase: dict[Phase, dict[Connection, None]] = {
             phase: {} for phase in Phase
@@ -94,6 +97,19 @@
         self._unsent: dict[Connection, tuple[int, float]] = {}
         self._sweep_timer: asyncio.TimerHandle | None = None
 
+    def now(self) -> float:
+        """Return the seconds for which this process could read from its connections.
+
+        A pause of the process, or of the whole VM, counts as ``SWEEP_INTERVAL_S``: the
+        bytes that clients send meanwhile are read only afterwards.
+        """
+        time_s = self._loop.time()
+        late_s = time_s - self._sweep_due_s
+        if late_s > SWEEP_INTERVAL_S:
+            self._paused_s += late_s
+            self._sweep_due_s = time_s
+        return time_s - self._paused_s
+
     def admit(self, conn: Connection) -> LimitExceeded | None:
         """Add a new connection, or return why it is refused.
 
@@ -184,6 +200,7 @@
         if self._sweep_timer is not None:
             self._sweep_timer.cancel()
             self._sweep_timer = None
+            self._sweep_due_s = math.inf
 
     def _find_slowest(self, min_age_s: float) -> Connection | None:
         """Return the incomplete request with the fewest bytes per second, if any.
@@ -227,13 +244,15 @@
 
     def _schedule_sweep(self) -> None:
         if self._sweep_timer is None:
-            self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+            self._sweep_due_s = self._loop.time() + SWEEP_INTERVAL_S
+            self._sweep_timer = self._loop.call_at(self._sweep_due_s, self._sweep)
 
     def _sweep(self) -> None:
         """End the connections that are out of time."""
         self._sweep_timer = None
         limits = self.find_limits()
         now = self.now()
+        self._sweep_due_s = math.inf
         for conn in list(self._late(Phase.HEAD, now - limits.head_s)):
             conn.refuse(LimitExceeded(408, "head-time", "the head took too long"))
         for conn in [c for c in self._by_phase[Phase.BODY] if _is_late(c, limits, now)]:
