Reserve the receive buffers of connections that are not read from

Cause: reading pauses once 16 KB of further requests wait for an answer, and the kernel then receives up to 64 KB more. These bytes count as memory of the VM but were in no reservation: 24 such connections held 1.5 MB in the kernel within a budget of 1 MB.

Now the buffer is reserved before reading pauses. Without budget for it the connection ends with the present answer, like one without budget for the waiting bytes.

--- a/packages/fulmarleverd/fulmarleverd/connections/protocol.py
+++ b/packages/fulmarleverd/fulmarleverd/connections/protocol.py
@@ -23,6 +23,7 @@
     LimitExceeded,
 )
 from fulmarleverd.connections.limits import ConnectionLimits
+from fulmarleverd.connections.listening import RECEIVE_BUFFER_BYTES
 from fulmarleverd.connections.registry import ConnectionRegistry, Phase
 
 # All connections read into this buffer, as a read is handled before the next one.
@@ -192,12 +193,17 @@
         Without budget for them the connection ends with that answer, so that the
         client sends the following requests again.
         """
-        if self._is_last or not self.reserve(len(data)):
+        size = len(data)
+        is_full = len(self._waiting) + size >= MAX_WAITING_BYTES
+        if is_full:
+            # The kernel keeps the bytes that a paused connection receives.
+            size += RECEIVE_BUFFER_BYTES
+        if self._is_last or not self.reserve(size):
             self._is_last = True
             self._waiting = b""
             return
         self._waiting += data
-        if len(self._waiting) >= MAX_WAITING_BYTES and not self._buffer_paused:
+        if is_full and not self._buffer_paused:
             self._pause_reading_for_buffer()
 
     def _take_head(self, data: bytes) -> bytes:
