End the wait for the rest of a body when its client leaves

Cause: after an answer to a request whose body is not complete, aiohttp reads the rest of the body for up to 10 s. If the client disconnected meanwhile, its task, protocol and parser were kept for this time, but neither the number of connections nor the budget counted them, so clients could have any number of them.

Now the body ends with the connection if the request has been answered.

Run: connections.accounting_tests failed before (a connection was kept for over 3 s) and passes.

--- a/packages/fulmarleverd/fulmarleverd/connections/protocol.py
+++ b/packages/fulmarleverd/fulmarleverd/connections/protocol.py
@@ -137,6 +137,9 @@
             self._lost.set_result(None)
         self._waiting = b""
         self._head.reset()
+        if self._is_answered:
+            # aiohttp would wait for the rest of the body after the answer.
+            self._payload.feed_eof()
         if self._is_admitted:
             self._leave()
             super().connection_lost(exc)
--- a/packages/fulmarleverd/fulmarleverd/tests/connections/accounting_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/connections/accounting_tests.py
@@ -67,3 +67,22 @@
         await wait_until(lambda: not self.server.connections)
         await wait_until(lambda: not self.registry.budget.used)
         self.assertEqual(self.registry.count, 0)
+
+
+class EarlyAnswerTests(LoopbackTestCase):
+    """Guards against tasks that outlive their connection.
+
+    After an answer aiohttp reads the rest of the body for 10 s. A client that leaves
+    meanwhile isn't counted any more, so any number of such tasks could be kept.
+    """
+
+    async def handle(self, req: web.BaseRequest) -> web.Response:
+        return web.Response(status=405)
+
+    async def test_a_client_that_leaves_after_an_early_answer_leaves_no_task(self):
+        reader, writer = await self.connect()
+        writer.write(WHOLE[:-1])
+        self.assertEqual(await self.read_status(reader), 405)
+        writer.transport.abort()
+        await wait_until(lambda: not self.registry.count)
+        await wait_until(lambda: not self.server.connections, timeout_s=3.0)
