Learn no run times on workers that have just come back

Workers of a zone that was evacuated may be cold and run slower for a while; their runs would raise the learned times. The new row of whole_runs_tests failed before (2.0 s learned) and passes.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/run_times/whole_runs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/run_times/whole_runs.py
@@ -43,7 +43,9 @@
 
 def is_usual_speed(worker: Worker) -> bool:
     """Return whether a worker is not known to be slower than others."""
-    return not worker.is_slow and worker.relative_speed >= MIN_RELATIVE_SPEED
+    if worker.is_slow or worker.is_cold:
+        return False
+    return worker.relative_speed >= MIN_RELATIVE_SPEED
 
 
 def _resumed(run: Run) -> bool:
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/run_times/whole_runs_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/run_times/whole_runs_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.ports import EndedTask, RunningTask, WorkerReport
@@ -44,6 +45,11 @@
     run.worker.is_slow = True
 
 
+def make_cold(run: Run) -> None:
+    """The worker has come back a moment ago."""
+    run.worker.entry = replace(run.worker.entry, cold_left_s=3.0)
+
+
 def disturb(run: Run) -> None:
     run.worker.relative_speed = 0.6
 
@@ -126,6 +132,7 @@
             ("start sent twice", 0.0, {"change": start_again}),
             ("started by an earlier owner", 0.0, {"change": forget_start}),
             ("slow worker", 0.0, {"change": make_slow}),
+            ("cold worker", 0.0, {"change": make_cold}),
             ("disturbed worker", 0.0, {"change": disturb}),
             ("no report requested for long", 0.0, {"gap_s": 0.5}),
             ("report without a clock", 0.0, {"clock_ms": 0}),
