Test the limits on connections, and accept invalid limits in settings as missing

Slow requests to be closed are now searched at most ten times a second, and the connections that wait for their clients are closed before a shutdown ends.

--- a/packages/fulmarleverd/fulmarleverd/connections/framing.py
+++ b/packages/fulmarleverd/fulmarleverd/connections/framing.py
@@ -189,10 +189,13 @@
 
         The other methods need several times the processor time for a chunk.
         """
+        longest = self._limits.chunk_line_bytes
         while line := SIZE_LINE_PATTERN.match(data, position):
             begin = line.end()
             size = int(line[1], 16)
-            if not size or data[begin + size : begin + size + 2] != LINE_END:
+            if not size or begin - position > longest:
+                break
+            if data[begin + size : begin + size + 2] != LINE_END:
                 break
             self._count_chunk(size)
             pieces.append(data[begin : begin + size])
--- a/packages/fulmarleverd/fulmarleverd/connections/protocol.py
+++ b/packages/fulmarleverd/fulmarleverd/connections/protocol.py
@@ -153,7 +153,8 @@
         """Pass complete heads and parts of bodies on to aiohttp's parser."""
         if not data:
             # aiohttp continues to parse what it has kept.
-            super().data_received(data)
+            if self.phase is not Phase.CLOSING:
+                super().data_received(data)
             return
         if not self._is_admitted or self._force_close or self._close:
             return
@@ -422,8 +423,8 @@
 
     async def shutdown(self, timeout: float | None = None) -> None:
         """Close every connection."""
-        self.registry.close()
         await super().shutdown(timeout)
+        self.registry.close()
 
 
 def _drop_traceback(exc: LimitExceeded) -> None:
--- a/packages/fulmarleverd/fulmarleverd/connections/registry.py
+++ b/packages/fulmarleverd/fulmarleverd/connections/registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
 from collections import Counter
 from collections.abc import Callable, Iterator
 from enum import Enum
@@ -22,6 +23,10 @@
 # After a refusal the client has this time to read it and to close the connection.
 LINGER_S = 1.0
 RETRY_AFTER_S = 1.0
+# Looking for the slowest requests takes time in proportion to their number, so that
+# several are found at a time, and not for each request that finds no budget.
+SEARCH_INTERVAL_S = 0.1
+VICTIMS_PER_SEARCH = 32
 
 
 class Phase(Enum):
@@ -92,6 +97,8 @@
         self._by_address: Counter[str] = Counter()
         # Connections with unsent answers: the size, and since when it is the same.
         self._unsent: dict[Connection, tuple[int, float]] = {}
+        self._victims: list[tuple[Connection, float]] = []
+        self._next_search_s = float("-inf")
         self._sweep_timer: asyncio.TimerHandle | None = None
 
     def admit(self, conn: Connection) -> LimitExceeded | None:
@@ -180,22 +187,37 @@
             self._sweep_timer = None
 
     def _find_slowest(self, min_age_s: float) -> Connection | None:
-        """Return the incomplete request with the fewest bytes per second, if any.
+        """Return an incomplete request with the fewest bytes per second, if any.
 
         Requests that are younger than ``min_age_s`` aren't considered.
         """
         now = self.now()
+        if not self._victims and now >= self._next_search_s:
+            self._next_search_s = now + SEARCH_INTERVAL_S
+            self._victims = self._search_slowest(now, min_age_s)
+        while self._victims:
+            conn, begun_s = self._victims.pop()
+            is_same = conn.begun_s == begun_s and conn.phase in INCOMPLETE_PHASES
+            if is_same and conn in self._by_phase[conn.phase]:
+                return conn
+        return None
+
+    def _search_slowest(
+        self, now: float, min_age_s: float
+    ) -> list[tuple[Connection, float]]:
+        """Return incomplete requests and when they began, the slowest one last."""
 
         def progress(conn: Connection) -> float:
             return conn.received_bytes / (now - conn.begun_s)
 
         old = (
             conn
-            for phase in (Phase.HEAD, Phase.BODY)
+            for phase in INCOMPLETE_PHASES
             for conn in self._by_phase[phase]
             if now - conn.begun_s > min_age_s
         )
-        return min(old, key=progress, default=None)
+        found = heapq.nsmallest(VICTIMS_PER_SEARCH, old, key=progress)
+        return [(conn, conn.begun_s) for conn in reversed(found)]
 
     def _close_one(self, limits: ConnectionLimits) -> bool:
         """Close a connection in favour of a new one; return whether there was one."""
@@ -257,7 +279,8 @@
             yield conn
 
 
-SWEPT_PHASES = (Phase.HEAD, Phase.BODY, Phase.CLOSING)
+INCOMPLETE_PHASES = (Phase.HEAD, Phase.BODY)
+SWEPT_PHASES = (*INCOMPLETE_PHASES, Phase.CLOSING)
 
 
 def _is_late(conn: Connection, limits: ConnectionLimits, now: float) -> bool:
--- a/packages/fulmarleverd/fulmarleverd/platform/callers.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/callers.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from aiohttp import ClientError, web
+from aiohttp import ClientError, HttpVersion11, web
 from loguru import logger as log
 
 from fulmarlever.outcomes import Failure, NotRun, OutcomeUnknown, Refused, failed
@@ -177,7 +177,8 @@
         limit = min(self._max_body_bytes, self._calls.max_body_bytes())
         if (req.content_length or 0) > limit:
             return Refused(f"the body is over {limit} bytes")
-        if req.headers.get("Expect", "").lower() == "100-continue":
+        is_expected = req.headers.get("Expect", "").lower() == "100-continue"
+        if is_expected and req.version >= HttpVersion11:
             req.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         body = bytearray()
         try:
@@ -185,7 +186,9 @@
                 body += await req.content.readany()
                 if len(body) > limit:
                     return Refused(f"the body is over {limit} bytes")
-        except (ClientError, web.RequestPayloadError, OSError):
+        except (ClientError, web.RequestPayloadError):
+            if req.transport is None:
+                raise
             return Refused("the body ended early")
         return bytes(body)
 
--- a/packages/fulmarleverd/fulmarleverd/platform/settings.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/settings.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from fulmarlever.outcomes import Failure
+from fulmarleverd.platform.json_values import FORMAT_ERRORS, require_number
 from fulmarleverd.scheduling.specs import (
     DEFAULT_ROW_BYTES,
     UNKNOWN_LINK_MBPS,
@@ -21,6 +22,7 @@
 # A graceful stop ends this long before the platform kills the process.
 KILL_MARGIN_S = 1.0
 MIN_DRAIN_S = 0.5
+DEFAULT_MEMORY_MB = 300
 # The fewest descriptors of a VM, assumed if the settings do not tell them.
 DEFAULT_MAX_FDS = 4100
 
@@ -65,15 +67,15 @@
         metrics_port=int(data["portRange"][0]),
         store_address=data["platform"]["address"],
         admission_address=data.get("advice") or "",
-        memory_mb=int(limits.get("memoryMb", 300)),
+        memory_mb=_positive(limits, "memoryMb", DEFAULT_MEMORY_MB),
         # The share of a core, times the core's speed relative to a standard core.
         cores=float(limits.get("cpuShare", 1.0)) * float(limits.get("cores", 1)),
         link_mbps=float(limits.get("linkMbps") or UNKNOWN_LINK_MBPS),
         row_bytes=int(data["platform"].get("rowBytes") or DEFAULT_ROW_BYTES),
         bounds=bounds,
         drain_limit_s=max(MIN_DRAIN_S, bounds.grace_s - KILL_MARGIN_S),
-        max_fds=int(limits.get("maxFds") or DEFAULT_MAX_FDS),
-        connections_per_address=int(limits.get("maxConnectionsPerAddress") or 0),
+        max_fds=_positive(limits, "maxFds", DEFAULT_MAX_FDS),
+        connections_per_address=_positive(limits, "maxConnectionsPerAddress", 0),
     )
 
 
@@ -107,3 +109,11 @@
 
 def _seconds(data: dict, name: str, default_s: float) -> float:
     return float(data[name]) / 1000.0 if name in data else default_s
+
+
+def _positive(limits: dict, name: str, default: int) -> int:
+    """Return a limit, or its default if it is missing, not a number or not over 0."""
+    try:
+        return int(require_number(limits.get(name, 0))) or default
+    except FORMAT_ERRORS:
+        return default
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/formats_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/formats_tests.py
@@ -156,6 +156,30 @@
             (queue.target_latency_s, queue.timeout_s, queue.stretch), (0.25, 3.0, 2.2)
         )
 
+    # Guards against a configuration that is rejected, or that removes every limit,
+    # because one of its limits is invalid.
+    def test_limits_have_defaults(self):
+        valid = {
+            "maxHeaderBytes": 8000,
+            "maxBodyBytes": 1000,
+            "headerTimeoutMs": 2500,
+            "idleTimeoutMs": 9000,
+        }
+        default = (16384, 262144, 3.0, 15.0)
+        rows = [
+            ("valid", valid, (8000, 1000, 2.5, 9.0)),
+            ("none", {}, default),
+            ("no object", [1], default),
+            *(
+                (repr(bad)[:20], dict.fromkeys(valid, bad), default)
+                for bad in (*INVALID_NUMBERS, 0)
+            ),
+        ]
+        for _, limits, expected in self.each(rows):
+            cfg = parse_config(row({**CONFIG, "limits": limits}))
+            found = (cfg.max_head_bytes, cfg.max_body_bytes, cfg.head_s, cfg.idle_s)
+            self.assertEqual(found, expected)
+
     def test_a_queue_may_need_tickets(self):
         advice = {"decideMs": 40, "periodMs": 2, "validityMs": 3000}
         cfg = parse_config(row({**CONFIG, "routes": [{**ROUTE, "advice": advice}]}))
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/settings_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/settings_tests.py
@@ -38,6 +38,22 @@
         self.assertEqual(settings.bounds.grace_s, 5.0)
         self.assertEqual(settings.drain_limit_s, 4.0)
 
+    # Guards against limits of callers' connections that follow from invalid numbers.
+    def test_limits_have_defaults(self):
+        valid = {"memoryMb": 250, "maxFds": 5000, "maxConnectionsPerAddress": 9}
+        rows = [
+            ("none", {}, (300, 4100, 0)),
+            ("valid", valid, (250, 5000, 9)),
+            *(
+                (repr(bad), dict.fromkeys(valid, bad), (300, 4100, 0))
+                for bad in (-1, 0, "x", None, [1], True, 1e400)
+            ),
+        ]
+        for _, limits, expected in self.each(rows):
+            found = parse_settings({**SETTINGS, "limits": limits})
+            values = (found.memory_mb, found.max_fds, found.connections_per_address)
+            self.assertEqual(values, expected)
+
     def test_errors_contain_the_missing_field_or_malformed(self):
         rows = [
             (name, {k: v for k, v in SETTINGS.items() if k != name}, name)
