Refuse new jobs that would complete too late to be of use

The owner publishes a forecast in the row `summary/admission` while tasks wait for workers: for each service, priority and use of cores the work ahead by size, the rate at which it is completed and its growth. Each daemon judges new jobs by it: refused are those whose forecast exceeds the hard deadline, except for one in ten of a size class, long-running and repeated jobs and the most urgent queue of a service. Refused callers get a time of return at which the backlog has fallen under the limit, spread over the time in which room becomes free; those that return in time go before new ones. The refusals of an owner short of processor time (`overload`) spread their returns over 1 to 3 s with the same schedule.

The forecast takes run times from a protocol (`admission/times.py`), with the declared times behind it for now.

--- a/packages/fulmarleverd/fulmarleverd/platform/callers.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/callers.py
@@ -10,6 +10,7 @@
 
 from fulmarlever.outcomes import Failure, NotRun, OutcomeUnknown, Refused, failed
 from fulmarleverd.platform.formats import parse_job
+from fulmarleverd.scheduling.admission.refusals import AdmissionRefusal
 from fulmarleverd.scheduling.api import JobCalls, QueueNotFound
 from fulmarleverd.scheduling.intake import JobStatus, UnknownJob
 from fulmarleverd.scheduling.metrics import REQUEST_SECONDS, REQUESTS
@@ -138,6 +139,7 @@
         method=method,
         status=status,
         retry_after_s=retry_after_s,
+        **(failure.log_fields() if isinstance(failure, AdmissionRefusal) else {}),
     ).info(failure.reason)
     headers = {}
     if retry_after_s is not None:
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/publisher.py
@@ -0,0 +1,399 @@
+"""Publishes the forecast of the owner, and corrects it by the jobs that ended."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+
+from fulmarleverd.scheduling.admission.forecast import (
+    ROOM_SIZES_M,
+    Candidate,
+    Forecast,
+    GroupLoad,
+    JobLoad,
+)
+from fulmarleverd.scheduling.admission.throughput import (
+    Arrival,
+    Arrivals,
+    Efficiency,
+    Kind,
+    kind_of,
+    used_cores,
+)
+from fulmarleverd.scheduling.admission.times import JobTimes, StepRatios
+from fulmarleverd.scheduling.decisions import record
+from fulmarleverd.scheduling.fleet import Worker
+from fulmarleverd.scheduling.metrics import ADMISSION_FORECAST_SECONDS
+from fulmarleverd.scheduling.obstacles import OVERCOMMIT_SHARE
+from fulmarleverd.scheduling.order import HARD_DEADLINE_FACTOR, Rank
+from fulmarleverd.scheduling.owner import Owner
+from fulmarleverd.scheduling.ports import StoredRow
+from fulmarleverd.scheduling.rows import ADMISSION_KEY, SUMMARY_TABLE, pack
+from fulmarleverd.scheduling.runs import Run
+from fulmarleverd.scheduling.tasks import Job, JobState, Step
+
+PUBLISH_PERIOD_S = 0.8
+# Bounds of the correction of a waiting time.
+MIN_FACTOR = 0.5
+MAX_FACTOR = 2.0
+# The weight of one ended job in the correction.
+CORRECTION_WEIGHT = 0.05
+# Shorter waits, as a share of the hard deadline, say little of the forecast.
+MIN_CORRECTING_SHARE = 0.1
+# The share by which a correction of a group without waiting work nears 1 at each tick.
+FADING_SHARE = 0.02
+# After sizes were served first, shorter deadlines are protected for this long.
+PROTECTED_S = 40.0
+# The backlog ahead of a protected job may take this share of its hard deadline. With
+# the whole deadline, a job is late if another size goes first after its acceptance.
+PROTECTED_SHARE = 0.4
+# Ratios nearer to 1 are not published.
+MIN_RATIO_ERROR = 0.01
+MAX_STEPS_PER_QUEUE = 8
+
+GroupKey = tuple[str, int, bool]
+
+
+class AdmissionPublisher:
+    """Publishes the forecast while work waits for workers."""
+
+    def __init__(self, owner: Owner, times: JobTimes) -> None:
+        self._owner = owner
+        self._times = times
+        self._efficiency = Efficiency(times)
+        self._arrivals: defaultdict[GroupKey, Arrivals] = defaultdict(Arrivals)
+        self._watched: dict[str, WatchedJob] = {}
+        self._factors: dict[GroupKey, float] = {}
+        # When a job of a size that is served too seldom was last open.
+        self._promoted_at_s: dict[GroupKey, float] = {}
+        self._published_at_s = float("-inf")
+        self._is_empty = False
+        self._sequence = 0
+        self.forecast = Forecast({}, StepRatios())
+
+    def tick(self) -> None:
+        """Update the forecast and its row if that is due.
+
+        Without waiting work an empty row is written once. The first tick replaces the
+        row of an earlier owner.
+        """
+        now = self._owner.now_s()
+        if now - self._published_at_s < PUBLISH_PERIOD_S:
+            return
+        self._published_at_s = now
+        self._update(now)
+        is_empty = not self.forecast.groups
+        if is_empty and self._is_empty:
+            return
+        if is_empty != self._is_empty:
+            record("admission-forecast", **self._log_fields())
+        self._is_empty = is_empty
+        self._sequence += 1
+        value = pack(self.forecast.to_data(self._owner.clock.wall(), self._sequence))
+        row = StoredRow(SUMMARY_TABLE, ADMISSION_KEY, value)
+        self._owner.commits.stage_row(row)
+
+    def _update(self, now_s: float) -> None:
+        jobs = [job for job in self._owner.jobs.values() if is_forecast(job)]
+        runs = [run for worker in self._owner.fleet for run in worker.runs.values()]
+        self._efficiency.measure(jobs, runs, now_s)
+        self._correct(now_s)
+        loads = list(self._loads(jobs, runs, now_s))
+        self._watch(jobs, now_s)
+        self.forecast = Forecast.from_loads(
+            loads, self._factors, self._ratios(jobs), self._underserved()
+        )
+        self._fade_factors()
+        self._set_metrics()
+
+    # The load
+
+    def _loads(
+        self, jobs: list[Job], runs: list[Run], now_s: float
+    ) -> Iterator[GroupLoad]:
+        """Yield the loads of the groups of each kind of work that waits."""
+        by_kind: defaultdict[Kind, list[Job]] = defaultdict(list)
+        waiting: defaultdict[Kind, list[Step]] = defaultdict(list)
+        for job in jobs:
+            by_kind[job_kind(job)].append(job)
+            if job.is_size_underserved:
+                self._promoted_at_s[job_key(job)] = now_s
+        for step in self._owner.ready_steps():
+            if not step.spec.is_long_running:
+                waiting[kind_of(step)].append(step)
+        for kind, steps in waiting.items():
+            workers = self._workers(kind[0], now_s)
+            cores = self._cores(kind, workers, runs)
+            yield from self._kind_loads(
+                kind, by_kind[kind], steps, workers, cores, now_s
+            )
+
+    def _workers(self, service: str, now_s: float) -> list[Worker]:
+        """Return the workers that can be expected to run tasks.
+
+        Those that a new owner has not yet compared with a report count, as a forecast
+        without them would be too high.
+        """
+        return [
+            worker
+            for worker in self._owner.fleet
+            if worker.entry.service == service
+            and worker.is_listed
+            and not worker.entry.is_draining
+            and not worker.is_unresponsive
+            and (worker.accepts_runs(now_s) or not worker.is_reconciled)
+        ]
+
+    def _cores(self, kind: Kind, workers: list[Worker], runs: list[Run]) -> float:
+        """Return the rate of a kind of work if all cores that it can use are busy."""
+        used = sum(
+            used_cores(run)
+            for run in runs
+            if kind_of(run.task.step) == kind and not run.task.step.spec.is_long_running
+        )
+        free_m = sum(max(0.0, free_cpu_m(worker, kind[1])) for worker in workers)
+        return self._efficiency.of(kind) * (used + free_m / 1000.0)
+
+    def _kind_loads(
+        self,
+        kind: Kind,
+        jobs: list[Job],
+        steps: list[Step],
+        workers: list[Worker],
+        cores: float,
+        now_s: float,
+    ) -> Iterator[GroupLoad]:
+        free = room_by_size(workers, kind[1])
+        underserved = frozenset(self._underserved())
+        urgent_work = urgent_growth = 0.0
+        priorities = {job.queue.priority for job in jobs}
+        for priority in sorted(priorities):
+            key = (kind[0], priority, kind[1])
+            loads = [
+                JobLoad(self._remaining_work(job, now_s), self._rank(job, now_s))
+                for job in jobs
+                if job.queue.priority == priority
+            ]
+            arrivals = self._arrivals[key].growth(now_s, underserved)
+            protected_s = self._protected_s(key, now_s)
+            before = [step for step in steps if step.job.queue.priority <= priority]
+            yield GroupLoad(
+                *key,
+                cores,
+                loads,
+                urgent_work,
+                urgent_growth,
+                arrivals,
+                unused_room(free, before),
+                protected_s,
+            )
+            urgent_work += sum(load.work_core_s for load in loads)
+            urgent_growth += sum(growth for _, growth in arrivals)
+
+    def _protected_s(self, key: GroupKey, now_s: float) -> float:
+        """Return the limit of the backlog that protects smaller jobs, 0 for none.
+
+        There is none unless jobs of some size went first of late.
+        """
+        promoted_at_s = self._promoted_at_s.get(key, float("-inf"))
+        if now_s - promoted_at_s > PROTECTED_S:
+            return 0.0
+        return PROTECTED_SHARE * self._arrivals[key].early_deadline_s()
+
+    def _remaining_work(self, job: Job, now_s: float) -> float:
+        """Return the remaining core-seconds, less what running tasks have done."""
+        work_core_s = self._times.remaining_work_core_s(job)
+        name = job.queue.name
+        for run in job.runs():
+            step = run.task.step
+            if run.started_s:
+                expected_s = self._times.expected_step_s(name, step.number, step.spec)
+                elapsed_s = min(expected_s, max(0.0, now_s - run.started_s))
+                work_core_s -= used_cores(run) * elapsed_s
+        return max(0.0, work_core_s)
+
+    def _rank(self, job: Job, now_s: float) -> Rank:
+        """Return the rank in which the order of steps serves a job."""
+        if job.spec.repetitions:
+            return Rank.MEETS_OBJECTIVE
+        latency_s = now_s - job.since_s + self._times.remaining_s(job)
+        if latency_s > job.hard_deadline_s:
+            return Rank.MISSES_HARD_DEADLINE
+        if job.is_size_underserved:
+            return Rank.UNDERSERVED_SIZE
+        meets_objective = latency_s * HARD_DEADLINE_FACTOR <= job.hard_deadline_s
+        return Rank.MEETS_OBJECTIVE if meets_objective else Rank.MISSES_OBJECTIVE
+
+    def _ratios(self, jobs: Iterable[Job]) -> StepRatios:
+        """Return the learned ratios of the steps of open jobs, the latest for each."""
+        ratios: dict[tuple[str, int], float] = {}
+        for job in jobs:
+            for number, spec in enumerate(job.spec.steps[:MAX_STEPS_PER_QUEUE]):
+                name = job.queue.name
+                expected_s = self._times.expected_step_s(name, number, spec)
+                if spec.estimate_s > 0.0:
+                    ratios[name, number] = expected_s / spec.estimate_s
+        return StepRatios(
+            {
+                key: ratio
+                for key, ratio in ratios.items()
+                if abs(ratio - 1.0) > MIN_RATIO_ERROR
+            }
+        )
+
+    def _underserved(self) -> Iterator[tuple[str, int]]:
+        for share in self._owner.size_classes.shares():
+            if share.is_underserved:
+                yield share.queue, share.size_class
+
+    # The correction
+
+    def _watch(self, jobs: Iterable[Job], now_s: float) -> None:
+        """Note the forecast for jobs that are seen for the first time."""
+        for job in jobs:
+            if job.id in self._watched:
+                continue
+            key = job_key(job)
+            work_core_s = self._times.remaining_work_core_s(job)
+            size = (job.queue.name, job.size_class)
+            arrival = Arrival(job.since_s, work_core_s, job.hard_deadline_s, size)
+            self._arrivals[key].add(arrival)
+            wait_s = critical_path_s = 0.0
+            group = self.forecast.groups.get(key)
+            if group is not None and job.hard_deadline_s:
+                critical_path_s = self._times.critical_path_s(job.spec, job.queue)
+                objective_s = job.hard_deadline_s / HARD_DEADLINE_FACTOR
+                wait_s = group.wait_s(
+                    Candidate(
+                        work_core_s,
+                        critical_path_s,
+                        objective_s,
+                        job.hard_deadline_s,
+                        is_size_underserved=job.is_size_underserved,
+                    )
+                )
+            self._watched[job.id] = WatchedJob(job, key, critical_path_s, wait_s)
+
+    def _correct(self, now_s: float) -> None:
+        """Compare the forecasts of jobs that ended, or are late, with their ages."""
+        for job_id, watched in list(self._watched.items()):
+            job = watched.job
+            if job.is_final:
+                del self._watched[job_id]
+            is_long = watched.wait_s > MIN_CORRECTING_SHARE * job.hard_deadline_s
+            if watched.is_counted or not is_long or not job.hard_deadline_s:
+                continue
+            if job.is_size_underserved:
+                # It goes before others since, so the forecast is of no use.
+                watched.is_counted = True
+                continue
+            factor = self._factors.get(watched.key, 1.0)
+            if job.is_final:
+                if job.state is JobState.COMPLETED:
+                    self._apply_sample(watched, job.final_at_s - job.since_s, 0.0)
+            elif now_s - job.since_s > job.hard_deadline_s:
+                # It takes at least as long as that.
+                self._apply_sample(watched, now_s - job.since_s, factor)
+
+    def _apply_sample(
+        self, watched: WatchedJob, age_s: float, min_ratio: float
+    ) -> None:
+        watched.is_counted = True
+        ratio = (age_s - watched.critical_path_s) / watched.wait_s
+        ratio = min(MAX_FACTOR, max(MIN_FACTOR, min_ratio, ratio))
+        factor = self._factors.get(watched.key, 1.0)
+        factor *= (ratio / factor) ** CORRECTION_WEIGHT
+        self._factors[watched.key] = factor
+
+    def _fade_factors(self) -> None:
+        for key, factor in list(self._factors.items()):
+            if key not in self.forecast.groups:
+                self._factors[key] = factor + FADING_SHARE * (1.0 - factor)
+
+    # Observation
+
+    def _set_metrics(self) -> None:
+        ADMISSION_FORECAST_SECONDS.clear()
+        drains_s: defaultdict[int, float] = defaultdict(float)
+        for group in self.forecast.groups.values():
+            drains_s[group.priority] = max(drains_s[group.priority], group.drain_s)
+        for priority, drain_s in drains_s.items():
+            ADMISSION_FORECAST_SECONDS.labels(str(priority)).set(drain_s)
+
+    def _log_fields(self) -> dict[str, object]:
+        groups = self.forecast.groups.values()
+        longest = max(groups, key=lambda group: group.drain_s, default=None)
+        if longest is None:
+            return {"groups": 0}
+        return {
+            "groups": len(groups),
+            "service": longest.service,
+            "priority": longest.priority,
+            "cores": round(longest.cores, 1),
+            "backlog_core_s": round(longest.backlog_core_s, 1),
+            "drain_s": round(longest.drain_s, 2),
+            "factor": round(longest.factor, 2),
+        }
+
+
+class WatchedJob:
+    """An open job with the wait that was forecast for it, uncorrected."""
+
+    __slots__ = ("job", "key", "critical_path_s", "wait_s", "is_counted")
+
+    def __init__(
+        self, job: Job, key: GroupKey, critical_path_s: float, wait_s: float
+    ) -> None:
+        self.job = job
+        self.key = key
+        self.critical_path_s = critical_path_s
+        self.wait_s = wait_s
+        self.is_counted = False
+
+
+def is_forecast(job: Job) -> bool:
+    """Return whether the work of a job counts in forecasts."""
+    return not job.spec.is_long_running
+
+
+def job_kind(job: Job) -> Kind:
+    """Return the service and the use of cores of a job."""
+    is_best_effort = any(step.is_best_effort for step in job.spec.steps)
+    return job.queue.service, is_best_effort
+
+
+def job_key(job: Job) -> GroupKey:
+    """Return the key of the group of a job."""
+    service, is_best_effort = job_kind(job)
+    return service, job.queue.priority, is_best_effort
+
+
+def free_cpu_m(worker: Worker, is_best_effort: bool) -> float:
+    """Return the free thousandths of a core of a worker for a use of cores."""
+    return worker.free_best_effort_cpu_m() if is_best_effort else worker.free_cpu_m()
+
+
+def room_by_size(workers: Iterable[Worker], is_best_effort: bool) -> list[float]:
+    """Return the free cores that tasks of each size of ``ROOM_SIZES_M`` can use."""
+    overcommit = OVERCOMMIT_SHARE if is_best_effort else 0.0
+    tasks = [0] * len(ROOM_SIZES_M)
+    for worker in workers:
+        free_m = free_cpu_m(worker, is_best_effort)
+        for number, size_m in enumerate(ROOM_SIZES_M):
+            fitting = int((free_m + overcommit * size_m) // size_m)
+            if fitting <= 0:
+                break
+            tasks[number] += fitting
+    pairs = zip(tasks, ROOM_SIZES_M, strict=True)
+    return [count * size_m / 1000.0 for count, size_m in pairs]
+
+
+def unused_room(free: list[float], waiting: Iterable[Step]) -> tuple[float, ...]:
+    """Return the free cores by size less those that waiting tasks are about to use."""
+    wanted = [0.0] * len(ROOM_SIZES_M)
+    for step in waiting:
+        fits = (n for n, size in enumerate(ROOM_SIZES_M) if size >= step.spec.cpu_m)
+        number = next(fits, len(ROOM_SIZES_M) - 1)
+        wanted[number] += len(step.waiting) * step.spec.cpu_m / 1000.0
+    taken = sum(min(pair) for pair in zip(wanted, free, strict=True))
+    return tuple(max(0.0, cores - taken) for cores in free)
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/times.py
@@ -0,0 +1,82 @@
+"""The run times that a forecast is made of."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from fulmarleverd.scheduling import order
+from fulmarleverd.scheduling.specs import JobSpec, QueueSpec, StepSpec
+from fulmarleverd.scheduling.tasks import Job
+
+
+class JobTimes(Protocol):
+    """Run times of jobs, in seconds and core-seconds on workers of normal speed."""
+
+    def expected_step_s(self, queue_name: str, number: int, spec: StepSpec) -> float:
+        """Return the seconds of one task of the step ``number`` of a new job."""
+
+    def critical_path_s(self, spec: JobSpec, queue: QueueSpec) -> float:
+        """Return the seconds of the longest chain of steps of a new job."""
+
+    def remaining_s(self, job: Job) -> float:
+        """Return the seconds of the longest chain of steps that are not done."""
+
+    def remaining_work_core_s(self, job: Job) -> float:
+        """Return the core-seconds of the tasks that are not done."""
+
+
+class DeclaredTimes:
+    """The run times that callers declare."""
+
+    __slots__ = ()
+
+    def expected_step_s(self, queue_name: str, number: int, spec: StepSpec) -> float:
+        """Return the declared seconds of one task."""
+        return spec.estimate_s
+
+    def critical_path_s(self, spec: JobSpec, queue: QueueSpec) -> float:
+        """Return the declared seconds of the longest chain of steps."""
+        return order.critical_path_s(spec)
+
+    def remaining_s(self, job: Job) -> float:
+        """Return the declared seconds of the longest chain that is not done."""
+        return order.remaining_critical_path_s(job)
+
+    def remaining_work_core_s(self, job: Job) -> float:
+        """Return the declared core-seconds of the tasks that are not done."""
+        return order.remaining_work_core_s(job)
+
+
+class StepRatios:
+    """Expected time divided by declared time, by queue and number of the step.
+
+    Daemons estimate new jobs by these published ratios. A step without one takes its
+    declared time.
+    """
+
+    __slots__ = ("by_step",)
+
+    def __init__(self, by_step: dict[tuple[str, int], float] | None = None) -> None:
+        self.by_step = by_step or {}
+
+    def expected_step_s(self, queue_name: str, number: int, spec: StepSpec) -> float:
+        """Return the expected seconds of one task of a step."""
+        return spec.estimate_s * self.by_step.get((queue_name, number), 1.0)
+
+    def critical_path_s(self, spec: JobSpec, queue: QueueSpec) -> float:
+        """Return the expected seconds of the longest chain of steps."""
+        ends: list[float] = []
+        for number, step in enumerate(spec.steps):
+            ready_s = max((ends[earlier] for earlier in step.after), default=0.0)
+            ends.append(ready_s + self.expected_step_s(queue.name, number, step))
+        return max(ends, default=0.0)
+
+    def total_work_core_s(self, spec: JobSpec, queue: QueueSpec) -> float:
+        """Return the expected core-seconds of one occurrence of a job."""
+        return sum(
+            step.count
+            * step.cpu_m
+            / 1000.0
+            * self.expected_step_s(queue.name, number, step)
+            for number, step in enumerate(spec.steps)
+        )
--- a/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from loguru import logger as log
@@ -21,7 +21,16 @@
     failed,
 )
 from fulmarleverd.scheduling.adaptive_timeout import AdaptiveTimeout
+from fulmarleverd.scheduling.admission.policy import AdmissionPolicy
+from fulmarleverd.scheduling.admission.refusals import AdmissionRefusal
+from fulmarleverd.scheduling.admission.retries import (
+    LIGHT_WINDOW_S,
+    MIN_RETRY_S,
+    RetrySchedule,
+    RoomWindow,
+)
 from fulmarleverd.scheduling.config_watcher import RETRY_AFTER_S
+from fulmarleverd.scheduling.metrics import ADMISSION_REFUSALS
 from fulmarleverd.scheduling.overload import OverloadReader
 from fulmarleverd.scheduling.ports import (
     CommitResult,
@@ -77,7 +86,8 @@
     """Submits, looks up and cancels jobs in the store.
 
     ``store_unanswered_s`` returns for how many seconds the store has not answered this
-    daemon.
+    daemon. ``queues`` returns the configured queues; without them, no job is refused
+    by its forecast.
     """
 
     def __init__(
@@ -85,6 +95,7 @@
         store: Store,
         clock: Clock,
         store_unanswered_s: Callable[[], float] = lambda: 0.0,
+        queues: Callable[[], Iterable[QueueSpec]] = lambda: (),
     ) -> None:
         self._store = store
         self._clock = clock
@@ -94,6 +105,10 @@
         self._pending_read_s = -1.0
         self._timeout = AdaptiveTimeout()
         self._overload = OverloadReader(store, clock)
+        self._retries = RetrySchedule(clock)
+        self._admission = AdmissionPolicy.from_store(
+            store, clock, self._retries, queues
+        )
 
     async def submit(
         self, spec: JobSpec, queue: QueueSpec, until_s: float
@@ -108,13 +123,23 @@
         error = spec.find_error()
         if error:
             return Refused(error)
-        refusal = self._overload.find_refusal(queue)
+        refusal = self._find_refusal(spec, queue)
         if refusal is not None:
             return await self._refuse_unless_stored(spec, refusal)
         row = JobRow(spec, queue, self._clock.wall())
         tx = Transaction([job_row(spec.id)], [job_row(spec.id, pack_job(row))])
         return await self._insert(tx, spec, until_s)
 
+    def _find_refusal(self, spec: JobSpec, queue: QueueSpec) -> NotRun | None:
+        """Return why a new job is refused, with the time of its return."""
+        refusal = self._overload.find_refusal(queue)
+        if refusal is None:
+            return self._admission.find_refusal(spec, queue)
+        # How soon the owner catches up is not known, so returns are only spread.
+        window = RoomWindow(MIN_RETRY_S, LIGHT_WINDOW_S)
+        refusal.retry_after_s = self._retries.refuse(spec.id, window, "even")
+        return refusal
+
     async def _refuse_unless_stored(
         self, spec: JobSpec, refusal: NotRun
     ) -> None | NotRun | OutcomeUnknown:
@@ -122,7 +147,12 @@
         rows = await self._read_one(job_row(spec.id))
         if failed(rows):
             return OutcomeUnknown(rows.reason)
-        return None if rows.rows else refusal
+        if rows.rows:
+            self._retries.forget(spec.id)
+            return None
+        is_forecast = isinstance(refusal, AdmissionRefusal)
+        ADMISSION_REFUSALS.labels("forecast" if is_forecast else "overload").inc()
+        return refusal
 
     async def _insert(
         self, tx: Transaction, spec: JobSpec, until_s: float
--- a/packages/fulmarleverd/fulmarleverd/scheduling/metrics.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/metrics.py
@@ -55,3 +55,16 @@
     "fulmarlever_log_lines_dropped",
     "Log lines left out because the writer lagged.",
 )
+ADMISSION_FORECAST_SECONDS = Gauge(
+    "fulmarlever_admission_forecast_seconds",
+    "Time in which the waiting work of a priority is completed; none while none waits.",
+    ["priority"],
+)
+ADMISSION_REFUSALS = Counter(
+    "fulmarlever_admission_refusals_total", "New jobs that were refused.", ["reason"]
+)
+ADMISSION_EXEMPTIONS = Counter(
+    "fulmarlever_admission_exemptions_total",
+    "New jobs that were let in though their forecast is too late.",
+    ["rule"],
+)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
@@ -10,6 +10,8 @@
 from fulmarlever.clock import Clock
 from fulmarlever.outcomes import failed
 from fulmarleverd.scheduling import plan_pace
+from fulmarleverd.scheduling.admission.publisher import AdmissionPublisher
+from fulmarleverd.scheduling.admission.times import DeclaredTimes
 from fulmarleverd.scheduling.backlog import Backlog
 from fulmarleverd.scheduling.commits import CommitQueue
 from fulmarleverd.scheduling.decisions import record
@@ -85,6 +87,7 @@
         self._housekeeping = Housekeeping(self.owner, self._guard.model)
         self._fair_shares = FairShares(self.owner, self._planner)
         self._overload = OverloadPublisher(self.owner, self._start_rate)
+        self._admission = AdmissionPublisher(self.owner, DeclaredTimes())
         self._backlog = Backlog(
             self.owner, self._planner, self._start_rate, interface.loop_delay
         )
@@ -251,6 +254,7 @@
             self._housekeeping.tick()
             self._fair_shares.tick()
             self._overload.tick()
+            self._admission.tick()
             self._backlog.tick()
             # Workers accept runs again and jobs become late merely as time passes.
             self.owner.changed.set()
--- a/packages/fulmarleverd/fulmarleverd/services/ingress.py
+++ b/packages/fulmarleverd/fulmarleverd/services/ingress.py
@@ -29,7 +29,12 @@
         interface = self.kernel.find("interface").interface
         config_watcher = self.kernel.find("queues").config_watcher
         calls = JobCalls(
-            Intake(interface.store, self.clock, config_watcher.age_s),
+            Intake(
+                interface.store,
+                self.clock,
+                config_watcher.age_s,
+                lambda: config_watcher.config.queues,
+            ),
             config_watcher,
             self.clock,
             lambda: self.kernel.is_draining,
