--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/publisher.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/publisher.py
@@ -121,11 +121,12 @@
         for step in self._owner.ready_steps():
             if not step.spec.is_long_running:
                 waiting[kind_of(step)].append(step)
+        work_done = self._work_in_progress(runs, now_s) if waiting else {}
         for kind, steps in waiting.items():
             workers = self._workers(kind[0], now_s)
-            cores = self._cores(kind, workers, runs)
+            cores = self._cores(kind, workers)
             yield from self._kind_loads(
-                kind, by_kind[kind], steps, workers, cores, now_s
+                kind, by_kind[kind], steps, workers, cores, work_done, now_s
             )
 
     def _workers(self, service: str, now_s: float) -> list[Worker]:
@@ -144,14 +145,10 @@
             and (worker.accepts_runs(now_s) or not worker.is_reconciled)
         ]
 
-    def _cores(self, kind: Kind, workers: list[Worker], runs: list[Run]) -> float:
+    def _cores(self, kind: Kind, workers: list[Worker]) -> float:
         """Return the rate of a kind of work if all cores that it can use are busy."""
-        used = sum(
-            used_cores(run)
-            for run in runs
-            if kind_of(run.task.step) == kind and not run.task.step.spec.is_long_running
-        )
         free_m = sum(max(0.0, free_cpu_m(worker, kind[1])) for worker in workers)
+        used = self._efficiency.cores_in_use(kind)
         return self._efficiency.of(kind) * (used + free_m / 1000.0)
 
     def _kind_loads(
@@ -161,6 +158,7 @@
         steps: list[Step],
         workers: list[Worker],
         cores: float,
+        work_done: dict[str, float],
         now_s: float,
     ) -> Iterator[GroupLoad]:
         free = room_by_size(workers, kind[1])
@@ -170,7 +168,14 @@
         for priority in sorted(priorities):
             key = (kind[0], priority, kind[1])
             loads = [
-                JobLoad(self._remaining_work(job, now_s), self._rank(job, now_s))
+                JobLoad(
+                    max(
+                        0.0,
+                        self._times.remaining_work_core_s(job)
+                        - work_done.get(job.id, 0.0),
+                    ),
+                    self._rank(job, now_s),
+                )
                 for job in jobs
                 if job.queue.priority == priority
             ]
@@ -200,17 +205,19 @@
             return 0.0
         return PROTECTED_SHARE * self._arrivals[key].early_deadline_s()
 
-    def _remaining_work(self, job: Job, now_s: float) -> float:
-        """Return the remaining core-seconds, less what running tasks have done."""
-        work_core_s = self._times.remaining_work_core_s(job)
-        name = job.queue.name
-        for run in job.runs():
+    def _work_in_progress(
+        self, runs: Iterable[Run], now_s: float
+    ) -> defaultdict[str, float]:
+        """Return by job the core-seconds that its running tasks have done."""
+        done: defaultdict[str, float] = defaultdict(float)
+        for run in runs:
             step = run.task.step
-            if run.started_s:
+            if run.started_s and not run.task.is_done:
+                name = step.job.queue.name
                 expected_s = self._times.expected_step_s(name, step.number, step.spec)
                 elapsed_s = min(expected_s, max(0.0, now_s - run.started_s))
-                work_core_s -= used_cores(run) * elapsed_s
-        return max(0.0, work_core_s)
+                done[step.job.id] += used_cores(run) * elapsed_s
+        return done
 
     def _rank(self, job: Job, now_s: float) -> Rank:
         """Return the rank in which the order of steps serves a job."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/throughput.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/throughput.py
@@ -122,6 +122,10 @@
         queue_name = step.job.queue.name
         return self._times.expected_step_s(queue_name, step.number, step.spec)
 
+    def cores_in_use(self, kind: Kind) -> float:
+        """Return the cores in use at the last measurement."""
+        return self._cores.get(kind, 0.0)
+
     def of(self, kind: Kind) -> float:
         """Return the efficiency of a kind of work."""
         completed = PRIOR_CORE_S + max(0.0, self._completed[kind])
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/closed_loop.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/closed_loop.py
@@ -86,8 +86,8 @@
     ``share`` is the work that arrives by the capacity of the fleet; it may be a
     function of the time. ``urgent_share`` is that of the urgent queue. ``returns`` maps
     a number of seconds told to those after which the caller comes back, ``None`` for
-    never. ``actual_s`` maps a declared time to the real one. ``zone`` picks the daemon
-    of a job.
+    never. ``error`` draws the real time of a step's tasks by the declared one. ``zone``
+    picks the daemon of a job.
     """
 
     share: float | Callable[[float], float] = 1.5
@@ -97,9 +97,7 @@
     is_admission_on: bool = True
     returns: Callable[[float], float | None] = lambda told_s: told_s
     attempts: int = 6
-    actual_s: Callable[[random.Random, float], float] = lambda rng, declared_s: (
-        declared_s
-    )
+    error: Callable[[random.Random], float] = lambda rng: 1.0
     zone: Callable[[random.Random, float], int] = lambda rng, now_s: rng.randrange(3)
     workers: int = 6
     worker_cores: int = 32
@@ -151,6 +149,7 @@
         self.outcomes: dict[str, Outcome] = {}
         self.urgent_late = 0
         self.jobs: dict[str, Job] = {}
+        self.errors: dict[str, float] = {}
         self._numbers = count()
         # Time, number, and what is due then: an end of a run or a submission.
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -290,7 +289,10 @@
         for run in starts:
             run.state = RunState.RUNNING
             run.started_s = self.clock.now
-            took_s = self.load.actual_s(self.rng, run.task.step.spec.estimate_s)
+            step = run.task.step
+            if step.name not in self.errors:
+                self.errors[step.name] = self.load.error(self.rng)
+            took_s = step.spec.estimate_s * self.errors[step.name]
             self.at(self.clock.now + took_s, lambda run=run: self._end(run))
 
     def _end(self, run: Run) -> None:
