Spread returns of an overloaded owner's callers evenly over 1 to 3 s

Cause: the window began at 1 s and the seconds are rounded up, so callers were told 2 or 3 s only.

An owner whose work is all of priority 0 writes no forecasts, as such jobs are never refused: a deployment with one priority is served as before.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/publisher.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/publisher.py
@@ -74,15 +74,16 @@
     def tick(self) -> None:
         """Update the forecast and its row if that is due.
 
-        Without waiting work an empty row is written once. The first tick replaces the
-        row of an earlier owner.
+        Without waiting work of a priority over 0, one more row is written. The first
+        tick replaces the row of an earlier owner.
         """
         now = self._owner.now_s()
         if now - self._published_at_s < PUBLISH_PERIOD_S:
             return
         self._published_at_s = now
         self._update(now)
-        is_empty = not self.forecast.groups
+        # Jobs of priority 0 are never refused.
+        is_empty = not any(priority > 0 for _, priority, _ in self.forecast.groups)
         if is_empty and self._is_empty:
             return
         if is_empty != self._is_empty:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
@@ -25,7 +25,6 @@
 from fulmarleverd.scheduling.admission.refusals import AdmissionRefusal
 from fulmarleverd.scheduling.admission.retries import (
     LIGHT_WINDOW_S,
-    MIN_RETRY_S,
     RetrySchedule,
     RoomWindow,
 )
@@ -136,7 +135,7 @@
         if refusal is None:
             return self._admission.find_refusal(spec, queue)
         # How soon the owner catches up is not known, so returns are only spread.
-        window = RoomWindow(MIN_RETRY_S, LIGHT_WINDOW_S)
+        window = RoomWindow(latest_s=LIGHT_WINDOW_S)
         refusal.retry_after_s = self._retries.refuse(spec.id, window, "even")
         return refusal
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/publisher_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/publisher_tests.py
@@ -81,6 +81,12 @@
         self.assertEqual(len(self.rows), 5)
         self.assertEqual(Forecast.unpack(self.rows[-1].value).groups, {})
 
+    def test_a_deployment_with_one_priority_costs_no_writes(self):
+        self.add_jobs(9, queue=URGENT)
+        for _ in range(10):
+            self.tick()
+        self.assertEqual(len(self.rows), 1)
+
     def test_more_urgent_and_smaller_work_is_ahead_and_less_urgent_is_not(self):
         later = replace(QUEUE, name="later", priority=5)
         self.add_jobs(2, queue=URGENT)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/retries_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/retries_tests.py
@@ -9,13 +9,12 @@
 from fulmarleverd.scheduling.admission.retries import (
     KEPT_S,
     MAX_REFUSALS,
-    MIN_RETRY_S,
     RetrySchedule,
     Return,
     RoomWindow,
 )
 
-LIGHT = RoomWindow(MIN_RETRY_S, 3.0)
+LIGHT = RoomWindow(latest_s=3.0)
 
 
 class RetryScheduleTests(TableTestCase):
