Measure completed work by the times of the step itself

The work that remains of open jobs will come from the learned times of each step, so the completed work has to be counted in the same unit (`JobTimes.expected_s`, which `RunTimes` has as well). With the declared times behind the protocol nothing changes.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/publisher.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/publisher.py
@@ -214,8 +214,7 @@
         for run in runs:
             step = run.task.step
             if run.started_s and not run.task.is_done:
-                name = step.job.queue.name
-                expected_s = self._times.expected_step_s(name, step.number, step.spec)
+                expected_s = self._times.expected_s(step)
                 elapsed_s = min(expected_s, max(0.0, now_s - run.started_s))
                 done[step.job.id] += used_cores(run) * elapsed_s
         return done
--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/throughput.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/throughput.py
@@ -103,7 +103,8 @@
             step = run.task.step
             if step in done and run.started_s and not run.task.is_done:
                 elapsed_s = max(0.0, now_s - run.started_s)
-                done[step] += used_cores(run) * min(self._expected_s(step), elapsed_s)
+                expected_s = self._times.expected_s(step)
+                done[step] += used_cores(run) * min(expected_s, elapsed_s)
         return done
 
     def _steps(self, jobs: Iterable[Job]) -> Iterator[Step]:
@@ -116,11 +117,7 @@
 
     def _ended_work(self, step: Step) -> float:
         ended = step.spec.count - step.unfinished_tasks
-        return ended * self._expected_s(step) * step.spec.cpu_m / 1000.0
-
-    def _expected_s(self, step: Step) -> float:
-        queue_name = step.job.queue.name
-        return self._times.expected_step_s(queue_name, step.number, step.spec)
+        return ended * self._times.expected_s(step) * step.spec.cpu_m / 1000.0
 
     def cores_in_use(self, kind: Kind) -> float:
         """Return the cores in use at the last measurement."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/times.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/times.py
@@ -6,12 +6,15 @@
 
 from fulmarleverd.scheduling import order
 from fulmarleverd.scheduling.specs import JobSpec, QueueSpec, StepSpec
-from fulmarleverd.scheduling.tasks import Job
+from fulmarleverd.scheduling.tasks import Job, Step
 
 
 class JobTimes(Protocol):
     """Run times of jobs, in seconds and core-seconds on workers of normal speed."""
 
+    def expected_s(self, step: Step) -> float:
+        """Return the seconds of one task of a step of an open job."""
+
     def expected_step_s(self, queue_name: str, number: int, spec: StepSpec) -> float:
         """Return the seconds of one task of the step ``number`` of a new job."""
 
@@ -30,6 +33,10 @@
 
     __slots__ = ()
 
+    def expected_s(self, step: Step) -> float:
+        """Return the declared seconds of one task."""
+        return step.spec.estimate_s
+
     def expected_step_s(self, queue_name: str, number: int, spec: StepSpec) -> float:
         """Return the declared seconds of one task."""
         return spec.estimate_s
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/callers_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/callers_tests.py
@@ -12,6 +12,7 @@
 from fulmarlever.outcomes import NotRun, OutcomeUnknown, Refused, Unavailable
 from fulmarlever.tests.base import TableTestCase
 from fulmarleverd.platform.callers import CallerServer
+from fulmarleverd.scheduling.admission.refusals import AdmissionRefusal
 from fulmarleverd.scheduling.api import QueueNotFound
 from fulmarleverd.scheduling.intake import JobStatus, UnknownJob
 from fulmarleverd.scheduling.specs import QueueSpec
@@ -135,6 +136,24 @@
             self.assertEqual(lines[0]["event"], "caller-refused")
             self.assertEqual(lines[0]["job"], "0123456789abcdef")
 
+    async def test_a_refusal_by_the_forecast_is_logged_with_its_figures(self):
+        # Without them, nobody can tell whether a refusal was right.
+        self.calls.queue = QUEUE
+        self.calls.result = AdmissionRefusal(7.0, 21.04, 9.0, 0.4)
+        lines: list[dict] = []
+        sink = log.add(lambda m: lines.append(m.record["extra"]))
+        found = await self.ask("POST", "/p/0123456789abcdef", json=JOB)
+        log.remove(sink)
+        self.assertEqual((found[0], found[2]["Retry-After"]), (429, "7"))
+        expected = {
+            "event": "caller-refused",
+            "forecast_s": 21.04,
+            "limit_s": 9.0,
+            "row_age_s": 0.4,
+            "retry_after_s": 7.0,
+        }
+        self.assertLessEqual(expected.items(), lines[0].items())
+
     async def test_an_unknown_queue_is_not_found(self):
         self.calls.queue = QueueNotFound("none")
         found = await self.ask("GET", "/q/")
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/publisher_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/publisher_tests.py
@@ -28,6 +28,15 @@
 CORES = 64.0
 
 
+class DoubledTimes(DeclaredTimes):
+    """Learned times of a queue whose tasks take twice as long as declared."""
+
+    __slots__ = ()
+
+    def expected_step_s(self, queue_name: str, number: int, spec: StepSpec) -> float:
+        return 2.0 * spec.estimate_s
+
+
 class PublisherTests(OwnerTestCase):
     def setUp(self):
         super().setUp()
@@ -137,6 +146,17 @@
         slow = self.tick().find(*key).cores
         self.assertLess(slow, 0.5 * first)
 
+    def test_learned_ratios_are_published_for_the_daemons(self):
+        # Load: declarations that are off. Daemons know nothing of the learned times.
+        self.publisher = AdmissionPublisher(self.owner, DoubledTimes())
+        self.add_jobs(3)
+        self.tick()
+        ratios = Forecast.unpack(self.rows[-1].value).ratios
+        self.assertEqual(ratios.by_step, {("plans", 0): 2.0})
+        spec = self.owner.jobs["plans-0"].spec
+        self.assertEqual(ratios.critical_path_s(spec, QUEUE), 4.0)
+        self.assertEqual(ratios.total_work_core_s(spec, QUEUE), 2 * 128.0)
+
     def test_errors_of_the_forecast_are_corrected_within_bounds(self):
         # Load: jobs that end much earlier, or much later, than forecast.
         rows = (("earlier", 0.01, MIN_FACTOR), ("later", 30.0, MAX_FACTOR))
