--- a/packages/fulmarleverd/fulmarleverd/platform/callers.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/callers.py
@@ -17,6 +17,7 @@
 from fulmarleverd.connections.listening import listen
 from fulmarleverd.connections.protocol import LimitedProtocol, LimitedServer
 from fulmarleverd.platform.formats import parse_job
+from fulmarleverd.scheduling.admission.refusals import AdmissionRefusal
 from fulmarleverd.scheduling.api import JobCalls, QueueNotFound
 from fulmarleverd.scheduling.config_watcher import NO_CONFIG
 from fulmarleverd.scheduling.intake import JobStatus, UnknownJob
@@ -217,6 +218,7 @@
         method=method,
         status=status,
         retry_after_s=retry_after_s,
+        **(failure.log_fields() if isinstance(failure, AdmissionRefusal) else {}),
     ).info(failure.reason)
     headers = {}
     if retry_after_s is not None:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
@@ -10,6 +10,7 @@
 from fulmarlever.clock import Clock
 from fulmarlever.outcomes import failed
 from fulmarleverd.scheduling import plan_pace
+from fulmarleverd.scheduling.admission.publisher import AdmissionPublisher
 from fulmarleverd.scheduling.backlog import Backlog
 from fulmarleverd.scheduling.commits import CommitQueue
 from fulmarleverd.scheduling.decisions import record
@@ -98,6 +99,7 @@
         self._is_planning = False
         self._overload = OverloadPublisher(self.owner, self._start_rate)
         self._run_times = RunTimesPublisher(self.owner, settings.row_bytes)
+        self._admission = AdmissionPublisher(self.owner, self.owner.run_times)
         self._backlog = Backlog(
             self.owner, self._planner, self._start_rate, interface.loop_delay
         )
@@ -285,6 +287,7 @@
                 self._evacuation.update_gauge()
             self._overload.tick()
             self._run_times.tick()
+            self._admission.tick()
             self._backlog.tick()
             # Workers accept runs again and jobs become late merely as time passes.
             self.owner.changed.set()
