--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/connections/authority_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/connections/authority_tests.py
@@ -10,7 +10,6 @@
 import asyncio
 import json
 import tempfile
-import unittest
 from pathlib import Path
 
 from aiohttp import ClientError
@@ -27,7 +26,7 @@
 from fulmarlever_standins.tests.connections.base import (
     MAX_FDS,
     MEMORY_MB,
-    CrowdChecks,
+    CrowdTestCase,
     measure_crowd,
 )
 from fulmarlever_standins.tests.connections.cases import CASES
@@ -87,9 +86,7 @@
             return False
 
 
-class AuthorityCrowdTests(CrowdChecks, unittest.TestCase):
-    """Crowds outside asynchronous test cases, whose debug mode slows the clients."""
-
+class AuthorityCrowdTests(CrowdTestCase):
     def test_a_daemon_without_the_lease_outlives_each_crowd(self):
         self.check_cases(holds_lease=False)
 
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/connections/base.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/connections/base.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import contextlib
+import fcntl
 import logging
+import tempfile
+import unittest
 from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
 
@@ -25,6 +28,8 @@
 RETRY_INTERVAL_S = 0.2
 SAMPLE_INTERVAL_S = 0.05
 BYTES_PER_KB = 1024
+# Locked by the process that runs a crowd.
+LOCK_PATH = Path(tempfile.gettempdir(), "fulmarlever-crowd.lock")
 
 
 class Measurement:
@@ -113,8 +118,16 @@
     return False
 
 
-class CrowdChecks:
-    """The checks after a crowd, for test cases."""
+class CrowdTestCase(unittest.TestCase):
+    """Runs crowds one at a time on this machine, and checks the daemon afterwards.
+
+    The crowds run outside asynchronous test cases, whose debug mode slows the clients.
+    """
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        lock = cls.enterClassContext(LOCK_PATH.open("w"))
+        fcntl.flock(lock, fcntl.LOCK_EX)
 
     def check(self, found: Measurement, is_served: bool, max_fds: int) -> None:
         """Fail if the daemon ended, used too much, or answered no ordinary request."""
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/connections/callers_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/connections/callers_tests.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import unittest
 
 from fulmarlever_standins.caller import Caller, CallerRequest, Reply
 from fulmarlever_standins.cluster import Cluster
@@ -15,7 +14,7 @@
 from fulmarlever_standins.readiness import wait_for_answers, wait_for_servers
 from fulmarlever_standins.tests.connections.base import (
     MEMORY_MB,
-    CrowdChecks,
+    CrowdTestCase,
     measure_crowd,
 )
 from fulmarlever_standins.tests.connections.cases import CASES
@@ -72,9 +71,7 @@
         return result.reply is Reply.SERVED
 
 
-class CallersCrowdTests(CrowdChecks, unittest.TestCase):
-    """Crowds outside asynchronous test cases, whose debug mode slows the clients."""
-
+class CallersCrowdTests(CrowdTestCase):
     def test_a_daemon_outlives_each_crowd(self):
         for case, kinds, max_fds in CASES:
             with self.subTest(case):
--- a/packages/fulmarleverd/fulmarleverd/connections/budget.py
+++ b/packages/fulmarleverd/fulmarleverd/connections/budget.py
@@ -11,20 +11,17 @@
 class ByteBudget:
     """Counts reserved bytes up to a limit.
 
-    ``used`` is the sum of all reservations that have not been released.
+    ``used`` is the sum of all reservations that have not been released. Large requests
+    can reserve bytes up to ``large_limit`` only.
     """
 
-    __slots__ = ("limit", "used")
+    __slots__ = ("limit", "large_limit", "used")
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
+        self.large_limit = int(limit * LARGE_SHARE)
         self.used = 0
 
-    def available(self, is_large: bool = False) -> int:
-        """Return how many bytes a request can reserve; negative if over the limit."""
-        limit = int(self.limit * LARGE_SHARE) if is_large else self.limit
-        return limit - self.used
-
 
 class Reservation:
     """The bytes that one connection has reserved, which one call releases."""
@@ -35,18 +32,20 @@
         self.budget = budget
         self.size = 0
 
-    def missing(self, size: int) -> int:
-        """Return how many bytes of the budget are missing to reserve ``size`` more.
+    def extend(self, size: int) -> bool:
+        """Reserve more bytes; return whether they were available.
 
         A request counts as large together with its earlier reservations.
         """
-        is_large = self.size + size > LARGE_REQUEST_BYTES
-        return max(0, size - self.budget.available(is_large))
-
-    def extend(self, size: int) -> None:
-        """Reserve more bytes, which the caller has found to be available."""
-        self.size += size
-        self.budget.used += size
+        budget = self.budget
+        total = self.size + size
+        is_large = total > LARGE_REQUEST_BYTES
+        limit = budget.large_limit if is_large else budget.limit
+        if budget.used + size > limit:
+            return False
+        self.size = total
+        budget.used += size
+        return True
 
     def release(self) -> None:
         """Return everything that has been reserved; does nothing the second time."""
--- a/packages/fulmarleverd/fulmarleverd/connections/framing.py
+++ b/packages/fulmarleverd/fulmarleverd/connections/framing.py
@@ -62,9 +62,13 @@
         Raise ``LimitExceeded`` if the head has too many bytes or fields, or too many
         empty lines precede it.
         """
+        limit = self._limits.head_bytes
         if not self._buffer:
             data = self._skip_empty_lines(data)
-        limit = self._limits.head_bytes
+            end = data.find(HEAD_END) + len(HEAD_END)
+            # Nearly every head comes in one piece.
+            if len(HEAD_END) <= end <= limit and b"\n\n" not in data[:end]:
+                return self._check_fields(data[:end]), data[end:]
         kept = len(self._buffer)
         # The bytes over the limit aren't stored.
         self._buffer += data[: limit + 1 - kept]
@@ -77,20 +81,27 @@
             return b"", b""
         if end > limit:
             raise LimitExceeded(431, "head-bytes", f"the head is over {limit} bytes")
-        head = bytes(self._buffer[:end])
-        fields = head.count(b"\n") - 2
-        if fields > self._limits.head_fields:
-            raise LimitExceeded(431, "head-fields", f"the head has {fields} fields")
-        self.reset()
+        head = self._check_fields(bytes(self._buffer[:end]))
+        self.reset(self._limits)
         return head, data[end - kept :]
 
-    def reset(self) -> None:
-        """Begin with a new head."""
-        self._buffer = bytearray()
+    def reset(self, limits: ConnectionLimits) -> None:
+        """Begin with a new head, within the given limits."""
+        self._limits = limits
         self._empty_bytes = 0
         self._searched = 0
+        if self._buffer:
+            self._buffer = bytearray()
+
+    def _check_fields(self, head: bytes) -> bytes:
+        fields = head.count(b"\n") - 2
+        if fields > self._limits.head_fields:
+            raise LimitExceeded(431, "head-fields", f"the head has {fields} fields")
+        return head
 
     def _skip_empty_lines(self, data: bytes) -> bytes:
+        if not data or data[0] not in LINE_END:
+            return data
         rest = data.lstrip(LINE_END)
         self._empty_bytes += len(data) - len(rest)
         if self._empty_bytes > self._limits.empty_line_bytes:
--- a/packages/fulmarleverd/fulmarleverd/connections/limits.py
+++ b/packages/fulmarleverd/fulmarleverd/connections/limits.py
@@ -18,10 +18,10 @@
 # Requests of the largest default size fit even in a VM with less memory than needed.
 MIN_BUFFERED_BYTES = 2 * MB
 MIN_CONNECTIONS = 16
-# The VM has these descriptors for files only. Of the others, the rest is for the
-# store, the workers and the readiness address.
+# The VM has these descriptors for files only. Half of the others are left to the
+# store, to workers (up to six connections each) and to the readiness address.
 FILE_DESCRIPTORS = 200
-DESCRIPTOR_SHARE = 0.6
+DESCRIPTOR_SHARE = 0.5
 
 
 @dataclass(slots=True, frozen=True)
@@ -52,7 +52,7 @@
     bytes_per_chunk: int = 64
     spare_chunks: int = 262144
     spare_chunks_per_s: int = 50_000
-    connections: int = 2340
+    connections: int = 1950
     connections_per_address: int = 0
     buffered_bytes: int = 48 * MB
 
--- a/packages/fulmarleverd/fulmarleverd/connections/protocol.py
+++ b/packages/fulmarleverd/fulmarleverd/connections/protocol.py
@@ -133,7 +133,7 @@
         if self._lost is not None and not self._lost.done():
             self._lost.set_result(None)
         self._waiting = b""
-        self._head.reset()
+        self._head.reset(self._limits)
         if self._is_admitted:
             self.registry.remove(self)
             super().connection_lost(exc)
@@ -197,13 +197,15 @@
         """Take bytes of a head and return those that follow it."""
         if self.phase is not Phase.HEAD:
             self._limits = self.registry.find_limits()
+            self._head.reset(self._limits)
             self.begun_s = self.last_byte_s
             self.received_bytes = 0
-            self.registry.move(self, Phase.HEAD)
         self.received_bytes += len(data)
         kept = self._head.size
         head, rest = self._head.take(data)
         if not head:
+            if self.phase is not Phase.HEAD:
+                self.registry.move(self, Phase.HEAD)
             self.registry.reserve(self, self._head.size - kept)
             return b""
         self.received_bytes -= len(rest)
@@ -213,8 +215,6 @@
 
     def _begin_request(self, head: bytes) -> None:
         """Parse a head and prepare for its body."""
-        cost = REQUEST_BYTES + COPIES_OF_HEAD * len(head)
-        self.registry.reserve(self, cost + FIELD_BYTES * head.count(b"\n"))
         try:
             messages, self._upgraded, _ = self._parser.feed_data(head)
         except HttpProcessingError as exc:
@@ -227,6 +227,8 @@
         self._is_answered = self._is_ignoring = False
         self._chunks = None
         self._left = 0
+        cost = REQUEST_BYTES + COPIES_OF_HEAD * len(head)
+        cost += FIELD_BYTES * len(message.headers)
         if message.chunked:
             self._chunks = ChunkScanner(self._limits, self.registry.borrow_chunks)
         elif payload is not EMPTY_PAYLOAD and not payload.is_eof():
@@ -234,9 +236,10 @@
             if self._left > self._limits.body_bytes:
                 self._is_ignoring = True
             else:
-                self.registry.reserve(self, int(self._left * BODY_FACTOR))
+                cost += int(self._left * BODY_FACTOR)
         if message.compression:
-            self.registry.reserve(self, EXPANSION_BYTES + self._limits.body_bytes)
+            cost += EXPANSION_BYTES + self._limits.body_bytes
+        self.registry.reserve(self, cost)
         self._payload = payload
         has_body = self._chunks is not None or self._left
         self.registry.move(self, Phase.BODY if has_body else Phase.BUSY)
@@ -252,7 +255,9 @@
     def _take_body(self, data: bytes) -> bytes:
         """Pass bytes of a body on and return those that follow it."""
         if self._chunks is None:
-            piece, rest = data[: self._left], data[self._left :]
+            piece, rest = data, b""
+            if len(data) > self._left:
+                piece, rest = data[: self._left], data[self._left :]
             self._left -= len(piece)
             self.received_bytes += len(piece)
             if not self._is_ignoring:
@@ -339,17 +344,15 @@
         self.registry.count_refusal(exc.reason, exc.detail, self.peer)
         self.registry.release(self)
         self._waiting = b""
-        self._head.reset()
+        self._head.reset(self._limits)
         self.registry.move(self, Phase.CLOSING)
         if phase is Phase.BODY:
             # A stream that a handler waits for is empty.
             with contextlib.suppress(RuntimeError):
                 self._payload.read_nowait()
             self._payload.set_exception(exc)
-        elif phase is Phase.HEAD:
-            self._enqueue(_ErrInfo(exc.status, exc, exc.detail), EMPTY_PAYLOAD)
         else:
-            self.force_close()
+            self._enqueue(_ErrInfo(exc.status, exc, exc.detail), EMPTY_PAYLOAD)
 
     def abort(self) -> None:
         """Close the connection at once, dropping what has not been sent."""
--- a/packages/fulmarleverd/fulmarleverd/connections/registry.py
+++ b/packages/fulmarleverd/fulmarleverd/connections/registry.py
@@ -100,6 +100,8 @@
         self._victims: list[tuple[Connection, float]] = []
         self._next_search_s = float("-inf")
         self._sweep_timer: asyncio.TimerHandle | None = None
+        OPEN_CONNECTIONS.set_function(lambda: self.count)
+        BUFFERED_BYTES.set_function(lambda: self.budget.used)
 
     def admit(self, conn: Connection) -> LimitExceeded | None:
         """Add a new connection, or return why it is refused.
@@ -115,7 +117,6 @@
             return _busy("connections", "too many connections")
         self.count += 1
         self._by_address[address] += 1
-        OPEN_CONNECTIONS.inc()
         conn.phase = Phase.FRESH
         conn.phase_since_s = self.now()
         self._by_phase[Phase.FRESH][conn] = None
@@ -131,7 +132,6 @@
         self._by_address[conn.peer] -= 1
         if not self._by_address[conn.peer]:
             del self._by_address[conn.peer]
-        OPEN_CONNECTIONS.dec()
 
     def move(self, conn: Connection, phase: Phase) -> None:
         """Record that a connection entered another phase.
@@ -157,14 +157,11 @@
 
         Raise ``LimitExceeded`` if there is none to be closed.
         """
-        reservation = conn.reservation
-        while reservation.missing(size):
+        while not conn.reservation.extend(size):
             victim = self._find_slowest(self.find_limits().head_s)
             if victim is None or victim is conn:
                 raise _busy("budget", "too many requests are being received")
             victim.refuse(_busy("slow", "the request was slower than others"))
-        reservation.extend(size)
-        BUFFERED_BYTES.set(self.budget.used)
 
     def borrow_chunks(self, count: int) -> bool:
         """Return whether a body may have more chunks than its bytes justify."""
@@ -173,7 +170,6 @@
     def release(self, conn: Connection) -> None:
         """Release what a connection has reserved."""
         conn.reservation.release()
-        BUFFERED_BYTES.set(self.budget.used)
 
     def count_refusal(self, reason: str, detail: str, peer: str) -> None:
         """Count and log a refused or closed connection."""
--- a/packages/fulmarleverd/fulmarleverd/tests/connections/budget_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/connections/budget_tests.py
@@ -33,7 +33,7 @@
         for number, size in steps:
             if number == 4:
                 reservations[size % 4].release()
-            elif not reservations[number].missing(size):
+            else:
                 reservations[number].extend(size)
             self.assertLessEqual(budget.used, LIMIT)
             self.assertEqual(budget.used, sum(r.size for r in reservations))
@@ -46,10 +46,9 @@
     def test_large_requests_leave_a_share_to_small_ones(self):
         budget = ByteBudget(LIMIT)
         for _ in range(100):
-            large = Reservation(budget)
-            if not large.missing(LARGE_REQUEST_BYTES + 1):
-                large.extend(LARGE_REQUEST_BYTES + 1)
-        self.assertEqual(Reservation(budget).missing(4000), 0)
+            Reservation(budget).extend(LARGE_REQUEST_BYTES + 1)
+        self.assertFalse(Reservation(budget).extend(LARGE_REQUEST_BYTES + 1))
+        self.assertTrue(Reservation(budget).extend(4000))
 
     def test_spare_chunks_come_back_with_time(self):
         spare = SpareChunks(per_s=10, burst=100, now_s=0.0)
