Let no crashed worker of the simulation come back

Cause: the stand-in. The late entry of an incarnation that had crashed in the meantime put it back at its address, beside the next one.

Ruled out: a decision of the owner, which dropped the runs of an incarnation in whose place another one answered.

--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/simulated_cluster.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/simulated_cluster.py
@@ -148,18 +148,23 @@
     def restart_worker(self, old: WorkerCore, entry_delay_s: float) -> WorkerCore:
         """Begin another incarnation of a worker under its id and address at once.
 
-        Its entry in the store is written ``entry_delay_s`` seconds later.
+        Its entry in the store is written ``entry_delay_s`` seconds later, if it still
+        runs then.
         """
         self.crash_worker(old)
         worker = WorkerCore(old.id, old.address, old.zone, old.born + 1)
         worker.task_duration_s = old.task_duration_s
         self.record.attach(worker)
         self.network.workers[worker.address] = worker
-        asyncio.get_running_loop().call_later(
-            entry_delay_s, self.network.add_worker, worker
-        )
+        loop = asyncio.get_running_loop()
+        loop.call_later(entry_delay_s, self._write_entry, worker)
         return worker
 
+    def _write_entry(self, worker: WorkerCore) -> None:
+        """Write the entry of a worker, unless it has crashed in the meantime."""
+        if self.network.workers.get(worker.address) is worker:
+            self.network.add_worker(worker)
+
     def crash_worker(self, worker: WorkerCore) -> None:
         """Remove a worker and its runs; the ends of the runs are never reported."""
         del self.network.workers[worker.address]
