Limit how long crash suspects wait for isolation

Cause: a task with two crashes waits for isolation without a limit of time, and two such starts a second are possible with 8 workers.

Ruled out: a worker that came back and is not known (reconciled at 23.7 s).

Change: after 1.5 s such a task starts without isolation, apart from suspects of other jobs if its job has a run. The limits of crashes are the same.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/crashes.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/crashes.py
@@ -9,7 +9,8 @@
 apart as unproven, and a few of these are no reason to give a task up. The next run of a
 suspect is isolated: no other run is started on its worker shortly before or after it.
 So a second crash tells whether the task is its cause, and tasks that were beside it are
-not given up with it.
+not given up with it. If there are too many suspects, those of several jobs are started
+apart.
 """
 
 from __future__ import annotations
@@ -21,7 +22,7 @@
 from fulmarleverd.scheduling.fleet import CrashSuspects, Worker
 from fulmarleverd.scheduling.metrics import CRASHES_SUSPECTED
 from fulmarleverd.scheduling.runs import Run, RunState
-from fulmarleverd.scheduling.tasks import Task
+from fulmarleverd.scheduling.tasks import Job, Task
 
 if TYPE_CHECKING:
     from fulmarleverd.scheduling.owner import Owner
@@ -35,8 +36,10 @@
 MAX_CRASHES_ALONE = 2
 MAX_CRASHES_LATER = 3
 MAX_CRASHES = 5
-# A task with this many crashes is started in isolation only, and waits for it.
+# A task with this many crashes waits for isolation, but no longer than the time: after
+# a power failure many tasks do, and callers accept that a job stands still for 3 s.
 MIN_CRASHES_TO_WAIT = 2
+MAX_ISOLATION_WAIT_S = 1.5
 # An isolated run needs a worker without a start for this long before it ...
 QUIET_S = 0.25
 # ... and its worker gets no other runs for this long.
@@ -55,6 +58,9 @@
         self._owner = owner
         # When the isolation of each worker ends, on the owner's clock.
         self._isolated_until_s: list[float] = []
+        # The job of the task that waited in vain and was last started on each worker,
+        # and when, by the worker's id.
+        self._unisolated: dict[str, tuple[Job, float]] = {}
 
     def record_silence(self, worker: Worker) -> None:
         """Remember the suspects of a worker that does not answer any more.
@@ -145,8 +151,34 @@
             self._owner.fail_job(job, cause)
 
     def must_wait(self, task: Task) -> bool:
-        """Return whether a task may be started in isolation only."""
-        return task.crashes >= MIN_CRASHES_TO_WAIT
+        """Return whether a task may be started in isolation only for now.
+
+        It is asked each time isolation is not possible, and so measures the wait.
+        """
+        if task.crashes < MIN_CRASHES_TO_WAIT:
+            return False
+        now = self._owner.now_s()
+        task.isolation_wanted_s = task.isolation_wanted_s or now
+        return now - task.isolation_wanted_s < MAX_ISOLATION_WAIT_S
+
+    def unisolated_ids(self, job: Job) -> set[str]:
+        """Return the ids of workers that a job's task that waited in vain may not use.
+
+        Such a task of another job was started there shortly before. If the worker
+        crashes, a job stands out, and jobs are given up as a whole.
+        """
+        now = self._owner.now_s()
+        return {
+            worker_id
+            for worker_id, (other, started_s) in self._unisolated.items()
+            if other is not job and now - started_s <= RECENT_S
+        }
+
+    def record_unisolated(self, run: Run) -> None:
+        """Note the start of a task that has waited for isolation in vain."""
+        run.task.isolation_wanted_s = 0.0
+        job = run.task.step.job
+        self._unisolated[run.worker.id] = job, self._owner.now_s()
 
     def may_isolate(self) -> bool:
         """Return whether one more worker may be isolated."""
@@ -165,6 +197,7 @@
         until_s = self._owner.now_s() + ISOLATION_S
         self._isolated_until_s.append(until_s)
         run.is_isolated = True
+        run.task.isolation_wanted_s = 0.0
         run.worker.no_starts_until_s = max(run.worker.no_starts_until_s, until_s)
         record_run("run-isolated", run, crashes=run.task.crashes)
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -248,9 +248,26 @@
             busy = crashes.recently_started_ids(self._index(task.step).workers)
             worker = candidates.place(task, self._assign_isolated, busy)
         if worker is None and not crashes.must_wait(task):
+            if task.isolation_wanted_s:
+                return self._place_unisolated(task, candidates)
             worker = candidates.place(task, self._owner.assign)
         return worker
 
+    def _place_unisolated(self, task: Task, candidates: Candidates) -> Worker | None:
+        """Start a task that waited for isolation in vain, if possible apart.
+
+        A job without a run does not wait any longer for that.
+        """
+        apart = self._owner.crashes.unisolated_ids(task.step.job)
+        worker = candidates.place(task, self._assign_unisolated, apart)
+        if worker is None and not task.step.job.has_runs:
+            worker = candidates.place(task, self._assign_unisolated)
+        return worker
+
+    def _assign_unisolated(self, task: Task, worker: Worker) -> None:
+        run = self._owner.assign(task, worker)
+        self._owner.crashes.record_unisolated(run)
+
     def _assign_isolated(self, task: Task, worker: Worker) -> None:
         run = self._owner.assign(task, worker)
         self._owner.crashes.isolate(run)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -57,7 +57,8 @@
     were far behind their estimate. ``crashes`` counts the workers that crashed under a
     run of the task which may be the cause, ``unproven_crashes`` those that crashed when
     it may have had no run there: its start had no answer, or the lease of its run had
-    expired.
+    expired. ``isolation_wanted_s`` is since when it waits for a worker of its own, on
+    the owner's clock, 0 if it does not.
     """
 
     __slots__ = (
@@ -72,6 +73,7 @@
         "lost_when_behind_s",
         "crashes",
         "unproven_crashes",
+        "isolation_wanted_s",
     )
 
     def __init__(self, step: Step, index: int) -> None:
@@ -86,6 +88,7 @@
         self.lost_when_behind_s = 0.0
         self.crashes = 0
         self.unproven_crashes = 0
+        self.isolation_wanted_s = 0.0
 
     @property
     def is_crash_suspect(self) -> bool:
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/crashes_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/crashes_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from itertools import pairwise
 
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable
 from fulmarleverd.scheduling.crashes import (
@@ -11,6 +12,7 @@
     MAX_CRASHES,
     MAX_CRASHES_LATER,
     MAX_ISOLATED_SHARE,
+    MIN_CRASHES_TO_WAIT,
     QUIET_S,
     RECENT_S,
 )
@@ -27,12 +29,14 @@
 from fulmarleverd.scheduling.progress_rows import pack_progress, restore_progress
 from fulmarleverd.scheduling.runs import Run, RunState
 from fulmarleverd.scheduling.specs import StepSpec, WorkerEntry
-from fulmarleverd.scheduling.tasks import Job, JobState
+from fulmarleverd.scheduling.tasks import Job, JobState, Task
 from fulmarleverd.scheduling.worker_commands import WorkerCommands
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
 SPEC = StepSpec(count=2, cpu_m=1000, estimate_s=1.0)
 LONG_RUNNING = StepSpec(count=2, cpu_m=1000, is_long_running=True)
+# The users' requirement: a job must not stand still for longer while there is room.
+MAX_IDLE_S = 3.0
 
 
 class AnsweringCalls:
@@ -309,6 +313,49 @@
         self.planner.plan()
         self.assertTrue(suspect.has_runs)
 
+    # Regression (LOST): after two waves of crashes 137 tasks waited for isolation, two
+    # of which started a second, for half a minute beside workers with room.
+    def test_many_tasks_with_several_crashes_wait_for_a_moment_only(self):
+        jobs = [self.add_suspect(f"s{number}") for number in range(9)]
+        tasks = [job.occurrences[0][0].tasks[0] for job in jobs]
+        started = self.plan_suspects(tasks)
+        self.assertEqual(set(started), set(tasks))
+
+    # Guards against suspects of two jobs of which neither stands out if their worker
+    # crashes.
+    def test_tasks_of_several_jobs_are_started_apart(self):
+        tasks = []
+        for name in ("j1", "j2"):
+            job = self.add_job(name, StepSpec(count=5, cpu_m=1000))
+            *waiting, last = job.occurrences[0][0].tasks
+            self.start(job, self.add_worker(f"other of {name}"), index=last.index)
+            tasks += waiting
+        started = self.plan_suspects(tasks)
+        self.assertEqual(set(started), set(tasks))
+        for worker in self.owner.fleet:
+            starts = sorted(
+                (at_s, task.step.job.id)
+                for task, (worker_id, at_s) in started.items()
+                if worker_id == worker.id
+            )
+            for (earlier_s, one), (later_s, other) in pairwise(starts):
+                if one != other:
+                    self.assertGreater(later_s - earlier_s, RECENT_S)
+
+    def plan_suspects(self, tasks: list[Task]) -> dict[Task, tuple[str, float]]:
+        """Plan for ``MAX_IDLE_S``; return where and when each task was started."""
+        for task in tasks:
+            task.crashes = MIN_CRASHES_TO_WAIT
+        started: dict[Task, tuple[str, float]] = {}
+        since_s = self.clock.now
+        while self.clock.now - since_s < MAX_IDLE_S:
+            self.planner.plan()
+            for task in tasks:
+                for run in task.runs.values():
+                    started.setdefault(task, (run.worker.id, self.clock.now))
+            self.clock.advance(0.1)
+        return started
+
     def test_a_waiting_suspect_does_not_hold_back_its_step(self):
         for worker in self.workers:
             worker.last_start_s = self.clock.now
