Leave evacuated workers out of the admission forecast

Workers that a new owner has not yet compared with a report count as usable, also those of an evacuated zone, so the forecast was too low after a takeover.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/publisher.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/publisher.py
@@ -143,6 +143,7 @@
             for worker in self._owner.fleet
             if worker.entry.service == service
             and worker.is_listed
+            and not worker.is_evacuated
             and not worker.entry.is_draining
             and not worker.is_unresponsive
             and (worker.accepts_runs(now_s) or not worker.is_reconciled)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/publisher_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/publisher_tests.py
@@ -146,6 +146,17 @@
         slow = self.tick().find(*key).cores
         self.assertLess(slow, 0.5 * first)
 
+    def test_evacuated_workers_do_not_count_before_their_first_report(self):
+        # Load: a new owner, whose workers have not reported, in a fleet with a zone that
+        # is evacuated; the forecast would be half of the true time.
+        self.add_jobs(40)
+        for worker in self.owner.fleet:
+            worker.is_reconciled = False
+        first = self.tick().find(*KEY).cores
+        for worker in list(self.owner.fleet)[::2]:
+            worker.is_evacuated = True
+        self.assertLess(self.tick().find(*KEY).cores, 0.75 * first)
+
     def test_learned_ratios_are_published_for_the_daemons(self):
         # Load: declarations that are off. Daemons know nothing of the learned times.
         self.publisher = AdmissionPublisher(self.owner, DoubledTimes())
