--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/publisher_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/publisher_tests.py
@@ -147,8 +147,8 @@
         self.assertLess(slow, 0.5 * first)
 
     def test_evacuated_workers_do_not_count_before_their_first_report(self):
-        # Load: a new owner, whose workers have not reported, in a fleet with a zone that
-        # is evacuated; the forecast would be half of the true time.
+        # Load: a new owner whose workers have not reported, half of them in an evacuated
+        # zone; the forecast would be half of the true time.
         self.add_jobs(40)
         for worker in self.owner.fleet:
             worker.is_reconciled = False
