--- a/packages/fulmarleverd/fulmarleverd/connections/registry.py
+++ b/packages/fulmarleverd/fulmarleverd/connections/registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
 import math
 from collections import Counter
 from collections.abc import Callable, Iterator
@@ -23,6 +24,10 @@
 # After a refusal the client has this time to read it and to close the connection.
 LINGER_S = 1.0
 RETRY_AFTER_S = 1.0
+# Looking for the slowest requests takes time in proportion to their number, so that
+# several are found at a time, and not for each request that finds no budget.
+SEARCH_INTERVAL_S = 0.1
+VICTIMS_PER_SEARCH = 32
 
 
 class Phase(Enum):
@@ -95,7 +100,11 @@
         self._by_address: Counter[str] = Counter()
         # Connections with unsent answers: the size, and since when it is the same.
         self._unsent: dict[Connection, tuple[int, float]] = {}
+        self._victims: list[tuple[Connection, float]] = []
+        self._next_search_s = float("-inf")
         self._sweep_timer: asyncio.TimerHandle | None = None
+        OPEN_CONNECTIONS.set_function(lambda: self.count)
+        BUFFERED_BYTES.set_function(lambda: self.budget.used)
 
     def now(self) -> float:
         """Return the seconds for which this process could read from its connections.
@@ -124,7 +133,6 @@
             return _busy("connections", "too many connections")
         self.count += 1
         self._by_address[address] += 1
-        OPEN_CONNECTIONS.inc()
         conn.phase = Phase.FRESH
         conn.phase_since_s = self.now()
         self._by_phase[Phase.FRESH][conn] = None
@@ -142,7 +150,6 @@
         self._by_address[conn.peer] -= 1
         if not self._by_address[conn.peer]:
             del self._by_address[conn.peer]
-        OPEN_CONNECTIONS.dec()
 
     def is_open(self, conn: Connection) -> bool:
         """Return whether a connection has been admitted and not been removed."""
@@ -172,14 +179,11 @@
 
         Raise ``LimitExceeded`` if there is none to be closed.
         """
-        reservation = conn.reservation
-        while reservation.missing(size):
+        while not conn.reservation.extend(size):
             victim = self._find_slowest(self.find_limits().head_s)
             if victim is None or victim is conn:
                 raise _busy("budget", "too many requests are being received")
             victim.refuse(_busy("slow", "the request was slower than others"))
-        reservation.extend(size)
-        BUFFERED_BYTES.set(self.budget.used)
 
     def borrow_chunks(self, count: int) -> bool:
         """Return whether a body may have more chunks than its bytes justify."""
@@ -188,7 +192,6 @@
     def release(self, conn: Connection) -> None:
         """Release what a connection has reserved."""
         conn.reservation.release()
-        BUFFERED_BYTES.set(self.budget.used)
 
     def count_refusal(self, reason: str, detail: str, peer: str) -> None:
         """Count and log a refused or closed connection."""
@@ -203,22 +206,37 @@
             self._sweep_due_s = math.inf
 
     def _find_slowest(self, min_age_s: float) -> Connection | None:
-        """Return the incomplete request with the fewest bytes per second, if any.
+        """Return an incomplete request with the fewest bytes per second, if any.
 
         Requests that are younger than ``min_age_s`` aren't considered.
         """
         now = self.now()
+        if not self._victims and now >= self._next_search_s:
+            self._next_search_s = now + SEARCH_INTERVAL_S
+            self._victims = self._search_slowest(now, min_age_s)
+        while self._victims:
+            conn, begun_s = self._victims.pop()
+            is_same = conn.begun_s == begun_s and conn.phase in INCOMPLETE_PHASES
+            if is_same and conn in self._by_phase[conn.phase]:
+                return conn
+        return None
+
+    def _search_slowest(
+        self, now: float, min_age_s: float
+    ) -> list[tuple[Connection, float]]:
+        """Return incomplete requests and when they began, the slowest one last."""
 
         def progress(conn: Connection) -> float:
             return conn.received_bytes / (now - conn.begun_s)
 
         old = (
             conn
-            for phase in (Phase.HEAD, Phase.BODY)
+            for phase in INCOMPLETE_PHASES
             for conn in self._by_phase[phase]
             if now - conn.begun_s > min_age_s
         )
-        return min(old, key=progress, default=None)
+        found = heapq.nsmallest(VICTIMS_PER_SEARCH, old, key=progress)
+        return [(conn, conn.begun_s) for conn in reversed(found)]
 
     def _close_one(self, limits: ConnectionLimits) -> bool:
         """Close a connection in favour of a new one; return whether there was one."""
@@ -282,7 +300,8 @@
             yield conn
 
 
-SWEPT_PHASES = (Phase.HEAD, Phase.BODY, Phase.CLOSING)
+INCOMPLETE_PHASES = (Phase.HEAD, Phase.BODY)
+SWEPT_PHASES = (*INCOMPLETE_PHASES, Phase.CLOSING)
 
 
 def _is_late(conn: Connection, limits: ConnectionLimits, now: float) -> bool:
