--- a/packages/fulmarleverd/fulmarleverd/connections/protocol.py
+++ b/packages/fulmarleverd/fulmarleverd/connections/protocol.py
@@ -23,6 +23,7 @@
     LimitExceeded,
 )
 from fulmarleverd.connections.limits import ConnectionLimits
+from fulmarleverd.connections.listening import RECEIVE_BUFFER_BYTES
 from fulmarleverd.connections.registry import ConnectionRegistry, Phase
 
 # All connections read into this buffer, as a read is handled before the next one.
@@ -68,6 +69,7 @@
         "_waiting",
         "_discarded",
         "_is_admitted",
+        "_is_compressed",
         "_is_answered",
         "_is_ignoring",
         "_is_last",
@@ -100,6 +102,7 @@
         self._waiting = b""
         self._discarded = 0
         self._is_admitted = False
+        self._is_compressed = False
         # The request has been answered before its body was complete.
         self._is_answered = False
         # The body is over the limit, so that its handler refuses it unread.
@@ -134,11 +137,20 @@
             self._lost.set_result(None)
         self._waiting = b""
         self._head.reset(self._limits)
+        if self._is_answered:
+            # aiohttp would wait for the rest of the body after the answer.
+            self._payload.feed_eof()
         if self._is_admitted:
-            self.registry.remove(self)
+            self._leave()
             super().connection_lost(exc)
         self._own_transport = None
 
+    def _leave(self) -> None:
+        """Leave the registry; a handler in progress keeps the reservation."""
+        self.registry.remove(self)
+        if not self._request_in_progress:
+            self.registry.release(self)
+
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer that the next bytes are read into."""
         if self.phase is Phase.BUSY:
@@ -185,12 +197,17 @@
         Without budget for them the connection ends with that answer, so that the
         client sends the following requests again.
         """
-        if self._is_last or not self.reserve(len(data)):
+        size = len(data)
+        is_full = len(self._waiting) + size >= MAX_WAITING_BYTES
+        if is_full:
+            # The kernel keeps the bytes that a paused connection receives.
+            size += RECEIVE_BUFFER_BYTES
+        if self._is_last or not self.reserve(size):
             self._is_last = True
             self._waiting = b""
             return
         self._waiting += data
-        if len(self._waiting) >= MAX_WAITING_BYTES and not self._buffer_paused:
+        if is_full and not self._buffer_paused:
             self._pause_reading_for_buffer()
 
     def _take_head(self, data: bytes) -> bytes:
@@ -237,7 +254,8 @@
                 self._is_ignoring = True
             else:
                 cost += int(self._left * BODY_FACTOR)
-        if message.compression:
+        self._is_compressed = bool(message.compression)
+        if self._is_compressed:
             cost += EXPANSION_BYTES + self._limits.body_bytes
         self.registry.reserve(self, cost)
         self._payload = payload
@@ -283,14 +301,24 @@
             super().data_received(b"0\r\n\r\n")
         return rest
 
+    async def _handle_request(self, *args: object) -> tuple[web.StreamResponse, bool]:
+        try:
+            return await super()._handle_request(*args)
+        finally:
+            if not self.registry.is_open(self):
+                self.registry.release(self)
+
     async def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float
     ) -> tuple[web.StreamResponse, bool]:
         """Send an answer, then continue with the bytes that wait for it."""
-        if self._is_ignoring or self._is_last:
+        # aiohttp would expand the rest of a compressed body only to drop it.
+        is_expanding = self._is_compressed and not self._payload.is_eof()
+        is_dropping = self._is_ignoring or is_expanding
+        if is_dropping or self._is_last:
             resp.force_close()
         result = await super().finish_response(request, resp, start_time)
-        if self._is_ignoring and self.phase is Phase.BODY:
+        if is_dropping and self.phase in (Phase.BODY, Phase.BUSY):
             self.registry.move(self, Phase.CLOSING)
         if self.unsent_bytes():
             self.registry.watch_unsent(self)
@@ -320,6 +348,7 @@
         """Continue with the bytes of further requests, if there are any."""
         self.registry.release(self)
         self._payload = EMPTY_PAYLOAD
+        self._is_compressed = False
         self.registry.move(self, Phase.IDLE)
         if self._waiting:
             data, self._waiting = self._waiting, b""
@@ -356,7 +385,7 @@
 
     def abort(self) -> None:
         """Close the connection at once, dropping what has not been sent."""
-        self.registry.remove(self)
+        self._leave()
         self._force_close = True
         if self._own_transport is not None:
             self._own_transport.abort()
