Don't expand the rest of a compressed body that has been refused

Cause: aiohttp drains a refused body before it closes the connection, for up to 10 s, and expands it. In a trial with 300 clients whose bodies expand to 200 MB, an ordinary job was answered 20 s after the first refusal. The connection is now closed once the refusal has been read.

--- a/packages/fulmarleverd/fulmarleverd/connections/protocol.py
+++ b/packages/fulmarleverd/fulmarleverd/connections/protocol.py
@@ -71,6 +71,7 @@
         "_is_admitted",
         "_is_answered",
         "_is_ignoring",
+        "_is_compressed",
         "_is_last",
         "_lost",
         "_own_transport",
@@ -105,6 +106,7 @@
         self._is_answered = False
         # The body is over the limit, so that its handler refuses it unread.
         self._is_ignoring = False
+        self._is_compressed = False
         # The connection is closed after the answer to the present request.
         self._is_last = False
         self._lost: asyncio.Future[None] | None = None
@@ -238,7 +240,8 @@
                 self._is_ignoring = True
             else:
                 cost += int(self._left * BODY_FACTOR)
-        if message.compression:
+        self._is_compressed = bool(message.compression)
+        if self._is_compressed:
             cost += EXPANSION_BYTES + self._limits.body_bytes
         self.registry.reserve(self, cost)
         self._payload = payload
@@ -288,10 +291,14 @@
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float
     ) -> tuple[web.StreamResponse, bool]:
         """Send an answer, then continue with the bytes that wait for it."""
+        # The rest of a refused body isn't expanded, as it may be a thousand times as
+        # large as what the client sends.
+        if self._is_compressed and not self._payload.is_eof():
+            self._is_ignoring = True
         if self._is_ignoring or self._is_last:
             resp.force_close()
         result = await super().finish_response(request, resp, start_time)
-        if self._is_ignoring and self.phase is Phase.BODY:
+        if self._is_ignoring and self.phase in (Phase.BODY, Phase.BUSY):
             self.registry.move(self, Phase.CLOSING)
         if self.unsent_bytes():
             self.registry.watch_unsent(self)
