Compute the critical path and the work of new jobs in one place

RunTimes and StepRatios each had their own copy. Both now inherit it from NewJobTimes and only estimate single steps. The work by published ratios is multiplied in another order, so it may differ in its last bit.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/times.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/times.py
@@ -4,6 +4,7 @@
 
 from typing import Protocol
 
+from fulmarleverd.scheduling.run_times.new_job_times import NewJobTimes
 from fulmarleverd.scheduling.specs import JobSpec, QueueSpec, StepSpec
 from fulmarleverd.scheduling.tasks import Job, Step
 
@@ -27,7 +28,7 @@
         """Return the core-seconds of the tasks that are not done."""
 
 
-class StepRatios:
+class StepRatios(NewJobTimes):
     """Expected time divided by declared time, by queue and number of the step.
 
     Daemons estimate new jobs by these published ratios. A step without one takes its
@@ -42,21 +43,3 @@
     def expected_step_s(self, queue_name: str, number: int, spec: StepSpec) -> float:
         """Return the expected seconds of one task of a step."""
         return spec.estimate_s * self.by_step.get((queue_name, number), 1.0)
-
-    def critical_path_s(self, spec: JobSpec, queue: QueueSpec) -> float:
-        """Return the expected seconds of the longest chain of steps."""
-        ends: list[float] = []
-        for number, step in enumerate(spec.steps):
-            ready_s = max((ends[earlier] for earlier in step.after), default=0.0)
-            ends.append(ready_s + self.expected_step_s(queue.name, number, step))
-        return max(ends, default=0.0)
-
-    def total_work_core_s(self, spec: JobSpec, queue: QueueSpec) -> float:
-        """Return the expected core-seconds of one occurrence of a job."""
-        return sum(
-            step.count
-            * step.cpu_m
-            / 1000.0
-            * self.expected_step_s(queue.name, number, step)
-            for number, step in enumerate(spec.steps)
-        )
--- a/packages/fulmarleverd/fulmarleverd/scheduling/run_times/learned_times.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/run_times/learned_times.py
@@ -24,8 +24,8 @@
 TOLERANCE = 0.3
 TOLERANCE_S = 0.1
 # Before the first run the declared time counts as right in this many runs; this fades
-# until the second number of runs is reached. Half of this let two long runs among the
-# first twelve put right declared times aside.
+# until the second number of runs is reached. With half of this, two long runs among
+# the first twelve would put right declared times aside.
 PRIOR_RIGHT = 32.0
 PRIOR_RIGHT_FADES = 128.0
 # The declared time weighs as much as this many runs.
@@ -108,7 +108,10 @@
     def record(
         self, declared_s: float, seconds: float, own: tuple[float, int] = (0.0, 0)
     ) -> None:
-        """Add a run; ``own`` is what the other runs of its step had shown before."""
+        """Add a run that took ``seconds``, where ``declared_s`` were declared.
+
+        ``own`` are the usual seconds of the earlier runs of its step and their number.
+        """
         declared_s = _bounded(declared_s)
         self._record_errors(declared_s, seconds, own)
         self.samples = min(MAX_SAMPLES, self.samples + 1)
@@ -170,9 +173,8 @@
         right, declared = self.right + prior, self.declared + prior
         self.uses_declared = right >= MIN_RIGHT_SHARE * declared
         median, scaled = _weight(self.median_error), _weight(self.scaled_error)
-        trust = self.samples / (self.samples + PRIOR_SAMPLES)
-        median *= trust / (median + scaled)
-        scaled = trust - median
+        median *= self._trust / (median + scaled)
+        scaled = self._trust - median
         # The logarithm of the declared time counts in the scaled time and as a prior.
         self._exponent = 1.0 - median
         self._factor = math.exp(
--- a/packages/fulmarleverd/fulmarleverd/scheduling/run_times/run_times.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/run_times/run_times.py
@@ -8,19 +8,25 @@
 
 from fulmarlever.outcomes import Failure
 from fulmarleverd.scheduling.run_times.learned_times import LearnedTimes
+from fulmarleverd.scheduling.run_times.new_job_times import (
+    NewJobTimes,
+    step_work_core_s,
+)
 from fulmarleverd.scheduling.run_times.step_samples import StepSamples
-from fulmarleverd.scheduling.specs import JobSpec, QueueSpec, StepSpec
+from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.scheduling.tasks import Job, Step
 
-# The declared times are used for all others.
+# Queues and steps beyond these limits take their declared times.
 MAX_QUEUES = 32
 MAX_STEPS = 8
+# Times are counted in milliseconds; runs that seem shorter than one are left out.
 MIN_RECORDED_S = 0.001
 # The format of the stored data.
 DATA_VERSION = 1
+# The usual seconds and the number of runs of a step without runs.
 NO_RUNS = (0.0, 0)
-# What was learned of the steps of a queue without samples.
-NOTHING: dict[int, LearnedTimes] = {}
+# What was learned of the steps of a queue without samples, by number of the step.
+NO_LEARNED_TIMES: dict[int, LearnedTimes] = {}
 
 
 class BadRunTimes(Failure):
@@ -29,7 +35,7 @@
     __slots__ = ()
 
 
-class RunTimes:
+class RunTimes(NewJobTimes):
     """The expected run times of tasks, from declared times and from ended runs."""
 
     __slots__ = ("_queues",)
@@ -58,23 +64,6 @@
             return spec.estimate_s
         return learned.expected_s(spec.estimate_s, NO_RUNS)
 
-    def critical_path_s(self, spec: JobSpec, queue: QueueSpec) -> float:
-        """Return the expected seconds of a job's longest chain of dependent steps."""
-        ends: list[float] = []
-        for number, step in enumerate(spec.steps):
-            ready_s = max((ends[earlier] for earlier in step.after), default=0.0)
-            ends.append(ready_s + self.expected_step_s(queue.name, number, step))
-        return max(ends, default=0.0)
-
-    def total_work_core_s(self, spec: JobSpec, queue: QueueSpec) -> float:
-        """Return the expected core-seconds of one occurrence of a job."""
-        return sum(
-            _work_core_s(
-                step, step.count, self.expected_step_s(queue.name, number, step)
-            )
-            for number, step in enumerate(spec.steps)
-        )
-
     def whole_path_s(self, job: Job) -> float:
         """Return the expected seconds of an open job's longest chain of steps.
 
@@ -92,7 +81,7 @@
 
     def _longest_path_s(self, job: Job, *, includes_done: bool) -> float:
         # Called for each open job in each plan, so it avoids calls where it can.
-        learned = self._queues.get(job.queue.name, NOTHING)
+        learned = self._queues.get(job.queue.name, NO_LEARNED_TIMES)
         longest = 0.0
         for steps in job.occurrences.values():
             ends: list[float] = []
@@ -107,13 +96,13 @@
 
     def remaining_work_core_s(self, job: Job) -> float:
         """Return the expected core-seconds of the tasks that are not done."""
-        learned = self._queues.get(job.queue.name, NOTHING)
+        learned = self._queues.get(job.queue.name, NO_LEARNED_TIMES)
         total = 0.0
         for steps in job.occurrences.values():
             for step in steps:
                 if step.unfinished_tasks:
                     seconds = _expected_s(learned.get(step.number), step)
-                    total += _work_core_s(step.spec, step.unfinished_tasks, seconds)
+                    total += step_work_core_s(step.spec, step.unfinished_tasks, seconds)
         return total
 
     # Samples
@@ -211,7 +200,3 @@
         expected_s = learned.expected_s(declared_s, samples.estimate())
         samples.cached = (*state, expected_s)
     return samples.cached[3]
-
-
-def _work_core_s(spec: StepSpec, tasks: int, seconds: float) -> float:
-    return tasks * seconds * spec.cpu_m / 1000.0
