--- a/packages/fulmarleverd/fulmarleverd/connections/framing.py
+++ b/packages/fulmarleverd/fulmarleverd/connections/framing.py
@@ -18,10 +18,11 @@
 HEX_DIGITS = frozenset(b"0123456789abcdefABCDEF")
 # A longer number is over every limit of a body.
 MAX_SIZE_DIGITS = 8
+# A size line in its usual form, which is matched within the received bytes.
 SIZE_LINE_PATTERN = re.compile(
     rb"([0-9a-fA-F]{1,8})(?:[ \t]{0,8};[^\r\n\0]{0,128})?\r\n"
 )
-# The same for a line that has been checked for its length.
+# Any valid size line, after a check of its length.
 LONG_SIZE_PATTERN = re.compile(rb"0*([0-9a-fA-F]*)(?:[ \t]*;[^\r\n\0]*)?\r\n")
 TRAILER_PATTERN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n\0]*\r\n")
 # Chunks beyond the proportion to the payload are asked for in blocks of this size.
--- a/packages/fulmarleverd/fulmarleverd/connections/limits.py
+++ b/packages/fulmarleverd/fulmarleverd/connections/limits.py
@@ -9,7 +9,7 @@
 # A daemon uses 56 MB at rest, and about 80 MB when it schedules a large deployment.
 DAEMON_BYTES = 80 * MB
 # A connection without a request in aiohttp: its transport, protocol, parser and task.
-# Its objects use 4.4 KB (tracemalloc), the rest is for the allocator and the transport.
+# Its Python objects use 4.4 KB; the rest is for the allocator and the transport.
 CONNECTION_BYTES = 8192
 # The daemon's memory that is left for callers is divided into these shares. The rest
 # is for fragmentation, and for the one body that is decoded at a time: a decoded list
--- a/packages/fulmarleverd/fulmarleverd/connections/refusal_log.py
+++ b/packages/fulmarleverd/fulmarleverd/connections/refusal_log.py
@@ -21,7 +21,10 @@
         self._left_out: dict[str, int] = {}
 
     def add(self, reason: str, detail: str, peer: str, now_s: float) -> None:
-        """Log a refusal, or count it for the next line."""
+        """Log a refusal of the client ``peer``, or count it for the next line.
+
+        ``now_s`` is on any steady clock, the same for all calls.
+        """
         if now_s < self._next_s.get(reason, float("-inf")):
             self._left_out[reason] = self._left_out.get(reason, 0) + 1
             return
--- a/packages/fulmarleverd/fulmarleverd/connections/registry.py
+++ b/packages/fulmarleverd/fulmarleverd/connections/registry.py
@@ -23,6 +23,7 @@
 SWEEP_INTERVAL_S = 0.25
 # After a refusal the client has this time to read it and to close the connection.
 LINGER_S = 1.0
+# When a client that finds no room may come back, in seconds.
 RETRY_AFTER_S = 1.0
 # Looking for the slowest requests takes time in proportion to their number, so that
 # several are found at a time, and not for each request that finds no budget.
@@ -49,8 +50,10 @@
 class Connection(Protocol):
     """What the registry requires of a connection.
 
-    Times are seconds on the steady clock. ``begun_s`` is when the first byte of the
-    request came, ``last_byte_s`` when the last one came.
+    Times are those of ``ConnectionRegistry.now``, in seconds. ``phase_since_s`` is when
+    its phase began, ``begun_s`` when the first byte of the request came, and
+    ``last_byte_s`` when the last one came. ``received_bytes`` are those of the request
+    so far, ``peer`` is the address of the client.
     """
 
     phase: Phase
--- a/packages/fulmarleverd/fulmarleverd/platform/callers.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/callers.py
@@ -32,8 +32,7 @@
 RETRY_AFTER_UNAVAILABLE_S = 1.0
 RETRY_AFTER_FULL_S = 1.0
 KEPT_OPEN_S = 75.0
-# The memory in bytes of a decoded step (232, tracemalloc) and of its row while a job is
-# submitted.
+# The memory in bytes of a decoded step (232) and of its row while a job is submitted.
 STEP_BYTES = 400
 
 
