Name the idle time of a job in one place

The order and the planner each computed since when a job has had no run. The planner's record of unplaced sizes and the crash tracker's comments say what they hold, and the watcher's two ways to apply rows have distinct names.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/config_watcher.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/config_watcher.py
@@ -65,7 +65,7 @@
             self._checked_at_s = batch.requested_at_s
             for row in batch.rows:
                 if row.key == interface.config_key and not row.is_deleted:
-                    self._apply(row)
+                    self._apply_config(row)
             self._apply_evacuations(batch)
 
     def _apply_evacuations(self, batch: Batch) -> None:
@@ -89,7 +89,7 @@
             ).info("")
         self.evacuated.update(zones, batch.requested_at_s)
 
-    def _apply(self, row: StoredRow) -> None:
+    def _apply_config(self, row: StoredRow) -> None:
         cfg = self._interface.parse_config(row)
         if failed(cfg):
             log.bind(event="config-unreadable").error(cfg.reason)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/crashes.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/crashes.py
@@ -36,8 +36,8 @@
 MAX_CRASHES_ALONE = 2
 MAX_CRASHES_LATER = 3
 MAX_CRASHES = 5
-# A task with this many crashes waits for isolation, but no longer than the time: after
-# a power failure many tasks do, and callers accept that a job stands still for 3 s.
+# A task with this many crashes waits for isolation, for at most the time below: after
+# a power failure many tasks wait, and callers accept that a job stands still for 3 s.
 MIN_CRASHES_TO_WAIT = 2
 MAX_ISOLATION_WAIT_S = 1.5
 # An isolated run needs a worker without a start for this long before it ...
@@ -58,8 +58,8 @@
         self._owner = owner
         # When the isolation of each worker ends, on the owner's clock.
         self._isolated_until_s: list[float] = []
-        # The job of the task that waited in vain and was last started on each worker,
-        # and when, by the worker's id.
+        # By the worker's id: the job of the task that was last started there without
+        # the isolation that it waited for, and when, on the owner's clock.
         self._unisolated: dict[str, tuple[Job, float]] = {}
 
     def record_silence(self, worker: Worker) -> None:
@@ -164,8 +164,8 @@
     def unisolated_ids(self, job: Job) -> set[str]:
         """Return the ids of workers that a job's task that waited in vain may not use.
 
-        Such a task of another job was started there shortly before. If the worker
-        crashes, a job stands out, and jobs are given up as a whole.
+        Such a task of another job was started there shortly before. So if the worker
+        crashes, the suspects belong to one job, and a job is given up as a whole.
         """
         now = self._owner.now_s()
         return {
--- a/packages/fulmarleverd/fulmarleverd/scheduling/order.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/order.py
@@ -93,14 +93,19 @@
     While the owner's processor limits the starts, the jobs at the end of any order
     would get none as long as others have tasks to start.
     """
-    idle = [step for step in steps if _is_idle(step.job, now_s)]
+    idle = [step for step in steps if is_idle_for(step.job, MAX_IDLE_S, now_s)]
     for step in sorted(idle, key=lambda step: step.job.since_s):
         yield StartQuota(step, 1)
 
 
-def _is_idle(job: Job, now_s: float) -> bool:
+def is_idle_for(job: Job, seconds: float, now_s: float) -> bool:
+    """Return whether a job has no run, and its last start is this many seconds ago.
+
+    The time counts from its acceptance if it has not started. ``now_s`` is on the
+    owner's clock.
+    """
     idle_since_s = max(job.since_s, job.last_start_s)
-    return now_s - idle_since_s >= MAX_IDLE_S and not job.has_runs
+    return now_s - idle_since_s >= seconds and not job.has_runs
 
 
 class Rank(IntEnum):
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -12,7 +12,12 @@
     find_capacity_obstacle,
     find_constraint_obstacle,
 )
-from fulmarleverd.scheduling.order import ORDERS, StartQuota, first_tasks_of_idle_jobs
+from fulmarleverd.scheduling.order import (
+    ORDERS,
+    StartQuota,
+    first_tasks_of_idle_jobs,
+    is_idle_for,
+)
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.placement import PLACEMENTS, HeadroomTaken
 from fulmarleverd.scheduling.runs import Run
@@ -53,7 +58,7 @@
         self._headroom_taken = headroom_taken
         self._tickets = tickets
         self._start_rate = start_rate
-        self._unplaced_sizes = self._no_unplaced_sizes()
+        self._unplaced_sizes = self._empty_unplaced_sizes()
         self._has_slow_workers = False
         self._indexes: dict[tuple[str, bool], CapacityIndex] = {}
         self._plans = 0
@@ -80,7 +85,7 @@
         now = self._owner.now_s()
         fleet = self._owner.fleet
         self._has_slow_workers = any(worker.is_slow_at(now) for worker in fleet)
-        self._unplaced_sizes = self._no_unplaced_sizes()
+        self._unplaced_sizes = self._empty_unplaced_sizes()
         started = sum(1 for _ in self._start_speculative_copies())
         lacking_tickets: list[Step] = []
         for quota in self._quotas():
@@ -133,8 +138,8 @@
             self._indexes[key] = CapacityIndex(workers)
         return self._indexes[key]
 
-    def _no_unplaced_sizes(self) -> dict[bool, UnplacedSizes]:
-        """Return no sizes yet, apart for steps that may use slow workers."""
+    def _empty_unplaced_sizes(self) -> dict[bool, UnplacedSizes]:
+        """Return no sizes yet, by whether a step may use slow workers."""
         return {
             may_be_slow: UnplacedSizes(w.reserved_for for w in self._owner.fleet)
             for may_be_slow in (False, True)
@@ -147,10 +152,7 @@
         """
         if not self._has_slow_workers or step.spec.is_long_running:
             return self._has_slow_workers
-        job = step.job
-        idle_since_s = max(job.since_s, job.last_start_s)
-        is_due = self._owner.now_s() - idle_since_s >= SLOW_WORKERS_AFTER_S
-        return is_due and not job.has_runs
+        return is_idle_for(step.job, SLOW_WORKERS_AFTER_S, self._owner.now_s())
 
     def _cost(self, spec: StepSpec, worker: Worker) -> tuple | None:
         return self._placement(spec, worker, self._headroom_taken)
@@ -221,13 +223,13 @@
             return
         # The other tasks of a job that may use a slow worker wait for the next plan, in
         # which the job has a run and they may not.
-        is_cut = may_be_slow and not step.spec.is_long_running and limit > 1
-        limit = 1 if is_cut else limit
+        is_one_at_a_time = may_be_slow and not step.spec.is_long_running and limit > 1
+        limit = 1 if is_one_at_a_time else limit
         candidates = self._candidates_for_some(step, limit)
         started = 0
         for task in list(step.waiting.values()):
             if started >= limit:
-                if is_cut:
+                if is_one_at_a_time:
                     self._owner.changed.set()
                 return
             if task.is_crash_suspect:
