--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/forecast.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/forecast.py
@@ -57,8 +57,9 @@
     work of more urgent ones and ``urgent_growth`` the core-seconds of it that arrive
     per second. ``arrivals`` are the work of jobs that were accepted lately and the
     core-seconds per second that each stands for. ``room`` is the free cores by the
-    sizes of ``ROOM_SIZES_M`` that no waiting task can use. ``protected_s`` is the hard
-    deadline of the jobs that most need protection from larger ones, 0 for none.
+    sizes of ``ROOM_SIZES_M`` that no waiting task can use. ``protected_s`` is how many
+    seconds of backlog the jobs that most need protection from larger ones can bear, 0
+    for no limit.
     """
 
     service: str
@@ -169,12 +170,11 @@
 
     def estimate(self, job: Candidate) -> Estimate:
         """Return when a new job would complete, and by when it has to."""
-        by_room_s = self._completion_by_room_s(job)
-        by_order_s = min(by_room_s, self.completion_s(job))
-        found = Estimate(by_order_s, job.deadline_s)
+        found = Estimate(self.completion_s(job), job.deadline_s)
         if 0.0 < self.protected_s < MAX_PROTECTED_SHARE * job.deadline_s:
             ahead_core_s = self.backlog_core_s + job.unpublished_work_core_s
             drain_s = (ahead_core_s + job.work_core_s) / self.cores
+            by_room_s = self._completion_by_room_s(job)
             drained = Estimate(min(by_room_s, drain_s), self.protected_s)
             found = max(found, drained, key=lambda estimate: estimate.share)
         return found
--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/policy.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/policy.py
@@ -34,11 +34,13 @@
 RETURN_SHARE = 0.9
 # One in this number of jobs of a size class that would be refused is let in.
 LET_IN_PERIOD = 10
+# The size classes of this many queues are kept.
 MAX_QUEUES = 64
 # The owner sees a job and publishes it about this long after its acceptance.
 PUBLISH_DELAY_S = 0.5
 # The work that was accepted here is remembered for this long.
 ACCEPTED_KEPT_S = 4.0
+# A daemon that accepted little lately is taken to get this share of the cores.
 MIN_SHARE_OF_CORES = 0.1
 
 
@@ -163,9 +165,8 @@
             size_class = state.classify(work_core_s)
         else:
             size_class = earlier.size_class
-        is_best_effort = any(step.is_best_effort for step in job.steps)
         group = forecast and forecast.find(
-            queue.service, queue.priority, is_best_effort
+            queue.service, queue.priority, job.is_best_effort
         )
         refusal = None
         if group is None:
@@ -175,7 +176,7 @@
             refusal = self._judge(job.id, group, candidate, state, size_class)
         if refusal is None:
             self._retries.forget(job.id)
-            self._record_accepted(queue, is_best_effort, work_core_s)
+            self._record_accepted(queue, job.is_best_effort, work_core_s)
         return refusal
 
     def _state(self, queue_name: str) -> QueueState:
@@ -195,7 +196,6 @@
     ) -> Candidate:
         critical_path_s = forecast.ratios.critical_path_s(job, queue)
         objective_s = queue.stretch * critical_path_s + queue.target_latency_s
-        is_best_effort = any(step.is_best_effort for step in job.steps)
         return Candidate(
             work_core_s,
             critical_path_s,
@@ -203,7 +203,7 @@
             HARD_DEADLINE_FACTOR * objective_s,
             max(step.cpu_m for step in job.steps),
             (queue.name, size_class) in forecast.underserved,
-            self._unpublished_work(queue, is_best_effort, work_core_s),
+            self._unpublished_work(queue, job.is_best_effort, work_core_s),
         )
 
     def _judge(
@@ -220,7 +220,7 @@
         go before new ones.
         """
         class_state = state.find(size_class)
-        how = self._retries.classify(job_id)
+        returned = self._retries.classify(job_id)
         estimate = group.estimate(candidate)
         if estimate.share > BEGIN_SHARE:
             class_state.is_refusing = True
@@ -228,10 +228,10 @@
             class_state.is_refusing = False
         limit_share = BEGIN_SHARE
         if class_state.is_refusing:
-            limit_share = RETURN_SHARE if how is Return.DUE else END_SHARE
+            limit_share = RETURN_SHARE if returned is Return.DUE else END_SHARE
         if estimate.share <= limit_share:
             return None
-        if how is not Return.EARLY and self._is_share_due(class_state):
+        if returned is not Return.EARLY and self._is_share_due(class_state):
             return None
         window = RoomWindow(
             estimate.forecast_s - limit_share * estimate.limit_s,
--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/publisher.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/publisher.py
@@ -19,8 +19,9 @@
     Arrivals,
     Efficiency,
     Kind,
+    is_in_progress,
     kind_of,
-    used_cores,
+    work_done_core_s,
 )
 from fulmarleverd.scheduling.admission.times import JobTimes, StepRatios
 from fulmarleverd.scheduling.decisions import record
@@ -44,8 +45,9 @@
 MIN_CORRECTING_SHARE = 0.1
 # The share by which a correction of a group without waiting work nears 1 at each tick.
 FADING_SHARE = 0.02
-# After sizes were served first, shorter deadlines are protected for this long.
-PROTECTED_S = 40.0
+# Early deadlines are protected for this long after a job of an underserved size was
+# last open.
+PROTECTION_KEPT_S = 40.0
 # The backlog ahead of a protected job may take this share of its hard deadline. With
 # the whole deadline, a job is late if another size goes first after its acceptance.
 PROTECTED_SHARE = 0.4
@@ -66,8 +68,8 @@
         self._arrivals: defaultdict[GroupKey, Arrivals] = defaultdict(Arrivals)
         self._watched: dict[str, WatchedJob] = {}
         self._factors: dict[GroupKey, float] = {}
-        # When a job of a size that is served too seldom was last open.
-        self._promoted_at_s: dict[GroupKey, float] = {}
+        # When a job of an underserved size was last open, on the owner's clock.
+        self._underserved_at_s: dict[GroupKey, float] = {}
         self._published_at_s = float("-inf")
         self._is_empty = False
         self._sequence = 0
@@ -97,7 +99,7 @@
         self._owner.commits.stage_row(row)
 
     def _update(self, now_s: float) -> None:
-        jobs = [job for job in self._owner.jobs.values() if is_forecast(job)]
+        jobs = [job for job in self._owner.jobs.values() if counts_in_forecast(job)]
         runs = [run for worker in self._owner.fleet for run in worker.runs.values()]
         self._efficiency.measure(jobs, runs, now_s)
         self._correct(now_s)
@@ -120,7 +122,7 @@
         for job in jobs:
             by_kind[job_kind(job)].append(job)
             if job.is_size_underserved:
-                self._promoted_at_s[job_key(job)] = now_s
+                self._underserved_at_s[job_key(job)] = now_s
         for step in self._owner.ready_steps():
             if not step.spec.is_long_running:
                 waiting[kind_of(step)].append(step)
@@ -172,14 +174,7 @@
         for priority in sorted(priorities):
             key = (kind[0], priority, kind[1])
             loads = [
-                JobLoad(
-                    max(
-                        0.0,
-                        self._times.remaining_work_core_s(job)
-                        - work_done.get(job.id, 0.0),
-                    ),
-                    self._rank(job, now_s),
-                )
+                self._job_load(job, work_done.get(job.id, 0.0), now_s)
                 for job in jobs
                 if job.queue.priority == priority
             ]
@@ -199,13 +194,18 @@
             urgent_work += sum(load.work_core_s for load in loads)
             urgent_growth += sum(growth for _, growth in arrivals)
 
+    def _job_load(self, job: Job, done_core_s: float, now_s: float) -> JobLoad:
+        """Return the load of a job whose running tasks did some of their work."""
+        work_core_s = self._times.remaining_work_core_s(job) - done_core_s
+        return JobLoad(max(0.0, work_core_s), self._rank(job, now_s))
+
     def _protected_s(self, key: GroupKey, now_s: float) -> float:
-        """Return the limit of the backlog that protects smaller jobs, 0 for none.
+        """Return the seconds of backlog that smaller jobs can bear, 0 for no limit.
 
-        There is none unless jobs of some size went first of late.
+        There is no limit unless jobs of an underserved size were open lately.
         """
-        promoted_at_s = self._promoted_at_s.get(key, float("-inf"))
-        if now_s - promoted_at_s > PROTECTED_S:
+        underserved_at_s = self._underserved_at_s.get(key, float("-inf"))
+        if now_s - underserved_at_s > PROTECTION_KEPT_S:
             return 0.0
         return PROTECTED_SHARE * self._arrivals[key].early_deadline_s()
 
@@ -215,11 +215,9 @@
         """Return by job the core-seconds that its running tasks have done."""
         done: defaultdict[str, float] = defaultdict(float)
         for run in runs:
-            step = run.task.step
-            if run.started_s and not run.task.is_done:
-                expected_s = self._times.expected_s(step)
-                elapsed_s = min(expected_s, max(0.0, now_s - run.started_s))
-                done[step.job.id] += used_cores(run) * elapsed_s
+            if is_in_progress(run):
+                job_id = run.task.step.job.id
+                done[job_id] += work_done_core_s(run, self._times, now_s)
         return done
 
     def _rank(self, job: Job, now_s: float) -> Rank:
@@ -314,6 +312,10 @@
     def _apply_sample(
         self, watched: WatchedJob, age_s: float, min_ratio: float
     ) -> None:
+        """Correct the factor of a group by a job that took ``age_s`` or longer.
+
+        The ratio of actual to forecast wait counts as at least ``min_ratio``.
+        """
         watched.is_counted = True
         ratio = (age_s - watched.critical_path_s) / watched.wait_s
         ratio = min(MAX_FACTOR, max(MIN_FACTOR, min_ratio, ratio))
@@ -367,15 +369,14 @@
         self.is_counted = False
 
 
-def is_forecast(job: Job) -> bool:
+def counts_in_forecast(job: Job) -> bool:
     """Return whether the work of a job counts in forecasts."""
     return not job.spec.is_long_running
 
 
 def job_kind(job: Job) -> Kind:
     """Return the service and the use of cores of a job."""
-    is_best_effort = any(step.is_best_effort for step in job.spec.steps)
-    return job.queue.service, is_best_effort
+    return job.queue.service, job.spec.is_best_effort
 
 
 def job_key(job: Job) -> GroupKey:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/retries.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/retries.py
@@ -16,9 +16,10 @@
 # The least that a caller is told, in whole seconds.
 MIN_RETRY_S = 1.0
 # Returns are spread over this window if it is not known when there will be room.
-LIGHT_WINDOW_S = 3.0
+DEFAULT_WINDOW_S = 3.0
+# Bounds the memory of the table.
 MAX_REFUSALS = 10_000
-# A caller that has not returned for this long after its time does not count any more.
+# A refusal is forgotten this long after the time at which its caller was to return.
 KEPT_S = 30.0
 # A return may be this early, as the header has whole seconds.
 TOLERANCE_S = 0.05
@@ -44,7 +45,7 @@
     """
 
     earliest_s: float = 0.0
-    latest_s: float = LIGHT_WINDOW_S
+    latest_s: float = DEFAULT_WINDOW_S
     taken_s: float = 0.0
 
 
@@ -154,16 +155,18 @@
     ) -> float:
         """Return in how many whole seconds the caller of a refused job is to return.
 
-        ``key`` identifies the group of jobs that wait for the same room. A caller that
-        returned early is told its earlier time again.
+        ``spread`` is a name in ``SPREADS``, ``key`` identifies the group of jobs that
+        wait for the same room, and ``size_class`` is the class of the job, if it is
+        refused for its size. A caller that returned early is told its earlier time
+        again.
         """
         now = self._clock.monotonic()
-        how = self.classify(job_id)
+        returned = self.classify(job_id)
         known = self._refusals.pop(job_id, None)
-        if how is Return.EARLY:
+        if returned is Return.EARLY:
             self._refusals[job_id] = known
             return max(MIN_RETRY_S, math.ceil(known.due_s - now - TOLERANCE_S))
-        first_s = now if how is Return.NEW else known.first_s
+        first_s = now if returned is Return.NEW else known.first_s
         used_s = now - first_s
         latest_s = max(MIN_RETRY_S, window.latest_s - used_s)
         left = RoomWindow(window.earliest_s, latest_s, window.taken_s)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/throughput.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/throughput.py
@@ -1,4 +1,4 @@
-"""What the fleet really completes of a kind of work, and how much work arrives."""
+"""The work that the fleet completes of each kind, and the work that arrives."""
 
 from __future__ import annotations
 
@@ -39,6 +39,21 @@
     return run.task.step.spec.cpu_m * run.speed_limit_percent / 100_000.0
 
 
+def is_in_progress(run: Run) -> bool:
+    """Return whether a run has started and its task is not done."""
+    return run.started_s > 0.0 and not run.task.is_done
+
+
+def work_done_core_s(run: Run, times: JobTimes, now_s: float) -> float:
+    """Return the core-seconds that a run in progress has done by the time it ran.
+
+    ``now_s`` is on the owner's clock. A run beyond its expected time has done no more
+    than that.
+    """
+    elapsed_s = max(0.0, now_s - run.started_s)
+    return used_cores(run) * min(times.expected_s(run.task.step), elapsed_s)
+
+
 class Efficiency:
     """Expected core-seconds of work completed in a core-second in use, by kind.
 
@@ -101,10 +116,8 @@
         done = {step: self._ended_work(step) for step in self._steps(jobs)}
         for run in runs:
             step = run.task.step
-            if step in done and run.started_s and not run.task.is_done:
-                elapsed_s = max(0.0, now_s - run.started_s)
-                expected_s = self._times.expected_s(step)
-                done[step] += used_cores(run) * min(expected_s, elapsed_s)
+            if step in done and is_in_progress(run):
+                done[step] += work_done_core_s(run, self._times, now_s)
         return done
 
     def _steps(self, jobs: Iterable[Job]) -> Iterator[Step]:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
@@ -24,7 +24,7 @@
 from fulmarleverd.scheduling.admission.policy import AdmissionPolicy
 from fulmarleverd.scheduling.admission.refusals import AdmissionRefusal
 from fulmarleverd.scheduling.admission.retries import (
-    LIGHT_WINDOW_S,
+    DEFAULT_WINDOW_S,
     RetrySchedule,
     RoomWindow,
 )
@@ -135,7 +135,7 @@
         if refusal is None:
             return self._admission.find_refusal(spec, queue)
         # How soon the owner catches up is not known, so returns are only spread.
-        window = RoomWindow(latest_s=LIGHT_WINDOW_S)
+        window = RoomWindow(latest_s=DEFAULT_WINDOW_S)
         refusal.retry_after_s = self._retries.refuse(spec.id, window, "even")
         return refusal
 
@@ -149,8 +149,9 @@
         if rows.rows:
             self._retries.forget(spec.id)
             return None
-        is_forecast = isinstance(refusal, AdmissionRefusal)
-        ADMISSION_REFUSALS.labels("forecast" if is_forecast else "overload").inc()
+        is_by_forecast = isinstance(refusal, AdmissionRefusal)
+        reason = "forecast" if is_by_forecast else "overload"
+        ADMISSION_REFUSALS.labels(reason).inc()
         return refusal
 
     async def _insert(
--- a/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
@@ -117,6 +117,11 @@
         """Return whether the job runs until it is cancelled."""
         return any(step.is_long_running for step in self.steps)
 
+    @property
+    def is_best_effort(self) -> bool:
+        """Return whether a step uses only cores that other tasks leave unused."""
+        return any(step.is_best_effort for step in self.steps)
+
     @property
     def widest_cpu_m(self) -> int:
         """Return what all tasks of the largest step need, in thousandths of a core."""
