--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/faults.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/faults.py
@@ -15,8 +15,8 @@
 
 Fault = Callable[["Simulation"], Coroutine]
 FAULTS: Registry[Fault] = Registry("fault")
-# Drawn apart from the others, with a generator of their own, so that seeds draw the
-# same jobs and faults as before these were added.
+# Drawn apart from the others, with a generator of their own, so that a kind added here
+# does not change the jobs and the other faults that a seed draws.
 ApartFault = Callable[["Simulation", Random], Coroutine]
 APART_FAULTS: Registry[ApartFault] = Registry("fault drawn apart")
 
--- a/packages/fulmarlever_standins/fulmarlever_standins/soak/faults.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/faults.py
@@ -101,7 +101,8 @@
 async def starve(deployment: Deployment, rng: Random) -> str:
     """Let a daemon run for only a share of each short turn, for some seconds.
 
-    It is drawn apart from ``FAULTS``, so that earlier seeds keep their draws.
+    It is drawn apart from ``FAULTS``, so that a seed draws the same other faults with
+    and without it.
     """
 
     async def inject(daemon: SoakDaemon) -> None:
@@ -119,7 +120,8 @@
 async def evacuate(deployment: Deployment, rng: Random) -> str:
     """Evacuate a zone for some seconds; take it back and ask again at times.
 
-    It is drawn apart from ``FAULTS``, so that earlier seeds keep their draws.
+    It is drawn apart from ``FAULTS``, so that a seed draws the same other faults with
+    and without it.
     """
     zone = rng.choice(ZONES)
     for _ in range(rng.choice((1, 1, 3))):
--- a/packages/fulmarlever_standins/fulmarlever_standins/soak/runner.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/runner.py
@@ -22,6 +22,7 @@
 MAX_PAUSE_S = 1.5
 # The first jobs are submitted before the first fault.
 FAULT_FREE_S = 2.0
+# How often the observer looks whether the store is disturbed.
 STORE_POLL_S = 0.05
 
 
