--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/wrong_estimates_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/wrong_estimates_tests.py
@@ -102,8 +102,8 @@
             self.run_scenario(scenario)
         return sum(stream_job.is_served for stream_job in jobs) / len(jobs)
 
-    # Guards against a deployment that is served otherwise than before although its
-    # declared times are right.
+    # Guards against learned times that change how a deployment with right declared
+    # times is served.
     def test_right_declared_times_are_served_as_by_the_declared_version(self):
         learned = self.served("right", RATE, 1, RunTimes)
         declared = self.served("right", RATE, 1, DeclaredTimes)
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/simulation/plan_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/simulation/plan_tests.py
@@ -37,7 +37,7 @@
 
 
 class SeedTests(TableTestCase):
-    # The jobs and faults of these seeds as drawn before faults were drawn apart.
+    # The digest of the jobs and faults of these seeds, without faults drawn apart.
     SEEDS = range(1, 200)
     DIGEST = "c10bb9ed"
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/intake_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/intake_tests.py
@@ -100,7 +100,7 @@
         self.assertIsNone(await self.submit("late"))
 
     async def test_refusals_of_an_overloaded_owner_are_spread(self) -> None:
-        # Guards against a herd: all refused callers used to return after 2 s.
+        # Guards against refused callers that all return at the same time.
         self.store.put(SUMMARY_TABLE, OVERLOAD_KEY, pack([1]))
         await self.read_rows()
         told_s = []
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/retries_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/retries_tests.py
@@ -36,7 +36,7 @@
     )
 
     def test_returns_of_a_surge_are_spread_over_the_time_in_which_room_comes(self):
-        # Guards against a herd: all refused callers used to return after 2 s.
+        # Guards against refused callers that all return at the same time.
         for _, window, spread, low_s, high_s in self.each(self.ROWS):
             self.retries = RetrySchedule(self.clock)
             told = Counter(self.refuse_many(200, window, spread))
