--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/simulated_cluster.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/simulated_cluster.py
@@ -66,7 +66,10 @@
         self.loop_delay = SimulatedLoopDelay(Processor())
         http = network.client(vm, self.loop_delay)
         self.settings = SchedulingSettings(
-            vm, "z", "", "", "", 0, STORE_ADDRESS, cores=cores, bounds=bounds
+            *(vm, "z", "", "", "", 0, STORE_ADDRESS),
+            cores=cores,
+            bounds=bounds,
+            has_admission_forecast=True,
         )
         self.store = AuthorityStore(STORE_ADDRESS, http)
         self.workers = AuthorityWorkers(http)
--- a/packages/fulmarleverd/fulmarleverd/platform/settings.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/settings.py
@@ -76,6 +76,7 @@
         drain_limit_s=max(MIN_DRAIN_S, bounds.grace_s - KILL_MARGIN_S),
         max_fds=_positive(limits, "maxFds", DEFAULT_MAX_FDS),
         connections_per_address=_positive(limits, "maxConnectionsPerAddress", 0),
+        has_admission_forecast=data.get("admissionForecast") is True,
     )
 
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
@@ -287,7 +287,8 @@
                 self._evacuation.update_gauge()
             self._overload.tick()
             self._run_times.tick()
-            self._admission.tick()
+            if self._interface.settings.has_admission_forecast:
+                self._admission.tick()
             self._backlog.tick()
             # Workers accept runs again and jobs become late merely as time passes.
             self.owner.changed.set()
--- a/packages/fulmarleverd/fulmarleverd/services/ingress.py
+++ b/packages/fulmarleverd/fulmarleverd/services/ingress.py
@@ -7,6 +7,7 @@
 from fulmarleverd.kernel import SERVICES, Kernel, Service
 from fulmarleverd.scheduling.api import JobCalls
 from fulmarleverd.scheduling.intake import Intake
+from fulmarleverd.scheduling.specs import QueueSpec
 
 # The load balancer stops sending callers to this daemon after two failed readiness
 # probes, which are one second apart.
@@ -28,12 +29,18 @@
         """Open the ports for callers and for the readiness probe."""
         interface = self.kernel.find("interface").interface
         config_watcher = self.kernel.find("queues").config_watcher
+
+        def forecast_queues() -> tuple[QueueSpec, ...]:
+            """Return the queues whose jobs may be refused by the forecast."""
+            has_forecast = interface.settings.has_admission_forecast
+            return config_watcher.config.queues if has_forecast else ()
+
         calls = JobCalls(
             Intake(
                 interface.store,
                 self.clock,
                 config_watcher.age_s,
-                lambda: config_watcher.config.queues,
+                forecast_queues,
             ),
             config_watcher,
             self.clock,
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/settings_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/settings_tests.py
@@ -54,6 +54,20 @@
             values = (found.memory_mb, found.max_fds, found.connections_per_address)
             self.assertEqual(values, expected)
 
+    # Guards against a deployment that is served differently without asking for it.
+    def test_admission_by_forecast_is_off_unless_the_settings_ask_for_it(self):
+        rows = [
+            ("none", {}, False),
+            ("on", {"admissionForecast": True}, True),
+            *(
+                (repr(other), {"admissionForecast": other}, False)
+                for other in (False, None, "yes", 1, [True])
+            ),
+        ]
+        for _, fields, expected in self.each(rows):
+            found = parse_settings({**SETTINGS, **fields})
+            self.assertIs(found.has_admission_forecast, expected)
+
     def test_errors_contain_the_missing_field_or_malformed(self):
         rows = [
             (name, {k: v for k, v in SETTINGS.items() if k != name}, name)
