--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/simulated_cluster.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/simulated_cluster.py
@@ -70,6 +70,7 @@
             cores=cores,
             bounds=bounds,
             has_admission_forecast=True,
+            has_learned_run_times=True,
         )
         self.store = AuthorityStore(STORE_ADDRESS, http)
         self.workers = AuthorityWorkers(http)
--- a/packages/fulmarleverd/fulmarleverd/platform/settings.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/settings.py
@@ -77,6 +77,7 @@
         max_fds=_positive(limits, "maxFds", DEFAULT_MAX_FDS),
         connections_per_address=_positive(limits, "maxConnectionsPerAddress", 0),
         has_admission_forecast=data.get("admissionForecast") is True,
+        has_learned_run_times=data.get("learnedRunTimes") is True,
     )
 
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
@@ -75,6 +75,7 @@
         )
         self.owner = Owner(lease, commits, clock, interface.settings.bounds)
         lease.unresponsive_workers = self.owner.unresponsive_workers
+        self.owner.run_times.applies_learned = settings.has_learned_run_times
         self._start_rate = StartRate(
             interface.loop_delay, clock, interface.settings.cores
         )
--- a/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
@@ -222,11 +222,16 @@
         if step.speed_samples < MIN_STEP_SAMPLES or not step.speed:
             return expected_s
         measured_s = 1.0 / step.speed
-        is_long = step.samples is not None and step.samples.is_seen_elsewhere
-        if is_long or not expected_s:
+        if not expected_s or self._is_long(step):
             return measured_s
         return min(expected_s, measured_s)
 
+    def _is_long(self, step: Step) -> bool:
+        """Return whether runs on several workers show that a step is long."""
+        if not self._owner.run_times.applies_learned:
+            return False
+        return step.samples is not None and step.samples.is_seen_elsewhere
+
     def _faster_elsewhere(self, worker: Worker) -> Iterator[Run]:
         """Yield the runs that would end sooner on a worker of normal speed."""
         for run in worker.runs.values():
--- a/packages/fulmarleverd/fulmarleverd/scheduling/run_times/run_times.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/run_times/run_times.py
@@ -36,11 +36,16 @@
 
 
 class RunTimes(NewJobTimes):
-    """The expected run times of tasks, from declared times and from ended runs."""
+    """The expected run times of tasks, from declared times and from ended runs.
 
-    __slots__ = ("_queues",)
+    Without ``applies_learned``, what the runs show is recorded, but the declared times
+    are expected.
+    """
+
+    __slots__ = ("applies_learned", "_queues")
 
     def __init__(self) -> None:
+        self.applies_learned = True
         # By queue, the one with the latest sample last, then by number of the step.
         self._queues: OrderedDict[str, dict[int, LearnedTimes]] = OrderedDict()
 
@@ -48,8 +53,7 @@
 
     def expected_s(self, step: Step) -> float:
         """Return the expected seconds of one task of a step, 0 if nothing is known."""
-        steps = self._queues.get(step.job.queue.name)
-        return _expected_s(steps.get(step.number) if steps else None, step)
+        return _expected_s(self._find(step.job.queue.name, step.number), step)
 
     def quantile_s(self, step: Step, share: float) -> float:
         """Return the seconds within which a share of the tasks of a step end."""
@@ -81,7 +85,7 @@
 
     def _longest_path_s(self, job: Job, *, includes_done: bool) -> float:
         # Called for each open job in each plan, so it avoids calls where it can.
-        learned = self._queues.get(job.queue.name, NO_LEARNED_TIMES)
+        learned = self._applied(job.queue.name)
         longest = 0.0
         for steps in job.occurrences.values():
             ends: list[float] = []
@@ -96,7 +100,7 @@
 
     def remaining_work_core_s(self, job: Job) -> float:
         """Return the expected core-seconds of the tasks that are not done."""
-        learned = self._queues.get(job.queue.name, NO_LEARNED_TIMES)
+        learned = self._applied(job.queue.name)
         total = 0.0
         for steps in job.occurrences.values():
             for step in steps:
@@ -122,8 +126,13 @@
         samples.record_end(seconds)
 
     def _find(self, queue_name: str, number: int) -> LearnedTimes | None:
-        steps = self._queues.get(queue_name)
-        return steps.get(number) if steps is not None else None
+        return self._applied(queue_name).get(number)
+
+    def _applied(self, queue_name: str) -> dict[int, LearnedTimes]:
+        """Return what estimates of a queue's steps use, by number of the step."""
+        if not self.applies_learned:
+            return NO_LEARNED_TIMES
+        return self._queues.get(queue_name, NO_LEARNED_TIMES)
 
     def _find_or_add(self, queue_name: str, number: int) -> LearnedTimes:
         """Return the state of a queue's step; the queue longest unused makes way."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
@@ -259,7 +259,8 @@
     (descriptors) are what the daemon itself may use, ``drain_limit_s`` is the time that
     it has to hand over its work when it is stopped. ``connections_per_address`` limits
     callers' connections from one address, which a load balancer may share; 0 is none.
-    With ``has_admission_forecast`` jobs that would complete too late are refused.
+    With ``has_admission_forecast`` jobs that would complete too late are refused, with
+    ``has_learned_run_times`` run times learned from ended runs replace declared ones.
     """
 
     vm: str
@@ -279,6 +280,7 @@
     max_fds: int = 4100
     connections_per_address: int = 0
     has_admission_forecast: bool = False
+    has_learned_run_times: bool = False
 
 
 def pack_fields(item: object, skip: Iterable[str] = ()) -> dict[str, object]:
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/settings_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/settings_tests.py
@@ -55,18 +55,20 @@
             self.assertEqual(values, expected)
 
     # Guards against a deployment that is served differently without asking for it.
-    def test_admission_by_forecast_is_off_unless_the_settings_ask_for_it(self):
+    def test_parts_are_off_unless_the_settings_ask_for_them(self):
+        names = ("admissionForecast", "learnedRunTimes")
         rows = [
             ("none", {}, False),
-            ("on", {"admissionForecast": True}, True),
+            ("on", dict.fromkeys(names, True), True),
             *(
-                (repr(other), {"admissionForecast": other}, False)
+                (repr(other), dict.fromkeys(names, other), False)
                 for other in (False, None, "yes", 1, [True])
             ),
         ]
         for _, fields, expected in self.each(rows):
             found = parse_settings({**SETTINGS, **fields})
             self.assertIs(found.has_admission_forecast, expected)
+            self.assertIs(found.has_learned_run_times, expected)
 
     def test_errors_contain_the_missing_field_or_malformed(self):
         rows = [
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/run_times/decisions_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/run_times/decisions_tests.py
@@ -44,6 +44,21 @@
         self.learn(OTHER_QUEUE, 1.0)
         self.assertEqual(self.first_jobs(), ["declared long", "declared short"])
 
+    # Guards against learned times in a deployment that doesn't ask for them.
+    def test_declared_times_decide_unless_learned_ones_apply(self):
+        self.owner.run_times.applies_learned = False
+        self.add_job("declared short", SECOND)
+        longer = StepSpec(cpu_m=1000, estimate_s=2.0)
+        job = self.add_job("declared long", longer, queue=OTHER_QUEUE)
+        self.learn(QUEUE, 8.0)
+        self.learn(OTHER_QUEUE, 5.0)
+        run_times = self.owner.run_times
+        self.assertEqual(self.first_jobs(), ["declared short", "declared long"])
+        self.assertEqual(run_times.critical_path_s(job.spec, job.queue), 2.0)
+        self.assertEqual(run_times.remaining_s(job), 2.0)
+        self.assertEqual(run_times.expected_s(job.occurrences[0][0]), 2.0)
+        self.assertTrue(list(run_times.entries()))
+
     # Guards against jobs that are given up although they take longer than declared.
     def test_hard_deadline_follows_the_actual_times(self):
         job = self.add_job("j", SECOND)
