Log which run times are used where learned ones are off

The line run-times said that learned times are used although the setting learnedRunTimes is off, which it is by default.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/run_times_publisher.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/run_times_publisher.py
@@ -71,15 +71,18 @@
         for queue, number, learned in self._owner.run_times.entries():
             samples[queue, number] = learned.samples
             if self._logged_samples.get((queue, number)) != learned.samples:
-                _log_entry(queue, number, learned)
+                applies_learned = self._owner.run_times.applies_learned
+                _log_entry(queue, number, learned, applies_learned)
         self._logged_samples = samples
 
 
-def _log_entry(queue: str, number: int, learned: LearnedTimes) -> None:
+def _log_entry(
+    queue: str, number: int, learned: LearnedTimes, applies_learned: bool
+) -> None:
     record(
         "run-times",
         "declared times are used"
-        if learned.uses_declared
+        if learned.uses_declared or not applies_learned
         else "learned times are used",
         queue=queue,
         step=number,
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/run_times/publisher_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/run_times/publisher_tests.py
@@ -77,6 +77,16 @@
         self.tick_after(LOG_PERIOD_S)
         self.assertEqual(len(self.run_time_lines()), 3)
 
+    # Guards against a log that claims learned times where they are switched off.
+    def test_log_tells_which_times_are_used(self):
+        messages = []
+        log.add(lambda message: messages.append(message.record["message"]))
+        for applies, used in ((True, "learned"), (False, "declared")):
+            self.owner.run_times.applies_learned = applies
+            self.record("plans", 4.0, 30)
+            self.tick_after(LOG_PERIOD_S)
+            self.assertEqual(messages[-1], f"{used} times are used")
+
     # Guards against metrics that grow with each queue that there ever was.
     def test_metrics_have_a_bounded_set_of_labels(self):
         for number in range(3 * MAX_QUEUES):
