--- a/review/small_deployment.py
+++ b/review/small_deployment.py
@@ -399,12 +399,13 @@
             "born": self.born,
         }
 
-    async def start(self) -> None:
-        """Listen and register."""
+    async def start(self, registers: bool = True) -> None:
+        """Listen, and register unless the server is none of the deployment's."""
         self._runner = await serve(self._handle, self.port)
         self.is_up = True
         self._record.add(f"{self.id}: lifetime {self.born} begins at {self.address}")
-        self._deployment.store.put_json("servers", self.id, self.entry())
+        if registers:
+            self._deployment.store.put_json("servers", self.id, self.entry())
 
     async def crash(self, is_dark: bool = False) -> None:
         """End at once with all runs; the entry stays until the platform removes it.
