--- a/review/small_deployment.py
+++ b/review/small_deployment.py
@@ -854,6 +854,9 @@
 
 
 async def _run(script: Script, directory: Path) -> int:
+    # The daemons end with the script, also if it is told to end early.
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(directory / "record.txt")
     record.add(f"begins, {'with' if has_trouble else 'without'} the disturbance")
@@ -862,7 +865,8 @@
         try:
             async with asyncio.timeout(110.0):
                 result = await script(deployment, has_trouble)
-        except (CannotRun, TimeoutError, OSError) as exc:
+        except (Exception, asyncio.CancelledError) as exc:
+            # Whatever ends a script early shows nothing about the rule.
             record.add(f"could not run: {type(exc).__name__} {exc}")
             result = NOT_RUN
         finally:
