--- a/review/small_deployment.py
+++ b/review/small_deployment.py
@@ -250,7 +250,8 @@
         )
         entries = [*expected, *written, *removed]
         if len(entries) > 100 or any(
-            len(row["value"]) * 3 // 4 > PLATFORM["rowBytes"] for _, row in written
+            len(base64.b64decode(row["value"])) > PLATFORM["rowBytes"]
+            for _, row in written
         ):
             return 400, {}
         if any(name[0] in ("op", "servers") for name, _ in written + removed):
