--- a/review/6/case.py
+++ b/review/6/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import time
 from pathlib import Path
 
@@ -58,4 +59,5 @@
 
 
 if __name__ == "__main__":
-    run_case(script, Path(__file__).resolve().parent)
+    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    run_case(script, Path(__file__).resolve().parent, has_trouble)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import time
 from pathlib import Path
 
@@ -89,4 +90,5 @@
 
 
 if __name__ == "__main__":
-    run_case(script, Path(__file__).resolve().parent)
+    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    run_case(script, Path(__file__).resolve().parent, has_trouble)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import time
 from pathlib import Path
 
@@ -69,4 +70,5 @@
 
 
 if __name__ == "__main__":
-    run_case(script, Path(__file__).resolve().parent)
+    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    run_case(script, Path(__file__).resolve().parent, has_trouble)
--- a/review/small_deployment.py
+++ b/review/small_deployment.py
@@ -849,16 +849,15 @@
         await asyncio.sleep(0.02)
 
 
-def run_case(script: Script, directory: Path) -> None:
+def run_case(script: Script, directory: Path, has_trouble: bool) -> None:
     """Run one script with ``record.txt`` in ``directory`` and exit with its result."""
-    sys.exit(asyncio.run(_run(script, directory)))
+    sys.exit(asyncio.run(_run(script, directory, has_trouble)))
 
 
-async def _run(script: Script, directory: Path) -> int:
+async def _run(script: Script, directory: Path, has_trouble: bool) -> int:
     # The daemons end with the script, also if it is told to end early.
     task = asyncio.current_task()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(directory / "record.txt")
     record.add(f"begins, {'with' if has_trouble else 'without'} the disturbance")
     with tempfile.TemporaryDirectory() as folder:
