Tell jobs that always fail from workers that fail their runs

Cause: two failed runs in a row, of whatever job, limited a worker to one run at a time, and a long-running task counted as that run. So the misfortune of one job was taken for a property of every worker it met. A stalled run did the same for 3 s.

Evidence: in the emulator worker-distrusted for all six workers, starts_per_s unchanged at 1500, and step-waits counting no_starts 6 for both waiting jobs; so it is neither the limit of starts nor an unplaced size. The lines did not name the job; they do now.

Change: health/failures.py weighs each failure by the other runs of its step. A worker is distrusted for failures of several jobs that do not fail elsewhere, if it has twice the mean of its service. Distrust is a preference: such a worker comes last, gets what would wait otherwise, and single probes. Tickets are asked for impaired workers, too.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/candidates.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/candidates.py
@@ -7,6 +7,7 @@
 from itertools import islice
 
 from fulmarleverd.scheduling.fleet import Worker
+from fulmarleverd.scheduling.health.tolerance import SOUND_ONLY, Tolerance
 from fulmarleverd.scheduling.obstacles import find_obstacle
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.scheduling.tasks import Step, Task
@@ -24,8 +25,9 @@
     All tasks of a step are identical, and assigning one changes the cost of its worker
     only. So the cost of each worker is computed once for the step and once more for
     each task assigned to it. Workers that accept no runs or face an obstacle are left
-    out. Of workers with equal cost, those that are cold come last. With ``may_be_slow``
-    slow workers are taken, too, after all others. ``now_s`` is on the owner's clock.
+    out. Of workers with equal cost, those that are cold come last. Impaired workers
+    come after all others, if ``tolerance`` allows them. ``now_s`` is on the owner's
+    clock.
 
     With a ``batch_size`` the workers are examined in batches until there is one
     candidate for each of ``wanted`` tasks, and again once no candidate is left. A batch
@@ -39,7 +41,7 @@
         "_heap",
         "_unseen",
         "_batch_size",
-        "_may_be_slow",
+        "_tolerance",
     )
 
     def __init__(
@@ -50,7 +52,7 @@
         now_s: float,
         batch_size: int | None = None,
         wanted: int = 1,
-        may_be_slow: bool = False,
+        tolerance: Tolerance = SOUND_ONLY,
     ) -> None:
         self._step = step
         self._cost = cost
@@ -58,7 +60,7 @@
         self._heap: list[HeapEntry] = []
         self._unseen = iter(enumerate(workers))
         self._batch_size = batch_size
-        self._may_be_slow = may_be_slow
+        self._tolerance = tolerance
         while self._examine_batch() and len(self._heap) < wanted:
             pass
 
@@ -74,15 +76,15 @@
         return bool(found)
 
     def _heap_entry(self, worker: Worker, index: int) -> HeapEntry | None:
-        if not worker.accepts_runs(self._now_s, self._may_be_slow):
+        if not worker.accepts_runs(self._now_s, self._tolerance):
             return None
         if find_obstacle(self._step, worker) is not None:
             return None
         cost = self._cost(self._step.spec, worker)
         if cost is None:
             return None
-        is_slow = worker.is_slow_at(self._now_s)
-        return ((is_slow, *cost), worker.is_cold, index, worker)
+        is_impaired = worker.is_impaired_at(self._now_s)
+        return ((is_impaired, *cost), worker.is_cold, index, worker)
 
     def place(
         self,
--- a/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterator
 
 from fulmarlever.clock import Clock
+from fulmarleverd.scheduling.health.failures import WorkerFailures
+from fulmarleverd.scheduling.health.tolerance import SOUND_ONLY, Tolerance
 from fulmarleverd.scheduling.ports import WorkerReport
 from fulmarleverd.scheduling.runs import FULL_PERCENT, Run, WorkerKey
 from fulmarleverd.scheduling.specs import StepSpec, WorkerEntry
@@ -15,9 +17,6 @@
 # How far a worker's clock may be from the expected time, for delays of answers; another
 # incarnation's clock starts anew.
 CLOCK_TOLERANCE_MS = 250.0
-# A worker that failed this many runs in a row gets one run at a time for a while.
-FAILURES_BEFORE_LIMIT = 2
-SINGLE_RUN_S = 6.0
 # The share of a serving task's reserved cores that it uses on average.
 SERVING_CPU_USE_SHARE = 0.55
 
@@ -68,10 +67,11 @@
     without an answer clears it and sets ``is_unresponsive``, until the next report. So
     neither is set before the first call. ``first_answer_s`` and ``last_report_s`` are
     the times of the first and the last report to this owner, ``lease_granted_at_s``
-    that of the last call that could extend the worker's lease. ``failures`` counts the
-    failed runs since the last successful one; until ``single_run_until_s`` the worker
-    gets one run at a time, until ``no_starts_until_s`` none. ``last_start_s`` is when
-    it was last given a run, ``crash_suspects`` are the tasks that may have crashed it,
+    that of the last call that could extend the worker's lease. ``failures`` are the
+    runs that failed there of late; a worker that is distrusted for them gets only tasks
+    that would wait otherwise, and single runs that probe it. Until
+    ``no_starts_until_s`` the worker gets no runs at all. ``last_start_s`` is when it
+    was last given a run, ``crash_suspects`` are the tasks that may have crashed it,
     while it is silent. A draining worker stops at ``drain_until_s``. ``is_evacuated``
     tells whether the operator has evacuated the worker's zone: it gets no new runs.
 
@@ -106,7 +106,6 @@
         "failures",
         "last_start_s",
         "crash_suspects",
-        "single_run_until_s",
         "no_starts_until_s",
         "unlisted_since_s",
         "serving_run_count",
@@ -141,10 +140,9 @@
         self.lease_granted_at_s = 0.0
         self.last_end_seen = 0
         self.last_end_committed = 0
-        self.failures = 0
+        self.failures = WorkerFailures(entry.id)
         self.last_start_s = 0.0
         self.crash_suspects: CrashSuspects | None = None
-        self.single_run_until_s = 0.0
         self.no_starts_until_s = 0.0
         self.unlisted_since_s = 0.0
         self.serving_run_count = 0
@@ -179,10 +177,11 @@
         """Return whether the worker is slow for a while, as it has just come back."""
         return self.entry.cold_left_s > 0.0
 
-    def accepts_runs(self, now_s: float, may_be_slow: bool = False) -> bool:
+    def accepts_runs(self, now_s: float, tolerance: Tolerance = SOUND_ONLY) -> bool:
         """Return whether new runs may be assigned to the worker.
 
-        A slow worker accepts only runs of tasks that may run on slow workers.
+        An impaired worker accepts only runs of tasks that tolerate it, and from time to
+        time a run that probes whether it still fails.
         """
         return (
             self.is_reconciled
@@ -191,14 +190,18 @@
             and self.is_reachable
             and not self.entry.is_draining
             and now_s >= self.no_starts_until_s
-            and (may_be_slow or not self.is_slow_at(now_s))
-            and not (now_s < self.single_run_until_s and self.runs)
+            and (tolerance.slow or not self.is_slow_at(now_s))
+            and (tolerance.distrusted or not self.failures.is_avoided_at(now_s))
         )
 
     def is_slow_at(self, now_s: float) -> bool:
         """Return whether the worker was found slow shortly before a time."""
         return now_s < self.slow_until_s
 
+    def is_impaired_at(self, now_s: float) -> bool:
+        """Return whether the worker is slow at a time, or distrusted."""
+        return self.failures.is_distrusted or self.is_slow_at(now_s)
+
     def free_cpu_m(self) -> int:
         """Return the thousandths of a core that are not reserved."""
         return self.entry.cpu_m - self.reserved_cpu_m
@@ -285,22 +288,6 @@
         passed_s = (now_s - self.clock_read_s) * MIN_CLOCK_RATE
         return self.clock_ms + int((passed_s + lease_s) * 1000)
 
-    def count_failure(self, now_s: float) -> bool:
-        """Count a failed run.
-
-        Return whether the worker gets one run at a time from now on.
-        """
-        self.failures += 1
-        if self.failures < FAILURES_BEFORE_LIMIT:
-            return False
-        self.single_run_until_s = now_s + SINGLE_RUN_S
-        return True
-
-    def count_success(self) -> None:
-        """Reset the count of failures after a run that ended as done."""
-        self.failures = 0
-        self.single_run_until_s = 0.0
-
 
 class Fleet:
     """The known workers, each incarnation of a worker id by itself.
@@ -356,15 +343,18 @@
         """Remove a worker; other incarnations of its id stay."""
         self._workers.pop(worker.key, None)
 
+    def workers_of(self, service: str) -> list[Worker]:
+        """Return the workers of a service."""
+        return [worker for worker in self if worker.entry.service == service]
+
     def workers_accepting_runs(
-        self, service: str, now_s: float, may_be_slow: bool = False
+        self, service: str, now_s: float, tolerance: Tolerance = SOUND_ONLY
     ) -> list[Worker]:
         """Return the workers of a service that accept runs at a time."""
         return [
             worker
-            for worker in self
-            if worker.entry.service == service
-            and worker.accepts_runs(now_s, may_be_slow)
+            for worker in self.workers_of(service)
+            if worker.accepts_runs(now_s, tolerance)
         ]
 
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
@@ -32,6 +32,17 @@
 INTERFERENCE_PERIOD_S = 4.0
 
 
+# The values of the label of the gauge of workers.
+WORKER_STATES = (
+    "ready",
+    "distrusted",
+    "evacuated",
+    "draining",
+    "unreachable",
+    "unlisted",
+)
+
+
 class Housekeeping:
     """The owner's periodic work, done in ticks of ``TICK_S`` seconds."""
 
@@ -51,6 +62,7 @@
         owner.size_classes.update(owner.jobs.values(), owner.now_s())
         for worker in list(owner.fleet):
             self._check_worker(worker)
+        self._update_trust()
         owner.expire_orphans()
         self._publish_summary()
         self._save_interference()
@@ -67,13 +79,18 @@
             if not worker.is_listed:
                 owner.discard_worker(worker, "unlisted and without an answer")
             return
-        if worker.single_run_until_s and now >= worker.single_run_until_s:
-            worker.single_run_until_s = 0.0
-            owner.changed.set()
         if worker.entry.is_draining:
             for run in list(self._runs_to_stop(worker, now)):
                 owner.stop_run(run, "its worker is draining")
 
+    def _update_trust(self) -> None:
+        """Forget old failures, and decide anew where there were some."""
+        owner = self._owner
+        failing = [w for w in owner.fleet if w.failures.failed_at_s]
+        owner.failures.forget_old((w.failures for w in failing), owner.now_s())
+        for service in sorted({worker.entry.service for worker in failing}):
+            owner.update_trust(service)
+
     def _runs_to_stop(self, worker: Worker, now_s: float) -> Iterator[Run]:
         """Yield the runs to stop now on a draining worker.
 
@@ -132,7 +149,7 @@
 
     def _count_workers(self) -> None:
         states = Counter(_state(worker) for worker in self._owner.fleet)
-        for state in ("ready", "evacuated", "draining", "unreachable", "unlisted"):
+        for state in WORKER_STATES:
             WORKERS.labels(state).set(states[state])
 
 
@@ -143,4 +160,6 @@
         return "unreachable"
     if worker.entry.is_draining:
         return "draining"
-    return "evacuated" if worker.is_evacuated else "ready"
+    if worker.is_evacuated:
+        return "evacuated"
+    return "distrusted" if worker.failures.is_distrusted else "ready"
--- a/packages/fulmarleverd/fulmarleverd/scheduling/obstacles.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/obstacles.py
@@ -15,7 +15,8 @@
 class Obstacle(StrEnum):
     """Why a worker cannot run a task.
 
-    ``NO_STARTS`` means that the worker accepts no runs now, ``RESERVED`` that it is
+    ``NO_STARTS`` means that the worker accepts no runs now, ``IMPAIRED`` that it is
+    slow or distrusted and accepts only those that would wait, ``RESERVED`` that it is
     reserved for another step, ``ANTI_AFFINITY`` that it has the most runs of the step
     allowed, ``AVOIDED`` that the task avoids it, ``PLACEMENT`` that the placement
     policy forbids it, and ``EVACUATED`` that the operator has evacuated its zone. The
@@ -23,6 +24,7 @@
     """
 
     NO_STARTS = "no_starts"
+    IMPAIRED = "impaired"
     MEMORY = "memory"
     ACCELERATORS = "accelerators"
     CORES = "cores"
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -19,6 +19,7 @@
 from fulmarleverd.scheduling.crashes import CrashTracker
 from fulmarleverd.scheduling.decisions import record, record_run
 from fulmarleverd.scheduling.fleet import Fleet, Worker
+from fulmarleverd.scheduling.health.failures import FailureTracker
 from fulmarleverd.scheduling.incarnations import Incarnations
 from fulmarleverd.scheduling.lease import SchedulerLease
 from fulmarleverd.scheduling.lease_ends import LeaseEnds
@@ -39,6 +40,8 @@
 # difference between the clocks of two VMs.
 MAX_RESTORED_AGE_S = 60.0
 NO_PROGRESS = StoredProgress()
+# Limits the length of a log line.
+MAX_LOGGED_JOBS = 5
 # Why a run is withdrawn from a worker.
 ZONE_EVACUATED = "its zone is evacuated"
 # A job whose occurrences have been due for long opens more of them only as its waiting
@@ -53,8 +56,9 @@
     end's time in seconds on the clock of the leases. ``orphans`` are runs whose worker
     is not known yet, in the order in which they were found. ``requested_copies`` holds
     the tasks that need a second run, in the order of the requests. ``run_times`` are
-    the expected run times of tasks. ``changed`` is set when the planner has to run
-    again, and ``on_worker_added`` is called with each new incarnation of a worker.
+    the expected run times of tasks. ``failures`` decides which workers are distrusted
+    for failed runs. ``changed`` is set when the planner has to run again, and
+    ``on_worker_added`` is called with each new incarnation of a worker.
     """
 
     def __init__(
@@ -78,6 +82,7 @@
         self.on_worker_added: Callable[[Worker], None] = lambda worker: None
         self.lease_ends = LeaseEnds(lease, clock, bounds)
         self.crashes = CrashTracker(self)
+        self.failures = FailureTracker()
         self.incarnations = Incarnations(self)
         commits.on_rejected = self.give_up_unstorable_job
 
@@ -222,6 +227,7 @@
         """
         run = task.add_run(worker.key, number)
         worker.last_start_s = self.now_s()
+        worker.failures.record_start(worker.last_start_s)
         worker.add(run)
         job = task.step.job
         task.step.refresh(task)
@@ -321,6 +327,19 @@
         self.changed.set()
         return worker
 
+    def update_trust(self, service: str) -> None:
+        """Decide anew which workers of a service are distrusted for failed runs."""
+        workers = [worker.failures for worker in self.fleet.workers_of(service)]
+        for failures in self.failures.evaluate(workers, self.now_s()):
+            is_distrusted = failures.is_distrusted
+            record(
+                "worker-distrusted" if is_distrusted else "worker-trusted",
+                worker=failures.worker_id,
+                score=round(failures.score, 2),
+                jobs=failures.job_ids[:MAX_LOGGED_JOBS],
+            )
+            self.changed.set()
+
     def mark_unlisted(self, worker_id: str) -> None:
         """Record that a worker is no longer listed; it may still run tasks."""
         for worker in self.fleet.incarnations_of(worker_id):
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
@@ -7,6 +7,11 @@
 from fulmarleverd.scheduling.candidates import Candidates
 from fulmarleverd.scheduling.capacity_index import CapacityIndex
 from fulmarleverd.scheduling.fleet import Worker
+from fulmarleverd.scheduling.health.tolerance import (
+    ANY_WORKER,
+    SOUND_ONLY,
+    Tolerance,
+)
 from fulmarleverd.scheduling.obstacles import (
     Obstacle,
     find_capacity_obstacle,
@@ -29,9 +34,12 @@
 
 # Limits the starts of one plan.
 MAX_STARTS_PER_PLAN = 200
-# A job without a run may use slow workers this long after its last start or its
+# A job without a run may use impaired workers this long after its last start or its
 # acceptance: callers accept that it stands still for 3 s while there is room.
-SLOW_WORKERS_AFTER_S = 1.5
+IMPAIRED_WORKERS_AFTER_S = 1.5
+# Jobs wait for sound workers while at least this share of a service's cores is
+# reserved; their runs would fail on distrusted ones.
+BUSY_SHARE = 0.5
 
 
 class Planner:
@@ -58,9 +66,10 @@
         self._headroom_taken = headroom_taken
         self._tickets = tickets
         self._start_rate = start_rate
-        self._unplaced_sizes = self._empty_unplaced_sizes()
-        self._has_slow_workers = False
-        self._indexes: dict[tuple[str, bool], CapacityIndex] = {}
+        self._impaired = SOUND_ONLY
+        self._is_busy: dict[str, bool] = {}
+        self._unplaced_sizes: dict[Tolerance, UnplacedSizes] = {}
+        self._indexes: dict[tuple[str, Tolerance], CapacityIndex] = {}
         self._plans = 0
 
     def plan(self) -> int:
@@ -82,10 +91,14 @@
         """Assign waiting tasks up to a limit, which the last gang may exceed."""
         self._plans += 1
         self._indexes = {}
+        self._is_busy = {}
+        self._unplaced_sizes = {}
         now = self._owner.now_s()
         fleet = self._owner.fleet
-        self._has_slow_workers = any(worker.is_slow_at(now) for worker in fleet)
-        self._unplaced_sizes = self._empty_unplaced_sizes()
+        self._impaired = Tolerance(
+            slow=any(worker.is_slow_at(now) for worker in fleet),
+            distrusted=any(worker.failures.is_distrusted for worker in fleet),
+        )
         started = sum(1 for _ in self._start_speculative_copies())
         lacking_tickets: list[Step] = []
         for quota in self._quotas():
@@ -131,28 +144,44 @@
         return [worker for worker in workers if has_ticket(step, worker, now)]
 
     def _index(self, step: Step) -> CapacityIndex:
-        key = step.job.queue.service, self._may_use_slow_workers(step)
+        key = step.job.queue.service, self._tolerance(step)
         if key not in self._indexes:
             now = self._owner.now_s()
             workers = self._owner.fleet.workers_accepting_runs(key[0], now, key[1])
             self._indexes[key] = CapacityIndex(workers)
         return self._indexes[key]
 
-    def _empty_unplaced_sizes(self) -> dict[bool, UnplacedSizes]:
-        """Return no sizes yet, by whether a step may use slow workers."""
-        return {
-            may_be_slow: UnplacedSizes(w.reserved_for for w in self._owner.fleet)
-            for may_be_slow in (False, True)
-        }
+    def _unplaced_sizes_for(self, tolerance: Tolerance) -> UnplacedSizes:
+        if tolerance not in self._unplaced_sizes:
+            reserved_for = (worker.reserved_for for worker in self._owner.fleet)
+            self._unplaced_sizes[tolerance] = UnplacedSizes(reserved_for)
+        return self._unplaced_sizes[tolerance]
 
-    def _may_use_slow_workers(self, step: Step) -> bool:
-        """Return whether tasks of a step start on a slow worker rather than wait.
+    def _tolerance(self, step: Step) -> Tolerance:
+        """Return on which impaired workers tasks of a step start rather than wait.
 
-        Long-running tasks earn as long as they run, at any speed.
+        Long-running tasks earn as long as they run, at any speed, and may fail any
+        number of times.
         """
-        if not self._has_slow_workers or step.spec.is_long_running:
-            return self._has_slow_workers
-        return is_idle_for(step.job, SLOW_WORKERS_AFTER_S, self._owner.now_s())
+        impaired = self._impaired
+        if impaired == SOUND_ONLY or step.spec.is_long_running:
+            return impaired
+        now = self._owner.now_s()
+        if not is_idle_for(step.job, IMPAIRED_WORKERS_AFTER_S, now):
+            return SOUND_ONLY
+        is_busy = self._is_service_busy(step.job.queue.service)
+        return Tolerance(impaired.slow, impaired.distrusted and not is_busy)
+
+    def _is_service_busy(self, service: str) -> bool:
+        """Return whether half of the cores of a service's workers are reserved."""
+        if service not in self._is_busy:
+            workers = self._owner.fleet.workers_accepting_runs(
+                service, self._owner.now_s(), ANY_WORKER
+            )
+            reserved_m = sum(worker.reserved_cpu_m for worker in workers)
+            total_m = sum(worker.entry.cpu_m for worker in workers)
+            self._is_busy[service] = reserved_m >= BUSY_SHARE * total_m
+        return self._is_busy[service]
 
     def _cost(self, spec: StepSpec, worker: Worker) -> tuple | None:
         return self._placement(spec, worker, self._headroom_taken)
@@ -170,8 +199,11 @@
         step = task.step
         if worker.is_evacuated:
             return find_constraint_obstacle(step, worker) or Obstacle.EVACUATED
-        if not worker.accepts_runs(self._owner.now_s()):
+        now = self._owner.now_s()
+        if not worker.accepts_runs(now, ANY_WORKER):
             return Obstacle.NO_STARTS
+        if not worker.accepts_runs(now, self._tolerance(step)):
+            return Obstacle.IMPAIRED
         if task.avoids(worker.id, self._owner.now_s()):
             return Obstacle.AVOIDED
         needs_ticket = step.job.queue.needs_ticket
@@ -181,8 +213,8 @@
 
     def _candidates(self, step: Step, workers: list[Worker]) -> Candidates:
         now = self._owner.now_s()
-        may_be_slow = self._may_use_slow_workers(step)
-        return Candidates(step, workers, self._cost, now, may_be_slow=may_be_slow)
+        tolerance = self._tolerance(step)
+        return Candidates(step, workers, self._cost, now, tolerance=tolerance)
 
     def _candidates_for_some(self, step: Step, tasks: int) -> Candidates:
         """Return candidates for some tasks, in a large fleet only a part of them."""
@@ -191,11 +223,11 @@
         if size is not None and len(workers) > size:
             workers = search_order(step.spec, workers, self._plans)
         now = self._owner.now_s()
-        may_be_slow = self._may_use_slow_workers(step)
-        if may_be_slow and size is not None:
+        if self._impaired != SOUND_ONLY and size is not None:
             # The search ends with the first batches.
-            workers = sorted(workers, key=lambda worker: worker.is_slow_at(now))
-        return Candidates(step, workers, self._cost, now, size, tasks, may_be_slow)
+            workers = sorted(workers, key=lambda worker: worker.is_impaired_at(now))
+        tolerance = self._tolerance(step)
+        return Candidates(step, workers, self._cost, now, size, tasks, tolerance)
 
     def _start_speculative_copies(self) -> Iterator[Task]:
         """Start the requested second runs and yield their tasks.
@@ -214,16 +246,17 @@
 
     def _start_step(self, step: Step, limit: int) -> Iterator[Task]:
         """Start up to ``limit`` tasks of a step, or its whole gang, and yield them."""
-        may_be_slow = self._may_use_slow_workers(step)
-        unplaced_sizes = self._unplaced_sizes[may_be_slow]
+        tolerance = self._tolerance(step)
+        unplaced_sizes = self._unplaced_sizes_for(tolerance)
         if unplaced_sizes.excludes(step):
             return
         if step.spec.is_gang:
             yield from self._start_gang(step)
             return
-        # The other tasks of a job that may use a slow worker wait for the next plan, in
-        # which the job has a run and they may not.
-        is_one_at_a_time = may_be_slow and not step.spec.is_long_running and limit > 1
+        # The other tasks of a job that may use impaired workers wait for the next plan,
+        # in which the job has a run and they may not.
+        is_tolerant = tolerance != SOUND_ONLY
+        is_one_at_a_time = is_tolerant and not step.spec.is_long_running and limit > 1
         limit = 1 if is_one_at_a_time else limit
         candidates = self._candidates_for_some(step, limit)
         started = 0
--- a/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
@@ -33,9 +33,12 @@
 # The speed of a best-effort run is divided by the share of its cores that it gets, but
 # at least by this, as a run with few cores is slow for that reason alone.
 MIN_CORES_SHARE = 0.1
-SLOW_NO_STARTS_S = 1.5
+SLOW_FEW_STARTS_S = 1.5
 RECOVERY_WEIGHT = 0.02
-STALLED_NO_STARTS_S = 3.0
+# A worker on which a run stalled counts as slow for this long, if the stall is at least
+# as likely the fault of the worker as that of the step.
+STALLED_FEW_STARTS_S = 3.0
+MIN_BLAME = 0.5
 # A run is moved only if it would otherwise take this much longer.
 MIN_GAIN_S = 0.8
 # Estimates are rough, so a run is far behind only if its remaining work will take
@@ -165,7 +168,7 @@
                 "worker-sound", worker=worker.id, speed=round(worker.relative_speed, 2)
             )
         if worker.is_slow:
-            worker.slow_until_s = now_s + SLOW_NO_STARTS_S
+            worker.slow_until_s = max(worker.slow_until_s, now_s + SLOW_FEW_STARTS_S)
             # A worker without new runs gets no new samples, so its speed is raised.
             worker.relative_speed += RECOVERY_WEIGHT * (1.0 - worker.relative_speed)
 
@@ -184,9 +187,13 @@
     def _stop_stalled(self, worker: Worker, run: Run, now_s: float) -> None:
         record_run("run-stalled", run, percent=run.progress_percent)
         run.task.avoid(worker.id, now_s)
-        worker.no_starts_until_s = max(
-            worker.no_starts_until_s, now_s + STALLED_NO_STARTS_S
-        )
+        step = run.task.step
+        failures = self._owner.failures.record_failure(worker.failures, step, now_s)
+        # If other runs of the step stand still as well, the step may be the cause.
+        sound_runs = step.done_tasks + step.speed_samples
+        if failures.blame(sound_runs) >= MIN_BLAME:
+            until_s = now_s + STALLED_FEW_STARTS_S
+            worker.slow_until_s = max(worker.slow_until_s, until_s)
         self._move(run, "no progress")
 
     def _far_behind(self, worker: Worker) -> Iterator[Run]:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
@@ -6,6 +6,7 @@
 
 from fulmarleverd.scheduling.decisions import record, record_run
 from fulmarleverd.scheduling.fleet import Worker
+from fulmarleverd.scheduling.health.failures import DISTRUST_SCORE
 from fulmarleverd.scheduling.metrics import ENDS
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.ports import EndedTask, RunningTask, WorkerReport
@@ -148,7 +149,7 @@
     def _handle_done(self, worker: Worker, run: Run) -> None:
         """Mark the task of a run as done, or all tasks of its gang; stop copies."""
         task = run.task
-        worker.count_success()
+        worker.failures.record_success(run.started_s)
         step = task.step
         tasks = step.tasks if step.spec.is_gang else [task]
         for member in tasks:
@@ -162,16 +163,17 @@
 
     def _handle_failed(self, worker: Worker, task: Task) -> None:
         """Count a failure of a task; the last attempt fails its job."""
+        owner = self._owner
+        now = owner.now_s()
         task.failures += 1
-        task.avoid(worker.id, self._owner.now_s())
-        if worker.count_failure(self._owner.now_s()):
-            record("worker-distrusted", worker=worker.id, failures=worker.failures)
+        task.avoid(worker.id, now)
+        owner.failures.record_failure(worker.failures, task.step, now)
+        if worker.failures.score >= DISTRUST_SCORE:
+            owner.update_trust(worker.entry.service)
         job = task.step.job
         is_limited = not task.step.spec.is_long_running
         if is_limited and task.failures >= job.queue.max_attempts:
-            self._owner.fail_job(
-                job, f"task {task.name} has failed {task.failures} times"
-            )
+            owner.fail_job(job, f"task {task.name} has failed {task.failures} times")
 
     def _update_running(self, worker: Worker, key: RunKey, item: RunningTask) -> None:
         run = worker.runs.get(key)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -181,6 +181,16 @@
         """Return whether every task is done."""
         return self.unfinished_tasks == 0
 
+    @property
+    def job_id(self) -> str:
+        """Return the id of the step's job."""
+        return self.job.id
+
+    @property
+    def done_tasks(self) -> int:
+        """Return the number of tasks that are done."""
+        return len(self.tasks) - self.unfinished_tasks
+
     @property
     def share_placed(self) -> float:
         """Return the share of the tasks that have a run or are done."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tickets.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tickets.py
@@ -8,6 +8,7 @@
 from fulmarlever.outcomes import failed
 from fulmarleverd.scheduling.decisions import record
 from fulmarleverd.scheduling.fleet import Worker
+from fulmarleverd.scheduling.health.tolerance import ANY_WORKER
 from fulmarleverd.scheduling.obstacles import find_obstacle
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.ports import Admission, AdmissionCalls
@@ -79,18 +80,24 @@
     def _choose_workers(self, step: Step) -> list[Worker]:
         """Return the workers to name in a call, those admitted earlier first."""
         now = self._owner.now_s()
+        # Tickets of impaired workers are needed once a task would wait otherwise.
         accepting = self._owner.fleet.workers_accepting_runs(
-            step.job.queue.service, now
+            step.job.queue.service, now, ANY_WORKER
         )
         undecided = [
             worker
             for worker in accepting
-            if worker.accepts_runs(now)
-            and find_obstacle(step, worker) is None
+            if find_obstacle(step, worker) is None
             and not has_ticket(step, worker, now)
             and not _is_forbidden(step, worker)
         ]
-        undecided.sort(key=lambda w: (w.key not in step.tickets, -w.free_cpu_m()))
+        undecided.sort(
+            key=lambda worker: (
+                worker.is_impaired_at(now),
+                worker.key not in step.tickets,
+                -worker.free_cpu_m(),
+            )
+        )
         count = max(MIN_WORKERS_PER_CALL, WORKERS_PER_TASK * len(step.waiting))
         return undecided[: min(count, MAX_WORKERS_PER_CALL)]
 
