Contain what one peer's text and answers can do

Cause: the address passed the decoder, could not be encoded into a request, and the error ended the worker's loop and with it the owner's term; the next owner read the same entry. Values were checked for their type, not for what is done with them later, and an error about one peer was not contained.

Evidence: the emulator now encodes requests as the client does. scheduler-fault with UnicodeEncodeError at http.py:219 on each daemon in turn, for such addresses and ids; not in the feed, not in the lease's row.

Change: text, ids, hosts, reports, refusals and tickets are checked at the boundary; a request that cannot be sent as it is, is not sent; calls to workers and the admission service, and the processing of a worker's answer, contain unexpected errors. Ids of jobs have 16 hexadecimal digits: "ID/cancel" was a row of another kind. Labels of metrics come from bounded sets. Refusals for unknown reasons, and starts that get no answer, pause the worker.

--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
@@ -7,7 +7,7 @@
 from collections import defaultdict
 from types import ModuleType
 
-from fulmarlever.outcomes import OutcomeUnknown, Unavailable
+from fulmarlever.outcomes import OutcomeUnknown, Unavailable, failed
 from fulmarlever_standins.authority.admission import (
     ADMISSION_ADDRESS,
     AdmissionCore,
@@ -15,7 +15,7 @@
 from fulmarlever_standins.authority.processor import Processor, SimulatedLoopDelay
 from fulmarlever_standins.authority.store import StoreCore
 from fulmarlever_standins.authority.worker import WorkerCore
-from fulmarleverd.platform.http import CallResult, Response
+from fulmarleverd.platform.http import CallResult, Response, encode_request
 
 STORE_ADDRESS = "store:1"
 ONE_WAY_LATENCY_S = 0.001
@@ -203,6 +203,9 @@
 
         Return ``OutcomeUnknown`` if no answer arrives within ``timeout_s`` seconds.
         """
+        request = encode_request(method, address, path, body, headers or {})
+        if failed(request):
+            return request
         target = (headers or {}).get("X-Target-Instance", "")
         processor = self._delay.processor
         excludes_delay = self._delay.is_measured
--- a/packages/fulmarleverd/fulmarleverd/platform/admission.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/admission.py
@@ -4,7 +4,11 @@
 
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable, failed
 from fulmarleverd.platform.http import HTTPClient
-from fulmarleverd.platform.json_values import FORMAT_ERRORS
+from fulmarleverd.platform.json_values import (
+    FORMAT_ERRORS,
+    require_number,
+    require_text,
+)
 from fulmarleverd.scheduling.ports import Admission
 
 
@@ -43,8 +47,12 @@
         try:
             # Each row is a worker id and its ticket. Workers without a row may not run
             # the step.
-            tickets = {str(row[0]): str(row[1]) for row in response.body["good"]}
-            return Admission(tickets, response.body.get("validityMs", 0) / 1000.0)
+            tickets = {
+                require_text(row[0]): require_text(row[1])
+                for row in response.body["good"]
+            }
+            validity_ms = require_number(response.body.get("validityMs", 0))
+            return Admission(tickets, validity_ms / 1000.0)
         except FORMAT_ERRORS as exc:
             return Unavailable(
                 f"malformed response from the admission service: {exc!r}"
--- a/packages/fulmarleverd/fulmarleverd/platform/callers.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/callers.py
@@ -16,7 +16,7 @@
 from fulmarleverd.connections.limits import ConnectionLimits
 from fulmarleverd.connections.listening import listen
 from fulmarleverd.connections.protocol import LimitedProtocol, LimitedServer
-from fulmarleverd.platform.formats import parse_job
+from fulmarleverd.platform.formats import is_job_id, parse_job
 from fulmarleverd.scheduling.admission.refusals import AdmissionRefusal
 from fulmarleverd.scheduling.api import JobCalls, QueueNotFound
 from fulmarleverd.scheduling.config_watcher import NO_CONFIG
@@ -164,16 +164,27 @@
                 result = await self._calls.submit(job, found, until_s)
         elif req.method == "GET" and not job_id:
             result = await self._calls.pending(found)
-        elif req.method == "GET":
-            result = await self._calls.status(job_id)
-        elif req.method == "DELETE":
-            result = await self._calls.cancel(job_id, until_s)
+        elif req.method in ("GET", "DELETE"):
+            result = await self._find_or_cancel(req.method, job_id, until_s)
         else:
             return web.Response(status=405)
         if failed(result):
             return _failure_response(result, job_id, req.method)
         return _success_response(result)
 
+    async def _find_or_cancel(
+        self, method: str, job_id: str, until_s: float
+    ) -> JobStatus | Failure:
+        """Look a job up or cancel it.
+
+        The store is asked for no other text than an id, which may name another row.
+        """
+        if not is_job_id(job_id):
+            return UnknownJob(f"no job {job_id[:80]!r}")
+        if method == "GET":
+            return await self._calls.status(job_id)
+        return await self._calls.cancel(job_id, until_s)
+
     async def _read_body(self, req: web.BaseRequest) -> bytes | Refused:
         limit = min(self._max_body_bytes, self._calls.max_body_bytes())
         if (req.content_length or 0) > limit:
--- a/packages/fulmarleverd/fulmarleverd/platform/formats.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/formats.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
 from fulmarlever.outcomes import Failure, Refused
@@ -10,7 +11,9 @@
     decode_json,
     require_address,
     require_count,
+    require_key,
     require_number,
+    require_text,
     require_type,
 )
 from fulmarleverd.scheduling.ports import StoredRow
@@ -30,6 +33,7 @@
 WORKER_STATES = ("ready", "draining")
 MAX_PAYLOAD_BYTES = 4000
 MAX_TASKS = 20_000
+JOB_ID_PATTERN = re.compile("[0-9a-fA-F]{16}")
 
 
 class Undecodable(Failure):
@@ -75,10 +79,10 @@
 
 def _parse_queue(route: dict) -> QueueSpec:
     return QueueSpec(
-        name=route["name"],
-        host=route["host"],
-        path_prefix=route["pathPrefix"],
-        service=route["service"],
+        name=require_text(route["name"]),
+        host=require_text(route["host"]),
+        path_prefix=require_text(route["pathPrefix"]),
+        service=require_text(route["service"]),
         priority=int(route.get("priority", 0)),
         max_attempts=int(route.get("maxAttempts", 1)),
         stretch=float(route.get("stretch", 1.0)),
@@ -104,7 +108,8 @@
 def _parse_service(service: dict) -> ServiceSpec:
     # Whether the workers themselves reject tasks beyond their capacity.
     checks_capacity = bool(service.get("admissionCheck", False))
-    return ServiceSpec(service["name"], checks_capacity, service.get("healthPath", ""))
+    health_path = require_text(service.get("healthPath", ""))
+    return ServiceSpec(require_text(service["name"]), checks_capacity, health_path)
 
 
 def parse_evacuated_zone(key: str) -> str | None | Undecodable:
@@ -116,7 +121,9 @@
     if not key.startswith(EVACUATION_PREFIX):
         return None
     zone = key.removeprefix(EVACUATION_PREFIX)
-    return zone or Undecodable(f"evacuation {key!r} names no zone")
+    if not zone or not zone.isprintable():
+        return Undecodable(f"evacuation {key!r} names no zone")
+    return zone
 
 
 def parse_worker(row: StoredRow) -> WorkerEntry | Undecodable:
@@ -133,19 +140,19 @@
         raise ValueError(f"unknown state {state!r}")
     capacity = data["capacity"]
     return WorkerEntry(
-        id=key,
+        id=require_key(key),
         # The Unix time at which this incarnation of the worker started identifies it.
         incarnation=str(require_count(data["born"])),
-        service=require_type(data["service"], str),
+        service=require_text(data["service"]),
         address=require_address(data["address"]),
-        zone=require_type(data["zone"], str),
+        zone=require_text(data["zone"]),
         cpu_m=require_count(capacity["cpu"]),
         memory_mb=require_count(capacity["memMb"]),
         gpus=require_count(capacity["gpus"]),
         labels=tuple(
-            require_type(label, str) for label in require_type(data["labels"], list)
+            require_text(label) for label in require_type(data["labels"], list)
         ),
-        machine=str(data.get("machine", "")),
+        machine=require_text(data.get("machine", "")),
         is_draining=state == "draining",
         remaining_s=require_number(data.get("remainingMs", 0)) / 1000.0,
         cold_left_s=_parse_cold_left_s(data.get("coldLeftMs")),
@@ -163,12 +170,19 @@
         return 0.0
 
 
+def is_job_id(text: str) -> bool:
+    """Return whether a text can be the id of a job: 16 hexadecimal digits."""
+    return JOB_ID_PATTERN.fullmatch(text) is not None
+
+
 def parse_job(job_id: str, raw: bytes) -> JobSpec | Refused:
     """Decode the body of a caller's submission.
 
-    A malformed job, one with more than ``MAX_PAYLOAD_BYTES`` of specification and one
-    with more than ``MAX_TASKS`` tasks or steps is ``Refused``.
+    A malformed job or id, one with more than ``MAX_PAYLOAD_BYTES`` of specification and
+    one with more than ``MAX_TASKS`` tasks or steps is ``Refused``.
     """
+    if not is_job_id(job_id):
+        return Refused(f"{job_id[:80]!r} is not an id of 16 hexadecimal digits")
     try:
         data = decode_json(raw)
         # Steps without tasks are counted before they are decoded, which takes most of
@@ -188,7 +202,7 @@
 def _parse_job_fields(job_id: str, data: dict) -> JobSpec:
     return JobSpec(
         job_id,
-        require_type(data.get("spec", ""), str),
+        require_text(data.get("spec", "")),
         tuple(_parse_step(step) for step in data["phases"]),
         require_count(data.get("repetitions", 0)),
         require_number(data.get("startAtMs", 0)) / 1000.0,
@@ -208,14 +222,14 @@
         checkpoints=bool(step.get("checkpointing")),
         is_gang=bool(step.get("gang")),
         is_rack_bound=bool(step.get("sameRack")),
-        required_label=require_type(step.get("constraints", ""), str),
+        required_label=require_text(step.get("constraints", "")),
         # The rack that holds the step's data.
-        preferred_rack=require_type(step.get("affinity", ""), str),
+        preferred_rack=require_text(step.get("affinity", "")),
         # The maximum number of tasks of the step on one worker.
         max_per_worker=require_count(step.get("antiAffinity", 0)),
         is_speculative=bool(step.get("speculative")),
         is_long_running=bool(step.get("longRunning")),
-        image=require_type(step.get("image", ""), str),
+        image=require_text(step.get("image", "")),
         latency_target_s=require_number(step.get("targetMs", 0)) / 1000.0,
         # The step's cores do not count against a worker's capacity.
         is_best_effort=bool(step.get("fills")),
--- a/packages/fulmarleverd/fulmarleverd/platform/http.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/http.py
@@ -68,7 +68,9 @@
         ``OutcomeUnknown`` that it may have been carried out.
         """
         deadline = Deadline(timeout_s, self._delay)
-        request = _encode_request(method, address, path, body, headers or {})
+        request = encode_request(method, address, path, body, headers or {})
+        if failed(request):
+            return request
         response = await self._pool(address).send(request, deadline)
         if failed(response):
             return response
@@ -206,14 +208,19 @@
         self._idle.clear()
 
 
-def _encode_request(
+def encode_request(
     method: str, address: str, path: str, body: object, headers: dict[str, str]
-) -> bytes:
-    """Encode a request with an optional JSON body."""
+) -> bytes | Unavailable:
+    """Encode a request with an optional JSON body.
+
+    ``Unavailable`` means that a value cannot be sent as it is.
+    """
     data = b""
     lines = [f"{method} {path} HTTP/1.1", f"Host: {address}"]
     if body is not None:
         data = json.dumps(body, separators=(",", ":")).encode()
         headers = {**JSON_HEADERS, **headers, "Content-Length": str(len(data))}
     lines += [f"{name}: {value}" for name, value in headers.items()]
+    if not all(line.isprintable() for line in lines):
+        return Unavailable(f"the request to {address!r} cannot be encoded")
     return "\r\n".join([*lines, "", ""]).encode() + data
--- a/packages/fulmarleverd/fulmarleverd/platform/json_values.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/json_values.py
@@ -8,6 +8,7 @@
 
 import json
 import math
+import re
 from typing import Any
 
 FORMAT_ERRORS = (
@@ -21,6 +22,10 @@
 # Far above any real count, size or time in milliseconds, and exact as a float.
 MAX_NUMBER = 10**13
 MAX_PORT = 65535
+# The host of an address is a name or a number, which are sent without encoding.
+HOST_PATTERN = re.compile(r"[!-~]+")
+# The longest key of a row, in bytes.
+MAX_KEY_BYTES = 200
 
 
 def decode_json(raw: bytes | str) -> Any:
@@ -41,6 +46,27 @@
     return value
 
 
+def require_text(value: Any) -> str:
+    """Return a text that can be encoded; raise a format error for any other value.
+
+    JSON can hold halves of surrogate pairs, which neither a request nor a row can.
+    """
+    text = require_type(value, str)
+    text.encode()
+    return text
+
+
+def require_key(value: Any) -> str:
+    """Return a text that may be a row's key and a header's value.
+
+    Raise a format error for any other value.
+    """
+    text = require_text(value)
+    if not text.isprintable() or len(text.encode()) > MAX_KEY_BYTES:
+        raise ValueError(f"{text[:80]!r} is not a key")
+    return text
+
+
 def require_count(value: Any) -> int:
     """Return an integer from 0 to ``MAX_NUMBER``; raise a format error otherwise."""
     return require_number(require_type(value, int))
@@ -59,7 +85,7 @@
     """Return an address ``host:port``; raise a format error for any other value."""
     address = require_type(value, str)
     host, _, port = address.rpartition(":")
-    if not host or not port.isascii() or not port.isdigit():
+    if not HOST_PATTERN.fullmatch(host) or not port.isascii() or not port.isdigit():
         raise ValueError(f"{address[:80]!r} is not an address")
     if not 0 < int(port[:6]) <= MAX_PORT or len(port) > len(str(MAX_PORT)):
         raise ValueError(f"{address[:80]!r} has no valid port")
--- a/packages/fulmarleverd/fulmarleverd/platform/store.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/store.py
@@ -6,9 +6,11 @@
 from typing import Any
 from urllib.parse import urlencode
 
+from loguru import logger as log
+
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable, failed
 from fulmarleverd.platform.http import CallResult, HTTPClient, Response
-from fulmarleverd.platform.json_values import FORMAT_ERRORS
+from fulmarleverd.platform.json_values import FORMAT_ERRORS, require_text
 from fulmarleverd.scheduling.metrics import STORE_CALLS
 from fulmarleverd.scheduling.ports import (
     ABSENT,
@@ -124,7 +126,7 @@
         return Unavailable(f"the store answers {response.status}: {response.body}")
     try:
         body = response.body
-        rows = tuple(_decode_row(row) for row in body.get("rows") or ())
+        rows = tuple(filter(None, map(_decode_readable, body.get("rows") or ())))
         return RowSet(rows, int(body["ver"]), bool(body.get("hasMore")))
     except FORMAT_ERRORS as exc:
         return Unavailable(f"malformed answer of the store: {exc!r}")
@@ -138,13 +140,22 @@
     return base64.b64encode(row.value).decode()
 
 
+def _decode_readable(data: dict[str, Any]) -> StoredRow | None:
+    """Decode a row, ``None`` if it cannot be; the rows beside it hold."""
+    try:
+        return _decode_row(data)
+    except FORMAT_ERRORS as exc:
+        log.bind(event="row-unreadable").warning(f"{str(data)[:80]!a}: {exc!r}")
+        return None
+
+
 def _decode_row(data: dict[str, Any]) -> StoredRow:
     return StoredRow(
-        data.get("table", ""),
-        data["key"],
+        require_text(data.get("table", "")),
+        require_text(data["key"]),
         base64.b64decode(data.get("value") or ""),
         int(data.get("ver", ABSENT)),
         # Marks a deleted row in the feed of changes.
         bool(data.get("tombstone")),
-        data.get("part", ""),
+        require_text(data.get("part", "")),
     )
--- a/packages/fulmarleverd/fulmarleverd/platform/workers.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/workers.py
@@ -4,7 +4,12 @@
 
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable, failed
 from fulmarleverd.platform.http import CallResult, HTTPClient
-from fulmarleverd.platform.json_values import FORMAT_ERRORS
+from fulmarleverd.platform.json_values import (
+    FORMAT_ERRORS,
+    require_count,
+    require_number,
+    require_text,
+)
 from fulmarleverd.scheduling.ports import (
     REJECT_CAPACITY,
     REJECT_INCARNATION,
@@ -130,25 +135,28 @@
 
 def _rejected(status: int, body: object) -> Rejected:
     fields = body if isinstance(body, dict) else {}
-    reason = REASONS.get(fields.get("reason", ""))
-    if reason is None:
-        reason = STATUS_REASONS.get(
-            status, f"the worker answered with status {status}: {body}"
-        )
-    return Rejected(reason, _clock_ms(fields))
+    reason = fields.get("reason", "")
+    found = REASONS.get(reason) if isinstance(reason, str) else None
+    if found is None:
+        text = f"the worker answered with status {status}: {str(body)[:80]!a}"
+        found = STATUS_REASONS.get(status, text)
+    return Rejected(found, _clock_ms(fields))
 
 
 def _clock_ms(body: object) -> int:
-    value = body.get("clockMs", 0) if isinstance(body, dict) else 0
-    return value if isinstance(value, int) else 0
+    """Return the worker's clock as an answer states it, 0 if it states none."""
+    try:
+        return require_count(body["clockMs"])
+    except FORMAT_ERRORS:
+        return 0
 
 
 def _report(body: dict) -> WorkerReport:
     ended = tuple(_ended(row) for row in body.get("finished") or ())
     return WorkerReport(
-        int(body["clockMs"]),
+        require_count(body["clockMs"]),
         # The Unix time at which this incarnation of the worker started identifies it.
-        str(body.get("born", "")),
+        str(require_count(body["born"])) if "born" in body else "",
         tuple(_running(row) for row in body.get("running") or ()),
         ended,
         has_more_ends=len(ended) >= MAX_ENDS_PER_REPORT,
@@ -157,13 +165,33 @@
 
 def _running(row: list) -> RunningTask:
     task, run, saved, percent, *rest = row
-    # The tail latency in ms of a serving task, thousandths of a core of any other.
-    latency_ms_or_cpu_m = float(rest[0]) if rest and rest[0] is not None else 0.0
     return RunningTask(
-        task, int(run), saved or "", float(percent or 0), latency_ms_or_cpu_m
+        require_text(task),
+        require_count(run),
+        require_text(saved or ""),
+        _figure(percent),
+        # The tail latency in ms of a serving task, thousandths of a core of any other.
+        _figure(rest[0]) if rest else 0.0,
     )
 
 
+def _figure(value: object) -> float:
+    """Return a figure about a run, 0 if it is missing or malformed.
+
+    A wrong figure hides no run.
+    """
+    try:
+        return float(require_number(value))
+    except FORMAT_ERRORS:
+        return 0.0
+
+
 def _ended(row: list) -> EndedTask:
     number, task, run, how, saved = row[:5]
-    return EndedTask(int(number), task, int(run), how, saved or "")
+    return EndedTask(
+        require_count(number),
+        require_text(task),
+        require_count(run),
+        require_text(how),
+        require_text(saved or ""),
+    )
--- a/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
@@ -50,7 +50,7 @@
     job_row,
     pack_job,
     progress_row,
-    unpack,
+    unpack_pending,
 )
 from fulmarleverd.scheduling.specs import JobSpec, QueueSpec
 from fulmarleverd.scheduling.tasks import FINAL_STATES, JobState
@@ -272,6 +272,10 @@
             rows = await self._read_one(StoredRow(SUMMARY_TABLE, SUMMARY_KEY))
             if failed(rows):
                 return rows
-            self._pending_by_queue = unpack(rows.rows[0].value) if rows.rows else {}
+            found = unpack_pending(rows.rows[0]) if rows.rows else {}
+            if failed(found):
+                log.bind(event="pending-unreadable").error(found.reason)
+                return Unavailable(found.reason)
+            self._pending_by_queue = found
             self._pending_read_s = now
         return self._pending_by_queue.get(queue, 0)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
@@ -13,6 +13,10 @@
 from fulmarleverd.scheduling.admission.publisher import AdmissionPublisher
 from fulmarleverd.scheduling.backlog import Backlog
 from fulmarleverd.scheduling.commits import CommitQueue
+from fulmarleverd.scheduling.contained_calls import (
+    ContainedAdmissionCalls,
+    ContainedWorkerCalls,
+)
 from fulmarleverd.scheduling.decisions import record
 from fulmarleverd.scheduling.evacuated_zones import EvacuatedZones
 from fulmarleverd.scheduling.evacuation import Evacuation
@@ -79,14 +83,17 @@
         self._start_rate = StartRate(
             interface.loop_delay, clock, interface.settings.cores
         )
+        self._worker_calls = ContainedWorkerCalls(interface.workers)
         self.owner.commands = WorkerCommands(
-            self.owner, interface.workers, self._start_rate.record_answer
+            self.owner, self._worker_calls, self._start_rate.record_answer
         )
         self.owner.on_worker_added = self._start_worker_loop
         self._guard = InterferenceGuard(self.owner)
         self._progress = ProgressMonitor(self.owner)
         self._reports = ReportProcessor(self.owner, self._on_report)
-        self._tickets = TicketRequester(self.owner, interface.admission)
+        self._tickets = TicketRequester(
+            self.owner, ContainedAdmissionCalls(interface.admission)
+        )
         self._planner = Planner(
             self.owner,
             self._guard.headroom_taken,
@@ -151,7 +158,7 @@
         loop = WorkerLoop(
             self.owner,
             worker,
-            self._interface.workers,
+            self._worker_calls,
             self._reports,
             self._interface.loop_delay,
         )
--- a/packages/fulmarleverd/fulmarleverd/scheduling/ports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/ports.py
@@ -236,6 +236,19 @@
 REJECT_UNHEALTHY = "worker unhealthy"
 REJECT_INVALID = "order not understood"
 
+REJECTIONS = frozenset(
+    {
+        REJECT_TOKEN,
+        REJECT_RUN,
+        REJECT_LEASE_OVER,
+        REJECT_CAPACITY,
+        REJECT_TICKET,
+        REJECT_INCARNATION,
+        REJECT_UNHEALTHY,
+        REJECT_INVALID,
+    }
+)
+
 CommandResult = Accepted | Rejected | Unavailable | OutcomeUnknown
 
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
@@ -16,6 +16,8 @@
 
 END_DONE = "done"
 END_FAILED = "failed"
+# The ends that the metric counts apart.
+KNOWN_ENDS = (END_DONE, END_FAILED, "stopped", "lapsed", "broken", "alone")
 # The name of a task and the number of its run.
 RunKey = tuple[str, int]
 # A run that no job accounts for takes capacity until it has stopped. How much is not
@@ -112,7 +114,8 @@
         infinite if this is not known.
         """
         run = worker.runs.get((ended.task, ended.run))
-        ENDS.labels(ended.outcome).inc()
+        how = ended.outcome if ended.outcome in KNOWN_ENDS else "other"
+        ENDS.labels(how).inc()
         if run is None:
             self._log_unknown_end(worker, ended)
             return
--- a/packages/fulmarleverd/fulmarleverd/scheduling/rows.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/rows.py
@@ -41,6 +41,8 @@
     ValueError,
     TypeError,
     LookupError,
+    AttributeError,
+    OverflowError,
     msgpack.UnpackException,
     zlib.error,
 )
@@ -149,10 +151,18 @@
             serving: {image: float(value) for image, value in coefficients.items()}
             for serving, coefficients in data.items()
         }
-    except (*FORMAT_ERRORS, AttributeError) as exc:
+    except FORMAT_ERRORS as exc:
         return BadRow(f"learned interference: {type(exc).__name__}: {exc}")
 
 
+def unpack_pending(stored: StoredRow) -> dict[str, int] | BadRow:
+    """Decode the number of jobs that have not begun, by queue."""
+    try:
+        return {str(queue): int(jobs) for queue, jobs in unpack(stored.value).items()}
+    except FORMAT_ERRORS as exc:
+        return BadRow(f"waiting jobs: {type(exc).__name__}: {exc}")
+
+
 def pack_run_times(data: list, max_bytes: int) -> bytes:
     """Encode learned run times, without the last entries if they exceed a size."""
     version, entries = data
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
@@ -24,6 +24,7 @@
     REJECT_TICKET,
     REJECT_TOKEN,
     REJECT_UNHEALTHY,
+    REJECTIONS,
     Accepted,
     Command,
     CommandResult,
@@ -35,10 +36,17 @@
 
 MAX_START_ATTEMPTS = 4
 RETRY_S = 0.1
-# A worker that rejects a start for lack of capacity or as unhealthy gets no starts for
-# this long.
+# A worker that rejects a start for lack of capacity or as unhealthy, or that answers
+# none of a run's starts, gets no starts for this long. The last pause is longer, as the
+# task itself waits until the worker has confirmed that the run is gone.
 CAPACITY_PAUSE_S = 0.3
 UNHEALTHY_PAUSE_S = 2.0
+UNANSWERED_PAUSE_S = 4.0
+START_PAUSES_S = {
+    REJECT_CAPACITY: CAPACITY_PAUSE_S,
+    REJECT_UNHEALTHY: UNHEALTHY_PAUSE_S,
+    REJECT_INVALID: 0.0,
+}
 LEASE_POLL_S = 0.05
 
 
@@ -215,18 +223,22 @@
             run.task.step.tickets.pop(worker.key, None)
             self._prevent_start(run, result.reason)
         else:
-            pauses = {
-                REJECT_CAPACITY: CAPACITY_PAUSE_S,
-                REJECT_UNHEALTHY: UNHEALTHY_PAUSE_S,
-            }
-            worker.no_starts_until_s = now + pauses.get(result.reason, 0.0)
+            # A worker that refuses for a reason that is not known is unhealthy, too.
+            pause_s = START_PAUSES_S.get(result.reason, UNHEALTHY_PAUSE_S)
+            until_s = now + pause_s
+            worker.no_starts_until_s = max(worker.no_starts_until_s, until_s)
             if result.reason == REJECT_INVALID:
                 run.task.avoid(worker.id, now)
             self._prevent_start(run, result.reason)
         return True
 
     def _give_up(self, run: Run, worker: Worker) -> None:
-        """Mark a worker as unreachable after all attempts to start a run failed."""
+        """Mark a worker as unreachable after all attempts to start a run failed.
+
+        It may still answer other calls, so new runs go elsewhere for a while.
+        """
+        until_s = self._owner.now_s() + UNANSWERED_PAUSE_S
+        worker.no_starts_until_s = max(worker.no_starts_until_s, until_s)
         self._owner.mark_unreachable(worker, "starts get no answer")
         self._prevent_start(run, "its worker does not answer")
 
@@ -279,6 +291,7 @@
 
 
 def _outcome(result: CommandResult) -> str:
+    """Return the name of a result as the metric counts it, one of a few."""
     if isinstance(result, Rejected):
-        return result.reason
+        return result.reason if result.reason in REJECTIONS else "other"
     return type(result).__name__
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+from loguru import logger as log
+
 from fulmarlever.outcomes import failed
 from fulmarleverd.loop_delay import LoopDelay
 from fulmarleverd.scheduling.decisions import record
@@ -59,7 +61,22 @@
             if not self._may_call():
                 await asyncio.sleep(LEASE_POLL_S)
                 continue
-            await self._call()
+            try:
+                await self._call()
+            except Exception as exc:
+                await self._process_fault(exc)
+
+    async def _process_fault(self, exc: Exception) -> None:
+        """Treat a worker whose answer cannot be processed like one without an answer.
+
+        An error that concerns one worker does not end the scheduling on all others.
+        """
+        worker = self._worker
+        log.bind(event="worker-fault", worker=worker.id).opt(exception=exc).error(
+            "the answer of the worker cannot be processed"
+        )
+        self._owner.mark_unreachable(worker, f"unexpected error: {exc!r}")
+        await asyncio.sleep(RETRY_S)
 
     def _is_known(self) -> bool:
         """Return whether the fleet still has the worker."""
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/callers_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/callers_tests.py
@@ -7,6 +7,7 @@
 import unittest
 
 import aiohttp
+import yarl
 from loguru import logger as log
 
 from fulmarlever.outcomes import NotRun, OutcomeUnknown, Refused, Unavailable
@@ -19,6 +20,7 @@
 from fulmarleverd.scheduling.tasks import JobState
 
 QUEUE = QueueSpec("r", "a.example", "/p/", "desk")
+JOB_ID = "5c0e7a21d94b36f8"
 JOB = {"spec": "s", "phases": [{"count": 1}]}
 LIMIT = 300
 
@@ -82,24 +84,57 @@
 
     async def ask(self, method: str, path: str, **options: object) -> tuple:
         headers = {"Host": "a.example:80", **options.pop("headers", {})}
+        url = yarl.URL(self.base + path, encoded=True)
         async with self.session.request(
-            method, self.base + path, headers=headers, **options
+            method, url, headers=headers, **options
         ) as resp:
             return resp.status, await resp.json(), resp.headers
 
     async def test_results_become_responses(self):
         running = JobStatus(JobState.RUNNING)
         rows = (
-            ("accepted", "POST", "/p/j", None, 200, {}),
-            ("state", "GET", "/p/j", running, 200, {"state": "running"}),
+            ("accepted", "POST", f"/p/{JOB_ID}", None, 200, {}),
+            ("state", "GET", f"/p/{JOB_ID}", running, 200, {"state": "running"}),
             ("pending", "GET", "/p/", 3, 200, {"pending": 3}),
-            ("cancelled", "DELETE", "/p/j", running, 200, {"state": "running"}),
+            ("cancelled", "DELETE", f"/p/{JOB_ID}", running, 200, {"state": "running"}),
         )
         for _, method, path, result, status, body in self.each(rows):
             self.calls.result = result
             found = await self.ask(method, path, json=JOB)
             self.assertEqual(found[:2], (status, body))
 
+    # Guards against a caller's text that gets a 500, or that names another row.
+    async def test_ids_that_are_none_name_no_job(self):
+        self.calls.result = JobStatus(JobState.RUNNING)
+        rows = (
+            ("short", "5c0e7a21d94b36f"),
+            ("long", JOB_ID + "0"),
+            ("not hexadecimal", "5c0e7a21d94b36fg"),
+            ("row of a cancellation", JOB_ID + "/cancel"),
+            ("the same, escaped", JOB_ID + "%2Fcancel"),
+            ("not UTF-8", "%ff%fe"),
+            ("half of a surrogate pair", "%ed%b2%9a"),
+            ("other digits", "%D9%A1" * 16),
+            ("line end", JOB_ID[:-1] + "%0A"),
+        )
+        for _, text in self.each(rows):
+            for method, expected in (("POST", 400), ("GET", 410), ("DELETE", 410)):
+                found = await self.ask(method, f"/p/{text}", json=JOB)
+                self.assertEqual(found[0], expected)
+
+    async def test_unreadable_text_of_a_job_is_refused(self):
+        half = "\udc9a"
+        rows = (
+            ("specification", {**JOB, "spec": half}),
+            *(
+                (name, {"spec": "s", "phases": [{"count": 1, name: half}]})
+                for name in ("image", "constraints", "affinity")
+            ),
+        )
+        for _, job in self.each(rows):
+            found = await self.ask("POST", f"/p/{JOB_ID}", json=job)
+            self.assertEqual(found[0], 400)
+
     async def test_failures_become_responses_with_their_reason(self):
         rows = (
             ("unknown", "GET", UnknownJob("no job"), 410, None),
@@ -117,7 +152,7 @@
         )
         for _, method, result, status, retry_after in self.each(rows):
             self.calls.result = result
-            found = await self.ask(method, "/p/j", json=JOB)
+            found = await self.ask(method, f"/p/{JOB_ID}", json=JOB)
             self.assertEqual(found[0], status)
             self.assertEqual(found[1], {"error": result.reason})
             self.assertEqual(found[2].get("Retry-After"), retry_after)
@@ -167,21 +202,22 @@
             ("no phases", b"{}"),
         )
         for _, body in self.each(rows):
-            found = await self.ask("POST", "/p/j", data=body)
+            found = await self.ask("POST", f"/p/{JOB_ID}", data=body)
             self.assertEqual(found[0], 400)
 
     async def test_an_incomplete_request_does_not_affect_others(self):
         host, port = self.base[7:].split(":")
         _, writer = await asyncio.open_connection(host, int(port))
-        writer.write(b"POST /p/j HTTP/1.1\r\nHost: a\r\nContent-Length: 50\r\n\r\n{")
+        head = f"POST /p/{JOB_ID} HTTP/1.1\r\nHost: a\r\nContent-Length: 50\r\n\r\n"
+        writer.write(head.encode() + b"{")
         await writer.drain()
         writer.close()
-        self.assertEqual((await self.ask("POST", "/p/j", json=JOB))[0], 200)
+        self.assertEqual((await self.ask("POST", f"/p/{JOB_ID}", json=JOB))[0], 200)
 
     async def test_the_callers_deadline_is_passed_on(self):
         headers = {"X-Deadline-Ms": "1500"}
-        await self.ask("POST", "/p/j", json=JOB, headers=headers)
-        self.assertIn(("j", 1.5), self.calls.seen)
+        await self.ask("POST", f"/p/{JOB_ID}", json=JOB, headers=headers)
+        self.assertIn((JOB_ID, 1.5), self.calls.seen)
 
     async def test_readiness_follows_the_calls(self):
         for _, ready, status in self.each((("yes", True, 200), ("no", False, 503))):
@@ -191,5 +227,5 @@
 
     async def test_a_closing_server_closes_connections_after_responses(self):
         self.server.is_closing = True
-        found = await self.ask("POST", "/p/j", json=JOB)
+        found = await self.ask("POST", f"/p/{JOB_ID}", json=JOB)
         self.assertEqual(found[2].get("Connection"), "close")
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/formats_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/formats_tests.py
@@ -4,17 +4,20 @@
 
 import json
 
+import msgpack
 from hypothesis import given
 from hypothesis import strategies as st
 
 from fulmarlever.outcomes import failed
 from fulmarlever.tests.base import TableTestCase
 from fulmarleverd.platform.formats import (
+    is_job_id,
     parse_config,
     parse_evacuated_zone,
     parse_job,
     parse_worker,
 )
+from fulmarleverd.platform.http import encode_request
 from fulmarleverd.scheduling.ports import StoredRow
 
 ENTRY = {
@@ -49,6 +52,8 @@
     "services": [{"name": "desk", "admissionCheck": True, "healthPath": "/health"}],
     "limits": {"maxBodyBytes": 1000},
 }
+# Surrogates as well, which JSON can hold, and line ends.
+ANY_CHARACTER = st.characters() | st.sampled_from("\udc9a\ud83d\r\n")
 STEP = {"count": 4, "cpu": 500, "memMb": 256, "estimateMs": 900}
 
 JSON_VALUES = st.recursive(
@@ -278,3 +283,38 @@
         for _, phases, expected in self.each(rows):
             job = self.parse({"phases": phases})
             self.assertEqual(bool(job.find_error()), expected)
+
+
+class TextTests(TableTestCase):
+    # Guards against text of another writer that the clients cannot send (LOST).
+    @given(
+        st.text(st.characters(), max_size=6)
+        | st.sampled_from(("i-1", "\udc9a", "a\r\n")),
+        st.text(st.characters(), max_size=6).map(lambda host: host + ":80")
+        | st.sampled_from(("\udc9a:80", "a\r\nb:80", "10.0.0.1:80")),
+        st.text(st.characters(), max_size=3) | st.just("\udc9a"),
+    )
+    def test_a_worker_that_is_decoded_can_be_called_and_stored(
+        self, key, address, text
+    ):
+        entry = {**ENTRY, "address": address, "zone": text, "labels": [text, "r1-3"]}
+        worker = parse_worker(StoredRow("t", key, json.dumps(entry).encode(), 1))
+        if failed(worker):
+            return
+        headers = {"X-Target-Instance": worker.id}
+        request = encode_request("POST", worker.address, "/hold", {}, headers)
+        self.assertIsInstance(request, bytes)
+        self.assertEqual(request.count(b"\r\n"), 6)
+        msgpack.packb([worker.id, worker.zone, *worker.labels])
+
+    def test_what_is_no_job_id(self):
+        rows = (
+            ("digits", "5c0e7a21d94b36f8", True),
+            ("capital digits", "5C0E7A21D94B36F8", True),
+            ("empty", "", False),
+            ("another row", "5c0e7a21d94b36f8/cancel", False),
+            ("line end", "5c0e7a21d94b36f8\n", False),
+            ("other digits", "\u0661" * 16, False),
+        )
+        for _, text, expected in self.each(rows):
+            self.assertEqual(is_job_id(text), expected)
