Simulate jobs that always fail, unreadable entries, and check calm parts

Each new kind of fault has a generator of its own, so seeds keep their jobs and their other faults. IdleWatch checks throughout the parts of a play in which no fault is in progress that each long-running task runs, and that every job has a task at work while under half of the cores are used.

--- a/packages/fulmarlever_standins/fulmarlever_standins/commands/simulate.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/commands/simulate.py
@@ -13,7 +13,8 @@
 
 from fulmarlever.outcomes import failed
 from fulmarlever_standins.arguments import SimulateArguments
-from fulmarlever_standins.simulation.faults import APART_FAULTS, FAULTS
+from fulmarlever_standins.simulation.apart_faults import APART_FAULTS
+from fulmarlever_standins.simulation.faults import FAULTS
 from fulmarlever_standins.simulation.jobs import FEATURES
 from fulmarlever_standins.simulation.plan import Plan
 from fulmarlever_standins.simulation.runner import Result, play
--- /dev/null
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/calm.py
@@ -0,0 +1,127 @@
+"""Checks during the calm parts of a play, in which no fault is in progress."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+from fulmarlever_standins.simulation.invariants import (
+    FINAL_STATES,
+    is_waiting,
+    room_for,
+)
+from fulmarlever_standins.simulation.observed import CallerJob
+
+if TYPE_CHECKING:
+    from fulmarlever_standins.simulation.runner import Simulation
+
+# A task may wait this long while there is room, and longer right after a fault.
+MAX_IDLE_S = 3.0
+SETTLED_AFTER_S = 4.0
+# A long-running task that has ended may wait longer for its next run.
+MAX_RESTART_S = 6.0
+# Not a multiple of the owner's period, so that it is seen at various moments of it.
+POLL_S = 0.23
+# How many tasks like the one that waits have to fit, beside each other.
+MIN_ROOM = 2
+BUSY_SHARE = 0.5
+
+
+class Calm:
+    """Whether any fault is in progress, and since when none is."""
+
+    def __init__(self) -> None:
+        self._faults = 0
+        self._since_s = asyncio.get_running_loop().time()
+
+    @contextmanager
+    def interrupted(self) -> Iterator[None]:
+        """Count a fault as in progress."""
+        self._faults += 1
+        try:
+            yield
+        finally:
+            self._faults -= 1
+            self._since_s = asyncio.get_running_loop().time()
+
+    @property
+    def seconds(self) -> float:
+        """Return for how long no fault has been in progress."""
+        if self._faults:
+            return 0.0
+        return asyncio.get_running_loop().time() - self._since_s
+
+    async def wait(self, seconds: float) -> None:
+        """Wait until no fault has been in progress for some seconds."""
+        while self.seconds < seconds:
+            await asyncio.sleep(POLL_S)
+
+
+class IdleWatch:
+    """Finds tasks that wait for long in a calm part of a play, while there is room.
+
+    Each long-running task has to run, every other job has to have a task at work. The
+    latter may wait while half of all cores are in use.
+    """
+
+    def __init__(self, sim: Simulation) -> None:
+        self._sim = sim
+        self._idle_since_s: dict[str, float] = {}
+        self._reported: set[str] = set()
+
+    async def run(self) -> None:
+        """Check again and again, until cancelled."""
+        while True:
+            await asyncio.sleep(POLL_S)
+            now_s = asyncio.get_running_loop().time()
+            idle = list(self._find_idle(now_s))
+            since_s = {name: self._idle_since_s.get(name, now_s) for name in idle}
+            self._idle_since_s = since_s
+            if self._sim.calm.seconds < SETTLED_AFTER_S + MAX_IDLE_S:
+                continue
+            for name in idle:
+                if now_s - since_s[name] >= MAX_IDLE_S:
+                    await self._report(name)
+
+    async def _report(self, name: str) -> None:
+        """Report an idle task once, unless its job has ended."""
+        job = self._sim.observed.job_of(name)
+        if name in self._reported or await self._sim.state_of(job) in FINAL_STATES:
+            return
+        self._reported.add(name)
+        self._sim.report(name, "waits in calm, though there is room")
+
+    def _find_idle(self, now_s: float) -> Iterator[str]:
+        """Yield tasks that wait now though there is room for them."""
+        is_busy = self._is_busy()
+        for job in self._sim.observed.jobs.values():
+            if not job.is_accepted or job.may_be_cancelled or job.has_failed:
+                continue
+            if job.spec.is_long_running:
+                yield from filter(self._has_room, self._waiting(job, now_s))
+            elif not is_busy and not self._sim.observed.active_jobs[job.spec.id]:
+                waiting = next(self._waiting(job, now_s), None)
+                if waiting is not None and self._has_room(waiting):
+                    yield waiting
+
+    def _waiting(self, job: CallerJob, now_s: float) -> Iterator[str]:
+        for name in job.task_names():
+            ended_s = self._sim.observed.ended_s.get(name, -MAX_RESTART_S)
+            is_restarting = now_s - ended_s < MAX_RESTART_S
+            is_lasting = job.spec.is_long_running
+            if is_waiting(self._sim, job, name) and not (is_lasting and is_restarting):
+                yield name
+
+    def _has_room(self, name: str) -> bool:
+        step = self._sim.step_of(name)
+        if step.is_best_effort:
+            # What other tasks leave unused is not known here.
+            return False
+        return room_for(self._sim, step, name) >= MIN_ROOM
+
+    def _is_busy(self) -> bool:
+        workers = self._sim.workers()
+        used_m = sum(self._sim.used(worker)[0] for worker in workers)
+        return used_m >= BUSY_SHARE * sum(worker.cpu for worker in workers)
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/faults.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/faults.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from random import Random
 from typing import TYPE_CHECKING
 
 from fulmarlever.registry import Registry
@@ -15,15 +14,10 @@
 
 Fault = Callable[["Simulation"], Coroutine]
 FAULTS: Registry[Fault] = Registry("fault")
-# Drawn apart from the others, with a generator of their own, so that a kind added here
-# does not change the jobs and the other faults that a seed draws.
-ApartFault = Callable[["Simulation", Random], Coroutine]
-APART_FAULTS: Registry[ApartFault] = Registry("fault drawn apart")
 
 RESTART_S = 2.0
 DRAIN_S = 4.0
 HEARTBEAT_S = 1.1
-ZONES = ("x", "y", "z")
 
 
 @FAULTS.register("owner killed")
@@ -191,16 +185,3 @@
     await asyncio.sleep(DRAIN_S)
     if sim.is_running(worker):
         sim.leave(worker)
-
-
-@APART_FAULTS.register("zone evacuated")
-async def evacuate_zone(sim: Simulation, rng: Random) -> None:
-    """Evacuate a zone for a while; take it back and ask again at times."""
-    zone = rng.choice(ZONES)
-    for _ in range(rng.choice((1, 1, 2, 3))):
-        if not sim.evacuations.evacuate(zone):
-            return
-        # In sum short enough for the jobs of a play to end on the other zones' workers.
-        await asyncio.sleep(rng.choice((0.01, 1.0, 6.5, 9.0)))
-        sim.evacuations.restore(zone)
-        await asyncio.sleep(rng.choice((0.001, 0.2, 2.0)))
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/invariants.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/invariants.py
@@ -168,6 +168,25 @@
     return is_due and sim.observed.done.issuperset(earlier)
 
 
+def room_for(sim: Simulation, step: StepSpec, task: str) -> int:
+    """Return how many tasks like this one fit on all workers, beside what runs."""
+    return sum(
+        _room_on(sim, worker, step)
+        for worker in sim.workers()
+        if has_room(sim, worker, step, task)
+    )
+
+
+def _room_on(sim: Simulation, worker: WorkerCore, step: StepSpec) -> int:
+    """Return how many tasks of a step a worker has cores and memory for."""
+    cpu_m, memory_mb = sim.used(worker)
+    return min(
+        (worker.cpu - cpu_m) // max(1, step.cpu_m),
+        (worker.memory_mb - memory_mb) // max(1, step.memory_mb),
+        step.max_per_worker or step.count,
+    )
+
+
 def has_room(sim: Simulation, worker: WorkerCore, step: StepSpec, task: str) -> bool:
     """Return whether a worker may run a task and has room for it."""
     cpu_m, memory_mb = sim.used(worker)
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/jobs.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/jobs.py
@@ -27,7 +27,8 @@
     ``steps`` holds the fields of each step. ``cancel_after_s`` is when the caller
     cancels the job after its acceptance, ``None`` for never. A job that
     ``is_sent_again`` is submitted twice; the tasks of one that ``is_even`` take the
-    same time. ``features`` names what has been drawn.
+    same time, and those of one that ``is_never_done`` always fail. ``features`` names
+    what has been drawn.
     """
 
     __slots__ = (
@@ -42,6 +43,7 @@
         "cancel_after_s",
         "is_sent_again",
         "is_even",
+        "is_never_done",
         "features",
     )
 
@@ -64,6 +66,7 @@
         self.cancel_after_s: float | None = None
         self.is_sent_again = False
         self.is_even = False
+        self.is_never_done = False
         self.features: list[str] = []
 
     def set_all(self, **fields: object) -> None:
@@ -85,6 +88,8 @@
 
 Feature = Callable[[DrawnJob], None]
 FEATURES: Registry[Feature] = Registry("feature of a job")
+# Not drawn; faults submit jobs with these.
+APART_FEATURES: Registry[Feature] = Registry("feature of a job of a fault")
 
 
 def draw_features(rng: Random) -> tuple[str, ...]:
@@ -99,7 +104,8 @@
     drawn = DrawnJob(job_id, rng, now_s)
     drawn.features = list(features)
     for name in features:
-        FEATURES.find(name)(drawn)
+        registry = APART_FEATURES if name in list(APART_FEATURES) else FEATURES
+        registry.find(name)(drawn)
     return drawn
 
 
@@ -201,3 +207,15 @@
 def send_again(job: DrawnJob) -> None:
     """Submit the job a second time under its id."""
     job.is_sent_again = True
+
+
+@APART_FEATURES.register("never done")
+def fail_always(job: DrawnJob) -> None:
+    """Let every run of the job fail."""
+    job.is_never_done = True
+
+
+@APART_FEATURES.register("on every worker")
+def spread_out(job: DrawnJob) -> None:
+    """Place one task on each of many workers."""
+    job.set_all(max_per_worker=1, count=8)
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/observed.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/observed.py
@@ -14,6 +14,7 @@
     """A job as its caller knows it.
 
     ``is_accepted`` and ``is_refused`` are both false while the answer is uncertain.
+    ``has_failed`` is set once a task has failed as often as it may.
     ``cancelled_at_s`` is when a cancellation was acknowledged, and
     ``may_be_cancelled`` whether one was sent.
     """
@@ -23,6 +24,7 @@
         "spec",
         "is_accepted",
         "is_refused",
+        "has_failed",
         "may_be_cancelled",
         "cancelled_at_s",
     )
@@ -32,6 +34,7 @@
         self.spec: JobSpec = drawn.spec()
         self.is_accepted = False
         self.is_refused = False
+        self.has_failed = False
         self.may_be_cancelled = False
         self.cancelled_at_s: float | None = None
 
@@ -59,14 +62,17 @@
 
     ``done`` are the tasks with an end as done, ``active`` counts their active runs,
     ``crashes`` the workers that crashed under a run of a task, and ``failed_ends``
-    holds for each task the worker and the number of each end as failed. ``trace`` has a
-    line for each event.
+    holds for each task the worker and the number of each end as failed. ``active_jobs``
+    counts the active runs of each job, and ``ended_s`` is when the last run of a task
+    ended. ``trace`` has a line for each event.
     """
 
     def __init__(self) -> None:
         self.jobs: dict[str, CallerJob] = {}
         self.done: set[str] = set()
         self.active: Counter[str] = Counter()
+        self.active_jobs: Counter[str] = Counter()
+        self.ended_s: dict[str, float] = {}
         self.crashes: Counter[str] = Counter()
         self.failed_ends: defaultdict[str, list[tuple[WorkerCore, int]]] = defaultdict(
             list
@@ -79,25 +85,37 @@
 
     def record_start(self, worker: WorkerCore, key: RunKey) -> None:
         """Record that a worker has started a run."""
-        self.active[key[0]] += 1
+        self._count_active(key[0], 1)
         self._trace("start", worker, key)
 
     def record_end(self, worker: WorkerCore, key: RunKey, outcome: str) -> None:
         """Record that a run has ended on a worker."""
-        self.active[key[0]] -= 1
+        self._count_active(key[0], -1)
         if outcome == "done":
             self.done.add(key[0])
         elif outcome == "failed":
             self.failed_ends[key[0]].append((worker, worker.ends[-1][0]))
+            self._count_failure(key[0])
         self._trace(outcome, worker, key)
 
     def record_crash(self, worker: WorkerCore) -> None:
         """Record that a worker crashes now, with all of its runs."""
         for key in worker.running:
-            self.active[key[0]] -= 1
+            self._count_active(key[0], -1)
             self.crashes[key[0]] += 1
             self._trace("crash", worker, key)
 
+    def _count_failure(self, task: str) -> None:
+        job = self.job_of(task)
+        limit = job.drawn.queue.max_attempts
+        is_limited = not job.step_of(task).is_long_running
+        job.has_failed |= is_limited and len(self.failed_ends[task]) >= limit
+
+    def _count_active(self, task: str, change: int) -> None:
+        self.active[task] += change
+        self.active_jobs[task.split(".")[0]] += change
+        self.ended_s[task] = asyncio.get_running_loop().time()
+
     def _trace(self, event: str, worker: WorkerCore, key: RunKey) -> None:
         now_s = asyncio.get_running_loop().time()
         self.trace.append(f"{now_s:.4f} {event} {key[0]} {key[1]} {worker.id}")
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/plan.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/plan.py
@@ -13,12 +13,19 @@
 import yaml
 
 from fulmarlever.outcomes import Failure
-from fulmarlever_standins.simulation.faults import APART_FAULTS, FAULTS
+from fulmarlever_standins.simulation.apart_faults import APART_FAULTS, EVACUATION
+from fulmarlever_standins.simulation.faults import FAULTS
 from fulmarlever_standins.simulation.jobs import FEATURES, draw_features
+from fulmarlever_standins.simulation.plan_parts import (
+    MAX_SEED,
+    PlannedFault,
+    PlannedJob,
+)
 
 JOBS_PER_S = 2.0
 MIN_FAULTS = 2
-MAX_SEED = 1 << 32
+# How likely each kind of fault drawn apart is part of a plan.
+APART_SHARE = 0.3
 
 
 class BadPlan(Failure):
@@ -27,27 +34,6 @@
     __slots__ = ()
 
 
-@dataclass(slots=True, frozen=True)
-class PlannedJob:
-    """A job with features, drawn from a seed and submitted at a time, in seconds."""
-
-    at_s: float
-    seed: int
-    features: tuple[str, ...] = ()
-
-
-@dataclass(slots=True, frozen=True)
-class PlannedFault:
-    """A fault that begins at a time, in seconds.
-
-    Its kind is a name in ``FAULTS`` or ``APART_FAULTS``.
-    """
-
-    at_s: float
-    kind: str
-    seed: int
-
-
 @dataclass(slots=True, frozen=True)
 class Plan:
     """A play: its size, for how long jobs come, and its parts in order of time."""
@@ -144,15 +130,22 @@
 
 
 def _draw_apart(seed: int, seconds: float) -> list[PlannedFault]:
-    """Draw the faults that a generator of their own decides on.
-
-    Some begin before the first job comes.
-    """
-    rng = Random(f"{seed} apart")
+    """Draw the faults that generators of their own decide on."""
+    faults = _draw_evacuations(Random(f"{seed} apart"), seconds)
+    for kind in APART_FAULTS:
+        rng = Random(f"{seed} {kind}")
+        if kind != EVACUATION and rng.random() < APART_SHARE:
+            at_s = round(rng.uniform(0.0, seconds), 3)
+            faults.append(PlannedFault(at_s, kind, rng.randrange(MAX_SEED)))
+    return faults
+
+
+def _draw_evacuations(rng: Random, seconds: float) -> list[PlannedFault]:
+    """Draw evacuations of zones; some begin before the first job comes."""
     return [
         PlannedFault(
             round(rng.choice((0.0, rng.uniform(0.0, seconds))), 3),
-            rng.choice(list(APART_FAULTS)),
+            rng.choice((EVACUATION,)),
             rng.randrange(MAX_SEED),
         )
         for _ in range(rng.choice((0, 0, 1, 2, 3)))
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/runner.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/runner.py
@@ -18,12 +18,13 @@
 from fulmarlever_standins.authority.simulated_cluster import SimulatedCluster
 from fulmarlever_standins.authority.virtual_time import run_virtual
 from fulmarlever_standins.authority.worker import RunKey, WorkerCore
-from fulmarlever_standins.simulation.faults import (
+from fulmarlever_standins.simulation.apart_faults import (
     APART_FAULTS,
-    FAULTS,
-    RESTART_S,
+    CALM_FAULTS,
     ZONES,
 )
+from fulmarlever_standins.simulation.calm import MAX_IDLE_S, Calm, IdleWatch
+from fulmarlever_standins.simulation.faults import FAULTS, RESTART_S
 from fulmarlever_standins.simulation.invariants import (
     END_CHECKS,
     START_CHECKS,
@@ -31,16 +32,16 @@
 )
 from fulmarlever_standins.simulation.jobs import draw_job
 from fulmarlever_standins.simulation.observed import CallerJob, Observed
-from fulmarlever_standins.simulation.plan import Plan, PlannedFault, PlannedJob
+from fulmarlever_standins.simulation.plan import Plan
+from fulmarlever_standins.simulation.plan_parts import PlannedFault, PlannedJob
 from fulmarleverd.scheduling.intake import JobStatus
 from fulmarleverd.scheduling.specs import StepSpec
 
 # Jobs have time to end after the last fault.
 SETTLE_S = 40.0
-# A task may wait this long while workers have room. Between the end of a run and the
-# start of the next one its worker has room for some milliseconds.
-MAX_IDLE_S = 3.0
-# Not a multiple of the owner's period, so that it is seen at various moments of it.
+# Between the end of a run and the start of the next one its worker has room for some
+# milliseconds. Not a multiple of the owner's period, so that it is seen at various
+# moments of it.
 IDLE_POLL_S = 0.13
 OWNER_POLL_S = 0.1
 SUBMIT_ATTEMPTS = 5
@@ -113,6 +114,7 @@
         self.observed = Observed()
         self.failing: set[str] = set()
         self.stalling: set[str] = set()
+        self.calm = Calm()
         self.violations: list[str] = []
         self.idle: dict[str, str] = {}
         self.evacuations = EvacuationObserver(
@@ -134,20 +136,26 @@
             self._traits[f"w{number}:1"] = traits
             self._add_worker(f"w{number}", f"w{number}:1")
         await self.cluster.wait_for_owner()
-        watch = asyncio.create_task(self._watch_owners())
-        jobs = [asyncio.create_task(self._call(job)) for job in self.plan.jobs]
+        watches = [
+            asyncio.create_task(self._watch_owners()),
+            asyncio.create_task(IdleWatch(self).run()),
+        ]
+        jobs = [asyncio.create_task(self.call(job)) for job in self.plan.jobs]
         faults = [asyncio.create_task(self._strike(f)) for f in self.plan.faults]
         await asyncio.gather(*jobs, *faults)
         await asyncio.sleep(SETTLE_S - MAX_IDLE_S)
         await self._find_idle()
-        watch.cancel()
         await self._check_ends()
+        for watch in watches:
+            if watch.done():
+                watch.result()
+            watch.cancel()
 
     async def _watch_owners(self) -> None:
         while True:
             count = self.cluster.count_owners()
             if count > 1:
-                self._report("scheduler", f"{count} owners at the same time")
+                self.report("scheduler", f"{count} owners at the same time")
             if is_store_disturbed(self.cluster.network):
                 self.evacuations.record_disturbance()
             await asyncio.sleep(OWNER_POLL_S)
@@ -164,13 +172,18 @@
 
     async def _strike(self, fault: PlannedFault) -> None:
         await asyncio.sleep(fault.at_s)
-        if fault.kind in list(APART_FAULTS):
+        if fault.kind in CALM_FAULTS:
             await APART_FAULTS.find(fault.kind)(self, Random(fault.seed))
             return
-        self.rng = Random(fault.seed)
-        await FAULTS.find(fault.kind)(self)
+        with self.calm.interrupted():
+            if fault.kind in list(APART_FAULTS):
+                await APART_FAULTS.find(fault.kind)(self, Random(fault.seed))
+                return
+            self.rng = Random(fault.seed)
+            await FAULTS.find(fault.kind)(self)
 
-    def _report(self, what: str, violation: str) -> None:
+    def report(self, what: str, violation: str) -> None:
+        """Record a violation that concerns a task, a job or the scheduler."""
         now_s = asyncio.get_running_loop().time()
         line = f"{now_s:.2f} {what}: {violation}"
         if line not in self.violations:
@@ -178,7 +191,7 @@
 
     # Callers
 
-    async def _call(self, planned: PlannedJob) -> None:
+    async def call(self, planned: PlannedJob) -> None:
         """Submit a job at its time, and cancel it if its caller wants to."""
         await asyncio.sleep(planned.at_s)
         now_s = asyncio.get_running_loop().time()
@@ -299,9 +312,13 @@
         labels, worker.memory_mb = self._traits[worker.address]
         worker.labels = list(labels)
         worker.on_start, worker.on_end = on_start, on_end
-        worker.task_fails = lambda task: worker.id in self.failing
+        worker.task_fails = lambda task: self._fails(worker, task)
         worker.task_duration_s = lambda task: self._duration_s(worker, task)
 
+    def _fails(self, worker: WorkerCore, task: str) -> bool:
+        is_never_done = self.observed.job_of(task).drawn.is_never_done
+        return is_never_done or worker.id in self.failing
+
     def _duration_s(self, worker: WorkerCore, task: str) -> float | None:
         if worker.id in self.stalling:
             return STALLED_S
@@ -346,23 +363,24 @@
     def _check_start(self, worker: WorkerCore, key: RunKey) -> None:
         for name in START_CHECKS:
             for violation in START_CHECKS.find(name)(self, worker, key):
-                self._report(f"{key[0]} run {key[1]}", violation)
+                self.report(f"{key[0]} run {key[1]}", violation)
 
     async def _check_ends(self) -> None:
         for job in self.observed.jobs.values():
-            state = await self._state(job)
+            state = await self.state_of(job)
             for name in END_CHECKS:
                 for violation in END_CHECKS.find(name)(self, job, state):
-                    self._report(f"job {job.spec.id} {job.drawn.features}", violation)
+                    self.report(f"job {job.spec.id} {job.drawn.features}", violation)
         record = self.cluster.record
         for task in record.overlaps:
             if not self.step_of(task).is_speculative:
-                self._report(task, "two runs at the same time")
+                self.report(task, "two runs at the same time")
         for task in record.restarted_after_known_end():
             if not self.step_of(task).is_speculative:
-                self._report(task, "started again after its end was known")
+                self.report(task, "started again after its end was known")
 
-    async def _state(self, job: CallerJob) -> str:
+    async def state_of(self, job: CallerJob) -> str:
+        """Return the state of a job as a daemon tells it, or why it does not."""
         daemon = self._daemon(self.rng)
         for _ in range(STATE_ATTEMPTS):
             status = await daemon.state(job.spec.id)
