Keep cancelled jobs from being stored by late submissions

Cause: the cancellation of a job that is not stored left nothing, and the owner dropped cancellations of unknown jobs. An answer about the present was given where a promise was asked for.

Evidence: job-cancel says UnknownJob, and the table of jobs holds the job's row without a row of the cancellation.

Change: such a cancellation writes its row on the condition that the job is not stored, and a submission is conditional on the absence of both. A daemon whose submission had no answer does not say that the job is unknown, or refused for good.

--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
@@ -16,6 +16,7 @@
 from fulmarlever_standins.authority.store import StoreCore
 from fulmarlever_standins.authority.worker import WorkerCore
 from fulmarleverd.platform.http import CallResult, Response, encode_request
+from fulmarleverd.scheduling.rows import JOBS_TABLE
 
 STORE_ADDRESS = "store:1"
 ONE_WAY_LATENCY_S = 0.001
@@ -38,6 +39,8 @@
     * ``lose_answers``: how many of the next transactions take effect unanswered.
     * ``late_transactions``: how many of the next transactions take effect
       ``LATE_EFFECT_DELAY_S`` later and unanswered.
+    * ``late_jobs``: the ids of jobs whose submissions take effect late and unanswered,
+      each with the seconds.
     * ``late_starts``: the same for starts of runs.
     * ``loss``: the probability that a request or an answer is lost once and sent again.
     * ``transaction_s``: seconds that each transaction takes; the transactions of one
@@ -52,6 +55,7 @@
         self.refused_vms: set[str] = set()
         self.lose_answers = 0
         self.late_transactions = 0
+        self.late_jobs: dict[str, float] = {}
         self.late_starts = 0
         self.is_store_down = False
         self.loss = 0.0
@@ -132,6 +136,9 @@
             self.late_transactions -= 1
             self._run_later(self.store.handle(method, path, body))
             await asyncio.Event().wait()
+        if is_write and (late_s := self._find_late_s(body)) is not None:
+            self._run_later(self.store.handle(method, path, body), late_s)
+            await asyncio.Event().wait()
         if is_write:
             await self._wait_for_partition(body)
         status, answer = await self.store.handle(method, path, body)
@@ -163,9 +170,15 @@
         await self._transmit(rng)
         return Response(status, answer)
 
-    def _run_later(self, work: object) -> None:
+    def _find_late_s(self, body: dict) -> float | None:
+        """Return how late a transaction is that stores one of the late jobs."""
+        keys = [row["key"] for row in body["setKeys"] if row["table"] == JOBS_TABLE]
+        late = [key for key in keys if key in self.late_jobs]
+        return self.late_jobs[late[0]] if late else None
+
+    def _run_later(self, work: object, late_s: float = LATE_EFFECT_DELAY_S) -> None:
         async def wait_and_run() -> None:
-            await asyncio.sleep(LATE_EFFECT_DELAY_S)
+            await asyncio.sleep(late_s)
             await work
 
         task = asyncio.get_running_loop().create_task(wait_and_run())
--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/store.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/store.py
@@ -84,9 +84,9 @@
         """Write a value as JSON without conditions, as the operator and workers do."""
         self.put(table, key, json.dumps(value).encode())
 
-    def put(self, table: str, key: str, value: bytes) -> None:
+    def put(self, table: str, key: str, value: bytes, part: str = "") -> None:
         """Write any value without conditions or limits."""
-        self._apply([((table, "", key), base64.b64encode(value).decode())])
+        self._apply([((table, part, key), base64.b64encode(value).decode())])
 
     def remove(self, table: str, key: str) -> None:
         """Remove a row without conditions."""
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/apart_faults.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/apart_faults.py
@@ -21,7 +21,7 @@
 APART_FAULTS: Registry[ApartFault] = Registry("fault drawn apart")
 # Jobs of callers, which disturb neither the store nor a worker: the checks of calm
 # parts go on.
-CALM_FAULTS = frozenset({"jobs never done"})
+CALM_FAULTS = frozenset({"jobs never done", "cancelled while uncertain"})
 ZONES = ("x", "y", "z")
 EVACUATION = "zone evacuated"
 # Half of a surrogate pair, a line end, digits and letters beyond ASCII.
@@ -58,6 +58,19 @@
         await call(*rng.choice((("long-running",), ())))
 
 
+@APART_FAULTS.register("cancelled while uncertain")
+async def cancel_uncertain_job(sim: Simulation, rng: Random) -> None:
+    """Cancel a job whose submission had no answer and takes effect sooner or later."""
+    await sim.calm.wait(SETTLED_AFTER_S)
+    for _ in range(rng.randint(1, 3)):
+        features = rng.choice((("long-running",), (), ("wide",)))
+        planned = PlannedJob(0.0, rng.randrange(MAX_SEED), features)
+        job = sim.add_job(planned, rng)
+        await sim.submit_late(job, rng, rng.uniform(2.5, 9.0))
+        await asyncio.sleep(rng.choice((0.0, 0.5, 3.0)))
+        await sim.cancel(job, rng)
+
+
 @APART_FAULTS.register("entries unreadable")
 async def write_odd_text(sim: Simulation, rng: Random) -> None:
     """Write entries with text that nobody can use, as other workers' or of new ones.
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/invariants.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/invariants.py
@@ -26,6 +26,8 @@
 
 EARLY_S = 0.25
 MIN_CRASHES = 2
+# The bound for starts after a cancellation.
+CANCEL_S = 3.0
 FINAL_STATES = ("completed", "failed", "cancelled")
 
 
@@ -72,6 +74,17 @@
         yield "started before its time"
 
 
+@START_CHECKS.register("not cancelled")
+def check_cancelled(sim: Simulation, worker: WorkerCore, key: RunKey) -> Iterator[str]:
+    """Nothing starts for long after its cancellation was acknowledged."""
+    job = sim.observed.job_of(key[0])
+    if job is None or job.cancelled_at_s is None:
+        return
+    passed_s = asyncio.get_running_loop().time() - job.cancelled_at_s
+    if min(passed_s, sim.calm.seconds) > CANCEL_S:
+        yield f"started {passed_s:.1f} s after its cancellation"
+
+
 @START_CHECKS.register("within its attempts")
 def check_attempts(sim: Simulation, worker: WorkerCore, key: RunKey) -> Iterator[str]:
     """A task that has failed as often as it may is not started again."""
@@ -124,7 +137,8 @@
     running = [name for name in job.task_names() if sim.observed.active[name] > 0]
     if running and state in FINAL_STATES:
         yield f"{state}, but {running[0]} runs"
-    if job.cancelled_at_s is not None and state not in FINAL_STATES:
+    is_stored = job.is_accepted or state != "unknown"
+    if job.cancelled_at_s is not None and is_stored and state not in FINAL_STATES:
         yield f"its cancellation was acknowledged, but it is {state}"
 
 
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/runner.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/runner.py
@@ -34,7 +34,7 @@
 from fulmarlever_standins.simulation.observed import CallerJob, Observed
 from fulmarlever_standins.simulation.plan import Plan
 from fulmarlever_standins.simulation.plan_parts import PlannedFault, PlannedJob
-from fulmarleverd.scheduling.intake import JobStatus
+from fulmarleverd.scheduling.intake import JobStatus, UnknownJob
 from fulmarleverd.scheduling.specs import StepSpec
 
 # Jobs have time to end after the last fault.
@@ -194,16 +194,31 @@
     async def call(self, planned: PlannedJob) -> None:
         """Submit a job at its time, and cancel it if its caller wants to."""
         await asyncio.sleep(planned.at_s)
-        now_s = asyncio.get_running_loop().time()
         rng = Random(planned.seed)
-        drawn = draw_job(f"{planned.seed:016x}", planned.features, rng, now_s)
-        job = self.observed.jobs[drawn.id] = CallerJob(drawn)
+        job = self.add_job(planned, rng)
+        drawn = job.drawn
         await self._submit(job, rng)
         if drawn.is_sent_again and job.is_accepted:
             await self._submit(job, rng)
         if job.is_accepted and drawn.cancel_after_s is not None:
             await asyncio.sleep(drawn.cancel_after_s)
-            await self._cancel(job, rng)
+            await self.cancel(job, rng)
+
+    def add_job(self, planned: PlannedJob, rng: Random) -> CallerJob:
+        """Draw a job that its caller is about to submit."""
+        now_s = asyncio.get_running_loop().time()
+        drawn = draw_job(f"{planned.seed:016x}", planned.features, rng, now_s)
+        job = self.observed.jobs[drawn.id] = CallerJob(drawn)
+        return job
+
+    async def submit_late(self, job: CallerJob, rng: Random, late_s: float) -> None:
+        """Submit a job once; its write gets no answer and takes effect late."""
+        if self.cluster.daemons:
+            late_jobs = self.cluster.network.late_jobs
+            late_jobs[job.spec.id] = late_s
+            result = await self._daemon(rng).submit(job.spec, job.drawn.queue)
+            del late_jobs[job.spec.id]
+            job.is_accepted = result is None
 
     def _daemon(self, rng: Random) -> object:
         return rng.choice(
@@ -228,14 +243,18 @@
             is_certain = False
             await asyncio.sleep(RETRY_S)
 
-    async def _cancel(self, job: CallerJob, rng: Random) -> None:
+    async def cancel(self, job: CallerJob, rng: Random) -> None:
+        """Cancel a job, with retries until that is acknowledged."""
         job.may_be_cancelled = True
         for _ in range(SUBMIT_ATTEMPTS):
             if self.cluster.daemons:
                 daemon = self._daemon(rng)
                 until_s = daemon.clock.monotonic() + CANCEL_TIMEOUT_S
                 result = await daemon.intake.cancel(job.spec.id, until_s)
-                if not failed(result):
+                is_unknown = isinstance(result, UnknownJob)
+                if is_unknown and job.is_accepted:
+                    self.report(job.spec.id, "accepted, but unknown when cancelled")
+                if is_unknown or not failed(result):
                     job.cancelled_at_s = asyncio.get_running_loop().time()
                     return
             await asyncio.sleep(RETRY_S)
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Calls from the scheduler to other processes."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
@@ -28,6 +28,9 @@
     RetrySchedule,
     RoomWindow,
 )
+from fulmarleverd.scheduling.cancellations.lone import lone_cancel_row
+from fulmarleverd.scheduling.cancellations.quota import LoneCancelQuota
+from fulmarleverd.scheduling.cancellations.uncertain import UncertainSubmissions
 from fulmarleverd.scheduling.config_watcher import RETRY_AFTER_S
 from fulmarleverd.scheduling.metrics import ADMISSION_REFUSALS
 from fulmarleverd.scheduling.overload import OverloadReader
@@ -104,6 +107,8 @@
         self._pending_read_s = -1.0
         self._timeout = AdaptiveTimeout()
         self._overload = OverloadReader(store, clock)
+        self._lone_cancels = LoneCancelQuota(clock)
+        self._uncertain = UncertainSubmissions(clock)
         self._retries = RetrySchedule(clock)
         self._admission = AdmissionPolicy.from_store(
             store, clock, self._retries, queues
@@ -117,7 +122,8 @@
         ``until_s`` is the time at which the attempts end, in seconds on the steady
         clock. Return ``None`` once the job is stored, also if it was before; ``NotRun``
         if it certainly is not; ``OutcomeUnknown`` if it may be; ``Refused`` if the
-        specification is invalid or too large for the store.
+        specification is invalid or too large for the store, or if the job has been
+        cancelled before it was stored.
         """
         error = spec.find_error()
         if error:
@@ -126,8 +132,15 @@
         if refusal is not None:
             return await self._refuse_unless_stored(spec, refusal)
         row = JobRow(spec, queue, self._clock.wall())
-        tx = Transaction([job_row(spec.id)], [job_row(spec.id, pack_job(row))])
-        return await self._insert(tx, spec, until_s)
+        # A job that is cancelled before it is stored must not be stored any more.
+        absent = [job_row(spec.id), lone_cancel_row(spec.id)]
+        tx = Transaction(absent, [job_row(spec.id, pack_job(row))])
+        result = await self._insert(tx, spec, until_s)
+        if isinstance(result, OutcomeUnknown):
+            self._uncertain.add(spec.id)
+        else:
+            self._uncertain.discard(spec.id)
+        return result
 
     def _find_refusal(self, spec: JobSpec, queue: QueueSpec) -> NotRun | None:
         """Return why a new job is refused, with the time of its return."""
@@ -149,6 +162,8 @@
         if rows.rows:
             self._retries.forget(spec.id)
             return None
+        if spec.id in self._uncertain:
+            return OutcomeUnknown("an earlier submission may still take effect")
         is_by_forecast = isinstance(refusal, AdmissionRefusal)
         reason = "forecast" if is_by_forecast else "overload"
         ADMISSION_REFUSALS.labels(reason).inc()
@@ -164,9 +179,10 @@
             if left_s <= 0.0:
                 return self._failure("the store did not answer in time", True)
             result = await self._transact(tx, left_s)
-            if isinstance(result, Committed | ConditionFailed):
-                # A row with the same id is this job, submitted before.
+            if isinstance(result, Committed):
                 return None
+            if isinstance(result, ConditionFailed):
+                return _find_earlier(result, spec.id)
             if isinstance(result, TransactionRejected):
                 return Refused(result.reason)
             if isinstance(result, Unavailable):
@@ -200,9 +216,16 @@
     async def status(self, job_id: str) -> JobStatus | UnknownJob | Unavailable:
         """Return the state of a job as stored now.
 
-        ``Unavailable`` means that the store does not answer, or that the progress row
-        cannot be decoded.
+        ``Unavailable`` means that the store does not answer, that the progress row
+        cannot be decoded, or that a submission may still take effect.
         """
+        status = await self._stored_status(job_id)
+        if isinstance(status, UnknownJob) and job_id in self._uncertain:
+            return Unavailable(f"a submission of job {job_id} may still take effect")
+        return status
+
+    async def _stored_status(self, job_id: str) -> JobStatus | UnknownJob | Unavailable:
+        """Return the state of a job by its rows alone."""
         if job_id in self._final_statuses:
             return self._final_statuses[job_id]
         rows = await self._read_one(progress_row(job_id))
@@ -245,18 +268,45 @@
     ) -> JobStatus | UnknownJob | NotRun | OutcomeUnknown | Unavailable:
         """Request the cancellation of a job; the owner carries it out.
 
-        Return the state before the cancellation. ``until_s`` is the time at which the
-        attempts end, in seconds on the steady clock.
+        Return the state before the cancellation, or ``UnknownJob`` if there is no such
+        job and, for as long as a write may take effect late, there will not be one.
+        ``until_s`` is the time at which the attempts end, in seconds on the steady
+        clock.
         """
-        status = await self.status(job_id)
+        status = await self._stored_status(job_id)
+        if isinstance(status, UnknownJob):
+            return await self._cancel_unknown(job_id, until_s)
         if failed(status) or status.state in FINAL_STATES:
             return status
-        tx = Transaction([], [cancel_row(job_id)])
+        result = await self._write_cancel(job_id, [], until_s)
+        return status if isinstance(result, Committed) else result
+
+    async def _cancel_unknown(
+        self, job_id: str, until_s: float
+    ) -> JobStatus | UnknownJob | NotRun | OutcomeUnknown | Unavailable:
+        """Keep a job that is not stored from being stored by a late submission."""
+        if not self._lone_cancels.take():
+            reason = "too many cancellations of unknown jobs"
+            return NotRun(reason, RETRY_AFTER_S)
+        result = await self._write_cancel(job_id, [job_row(job_id)], until_s)
+        if isinstance(result, ConditionFailed):
+            # The submission has taken effect in the meantime.
+            return await self.cancel(job_id, until_s)
+        if not isinstance(result, Committed):
+            return result
+        self._uncertain.discard(job_id)
+        return UnknownJob(f"no job {job_id}")
+
+    async def _write_cancel(
+        self, job_id: str, conditions: list[StoredRow], until_s: float
+    ) -> Committed | ConditionFailed | NotRun | OutcomeUnknown:
+        """Write the row of a cancellation, with retries until a time."""
+        tx = Transaction(conditions, [cancel_row(job_id)])
         while True:
             left_s = until_s - self._clock.monotonic()
             result = await self._transact(tx, max(MIN_CANCEL_S, left_s))
-            if isinstance(result, Committed):
-                return status
+            if isinstance(result, Committed | ConditionFailed):
+                return result
             if self._clock.monotonic() >= until_s:
                 return self._failure(result.reason, True)
             log.bind(event="cancel-retry", job=job_id).info(result.reason)
@@ -279,3 +329,10 @@
             self._pending_by_queue = found
             self._pending_read_s = now
         return self._pending_by_queue.get(queue, 0)
+
+
+def _find_earlier(conflict: ConditionFailed, job_id: str) -> None | Refused:
+    """Return why a job is not stored, ``None`` if an earlier attempt has stored it."""
+    if any(row.key == job_id for row in conflict.rows):
+        return None
+    return Refused(f"job {job_id} has been cancelled before it was submitted")
--- a/packages/fulmarleverd/fulmarleverd/scheduling/metrics.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/metrics.py
@@ -51,6 +51,10 @@
     "fulmarlever_waiting_tasks", "Tasks that wait for a worker.", ["kind"]
 )
 JOBS_OPEN = Gauge("fulmarlever_jobs_open", "Accepted jobs that have not ended.")
+LONE_CANCELS = Gauge(
+    "fulmarlever_lone_cancels",
+    "Cancellations of jobs that are not stored, which the owner remembers.",
+)
 WORKERS = Gauge("fulmarlever_workers", "Workers by state.", ["state"])
 EVACUATED_RUNS = Gauge(
     "fulmarlever_evacuated_zone_runs",
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -15,6 +15,7 @@
 
 from fulmarlever.clock import Clock
 from fulmarlever.outcomes import failed
+from fulmarleverd.scheduling.cancellations.lone import LoneCancels
 from fulmarleverd.scheduling.commits import CommitQueue
 from fulmarleverd.scheduling.crashes import CrashTracker
 from fulmarleverd.scheduling.decisions import record, record_run
@@ -25,8 +26,9 @@
 from fulmarleverd.scheduling.lease_ends import LeaseEnds
 from fulmarleverd.scheduling.metrics import FIRST_START_SECONDS, JOBS_OPEN
 from fulmarleverd.scheduling.obstacles import find_constraint_obstacle
+from fulmarleverd.scheduling.ports import StoredRow
 from fulmarleverd.scheduling.progress_rows import StoredProgress, restore_progress
-from fulmarleverd.scheduling.rows import JobRow, UnresponsiveWorker
+from fulmarleverd.scheduling.rows import CANCEL_SUFFIX, JobRow, UnresponsiveWorker
 from fulmarleverd.scheduling.run_times import RunTimes
 from fulmarleverd.scheduling.runs import Run, RunState, WorkerKey
 from fulmarleverd.scheduling.size_classes import SizeClasses
@@ -53,7 +55,8 @@
     """The state of the scheduler during one term of the lease owner.
 
     ``jobs`` are the open jobs by id. ``ended_jobs`` maps the ids of ended jobs to the
-    end's time in seconds on the clock of the leases. ``orphans`` are runs whose worker
+    end's time in seconds on the clock of the leases. ``lone_cancels`` are cancellations
+    of jobs that are not stored. ``orphans`` are runs whose worker
     is not known yet, in the order in which they were found. ``requested_copies`` holds
     the tasks that need a second run, in the order of the requests. ``run_times`` are
     the expected run times of tasks. ``failures`` decides which workers are distrusted
@@ -71,6 +74,7 @@
         self.fleet = Fleet(clock)
         self.jobs: dict[str, Job] = {}
         self.ended_jobs: dict[str, float] = {}
+        self.lone_cancels = LoneCancels()
         # Not a set, whose order would depend on memory addresses: the order decides
         # which of their tasks is started first.
         self.orphans: dict[Run, None] = {}
@@ -110,6 +114,7 @@
         """
         if row.spec.id in self.jobs or row.spec.id in self.ended_jobs:
             return
+        is_cancelled = self.lone_cancels.take(row.spec.id)
         job = Job(row)
         job.progress_parts = progress.parts
         error = restore_progress(job, progress.value) if progress.value else None
@@ -144,6 +149,8 @@
             max_unavailable=job.spec.steps[0].max_unavailable,
         )
         self.changed.set()
+        if is_cancelled:
+            self.cancel_job(job.id)
 
     def open_due_occurrences(self, job: Job) -> None:
         """Create the steps of the occurrences that are due, and forget ended ones."""
@@ -175,6 +182,14 @@
         for job in self.jobs.values():
             yield from job.ready_steps()
 
+    def process_cancellation(self, row: StoredRow) -> None:
+        """Cancel the job of a cancellation's row, at once or once it is known."""
+        job_id = row.key.removesuffix(CANCEL_SUFFIX)
+        if job_id in self.jobs:
+            self.cancel_job(job_id)
+        elif job_id not in self.ended_jobs:
+            self.lone_cancels.add(row, self.now_s())
+
     def cancel_job(self, job_id: str) -> None:
         """Cancel a job and stop its runs."""
         job = self.jobs.get(job_id)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
@@ -12,11 +12,12 @@
 from fulmarleverd.scheduling import plan_pace
 from fulmarleverd.scheduling.admission.publisher import AdmissionPublisher
 from fulmarleverd.scheduling.backlog import Backlog
-from fulmarleverd.scheduling.commits import CommitQueue
-from fulmarleverd.scheduling.contained_calls import (
+from fulmarleverd.scheduling.calls.contained import (
     ContainedAdmissionCalls,
     ContainedWorkerCalls,
 )
+from fulmarleverd.scheduling.cancellations.lone import LoneCancelRemover
+from fulmarleverd.scheduling.commits import CommitQueue
 from fulmarleverd.scheduling.decisions import record
 from fulmarleverd.scheduling.evacuated_zones import EvacuatedZones
 from fulmarleverd.scheduling.evacuation import Evacuation
@@ -111,6 +112,9 @@
         self._backlog = Backlog(
             self.owner, self._planner, self._start_rate, interface.loop_delay
         )
+        self._lone_cancels = LoneCancelRemover(
+            interface.store, self.owner.lone_cancels, clock
+        )
         self._tasks: set[asyncio.Task] = set()
         self._has_jobs = asyncio.Event()
         self._has_workers = asyncio.Event()
@@ -175,6 +179,7 @@
         await self._has_jobs.wait()
         # It publishes the number of waiting jobs, which does not depend on workers.
         self._spawn(self._run_housekeeping())
+        self._spawn(self._lone_cancels.run())
         self._spawn(self._follow_workers())
         await self._has_workers.wait()
         await self._evacuation.prepare()
@@ -259,13 +264,18 @@
             self._has_jobs.set()
 
     def _apply_job_rows(self, batch: Batch, progress: dict[str, bytes]) -> None:
-        rows = [row for row in batch.rows if not row.is_deleted]
-        for row in rows:
-            if not row.key.endswith(CANCEL_SUFFIX):
+        # Cancellations come first, so that no cancelled job is open for a moment.
+        cancels = [row for row in batch.rows if row.key.endswith(CANCEL_SUFFIX)]
+        for row in cancels:
+            if row.is_deleted:
+                self.owner.lone_cancels.forget_removed(row)
+            else:
+                self.owner.process_cancellation(row)
+        if batch.is_snapshot:
+            self.owner.lone_cancels.keep_only({row.key for row in cancels})
+        for row in batch.rows:
+            if not row.is_deleted and not row.key.endswith(CANCEL_SUFFIX):
                 self._add_job(row, progress, not batch.is_snapshot)
-        for row in rows:
-            if row.key.endswith(CANCEL_SUFFIX):
-                self.owner.cancel_job(row.key.removesuffix(CANCEL_SUFFIX))
 
     def _add_job(
         self, row: StoredRow, progress: dict[str, bytes], is_new: bool
