Count a job as begun once a worker says that it has started a run

Cause: the decision to start a run was recorded as its start, and a refusal, a lost answer or a takeover never took it back.

Evidence: in the emulator the row of waiting jobs is written without the queue, and job-ended gives 0.008 s as the age at the first start of a job whose first run began after 8 s; so it is neither a late summary nor a cache.

Change: a job has begun once a worker has accepted or reported a run. The stored state follows with the next change, or after half a second. The time of the last start, the interrupted runs, and the runs in the lines load and step-waits follow the same rule. A speed limit whose call fails is sent again, and counts as unknown after four attempts.

Measured: not_begun_tests failed before in its first row (pending 0 of 6) and passes now (eight ways in which a start comes to nothing, two with the owner killed). 672 tests of the daemon, the emulator and the simulation pass.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
@@ -21,6 +21,7 @@
     progress_row,
 )
 from fulmarleverd.scheduling.runs import Run, RunState
+from fulmarleverd.scheduling.tasks import Job
 
 TICK_S = 0.2
 # The state of an ended job is kept for longer than promised to callers, as their clocks
@@ -29,6 +30,8 @@
 # Remaining runs are stopped this long before their draining worker shuts down.
 DRAIN_MARGIN_S = 1.0
 SUMMARY_PERIOD_S = 0.8
+# Most jobs store another change sooner than this.
+BEGIN_STORED_AFTER_S = 0.5
 INTERFERENCE_PERIOD_S = 4.0
 
 
@@ -59,6 +62,7 @@
         owner = self._owner
         for job in list(owner.jobs.values()):
             owner.open_due_occurrences(job)
+            self._store_begin(job)
         owner.size_classes.update(owner.jobs.values(), owner.now_s())
         for worker in list(owner.fleet):
             self._check_worker(worker)
@@ -69,6 +73,13 @@
         self._remove_old_rows()
         self._count_workers()
 
+    def _store_begin(self, job: Job) -> None:
+        """Store that a job has begun, unless another change has stored it since."""
+        if job.is_begin_stored or not job.has_begun:
+            return
+        if self._owner.now_s() - job.first_start_s >= BEGIN_STORED_AFTER_S:
+            self._owner.commits.stage(job)
+
     def _check_worker(self, worker: Worker) -> None:
         owner = self._owner
         now = owner.now_s()
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -246,12 +246,20 @@
         worker.add(run)
         job = task.step.job
         task.step.refresh(task)
-        self._record_start(job)
         self.commits.stage(job)
         self.commits.after_commit(lambda: self.commands.send_start(run))
         return run
 
-    def _record_start(self, job: Job) -> None:
+    def record_begin(self, run: Run) -> None:
+        """Note that a worker says that it has started a run.
+
+        A decision to start a run is no begin: the worker may refuse it, or never hear
+        of it.
+        """
+        if run.is_known_begun:
+            return
+        run.is_known_begun = True
+        job = run.task.step.job
         job.last_start_s = self.now_s()
         job.first_start_s = job.first_start_s or job.last_start_s
         if not job.has_begun:
@@ -263,7 +271,7 @@
         task = run.task
         if task.runs.pop(run.number, None) is None:
             return
-        if run.state is not RunState.STOPPING:
+        if run.state is not RunState.STOPPING and run.is_known_begun:
             task.step.job.interrupted_runs += 1
         if run.worker is not None:
             run.worker.remove(run)
@@ -280,7 +288,7 @@
             self.drop_run(run, reason)
         elif run.state is not RunState.STOPPING and run.worker is not None:
             run.state = RunState.STOPPING
-            run.task.step.job.interrupted_runs += 1
+            run.task.step.job.interrupted_runs += run.is_known_begun
             # Ignore reports without this run until the worker has accepted the stop.
             run.confirmed_at_s = float("inf")
             record_run("run-stop", run, reason)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/progress_rows.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/progress_rows.py
@@ -37,6 +37,7 @@
     Earlier versions do not decode such a row, and leave the job out.
     """
     value = pack_progress(job)
+    job.is_begin_stored = job.has_begun
     parts: list[bytes] = []
     # A value with ended occurrences is always split: earlier versions would run these
     # again, and leave split ones out.
@@ -108,6 +109,7 @@
         if len(fields) == SPLIT_FIELDS:
             return _restore_end(job, fields)
         state, job.has_begun, job.cause, incarnations, started_tasks, *rest = fields
+        job.is_begin_stored = job.has_begun
         job.is_cancelled = state == JobState.CANCELLED
         job.has_failed = state == JobState.FAILED
         keys = [WorkerKey(*incarnation) for incarnation in incarnations]
--- a/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
@@ -120,6 +120,7 @@
             self._log_unknown_end(worker, ended)
             return
         task = run.task
+        self._owner.record_begin(run)
         worker.remove(run)
         task.runs.pop(run.number, None)
         if ended.checkpoint:
@@ -187,6 +188,7 @@
             run.state = RunState.RUNNING
             run.started_s = run.started_s or self._owner.now_s()
         run.has_begun = True
+        self._owner.record_begin(run)
         run.progress_percent = item.progress_percent
         run.latency_ms_or_cpu_m = item.latency_ms_or_cpu_m
         run.was_limited |= lacks_cores(run)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/runs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/runs.py
@@ -49,7 +49,8 @@
     if it is best-effort, was reported without all its cores.
 
     ``has_begun`` is set once this incarnation of the worker has accepted or reported
-    the run; until then the start may not have reached it.
+    the run; until then the start may not have reached it. ``is_known_begun`` is set
+    once any incarnation has.
 
     ``latency_ms_or_cpu_m`` is the tail latency in milliseconds of a serving task and
     the processor use in thousandths of a core of any other. ``headroom_sample`` is the
@@ -74,6 +75,7 @@
         "accepted_clock_ms",
         "is_isolated",
         "has_begun",
+        "is_known_begun",
         "progress_percent",
         "latency_ms_or_cpu_m",
         "speed_limit_percent",
@@ -101,6 +103,7 @@
         self.accepted_clock_ms = 0
         self.is_isolated = False
         self.has_begun = False
+        self.is_known_begun = False
         self.confirmed_at_s = 0.0
         self.progress_percent = 0.0
         self.latency_ms_or_cpu_m = 0.0
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -228,11 +228,12 @@
     are due and have not ended, by number, ``ended_occurrences`` the numbers of those
     that have. ``next_occurrence`` is the first one that this owner has not yet opened,
     though an earlier owner may have. ``unfinished_steps`` counts the steps
-    of all occurrences that are not done. ``has_begun`` is set by the first run.
-    ``first_start_s`` and ``last_start_s`` are when this owner first and last started a
-    run, 0 for never, and ``final_at_s`` when the job ended, all on the owner's clock;
-    ``cause`` is why it ended. ``interrupted_runs`` counts the runs that this owner
-    stopped or lost.
+    of all occurrences that are not done. ``has_begun`` is set once a worker says that
+    it has started a run, and ``is_begin_stored`` once the stored progress tells so.
+    ``first_start_s`` and ``last_start_s`` are when this owner first and last learned of
+    such a start, 0 for never, and ``final_at_s`` when the job ended, all on the owner's
+    clock; ``cause`` is why it ended. ``interrupted_runs`` counts the runs at work that
+    this owner stopped or lost.
 
     ``size_class`` is the class of the job's size among the jobs of its queue, from 0
     for small, ``is_outcome_counted`` whether its outcome is counted for that class, and
@@ -256,6 +257,7 @@
         "is_cancelled",
         "has_failed",
         "has_begun",
+        "is_begin_stored",
         "first_start_s",
         "last_start_s",
         "interrupted_runs",
@@ -281,6 +283,7 @@
         self.is_cancelled = False
         self.has_failed = False
         self.has_begun = False
+        self.is_begin_stored = False
         self.first_start_s = 0.0
         self.last_start_s = 0.0
         self.interrupted_runs = 0
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
@@ -35,6 +35,7 @@
 from fulmarleverd.scheduling.runs import Run, RunState
 
 MAX_START_ATTEMPTS = 4
+MAX_LIMIT_ATTEMPTS = 4
 RETRY_S = 0.1
 # A worker that rejects a start for lack of capacity or as unhealthy, or that answers
 # none of a run's starts, gets no starts for this long. The last pause is longer, as the
@@ -191,6 +192,7 @@
             worker.record_clock(result.clock_ms, now)
             run.started_s = now
             run.accepted_clock_ms = result.clock_ms if run.has_begun else 0
+            owner.record_begin(run)
             if run.state is RunState.SENT:
                 run.state = RunState.RUNNING
                 run.confirmed_at_s = now
@@ -282,12 +284,20 @@
         self._spawn(self._limit_speed(run, percent))
 
     async def _limit_speed(self, run: Run, percent: int) -> None:
-        worker = run.worker
-        result = await self._calls.set_speed_limit(
-            worker.entry, self._command(run, worker), percent
-        )
-        if not isinstance(result, Accepted):
+        """Send a speed limit until the worker has it or it is no longer wanted."""
+        for _ in range(MAX_LIMIT_ATTEMPTS):
+            worker = run.worker
+            if not run.is_active or run.speed_limit_percent != percent:
+                return
+            result = await self._calls.set_speed_limit(
+                worker.entry, self._command(run, worker), percent
+            )
+            if isinstance(result, Accepted):
+                return
             record_run("pace-not-set", run, result.reason, percent=percent)
+            await asyncio.sleep(RETRY_S)
+        # The next report finds out what the worker does with the run.
+        run.is_speed_limit_known = False
 
 
 def _outcome(result: CommandResult) -> str:
