--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/invariants.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/invariants.py
@@ -208,6 +208,7 @@
     count = sum(other.startswith(siblings) for other, _ in worker.running)
     return (
         worker.state == "ready"
+        and worker.id not in sim.refusing
         and (not step.required_label or step.required_label in worker.labels)
         and (not step.max_per_worker or count < step.max_per_worker)
         and cpu_m + step.cpu_m <= worker.cpu
