--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/store.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/store.py
@@ -159,6 +159,8 @@
                 async with asyncio.timeout_at(until_s):
                     await self._changed.wait()
             except TimeoutError:
+                # A row may have changed at the same moment.
+                rows = self._changes(query["table"], after)
                 break
         if after < self._history_start_version:
             return 410, None
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/simulated_cluster_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/simulated_cluster_tests.py
@@ -24,3 +24,21 @@
                 self.assertIn(b'"born": 3', entry)
 
         self.run_scenario(scenario)
+
+
+class FeedTests(SimulatedClusterTestCase):
+    # Regression: a change at the moment at which a call for changes timed out was left
+    # out of its answer, whose version said that it was in.
+    def test_a_change_at_the_end_of_a_call_is_not_lost(self):
+        async def scenario(cluster: SimulatedCluster) -> None:
+            store = cluster.network.store
+            query = {"table": "t", "after": str(store.version), "waitMs": "1000"}
+            loop = asyncio.get_running_loop()
+            call = asyncio.create_task(store.feed(query))
+            await asyncio.sleep(0.0)
+            loop.call_later(1.0, store.put, "t", "k", b"v")
+            _, answer = await call
+            if answer["ver"] >= store.version:
+                self.assertEqual([row["key"] for row in answer["rows"]], ["k"])
+
+        self.run_scenario(scenario)
