Leave a worker to others after isolated runs in a row

The next run of each was isolated, one after the other, and the worker started one task a second with most of its cores idle.

Evidence: a start each 1.0 s, of tasks with a single crash.

Change: after three isolations in a row a worker is not isolated for a second.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/crashes.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/crashes.py
@@ -44,6 +44,10 @@
 QUIET_S = 0.25
 # ... and its worker gets no other runs for this long.
 ISOLATION_S = 1.0
+# After some isolations in a row a worker is left to other runs for this long: a job
+# with many suspects would keep it from all other jobs.
+MAX_ISOLATIONS_IN_A_ROW = 3
+ISOLATION_PAUSE_S = 1.0
 # Limits the share of the workers that are isolated, as the failure of a rack leaves
 # many suspects.
 MAX_ISOLATED_SHARE = 0.25
@@ -51,13 +55,26 @@
 CRASHES_KEPT_S = 10.0
 
 
+class Isolation:
+    """The isolations of a worker in a row, and when the last one ends.
+
+    ``until_s`` is on the owner's clock.
+    """
+
+    __slots__ = ("until_s", "count")
+
+    def __init__(self, until_s: float, count: int) -> None:
+        self.until_s = until_s
+        self.count = count
+
+
 class CrashTracker:
     """Counts the crashes that tasks are suspected of, and isolates their next runs."""
 
     def __init__(self, owner: Owner) -> None:
         self._owner = owner
-        # When the isolation of each worker ends, on the owner's clock.
-        self._isolated_until_s: list[float] = []
+        # The recent isolations, by the id of the worker.
+        self._isolations: dict[str, Isolation] = {}
         # By the worker's id: the job of the task that was last started there without
         # the isolation that it waited for, and when, on the owner's clock.
         self._unisolated: dict[str, tuple[Job, float]] = {}
@@ -116,8 +133,16 @@
         A worker that was draining has shut down as planned.
         """
         self.record_silence(worker)
+        self._count_crash(worker)
+
+    def record_unproven_crash(self, worker: Worker) -> None:
+        """Count a crash that nothing proves, for the suspects of a silent worker."""
+        self.record_lease_end(worker)
+        self._count_crash(worker)
+
+    def _count_crash(self, worker: Worker) -> None:
         suspects, worker.crash_suspects = worker.crash_suspects, None
-        if worker.entry.is_draining:
+        if suspects is None or worker.entry.is_draining:
             return
         for task in suspects.tasks:
             if _may_be_counted(task):
@@ -183,19 +208,34 @@
     def may_isolate(self) -> bool:
         """Return whether one more worker may be isolated."""
         now = self._owner.now_s()
-        self._isolated_until_s = [end for end in self._isolated_until_s if end > now]
+        self._isolations = {
+            worker_id: isolation
+            for worker_id, isolation in self._isolations.items()
+            if now < isolation.until_s + ISOLATION_PAUSE_S
+        }
         most = max(1.0, MAX_ISOLATED_SHARE * len(self._owner.fleet))
-        return len(self._isolated_until_s) < most
+        return sum(item.until_s > now for item in self._isolations.values()) < most
 
     def recently_started_ids(self, workers: Iterable[Worker]) -> set[str]:
-        """Return the ids of the workers on which an isolated run may not start now."""
+        """Return the ids of the workers on which an isolated run may not start now.
+
+        Ask ``may_isolate`` first, which forgets the isolations that are long over.
+        """
         now = self._owner.now_s()
-        return {worker.id for worker in workers if now - worker.last_start_s < QUIET_S}
+        paused = {
+            worker_id
+            for worker_id, isolation in self._isolations.items()
+            if isolation.count >= MAX_ISOLATIONS_IN_A_ROW
+        }
+        busy = {worker.id for worker in workers if now - worker.last_start_s < QUIET_S}
+        return busy | paused
 
     def isolate(self, run: Run) -> None:
         """Keep other runs from the worker of a suspect's run for a moment."""
         until_s = self._owner.now_s() + ISOLATION_S
-        self._isolated_until_s.append(until_s)
+        earlier = self._isolations.get(run.worker.id)
+        count = earlier.count + 1 if earlier else 1
+        self._isolations[run.worker.id] = Isolation(until_s, count)
         run.is_isolated = True
         run.task.isolation_wanted_s = 0.0
         run.worker.no_starts_until_s = max(run.worker.no_starts_until_s, until_s)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/crashes_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/crashes_tests.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from itertools import pairwise
 
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable
 from fulmarleverd.scheduling.crashes import (
     CRASHES_KEPT_S,
+    ISOLATION_PAUSE_S,
     ISOLATION_S,
     MAX_CRASHES,
     MAX_CRASHES_LATER,
     MAX_ISOLATED_SHARE,
+    MAX_ISOLATIONS_IN_A_ROW,
     MIN_CRASHES_TO_WAIT,
     QUIET_S,
     RECENT_S,
@@ -31,7 +34,7 @@
 from fulmarleverd.scheduling.specs import StepSpec, WorkerEntry
 from fulmarleverd.scheduling.tasks import Job, JobState, Task
 from fulmarleverd.scheduling.worker_commands import WorkerCommands
-from fulmarleverd.tests.scheduling.base import OwnerTestCase
+from fulmarleverd.tests.scheduling.base import QUEUE, OwnerTestCase
 
 SPEC = StepSpec(count=2, cpu_m=1000, estimate_s=1.0)
 LONG_RUNNING = StepSpec(count=2, cpu_m=1000, is_long_running=True)
@@ -375,3 +378,22 @@
         self.assertEqual(self.planner.plan(), 3 * workers)
         accepting = sum(w.accepts_runs(self.clock.now) for w in self.owner.fleet)
         self.assertEqual(accepting, workers - MAX_ISOLATED_SHARE * workers)
+
+    # Regression (LOST): the suspects of one job were isolated one after the other, and
+    # so kept the only worker with their label from all other jobs.
+    def test_the_suspects_of_a_job_leave_a_worker_to_others(self):
+        worker = self.workers[0]
+        worker.entry = replace(worker.entry, labels=("b", "r1"))
+        spec = StepSpec(count=60, cpu_m=100, required_label="b")
+        wide = self.add_job("a", spec)
+        for task in wide.tasks():
+            task.crashes = 1
+        less_urgent = replace(QUEUE, priority=QUEUE.priority + 1)
+        spec = StepSpec(cpu_m=100, required_label="b")
+        other = self.add_job("b", spec, queue=less_urgent)
+        since_s = self.clock.now
+        limit_s = MAX_ISOLATIONS_IN_A_ROW * ISOLATION_S + ISOLATION_PAUSE_S
+        while not other.has_runs and self.clock.now - since_s < 2 * limit_s:
+            self.clock.advance(0.1)
+            self.planner.plan()
+        self.assertLess(self.clock.now - since_s, limit_s)
