Hold what a worker said of itself against entries that lead elsewhere

Four live runs were started elsewhere within a second.

Cause: any entry replaced the worker's address, and the 421 from there counted as proof that the worker had ended.

Evidence: worker-lost now has the address: the stranger's, for entries with or without another service; an entry with another service alone drops no run.

Change: entries of services that neither the configuration nor an open job names are ignored; an incarnation keeps the address at which it has answered; a 421 ends only an incarnation that has answered there, and the runs of others wait until their worker is found or their lease is over. A report without its start time is malformed. Incarnations takes the entries in, so that Owner does not grow.

--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/simulated_cluster.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/simulated_cluster.py
@@ -50,6 +50,7 @@
 )
 PLANS_QUEUE = QueueSpec("plans", "a.example", "/plans/", "desk", 2, 4, 2.0, 1.0)
 SUBMIT_TIMEOUT_S = 2.5
+CONFIG = {"version": 1, "routes": [], "services": [{"name": "desk"}]}
 
 
 class DaemonPlatform:
@@ -110,10 +111,16 @@
         self._task = loop.create_task(self._run())
 
     async def _run(self) -> None:
-        evacuated = self.watcher.evacuated
+        watcher = self.watcher
         while True:
             await self.lease.acquire()
-            self.term = OwnerTerm(self.platform, self.lease, self.clock, evacuated)
+            self.term = OwnerTerm(
+                self.platform,
+                self.lease,
+                self.clock,
+                watcher.evacuated,
+                lambda: watcher.config,
+            )
             await self.term.run()
 
     async def submit(
@@ -152,6 +159,7 @@
         self.bounds = bounds or Bounds()
         self.cores = 1.0
         self.network = Network()
+        self.network.store.put_json(OPERATOR_TABLE, CONFIG_KEY, CONFIG)
         self.daemons: dict[str, Daemon] = {}
         self.record = RunRecord()
 
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/apart_faults.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/apart_faults.py
@@ -26,9 +26,11 @@
         "cancelled while uncertain",
         "starts refused",
         "entries unreadable",
+        "entries misdirected",
     }
 )
 ZONES = ("x", "y", "z")
+HEARTBEAT_S = 1.1
 EVACUATION = "zone evacuated"
 # What no encoding can express, and texts that can be stored but not sent as they are.
 HALF_PAIR = "\udc9a"
@@ -115,3 +117,26 @@
         await asyncio.sleep(rng.choice((0.1, 1.1)))
         if key == worker.id and sim.is_running(worker):
             sim.cluster.network.add_worker(worker)
+
+
+@APART_FAULTS.register("entries misdirected")
+async def write_wrong_addresses(sim: Simulation, rng: Random) -> None:
+    """Write entries under workers' ids that lead elsewhere, or to another service.
+
+    They stand until the workers' next heartbeats.
+    """
+    await sim.calm.wait(SETTLED_AFTER_S)
+    for _ in range(rng.randint(1, 3)):
+        workers = rng.sample(sim.workers(), rng.randint(1, len(sim.workers())))
+        address = rng.choice((rng.choice(workers).address, "nobody:1"))
+        fields = {"address": address, "service": "mail-desk"}
+        kept = rng.choice((("address",), ("service",), ("address", "service")))
+        wrong = {name: fields[name] for name in kept}
+        for worker in workers:
+            entry = {**worker.entry(), **wrong}
+            sim.cluster.network.store.put_json("servers", worker.id, entry)
+        await asyncio.sleep(HEARTBEAT_S)
+        for worker in workers:
+            if sim.is_running(worker):
+                sim.cluster.network.add_worker(worker)
+        await asyncio.sleep(HEARTBEAT_S)
--- a/packages/fulmarleverd/fulmarleverd/platform/workers.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/workers.py
@@ -156,7 +156,7 @@
     return WorkerReport(
         require_count(body["clockMs"]),
         # The Unix time at which this incarnation of the worker started identifies it.
-        str(require_count(body["born"])) if "born" in body else "",
+        str(require_count(body["born"])),
         tuple(_running(row) for row in body.get("running") or ()),
         ended,
         has_more_ends=len(ended) >= MAX_ENDS_PER_REPORT,
--- a/packages/fulmarleverd/fulmarleverd/scheduling/config_watcher.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/config_watcher.py
@@ -12,9 +12,8 @@
 from fulmarleverd.scheduling.evacuated_zones import EvacuatedZones
 from fulmarleverd.scheduling.feeds import Batch, follow
 from fulmarleverd.scheduling.ports import Interface, StoredRow
-from fulmarleverd.scheduling.specs import SchedulingConfig
+from fulmarleverd.scheduling.specs import NO_CONFIG
 
-NO_CONFIG = SchedulingConfig(version=-1)
 # Once the store has not answered for this long, a newer configuration may be in force.
 MAX_CONFIG_AGE_S = 2.2
 # Lower, so that new callers go elsewhere before their requests would be refused.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/incarnations.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/incarnations.py
@@ -1,7 +1,8 @@
-"""Which incarnation of a worker holds its runs, while several are known under one id.
+"""Which incarnation of a worker holds its runs, and which entries describe it.
 
-An entry in the list of workers may come from another writer, so an incarnation replaces
-others only once it has answered.
+An entry in the list of workers may come from another writer. So an incarnation replaces
+others only once it has answered, keeps the address at which it did, and has ended only
+if something else answers there.
 """
 
 from __future__ import annotations
@@ -12,17 +13,85 @@
 from fulmarleverd.scheduling.decisions import record, record_run
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.runs import Run, RunState, WorkerKey
+from fulmarleverd.scheduling.specs import WorkerEntry
 
 if TYPE_CHECKING:
     from fulmarleverd.scheduling.owner import Owner
 
 
 class Incarnations:
-    """Moves runs between the incarnations of a worker, and to those that appear."""
+    """Takes entries in, and moves runs between the incarnations of a worker."""
 
     def __init__(self, owner: Owner) -> None:
         self._owner = owner
 
+    def process_entry(self, entry: WorkerEntry) -> None:
+        """Add or update a worker by an entry in the list, if it may be the worker's."""
+        known = self._owner.fleet.find(WorkerKey(entry.id, entry.incarnation))
+        reason = self._find_contradiction(entry, known)
+        if reason:
+            record(
+                "worker-entry-ignored",
+                reason,
+                key=entry.id,
+                service=entry.service,
+                address=entry.address,
+            )
+            return
+        self._owner.add_worker(entry)
+
+    def _find_contradiction(self, entry: WorkerEntry, known: Worker | None) -> str:
+        """Return why an entry cannot be the worker's own, or an empty string.
+
+        An incarnation that answers keeps its address. Once it does not answer any more
+        and has no runs, nothing depends on that.
+        """
+        is_kept = known is not None and (known.is_reachable or known.runs)
+        if is_kept and known.first_answer_s and known.entry.address != entry.address:
+            return "the worker answers at another address"
+        is_same = known is not None and known.entry.service == entry.service
+        if not is_same and not self._is_named(entry.service):
+            return "the configuration names no such service"
+        return ""
+
+    def _is_named(self, service: str) -> bool:
+        """Return whether the configuration, or an open job, names a service."""
+        cfg = self._owner.find_config()
+        jobs = self._owner.jobs.values()
+        return (
+            cfg.version < 0
+            or cfg.names_service(service)
+            or any(job.queue.service == service for job in jobs)
+        )
+
+    def process_mismatch(self, worker: Worker, reason: str) -> None:
+        """Note that at a worker's address another worker or incarnation answers.
+
+        It has certainly ended only if it has answered there itself. Otherwise the
+        address may be that of an entry by another writer, and its runs may go on
+        elsewhere until their lease is over.
+        """
+        owner = self._owner
+        if worker.first_answer_s:
+            owner.replace_worker(worker, reason)
+            return
+        record(
+            "worker-misdirected",
+            reason,
+            worker=worker.id,
+            runs=len(worker.runs),
+            address=worker.entry.address,
+        )
+        owner.crashes.record_silence(worker)
+        for run in list(worker.runs.values()):
+            worker.remove(run)
+            run.worker = None
+            # It is stopped anew if its worker appears and its job has ended.
+            run.state = RunState.RUNNING
+            owner.orphans[run] = None
+        owner.fleet.remove(worker)
+        owner.crashes.record_unproven_crash(worker)
+
     def remove_unanswered(self, worker: Worker) -> None:
         """Remove the other incarnations that have neither answered nor have a run."""
         for other in self._owner.fleet.incarnations_of(worker.id):
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -32,7 +32,12 @@
 from fulmarleverd.scheduling.run_times import RunTimes
 from fulmarleverd.scheduling.runs import Run, RunState, WorkerKey
 from fulmarleverd.scheduling.size_classes import SizeClasses
-from fulmarleverd.scheduling.specs import Bounds, WorkerEntry
+from fulmarleverd.scheduling.specs import (
+    NO_CONFIG,
+    Bounds,
+    SchedulingConfig,
+    WorkerEntry,
+)
 from fulmarleverd.scheduling.tasks import Job, Step, Task
 
 if TYPE_CHECKING:
@@ -61,7 +66,8 @@
     the tasks that need a second run, in the order of the requests. ``run_times`` are
     the expected run times of tasks. ``failures`` decides which workers are distrusted
     for failed runs. ``changed`` is set when the planner has to run again, and
-    ``on_worker_added`` is called with each new incarnation of a worker.
+    ``on_worker_added`` is called with each new incarnation of a worker. ``find_config``
+    returns the operator's configuration.
     """
 
     def __init__(
@@ -84,6 +90,7 @@
         self.commands: WorkerCommands | None = None
         self.changed = asyncio.Event()
         self.on_worker_added: Callable[[Worker], None] = lambda worker: None
+        self.find_config: Callable[[], SchedulingConfig] = lambda: NO_CONFIG
         self.lease_ends = LeaseEnds(lease, clock, bounds)
         self.crashes = CrashTracker(self)
         self.failures = FailureTracker()
@@ -346,6 +353,7 @@
                 worker=worker.id,
                 life=entry.incarnation,
                 zone=entry.zone,
+                address=entry.address,
             )
         self.changed.set()
         return worker
@@ -391,7 +399,13 @@
 
     def discard_worker(self, worker: Worker, reason: str) -> None:
         """Remove an incarnation of a worker that certainly runs no tasks any more."""
-        record("worker-lost", reason, worker=worker.id, runs=len(worker.runs))
+        record(
+            "worker-lost",
+            reason,
+            worker=worker.id,
+            runs=len(worker.runs),
+            address=worker.entry.address,
+        )
         for run in list(worker.runs.values()):
             self.drop_run(run, "its worker has ended: " + reason)
         self.fleet.remove(worker)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 
 from loguru import logger as log
 
@@ -47,6 +47,7 @@
     unpack_run_times,
 )
 from fulmarleverd.scheduling.run_times_publisher import RunTimesPublisher
+from fulmarleverd.scheduling.specs import NO_CONFIG, SchedulingConfig
 from fulmarleverd.scheduling.start_rate import StartRate
 from fulmarleverd.scheduling.tickets import TicketRequester
 from fulmarleverd.scheduling.worker_commands import WorkerCommands
@@ -70,6 +71,7 @@
         lease: SchedulerLease,
         clock: Clock,
         evacuated: EvacuatedZones,
+        find_config: Callable[[], SchedulingConfig] = lambda: NO_CONFIG,
     ) -> None:
         self._interface = interface
         self._clock = clock
@@ -79,6 +81,7 @@
             interface.store, lease, settings.link_mbps, settings.row_bytes
         )
         self.owner = Owner(lease, commits, clock, interface.settings.bounds)
+        self.owner.find_config = find_config
         lease.unresponsive_workers = self.owner.unresponsive_workers
         self.owner.run_times.applies_learned = settings.has_learned_run_times
         self._start_rate = StartRate(
@@ -252,7 +255,7 @@
             if failed(entry):
                 record("worker-entry-ignored", entry.reason, key=row.key)
                 continue
-            self.owner.add_worker(entry)
+            self.owner.incarnations.process_entry(entry)
         if batch.is_snapshot:
             for worker in list(self.owner.fleet):
                 if worker.id not in listed:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
@@ -187,11 +187,20 @@
         """Return the queue of a name, if there is one."""
         return next((queue for queue in self.queues if queue.name == name), None)
 
+    def names_service(self, name: str) -> bool:
+        """Return whether a service of that name is declared or runs a queue's tasks."""
+        is_used = any(queue.service == name for queue in self.queues)
+        return is_used or self.service_named(name) is not None
+
     def service_named(self, name: str) -> ServiceSpec | None:
         """Return the service of a name, if there is one."""
         return next((item for item in self.services if item.name == name), None)
 
 
+# Before the first configuration is known.
+NO_CONFIG = SchedulingConfig(version=-1)
+
+
 @dataclass(slots=True, frozen=True)
 class WorkerEntry:
     """A worker as the platform lists it.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
@@ -162,7 +162,7 @@
         if not isinstance(report, Rejected):
             owner.mark_unreachable(worker, report.reason)
         elif report.reason == REJECT_INCARNATION:
-            owner.replace_worker(worker, report.reason)
+            owner.incarnations.process_mismatch(worker, report.reason)
         return False
 
     async def _may_start(self, run: Run) -> bool:
@@ -213,7 +213,7 @@
         if result.reason == REJECT_LEASE_OVER:
             return False
         if result.reason == REJECT_INCARNATION:
-            owner.replace_worker(worker, result.reason)
+            owner.incarnations.process_mismatch(worker, result.reason)
         elif result.reason == REJECT_RUN:
             # The run has already started and ended there, as the next report shows.
             run.state = RunState.RUNNING
@@ -263,13 +263,16 @@
                 await asyncio.sleep(LEASE_POLL_S)
                 continue
             worker = run.worker
+            if worker is None:
+                # Sent by whoever finds its worker again.
+                return
             result = await self._calls.stop(worker.entry, self._command(run, worker))
             if isinstance(result, Accepted):
                 run.confirmed_at_s = self._owner.now_s()
                 return
             record_run("run-stop-unanswered", run, result.reason)
             if isinstance(result, Rejected) and result.reason == REJECT_INCARNATION:
-                self._owner.replace_worker(worker, result.reason)
+                self._owner.incarnations.process_mismatch(worker, result.reason)
                 return
             await asyncio.sleep(RETRY_S)
 
@@ -287,7 +290,8 @@
         """Send a speed limit until the worker has it or it is no longer wanted."""
         for _ in range(MAX_LIMIT_ATTEMPTS):
             worker = run.worker
-            if not run.is_active or run.speed_limit_percent != percent:
+            is_wanted = run.is_active and run.speed_limit_percent == percent
+            if not is_wanted or worker is None:
                 return
             result = await self._calls.set_speed_limit(
                 worker.entry, self._command(run, worker), percent
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
@@ -165,7 +165,7 @@
     async def _process_failure(self, failure: object) -> None:
         worker = self._worker
         if isinstance(failure, Rejected) and failure.reason == REJECT_INCARNATION:
-            self._owner.replace_worker(worker, failure.reason)
+            self._owner.incarnations.process_mismatch(worker, failure.reason)
             return
         self._failures += 1
         self._owner.mark_unreachable(worker, failure.reason)
--- a/packages/fulmarleverd/fulmarleverd/services/scheduler.py
+++ b/packages/fulmarleverd/fulmarleverd/services/scheduler.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from fulmarleverd.kernel import SERVICES, Kernel, Service
-from fulmarleverd.scheduling.evacuated_zones import EvacuatedZones
+from fulmarleverd.scheduling.config_watcher import ConfigWatcher
 from fulmarleverd.scheduling.lease import SchedulerLease
 from fulmarleverd.scheduling.owner_term import OwnerTerm
 from fulmarleverd.scheduling.ports import Interface
@@ -25,13 +25,20 @@
         self.lease = SchedulerLease(
             interface.store, self.clock, self.settings.vm, self.settings.cores
         )
-        evacuated = self.kernel.find("queues").config_watcher.evacuated
-        self.spawn(self._compete(interface, evacuated), "scheduler")
+        watcher = self.kernel.find("queues").config_watcher
+        self.spawn(self._compete(interface, watcher), "scheduler")
 
-    async def _compete(self, interface: Interface, evacuated: EvacuatedZones) -> None:
+    async def _compete(self, interface: Interface, watcher: ConfigWatcher) -> None:
         while True:
             await self.lease.acquire()
-            await OwnerTerm(interface, self.lease, self.clock, evacuated).run()
+            term = OwnerTerm(
+                interface,
+                self.lease,
+                self.clock,
+                watcher.evacuated,
+                lambda: watcher.config,
+            )
+            await term.run()
 
     async def drain(self) -> None:
         """Stop scheduling and release the lease for another daemon."""
