Hold a worker that answers to the service, zone, capacity and labels it stated

An entry by another writer that is right but for one of these was believed at once, so that for a heartbeat runs could start on a worker without the label or the room for them. An entry that says otherwise of a worker that answers is now believed only once it has stood for 3 s without the worker's own one, so that a wrong first entry does not keep a worker out of use.

The test of a service that is named later wrote the worker's first entry for another service; it writes the one it means now.

--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/misdirected_entries_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/misdirected_entries_tests.py
@@ -116,7 +116,8 @@
             cluster.add_daemons("vm-1")
             cluster.add_workers(1)
             owner = await cluster.wait_for_owner()
-            late = cluster.add_worker("late")
+            late = WorkerCore("late", "late:1", "z")
+            cluster.network.workers[late.address] = late
             store = cluster.network.store
             store.put_json("servers", late.id, {**late.entry(), "service": "mail-desk"})
             await asyncio.sleep(HEARTBEAT_S)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
@@ -44,6 +44,19 @@
         return len(self.tasks) + len(self.unproven_tasks)
 
 
+class DisputedEntry:
+    """What an entry says otherwise than earlier ones, and since when.
+
+    ``since_s`` is on the owner's clock.
+    """
+
+    __slots__ = ("traits", "since_s")
+
+    def __init__(self, traits: tuple, since_s: float) -> None:
+        self.traits = traits
+        self.since_s = since_s
+
+
 class Worker:
     """One incarnation of a worker.
 
@@ -74,6 +87,7 @@
     was last given a run, ``crash_suspects`` are the tasks that may have crashed it,
     while it is silent. A draining worker stops at ``drain_until_s``. ``is_evacuated``
     tells whether the operator has evacuated the worker's zone: it gets no new runs.
+    ``disputed`` is what the last entry said otherwise, if it was not believed.
 
     Speed: ``relative_speed`` is the speed of the worker's runs divided by the usual
     speed of their steps; ``is_slow`` is set while it is low, and until ``slow_until_s``
@@ -119,6 +133,7 @@
         "reserved_for",
         "examined_at_s",
         "is_evacuated",
+        "disputed",
     )
 
     def __init__(self, entry: WorkerEntry) -> None:
@@ -156,6 +171,7 @@
         self.reserved_for: Step | None = None
         self.examined_at_s = 0.0
         self.is_evacuated = False
+        self.disputed: DisputedEntry | None = None
 
     @property
     def id(self) -> str:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/incarnations.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/incarnations.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from fulmarleverd.scheduling.decisions import record, record_run
-from fulmarleverd.scheduling.fleet import Worker
+from fulmarleverd.scheduling.fleet import DisputedEntry, Worker
 from fulmarleverd.scheduling.runs import Run, RunState, WorkerKey
 from fulmarleverd.scheduling.specs import WorkerEntry
 
@@ -19,6 +19,10 @@
     from fulmarleverd.scheduling.owner import Owner
 
 
+# Longer than a worker takes to write its entry anew.
+DISPUTED_S = 3.0
+
+
 class Incarnations:
     """Takes entries in, and moves runs between the incarnations of a worker."""
 
@@ -47,13 +51,30 @@
         and has no runs, nothing depends on that.
         """
         is_kept = known is not None and (known.is_reachable or known.runs)
-        if is_kept and known.first_answer_s and known.entry.address != entry.address:
-            return "the worker answers at another address"
+        if is_kept and known.first_answer_s:
+            if known.entry.address != entry.address:
+                return "the worker answers at another address"
+            if self._is_disputed(entry, known):
+                return "the worker said something else of itself"
         is_same = known is not None and known.entry.service == entry.service
         if not is_same and not self._is_named(entry.service):
             return "the configuration names no such service"
         return ""
 
+    def _is_disputed(self, entry: WorkerEntry, known: Worker) -> bool:
+        """Return whether an entry says otherwise what does not change in a lifetime.
+
+        If nobody contradicts it for a while, the earlier entry was the wrong one.
+        """
+        now = self._owner.now_s()
+        traits = entry.lasting_traits
+        if traits == known.entry.lasting_traits:
+            known.disputed = None
+            return False
+        if known.disputed is None or known.disputed.traits != traits:
+            known.disputed = DisputedEntry(traits, now)
+        return now - known.disputed.since_s < DISPUTED_S
+
     def _is_named(self, service: str) -> bool:
         """Return whether the configuration, or an open job, names a service."""
         cfg = self._owner.find_config()
--- a/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
@@ -226,6 +226,12 @@
     remaining_s: float = 0.0
     cold_left_s: float = 0.0
 
+    @property
+    def lasting_traits(self) -> tuple:
+        """Return the fields that stay the same as long as the incarnation lives."""
+        capacity = (self.cpu_m, self.memory_mb, self.gpus)
+        return (self.service, self.zone, *capacity, self.labels)
+
 
 @dataclass(slots=True, frozen=True)
 class Bounds:
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/next_incarnation_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/next_incarnation_tests.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
+from fulmarleverd.scheduling.incarnations import DISPUTED_S
 from fulmarleverd.scheduling.runs import RunState, WorkerKey
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
@@ -86,3 +89,43 @@
         self.assertFalse(next_incarnation.accepts_runs(self.clock.now))
         self.add_worker("w1", incarnation="2")
         self.assertTrue(next_incarnation.accepts_runs(self.clock.now))
+
+
+class DisputedEntriesTests(OwnerTestCase):
+    # What an entry says otherwise, and whether the worker is held to what it said.
+    ROWS = (
+        ("address", {"address": "other:1"}, True),
+        ("service", {"service": "mail-desk"}, True),
+        ("zone", {"zone": "y"}, True),
+        ("cores", {"cpu_m": 320_000}, True),
+        ("labels", {"labels": ("b", "r2")}, True),
+        ("state", {"is_draining": True}, False),
+        ("warm-up", {"cold_left_s": 3.0}, False),
+    )
+
+    # Guards against runs that another writer's entry sends to a worker without the
+    # label or the room for them (ROUTE, LIMIT).
+    def test_a_worker_that_answers_is_held_to_what_it_said(self):
+        for name, fields, is_held in self.each(self.ROWS):
+            worker = self.add_worker(name)
+            self.report(worker)
+            own = worker.entry
+            other = replace(own, **fields)
+            for _ in range(5):
+                self.owner.incarnations.process_entry(other)
+                self.assertEqual(worker.entry, own if is_held else other)
+                self.clock.advance(1.0)
+                self.owner.incarnations.process_entry(own)
+                self.clock.advance(0.1)
+
+    # Guards against a worker that another writer's first entry keeps out of use.
+    def test_an_entry_that_nobody_contradicts_is_believed(self):
+        for name, fields, _ in self.each(self.ROWS[1:5]):
+            worker = self.add_worker(name)
+            self.report(worker)
+            other = replace(worker.entry, **fields)
+            self.owner.incarnations.process_entry(other)
+            self.assertNotEqual(worker.entry, other)
+            self.clock.advance(DISPUTED_S)
+            self.owner.incarnations.process_entry(other)
+            self.assertEqual(worker.entry, other)
