Take the import circle of scheduling/ apart

Cause: rows imported runs for WorkerKey, and runs imported interference, for type checkers, for HeadroomSample.

Change: WorkerKey is in specs, beside WorkerEntry, and HeadroomSample in runs, beside the Run that holds it. Nothing else moves and no behaviour changes.

Measured, with imports for type checkers: circles of 3 (fleet, runs, tasks) and 4 modules (crashes, incarnations, owner, worker_commands) remain; 274 tests of scheduling pass.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/incarnations.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/incarnations.py
@@ -12,8 +12,8 @@
 
 from fulmarleverd.scheduling.decisions import record, record_run
 from fulmarleverd.scheduling.fleet import DisputedEntry, Worker
-from fulmarleverd.scheduling.runs import Run, RunState, WorkerKey
-from fulmarleverd.scheduling.specs import WorkerEntry
+from fulmarleverd.scheduling.runs import Run, RunState
+from fulmarleverd.scheduling.specs import WorkerEntry, WorkerKey
 
 if TYPE_CHECKING:
     from fulmarleverd.scheduling.owner import Owner
--- a/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
@@ -12,7 +12,7 @@
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.interference_model import InterferenceModel, sum_loads
 from fulmarleverd.scheduling.owner import Owner
-from fulmarleverd.scheduling.runs import Run, RunState
+from fulmarleverd.scheduling.runs import HeadroomSample, Run, RunState
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.scheduling.target_log import log_target_crossing
 
@@ -250,29 +250,6 @@
     return lowest
 
 
-class HeadroomSample:
-    """The headroom of a serving run as of one report.
-
-    ``at_s`` is on the owner's clock; ``loads`` are the cores that best-effort images
-    use beside the run, as shares of the worker. ``trend`` is the smoothed change of the
-    headroom per second that the model does not ascribe to best-effort tasks.
-    """
-
-    __slots__ = ("at_s", "headroom", "loads", "trend")
-
-    def __init__(
-        self,
-        at_s: float,
-        headroom: float,
-        loads: dict[str, float],
-        earlier: HeadroomSample | None,
-    ) -> None:
-        self.at_s = at_s
-        self.headroom = headroom
-        self.loads = loads
-        self.trend = earlier.trend if earlier else 0.0
-
-
 def headroom_of(run: Run) -> float:
     """Return a serving run's latency target divided by its tail latency.
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/lease.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/lease.py
@@ -40,7 +40,7 @@
     pack_lease,
     unpack_lease,
 )
-from fulmarleverd.scheduling.runs import WorkerKey
+from fulmarleverd.scheduling.specs import WorkerKey
 
 LEASE_S = 1.8
 RENEW_PERIOD_S = 0.5
--- a/packages/fulmarleverd/fulmarleverd/scheduling/lease_ends.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/lease_ends.py
@@ -8,8 +8,8 @@
 from fulmarleverd.scheduling.fleet import MIN_CLOCK_RATE, Fleet, Worker
 from fulmarleverd.scheduling.lease import SchedulerLease
 from fulmarleverd.scheduling.rows import UnresponsiveWorker
-from fulmarleverd.scheduling.runs import Run, WorkerKey
-from fulmarleverd.scheduling.specs import Bounds
+from fulmarleverd.scheduling.runs import Run
+from fulmarleverd.scheduling.specs import Bounds, WorkerKey
 
 # Added to the length of a lease, for delays of timers and for rounding.
 LEASE_MARGIN_S = 0.3
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -30,13 +30,14 @@
 from fulmarleverd.scheduling.progress_rows import StoredProgress, restore_progress
 from fulmarleverd.scheduling.rows import CANCEL_SUFFIX, JobRow, UnresponsiveWorker
 from fulmarleverd.scheduling.run_times import RunTimes
-from fulmarleverd.scheduling.runs import Run, RunState, WorkerKey
+from fulmarleverd.scheduling.runs import Run, RunState
 from fulmarleverd.scheduling.size_classes import SizeClasses
 from fulmarleverd.scheduling.specs import (
     NO_CONFIG,
     Bounds,
     SchedulingConfig,
     WorkerEntry,
+    WorkerKey,
 )
 from fulmarleverd.scheduling.tasks import Job, Step, Task
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/progress_rows.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/progress_rows.py
@@ -21,7 +21,8 @@
     progress_row,
     unpack,
 )
-from fulmarleverd.scheduling.runs import Run, WorkerKey
+from fulmarleverd.scheduling.runs import Run
+from fulmarleverd.scheduling.specs import WorkerKey
 from fulmarleverd.scheduling.tasks import FINAL_STATES, Job, JobState, Step, Task
 
 # The number of fields in the progress row of a value that is split.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/rows.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/rows.py
@@ -11,10 +11,10 @@
 
 from fulmarlever.outcomes import Failure
 from fulmarleverd.scheduling.ports import StoredRow
-from fulmarleverd.scheduling.runs import WorkerKey
 from fulmarleverd.scheduling.specs import (
     JobSpec,
     QueueSpec,
+    WorkerKey,
     pack_fields,
     unpack_step,
 )
--- a/packages/fulmarleverd/fulmarleverd/scheduling/runs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/runs.py
@@ -1,13 +1,14 @@
-"""The state of one run of a task, and the key of the worker that it is on."""
+"""The state of one run of a task."""
 
 from __future__ import annotations
 
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
+from fulmarleverd.scheduling.specs import WorkerKey
+
 if TYPE_CHECKING:
     from fulmarleverd.scheduling.fleet import Worker
-    from fulmarleverd.scheduling.interference import HeadroomSample
     from fulmarleverd.scheduling.tasks import Task
 
 
@@ -29,6 +30,29 @@
     STOPPING = "stopping"
 
 
+class HeadroomSample:
+    """The headroom of a serving run as of one report.
+
+    ``at_s`` is on the owner's clock; ``loads`` are the cores that best-effort images
+    use beside the run, as shares of the worker. ``trend`` is the smoothed change of the
+    headroom per second that the model does not ascribe to best-effort tasks.
+    """
+
+    __slots__ = ("at_s", "headroom", "loads", "trend")
+
+    def __init__(
+        self,
+        at_s: float,
+        headroom: float,
+        loads: dict[str, float],
+        earlier: HeadroomSample | None,
+    ) -> None:
+        self.at_s = at_s
+        self.headroom = headroom
+        self.loads = loads
+        self.trend = earlier.trend if earlier else 0.0
+
+
 class Run:
     """One run of a task on one incarnation of a worker.
 
@@ -139,26 +163,3 @@
 
     def __repr__(self) -> str:
         return f"Run({self.task.name}, {self.number}, {self.state})"
-
-
-class WorkerKey:
-    """The id and the incarnation that identify a worker; hashable."""
-
-    __slots__ = ("id", "incarnation")
-
-    def __init__(self, id: str, incarnation: str) -> None:
-        self.id = id
-        self.incarnation = incarnation
-
-    def __eq__(self, other: object) -> bool:
-        return (
-            isinstance(other, WorkerKey)
-            and self.id == other.id
-            and self.incarnation == other.incarnation
-        )
-
-    def __hash__(self) -> int:
-        return hash((self.id, self.incarnation))
-
-    def __repr__(self) -> str:
-        return f"{self.id}/{self.incarnation}"
--- a/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/specs.py
@@ -201,6 +201,29 @@
 NO_CONFIG = SchedulingConfig(version=-1)
 
 
+class WorkerKey:
+    """The id and the incarnation that identify a worker; hashable."""
+
+    __slots__ = ("id", "incarnation")
+
+    def __init__(self, id: str, incarnation: str) -> None:
+        self.id = id
+        self.incarnation = incarnation
+
+    def __eq__(self, other: object) -> bool:
+        return (
+            isinstance(other, WorkerKey)
+            and self.id == other.id
+            and self.incarnation == other.incarnation
+        )
+
+    def __hash__(self) -> int:
+        return hash((self.id, self.incarnation))
+
+    def __repr__(self) -> str:
+        return f"{self.id}/{self.incarnation}"
+
+
 @dataclass(slots=True, frozen=True)
 class WorkerEntry:
     """A worker as the platform lists it.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
@@ -8,8 +8,8 @@
 
 from fulmarleverd.scheduling.number_ranges import NumberRanges
 from fulmarleverd.scheduling.rows import JobRow
-from fulmarleverd.scheduling.runs import Run, RunState, WorkerKey
-from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.scheduling.runs import Run, RunState
+from fulmarleverd.scheduling.specs import StepSpec, WorkerKey
 
 if TYPE_CHECKING:
     from fulmarleverd.scheduling.run_times.step_samples import StepSamples
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/lease_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/lease_tests.py
@@ -23,7 +23,7 @@
     pack_lease,
     unpack_lease,
 )
-from fulmarleverd.scheduling.runs import WorkerKey
+from fulmarleverd.scheduling.specs import WorkerKey
 
 UNRESPONSIVE = UnresponsiveWorker(WorkerKey("w1", "1"), 5.0)
 OTHER = WorkerKey("w2", "1")
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/progress_rows_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/progress_rows_tests.py
@@ -15,8 +15,7 @@
     unpack_state,
 )
 from fulmarleverd.scheduling.rows import ZLIB_MARK, JobRow, pack
-from fulmarleverd.scheduling.runs import WorkerKey
-from fulmarleverd.scheduling.specs import JobSpec, StepSpec
+from fulmarleverd.scheduling.specs import JobSpec, StepSpec, WorkerKey
 from fulmarleverd.scheduling.tasks import Job, JobState, Task
 from fulmarleverd.tests.scheduling.base import QUEUE, OwnerTestCase
 
