Take the import circle of the simulation apart

Cause: faults, invariants and the new watches need the state of a play, which stood in the runner, which plays them: a circle of 4 modules, 6 with the new ones.

Change: simulation.py holds the state of a play and what can be done with it, runner.py plays a plan and checks it, watches.py checks calm parts. No circle is left, also for type checkers, and no behaviour changes.

--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/apart_faults.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/apart_faults.py
@@ -8,14 +8,11 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 from random import Random
-from typing import TYPE_CHECKING
 
 from fulmarlever.registry import Registry
 from fulmarlever_standins.simulation.calm import SETTLED_AFTER_S
 from fulmarlever_standins.simulation.plan_parts import MAX_SEED, PlannedJob
-
-if TYPE_CHECKING:
-    from fulmarlever_standins.simulation.runner import Simulation
+from fulmarlever_standins.simulation.simulation import ZONES, Simulation
 
 ApartFault = Callable[["Simulation", Random], Coroutine]
 APART_FAULTS: Registry[ApartFault] = Registry("fault drawn apart")
@@ -29,7 +26,6 @@
         "entries misdirected",
     }
 )
-ZONES = ("x", "y", "z")
 HEARTBEAT_S = 1.1
 EVACUATION = "zone evacuated"
 # What no encoding can express, and texts that can be stored but not sent as they are.
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/faults.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/faults.py
@@ -4,18 +4,14 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from typing import TYPE_CHECKING
 
 from fulmarlever.registry import Registry
 from fulmarlever_standins.authority.network import STORE_ADDRESS
-
-if TYPE_CHECKING:
-    from fulmarlever_standins.simulation.runner import Simulation
+from fulmarlever_standins.simulation.simulation import RESTART_S, Simulation
 
 Fault = Callable[["Simulation"], Coroutine]
 FAULTS: Registry[Fault] = Registry("fault")
 
-RESTART_S = 2.0
 DRAIN_S = 4.0
 HEARTBEAT_S = 1.1
 
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/invariants.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/invariants.py
@@ -8,17 +8,14 @@
 
 import asyncio
 from collections.abc import Callable, Iterable, Iterator
-from typing import TYPE_CHECKING
 
 from fulmarlever.registry import Registry
 from fulmarlever_standins.authority.virtual_time import START_UNIX_TIME_S
 from fulmarlever_standins.authority.worker import RunKey, WorkerCore
 from fulmarlever_standins.simulation.observed import CallerJob
+from fulmarlever_standins.simulation.simulation import Simulation
 from fulmarleverd.scheduling.specs import StepSpec
 
-if TYPE_CHECKING:
-    from fulmarlever_standins.simulation.runner import Simulation
-
 StartCheck = Callable[["Simulation", WorkerCore, RunKey], Iterator[str]]
 EndCheck = Callable[["Simulation", CallerJob, str], Iterator[str]]
 START_CHECKS: Registry[StartCheck] = Registry("check of a start")
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/runner.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/runner.py
@@ -5,42 +5,28 @@
 import asyncio
 import random
 from collections import Counter
-from contextlib import suppress
 from hashlib import sha256
 from itertools import product
 from random import Random
 
-from fulmarlever.outcomes import NotRun, Refused, failed
-from fulmarlever_standins.authority.evacuations import (
-    EvacuationObserver,
-    is_store_disturbed,
-)
-from fulmarlever_standins.authority.simulated_cluster import Daemon, SimulatedCluster
+from fulmarlever_standins.authority.evacuations import is_store_disturbed
 from fulmarlever_standins.authority.virtual_time import run_virtual
 from fulmarlever_standins.authority.worker import RunKey, WorkerCore
-from fulmarlever_standins.simulation.apart_faults import (
-    APART_FAULTS,
-    CALM_FAULTS,
-    ZONES,
-)
-from fulmarlever_standins.simulation.calm import (
-    MAX_IDLE_S,
-    Calm,
-    IdleWatch,
-    PendingWatch,
-)
-from fulmarlever_standins.simulation.faults import FAULTS, RESTART_S
+from fulmarlever_standins.simulation.apart_faults import APART_FAULTS, CALM_FAULTS
+from fulmarlever_standins.simulation.faults import FAULTS
 from fulmarlever_standins.simulation.invariants import (
     END_CHECKS,
     START_CHECKS,
     find_idle,
 )
-from fulmarlever_standins.simulation.jobs import draw_job
-from fulmarlever_standins.simulation.observed import CallerJob, Observed
 from fulmarlever_standins.simulation.plan import Plan
-from fulmarlever_standins.simulation.plan_parts import PlannedFault, PlannedJob
-from fulmarleverd.scheduling.intake import JobStatus, UnknownJob
-from fulmarleverd.scheduling.specs import StepSpec
+from fulmarlever_standins.simulation.plan_parts import PlannedFault
+from fulmarlever_standins.simulation.simulation import Simulation
+from fulmarlever_standins.simulation.watches import (
+    MAX_IDLE_S,
+    IdleWatch,
+    PendingWatch,
+)
 
 # Jobs have time to end after the last fault.
 SETTLE_S = 40.0
@@ -49,21 +35,6 @@
 # moments of it.
 IDLE_POLL_S = 0.13
 OWNER_POLL_S = 0.1
-SUBMIT_ATTEMPTS = 5
-RETRY_S = 0.3
-CANCEL_TIMEOUT_S = 2.5
-STATE_ATTEMPTS = 20
-# The labels and the memory of the first workers; all others have the defaults.
-SPECIAL_WORKERS = (
-    (["a", "b", "r1-0"], 256_000),
-    (["a", "b", "r1-1"], 128_000),
-    (["a", "c", "r1-1"], 256_000),
-)
-DEFAULT_WORKER = (["a", "r1-2"], 128_000)
-MAX_TASK_S = 8.0
-END_TIMEOUT_S = 5.0
-STALLED_S = 1000.0
-START_PATH = "/run-start"
 
 
 class Result:
@@ -96,60 +67,34 @@
     random.seed(plan.seed)
 
     async def run() -> Result:
-        sim = Simulation(plan)
-        await sim.run()
+        sim = Simulation(plan.seed)
+        await Runner(plan, sim).run()
         return Result(plan, sim)
 
     return run_virtual(run())
 
 
-class Simulation:
-    """One play: the cluster, its callers, and what is observed.
-
-    ``rng`` is the generator of the fault that begins now. ``failing``, ``stalling`` and
-    ``refusing`` hold the ids of workers that fail, hold up, or refuse to start runs.
-    ``idle`` maps the tasks that have waited for ``MAX_IDLE_S`` at the end of the play,
-    while workers had room for them, to one of these workers. ``evacuations`` writes the
-    operator's rows of evacuated zones.
-    """
-
-    def __init__(self, plan: Plan) -> None:
-        self.plan = plan
-        self.rng = Random(plan.seed)
-        self.cluster = SimulatedCluster()
-        self.observed = Observed()
-        self.failing: set[str] = set()
-        self.stalling: set[str] = set()
-        self.refusing: set[str] = set()
-        self.calm = Calm()
-        self.violations: list[str] = []
-        self.idle: dict[str, str] = {}
-        self.evacuations = EvacuationObserver(
-            self.cluster.network, self.cluster.bounds.evacuate_s
-        )
-        self._traits: dict[str, tuple[list[str], int]] = {}
-        self._started = 0
-        self._ended = asyncio.Event()
+class Runner:
+    """Plays a plan: its jobs, its faults, and the checks of invariants."""
 
-    # The play
+    def __init__(self, plan: Plan, sim: Simulation) -> None:
+        self._plan = plan
+        self._sim = sim
+        sim.on_start = self._check_start
 
     async def run(self) -> None:
         """Play the plan, then check the end of each job."""
-        self.cluster.network.admission.is_admitted = self.is_admitted
-        self.cluster.add_daemons(*(f"vm-{n}" for n in range(self.plan.daemons)))
-        for number in range(self.plan.workers):
-            special = number < len(SPECIAL_WORKERS)
-            traits = SPECIAL_WORKERS[number] if special else DEFAULT_WORKER
-            self._traits[f"w{number}:1"] = traits
-            self._add_worker(f"w{number}", f"w{number}:1")
-        await self.cluster.wait_for_owner()
+        sim = self._sim
+        sim.cluster.add_daemons(*(f"vm-{n}" for n in range(self._plan.daemons)))
+        sim.add_workers(self._plan.workers)
+        await sim.cluster.wait_for_owner()
         watches = [
             asyncio.create_task(self._watch_owners()),
-            asyncio.create_task(IdleWatch(self).run()),
-            asyncio.create_task(PendingWatch(self).run()),
+            asyncio.create_task(IdleWatch(sim).run()),
+            asyncio.create_task(PendingWatch(sim).run()),
         ]
-        jobs = [asyncio.create_task(self.call(job)) for job in self.plan.jobs]
-        faults = [asyncio.create_task(self._strike(f)) for f in self.plan.faults]
+        jobs = [asyncio.create_task(sim.call(job)) for job in self._plan.jobs]
+        faults = [asyncio.create_task(self._strike(f)) for f in self._plan.faults]
         await asyncio.gather(*jobs, *faults)
         await asyncio.sleep(SETTLE_S - MAX_IDLE_S)
         await self._find_idle()
@@ -161,270 +106,52 @@
 
     async def _watch_owners(self) -> None:
         while True:
-            count = self.cluster.count_owners()
+            count = self._sim.cluster.count_owners()
             if count > 1:
-                self.report("scheduler", f"{count} owners at the same time")
-            if is_store_disturbed(self.cluster.network):
-                self.evacuations.record_disturbance()
+                self._sim.report("scheduler", f"{count} owners at the same time")
+            if is_store_disturbed(self._sim.cluster.network):
+                self._sim.evacuations.record_disturbance()
             await asyncio.sleep(OWNER_POLL_S)
 
     async def _find_idle(self) -> None:
         """Find the tasks that are idle for ``MAX_IDLE_S`` without interruption."""
-        jobs = self.observed.jobs.values()
+        jobs = self._sim.observed.jobs.values()
         names = [name for job in jobs for name in job.task_names()]
-        self.idle = find_idle(self, names)
+        self._sim.idle = find_idle(self._sim, names)
         until_s = asyncio.get_running_loop().time() + MAX_IDLE_S
         while (left_s := until_s - asyncio.get_running_loop().time()) > 0.0:
             await asyncio.sleep(min(left_s, IDLE_POLL_S))
-            self.idle = find_idle(self, self.idle)
+            self._sim.idle = find_idle(self._sim, self._sim.idle)
 
     async def _strike(self, fault: PlannedFault) -> None:
         await asyncio.sleep(fault.at_s)
         if fault.kind in CALM_FAULTS:
-            await APART_FAULTS.find(fault.kind)(self, Random(fault.seed))
+            await APART_FAULTS.find(fault.kind)(self._sim, Random(fault.seed))
             return
-        with self.calm.interrupted():
+        with self._sim.calm.interrupted():
             if fault.kind in list(APART_FAULTS):
-                await APART_FAULTS.find(fault.kind)(self, Random(fault.seed))
+                await APART_FAULTS.find(fault.kind)(self._sim, Random(fault.seed))
                 return
-            self.rng = Random(fault.seed)
-            await FAULTS.find(fault.kind)(self)
-
-    def report(self, what: str, violation: str) -> None:
-        """Record a violation that concerns a task, a job or the scheduler."""
-        now_s = asyncio.get_running_loop().time()
-        line = f"{now_s:.2f} {what}: {violation}"
-        if line not in self.violations:
-            self.violations.append(line)
-
-    # Callers
-
-    async def call(self, planned: PlannedJob) -> None:
-        """Submit a job at its time, and cancel it if its caller wants to."""
-        await asyncio.sleep(planned.at_s)
-        rng = Random(planned.seed)
-        job = self.add_job(planned, rng)
-        drawn = job.drawn
-        await self._submit(job, rng)
-        if drawn.is_sent_again and job.is_accepted:
-            await self._submit(job, rng)
-        if job.is_accepted and drawn.cancel_after_s is not None:
-            await asyncio.sleep(drawn.cancel_after_s)
-            await self.cancel(job, rng)
-
-    def add_job(self, planned: PlannedJob, rng: Random) -> CallerJob:
-        """Draw a job that its caller is about to submit."""
-        now_s = asyncio.get_running_loop().time()
-        drawn = draw_job(f"{planned.seed:016x}", planned.features, rng, now_s)
-        job = self.observed.jobs[drawn.id] = CallerJob(drawn)
-        return job
-
-    async def submit_late(self, job: CallerJob, rng: Random, late_s: float) -> None:
-        """Submit a job once; its write gets no answer and takes effect late."""
-        if self.cluster.daemons:
-            late_jobs = self.cluster.network.late_jobs
-            late_jobs[job.spec.id] = late_s
-            result = await self.daemon(rng).submit(job.spec, job.drawn.queue)
-            del late_jobs[job.spec.id]
-            job.is_accepted = result is None
-            job.accepted_at_s = asyncio.get_running_loop().time()
-
-    def daemon(self, rng: Random) -> Daemon:
-        """Return one of the daemons that run."""
-        return rng.choice(
-            [daemon for _, daemon in sorted(self.cluster.daemons.items())]
-        )
-
-    async def _submit(self, job: CallerJob, rng: Random) -> None:
-        is_certain = True
-        for _ in range(SUBMIT_ATTEMPTS):
-            if not self.cluster.daemons:
-                await asyncio.sleep(RETRY_S)
-                continue
-            result = await self.daemon(rng).submit(job.spec, job.drawn.queue)
-            if result is None:
-                job.is_accepted = True
-                job.accepted_at_s = asyncio.get_running_loop().time()
-                return
-            if isinstance(result, Refused) or (
-                isinstance(result, NotRun) and is_certain
-            ):
-                job.is_refused = not job.is_accepted
-                return
-            is_certain = False
-            await asyncio.sleep(RETRY_S)
-
-    async def cancel(self, job: CallerJob, rng: Random) -> None:
-        """Cancel a job, with retries until that is acknowledged."""
-        job.may_be_cancelled = True
-        for _ in range(SUBMIT_ATTEMPTS):
-            if self.cluster.daemons:
-                daemon = self.daemon(rng)
-                until_s = daemon.clock.monotonic() + CANCEL_TIMEOUT_S
-                result = await daemon.intake.cancel(job.spec.id, until_s)
-                is_unknown = isinstance(result, UnknownJob)
-                if is_unknown and job.is_accepted:
-                    self.report(job.spec.id, "accepted, but unknown when cancelled")
-                if is_unknown or not failed(result):
-                    job.cancelled_at_s = asyncio.get_running_loop().time()
-                    return
-            await asyncio.sleep(RETRY_S)
-
-    # Workers
-
-    def workers(self) -> list[WorkerCore]:
-        """Return the workers that run, by address."""
-        return [worker for _, worker in sorted(self.cluster.network.workers.items())]
-
-    def draw_workers(self) -> list[WorkerCore]:
-        """Return up to a third of the workers; one with a rare label at times."""
-        workers = self.workers()
-        count = self.rng.randint(1, max(1, len(workers) // 3))
-        drawn = self.rng.sample(workers, min(count, len(workers)))
-        special = self.rng.randrange(2 * len(SPECIAL_WORKERS))
-        rare = [w for w in workers if w.address == f"w{special}:1" and w not in drawn]
-        return drawn + rare
-
-    def is_running(self, worker: WorkerCore) -> bool:
-        """Return whether this incarnation of a worker runs."""
-        return self.cluster.network.workers.get(worker.address) is worker
-
-    def crash(self, worker: WorkerCore, is_silent: bool) -> None:
-        """Crash a worker; another one comes at its address after ``RESTART_S``."""
-        if not self.is_running(worker):
-            return
-        cuts = {(vm, worker.address) for vm in self.cluster.daemons if is_silent}
-        self.cluster.network.cuts |= cuts
-        self.observed.record_crash(worker)
-        self.cluster.crash_worker(worker)
-        loop = asyncio.get_running_loop()
-        loop.call_later(RESTART_S, self._replace, worker, cuts)
-
-    def leave(self, worker: WorkerCore) -> None:
-        """Let a worker leave as planned; another one comes at its address at once."""
-        self.observed.record_crash(worker)
-        self.cluster.crash_worker(worker)
-        self._replace(worker, set())
-
-    def restart(self, worker: WorkerCore, entry_delay_s: float) -> None:
-        """Restart a worker under its id at once; its entry comes later."""
-        if self.is_running(worker):
-            self.observed.record_crash(worker)
-            self._attach(self.cluster.restart_worker(worker, entry_delay_s))
-
-    def _replace(self, worker: WorkerCore, cuts: set[tuple[str, str]]) -> None:
-        self.cluster.network.cuts -= cuts
-        self.cluster.network.store.remove("servers", worker.id)
-        self._started += 1
-        self._add_worker(f"{worker.address}-{self._started}", worker.address)
-
-    def _add_worker(self, worker_id: str, address: str) -> None:
-        number = int(address.removeprefix("w").split(":")[0])
-        worker = WorkerCore(worker_id, address, ZONES[number % len(ZONES)])
-        self.cluster.record.attach(worker)
-        self._attach(worker)
-        self.cluster.network.add_worker(worker)
-
-    def _attach(self, worker: WorkerCore) -> None:
-        """Decide on the runs of a worker, observe them and check their starts."""
-        record_start, record_end = worker.on_start, worker.on_end
-
-        def on_start(worker: WorkerCore, key: RunKey) -> None:
-            record_start(worker, key)
-            self.observed.record_start(worker, key)
-            self._check_start(worker, key)
-
-        def on_end(worker: WorkerCore, key: RunKey, outcome: str) -> None:
-            record_end(worker, key, outcome)
-            self.observed.record_end(worker, key, outcome)
-            self._ended.set()
-
-        handle = worker.handle
-
-        async def answer(path: str, body: dict, target: str) -> tuple:
-            if path == START_PATH and worker.id in self.refusing:
-                return 503, {"clockMs": worker.clock_ms()}
-            return await handle(path, body, target)
-
-        worker.handle = answer
-        labels, worker.memory_mb = self._traits[worker.address]
-        worker.labels = list(labels)
-        worker.on_start, worker.on_end = on_start, on_end
-        worker.task_fails = lambda task: self._fails(worker, task)
-        worker.task_duration_s = lambda task: self._duration_s(worker, task)
-
-    def _fails(self, worker: WorkerCore, task: str) -> bool:
-        is_never_done = self.observed.job_of(task).drawn.is_never_done
-        return is_never_done or worker.id in self.failing
-
-    def _duration_s(self, worker: WorkerCore, task: str) -> float | None:
-        if worker.id in self.stalling:
-            return STALLED_S
-        step = self.step_of(task)
-        if step.is_long_running and worker.id not in self.failing:
-            return None
-        job = self.observed.job_of(task)
-        factor = 1.0 if job.drawn.is_even else Random(task).uniform(0.5, 2.0)
-        return min(MAX_TASK_S, step.estimate_s * factor)
-
-    async def wait_for_end(self) -> None:
-        """Wait until the next run ends, for ``END_TIMEOUT_S`` at most."""
-        self._ended.clear()
-        with suppress(TimeoutError):
-            async with asyncio.timeout(END_TIMEOUT_S):
-                await self._ended.wait()
-
-    # What checks ask for
-
-    def step_of(self, task: str) -> StepSpec:
-        """Return the step of a task."""
-        return self.observed.job_of(task).step_of(task)
-
-    def used(self, worker: WorkerCore) -> tuple[int, int]:
-        """Return the reserved thousandths of a core and megabytes of a worker."""
-        steps = [self.step_of(task) for task, _ in worker.running]
-        cpu_m = sum(step.cpu_m for step in steps if not step.is_best_effort)
-        return cpu_m, sum(step.memory_mb for step in steps)
-
-    def is_admitted(self, step: str, worker_id: str) -> bool:
-        """Return whether the policy allows a step on a worker.
-
-        Special workers are allowed for all steps, others for half of them. For a third
-        of the steps, special workers alone are allowed.
-        """
-        address = worker_id.split(":")[0]
-        is_special = address in [f"w{n}" for n in range(len(SPECIAL_WORKERS))]
-        is_strict = Random(step).random() < 1.0 / 3.0
-        is_allowed = Random(f"{step} {address}").random() < 0.5
-        return is_special or (is_allowed and not is_strict)
+            self._sim.rng = Random(fault.seed)
+            await FAULTS.find(fault.kind)(self._sim)
 
     def _check_start(self, worker: WorkerCore, key: RunKey) -> None:
         for name in START_CHECKS:
-            for violation in START_CHECKS.find(name)(self, worker, key):
-                self.report(f"{key[0]} run {key[1]}", violation)
+            for violation in START_CHECKS.find(name)(self._sim, worker, key):
+                self._sim.report(f"{key[0]} run {key[1]}", violation)
 
     async def _check_ends(self) -> None:
-        for job in self.observed.jobs.values():
-            state = await self.state_of(job)
+        for job in self._sim.observed.jobs.values():
+            state = await self._sim.state_of(job)
             for name in END_CHECKS:
-                for violation in END_CHECKS.find(name)(self, job, state):
-                    self.report(f"job {job.spec.id} {job.drawn.features}", violation)
-        record = self.cluster.record
+                for violation in END_CHECKS.find(name)(self._sim, job, state):
+                    self._sim.report(
+                        f"job {job.spec.id} {job.drawn.features}", violation
+                    )
+        record = self._sim.cluster.record
         for task in record.overlaps:
-            if not self.step_of(task).is_speculative:
-                self.report(task, "two runs at the same time")
+            if not self._sim.step_of(task).is_speculative:
+                self._sim.report(task, "two runs at the same time")
         for task in record.restarted_after_known_end():
-            if not self.step_of(task).is_speculative:
-                self.report(task, "started again after its end was known")
-
-    async def state_of(self, job: CallerJob) -> str:
-        """Return the state of a job as a daemon tells it, or why it does not."""
-        daemon = self.daemon(self.rng)
-        for _ in range(STATE_ATTEMPTS):
-            status = await daemon.state(job.spec.id)
-            if isinstance(status, JobStatus):
-                return str(status.state)
-            if isinstance(status, Refused):
-                return "unknown"
-            await asyncio.sleep(RETRY_S)
-        return "no answer"
+            if not self._sim.step_of(task).is_speculative:
+                self._sim.report(task, "started again after its end was known")
