--- a/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 
 from fulmarleverd.scheduling.fleet import Worker
+from fulmarleverd.scheduling.health.trust import update_trust
 from fulmarleverd.scheduling.interference_model import InterferenceModel
 from fulmarleverd.scheduling.metrics import WORKERS
 from fulmarleverd.scheduling.owner import Owner
@@ -100,7 +101,7 @@
         failing = [w for w in owner.fleet if w.failures.failed_at_s]
         owner.failures.forget_old((w.failures for w in failing), owner.now_s())
         for service in sorted({worker.entry.service for worker in failing}):
-            owner.update_trust(service)
+            update_trust(owner, service)
 
     def _runs_to_stop(self, worker: Worker, now_s: float) -> Iterator[Run]:
         """Yield the runs to stop now on a draining worker.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -48,8 +48,6 @@
 # difference between the clocks of two VMs.
 MAX_RESTORED_AGE_S = 60.0
 NO_PROGRESS = StoredProgress()
-# Limits the length of a log line.
-MAX_LOGGED_JOBS = 5
 # Why a run is withdrawn from a worker.
 ZONE_EVACUATED = "its zone is evacuated"
 # A job whose occurrences have been due for long opens more of them only as its waiting
@@ -359,19 +357,6 @@
         self.changed.set()
         return worker
 
-    def update_trust(self, service: str) -> None:
-        """Decide anew which workers of a service are distrusted for failed runs."""
-        workers = [worker.failures for worker in self.fleet.workers_of(service)]
-        for failures in self.failures.evaluate(workers, self.now_s()):
-            is_distrusted = failures.is_distrusted
-            record(
-                "worker-distrusted" if is_distrusted else "worker-trusted",
-                worker=failures.worker_id,
-                score=round(failures.score, 2),
-                jobs=failures.job_ids[:MAX_LOGGED_JOBS],
-            )
-            self.changed.set()
-
     def mark_unlisted(self, worker_id: str) -> None:
         """Record that a worker is no longer listed; it may still run tasks."""
         for worker in self.fleet.incarnations_of(worker_id):
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/__init__.py
@@ -0,0 +1,1 @@
+"""What a single plan remembers while it assigns tasks."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
@@ -7,6 +7,7 @@
 from fulmarleverd.scheduling.decisions import record, record_run
 from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.health.failures import DISTRUST_SCORE
+from fulmarleverd.scheduling.health.trust import update_trust
 from fulmarleverd.scheduling.metrics import ENDS
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.ports import EndedTask, RunningTask, WorkerReport
@@ -173,7 +174,7 @@
         task.avoid(worker.id, now)
         owner.failures.record_failure(worker.failures, task.step, now)
         if worker.failures.score >= DISTRUST_SCORE:
-            owner.update_trust(worker.entry.service)
+            update_trust(owner, worker.entry.service)
         job = task.step.job
         is_limited = not task.step.spec.is_long_running
         if is_limited and task.failures >= job.queue.max_attempts:
