End the distrust of a worker once a probe succeeds

Found by reading the change: a distrusted worker whose failures a successful run had cleared was decided on again only if any worker of its service failed later, so it stayed a last resort. Workers that are distrusted are decided on in each tick now.

Measured: test_a_successful_probe_ends_the_distrust failed before and passes now, as do the other tests of health and blame_tests.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/health/failures.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/health/failures.py
@@ -95,6 +95,11 @@
             blame_by_job[job_id] = max(blame, blame_by_job.get(job_id, 0.0))
         return sum(blame_by_job.values())
 
+    @property
+    def is_concerned(self) -> bool:
+        """Return whether the worker has recent failures or is distrusted for some."""
+        return self.is_distrusted or bool(self.failed_at_s)
+
     def is_avoided_at(self, now_s: float) -> bool:
         """Return whether the worker gets no runs but those that would wait."""
         return self.is_distrusted and now_s < self.probe_at_s
--- a/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
@@ -98,9 +98,9 @@
     def _update_trust(self) -> None:
         """Forget old failures, and decide anew where there were some."""
         owner = self._owner
-        failing = [w for w in owner.fleet if w.failures.failed_at_s]
-        owner.failures.forget_old((w.failures for w in failing), owner.now_s())
-        for service in sorted({worker.entry.service for worker in failing}):
+        concerned = [worker for worker in owner.fleet if worker.failures.is_concerned]
+        owner.failures.forget_old((w.failures for w in concerned), owner.now_s())
+        for service in sorted({worker.entry.service for worker in concerned}):
             update_trust(owner, service)
 
     def _runs_to_stop(self, worker: Worker, now_s: float) -> Iterator[Run]:
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/health/failures_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/health/failures_tests.py
@@ -16,6 +16,8 @@
     WorkerFailures,
 )
 from fulmarleverd.scheduling.health.tolerance import ANY_WORKER
+from fulmarleverd.scheduling.housekeeping import Housekeeping
+from fulmarleverd.scheduling.interference_model import InterferenceModel
 from fulmarleverd.scheduling.planner import IMPAIRED_WORKERS_AFTER_S, Planner
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
@@ -167,3 +169,15 @@
         worker.failures.distrust(self.clock.now)
         self.planner.plan()
         self.assertEqual([run.worker.id for run in job.runs()], ["w1"])
+
+    # Guards against a worker that stays distrusted as nothing fails any more.
+    def test_a_successful_probe_ends_the_distrust(self):
+        self.fail(2)
+        worker = self.workers[0]
+        self.assertTrue(worker.failures.is_distrusted)
+        self.clock.advance(FIRST_PROBE_PAUSE_S)
+        run = self.start(self.add_job("probe", StepSpec(count=1, cpu_m=1)), worker)
+        self.clock.advance(1.0)
+        self.report(worker, ends=((run, "done"),))
+        Housekeeping(self.owner, InterferenceModel()).tick()
+        self.assertFalse(worker.failures.is_distrusted)
