--- a/packages/fulmarleverd/fulmarleverd/tests/peers/cluster.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/peers/cluster.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import itertools
-import socket
 import unittest
 from dataclasses import dataclass
 
 from fulmarlever.clock import Clock
 from fulmarlever.structure.messages import message
 from fulmarlever.tests.base import wait_until
+from fulmarlever.tests.ports import free_port
 from fulmarleverd.kernel import Kernel
 from fulmarleverd.services.membership import Membership
 from fulmarleverd.services.timeline import Timeline
@@ -26,13 +26,6 @@
     delay_s: float = 0.0
 
 
-def free_port(address: str = "127.0.0.1") -> int:
-    with socket.socket() as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((address, 0))
-        return sock.getsockname()[1]
-
-
 class ClusterTestCase(unittest.IsolatedAsyncioTestCase):
     """A test case with daemons that have only the services membership and timeline.
 
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/callers_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/callers_tests.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import unittest
 
 import aiohttp
@@ -12,6 +11,7 @@
 
 from fulmarlever.outcomes import NotRun, OutcomeUnknown, Refused, Unavailable
 from fulmarlever.tests.base import TableTestCase
+from fulmarlever.tests.ports import free_port
 from fulmarleverd.platform.callers import CallerServer
 from fulmarleverd.scheduling.admission.refusals import AdmissionRefusal
 from fulmarleverd.scheduling.api import QueueNotFound
@@ -61,12 +61,6 @@
         return self.result
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class CallerServerTests(TableTestCase, unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         log.remove()
--- a/packages/fulmarleverd/fulmarleverd/tests/requests/forwarding_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/requests/forwarding_tests.py
@@ -7,8 +7,9 @@
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable
 from fulmarlever.structure.request import Answer, Forward, Forwarded
 from fulmarlever.tests.base import wait_until
+from fulmarlever.tests.ports import free_port
 from fulmarleverd.settings import PeerSettings
-from fulmarleverd.tests.peers.cluster import SECRET, free_port
+from fulmarleverd.tests.peers.cluster import SECRET
 from fulmarleverd.tests.requests.path_base import PathTestCase
 
 
