Plan runs again that were being stopped on a misdirected worker

Its worker was taken out of the fleet meanwhile, as another one answered at the address of its entry, and the run was no longer stopped. So no report could end it once its worker was known again.

Change: such a run counts as confirmed from the moment at which it waits for its worker.

Measured: the test failed before (the run stayed active) and passes now, as do the tests of misdirected entries, crashes and the simulation (42).

--- a/packages/fulmarleverd/fulmarleverd/scheduling/incarnations.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/incarnations.py
@@ -107,8 +107,10 @@
         for run in list(worker.runs.values()):
             worker.remove(run)
             run.worker = None
-            # It is stopped anew if its worker appears and its job has ended.
+            # Once its worker appears, a report without the run ends it, and it is
+            # stopped anew if its job has ended.
             run.state = RunState.RUNNING
+            run.confirmed_at_s = owner.now_s()
             owner.orphans[run] = None
         owner.fleet.remove(worker)
         owner.crashes.record_unproven_crash(worker)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/next_incarnation_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/next_incarnation_tests.py
@@ -91,6 +91,24 @@
         self.assertTrue(next_incarnation.accepts_runs(self.clock.now))
 
 
+class MisdirectedWorkersTests(OwnerTestCase):
+    # Guards against a run that nobody has and nobody plans again, as its worker was
+    # looked for at the address of another one while it was stopped.
+    def test_a_run_that_its_worker_lacks_is_planned_again(self):
+        worker = self.add_worker("w3")
+        worker.is_reachable = False
+        run = self.start(self.add_job("j", STEP), worker)
+        self.owner.stop_run(run, "its worker does not answer")
+        self.owner.incarnations.process_mismatch(worker, "another worker")
+        self.assertIn(run, self.owner.orphans)
+        self.clock.advance(1.0)
+        found = self.add_worker("w3")
+        self.assertIs(run.worker, found)
+        self.report(found)
+        self.assertFalse(run.is_active)
+        self.assertTrue(run.task.is_waiting)
+
+
 class DisputedEntriesTests(OwnerTestCase):
     # What an entry says otherwise, and whether the worker is held to what it said.
     ROWS = (
