--- a/packages/fulmarleverd/fulmarleverd/scheduling/incarnations.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/incarnations.py
@@ -62,7 +62,7 @@
         return ""
 
     def _is_disputed(self, entry: WorkerEntry, known: Worker) -> bool:
-        """Return whether an entry says otherwise what does not change in a lifetime.
+        """Return whether an entry contradicts what stays the same in an incarnation.
 
         If nobody contradicts it for a while, the earlier entry was the wrong one.
         """
