--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
@@ -16,7 +16,7 @@
 from fulmarlever_standins.authority.store import StoreCore
 from fulmarlever_standins.authority.worker import WorkerCore
 from fulmarleverd.platform.http import CallResult, Response, encode_request
-from fulmarleverd.scheduling.rows import JOBS_TABLE
+from fulmarleverd.scheduling.persistence.rows import JOBS_TABLE
 
 STORE_ADDRESS = "store:1"
 ONE_WAY_LATENCY_S = 0.001
--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/simulated_cluster.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/simulated_cluster.py
@@ -27,10 +27,7 @@
 )
 from fulmarleverd.platform.store import AuthorityStore
 from fulmarleverd.platform.workers import AuthorityWorkers
-from fulmarleverd.scheduling.config_watcher import ConfigWatcher
-from fulmarleverd.scheduling.intake import Intake, JobStatus
-from fulmarleverd.scheduling.lease import SchedulerLease
-from fulmarleverd.scheduling.owner_term import OwnerTerm
+from fulmarleverd.scheduling.persistence.config_watcher import ConfigWatcher
 from fulmarleverd.scheduling.specs import (
     Bounds,
     JobSpec,
@@ -38,6 +35,9 @@
     SchedulingSettings,
     StepSpec,
 )
+from fulmarleverd.scheduling.submission.intake import Intake, JobStatus
+from fulmarleverd.scheduling.term.lease import SchedulerLease
+from fulmarleverd.scheduling.term.owner_term import OwnerTerm
 
 LABELS_QUEUE = QueueSpec("labels", "a.example", "/labels/", "desk", 0, 2, 1.5, 0.25)
 TICKET_QUEUE = QueueSpec(
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/simulation.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/simulation.py
@@ -15,8 +15,8 @@
 from fulmarlever_standins.simulation.jobs import draw_job
 from fulmarlever_standins.simulation.observed import CallerJob, Observed
 from fulmarlever_standins.simulation.plan_parts import PlannedJob
-from fulmarleverd.scheduling.intake import JobStatus, UnknownJob
 from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.scheduling.submission.intake import JobStatus, UnknownJob
 
 ZONES = ("x", "y", "z")
 RESTART_S = 2.0
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/evacuation_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/evacuation_tests.py
@@ -13,8 +13,8 @@
 from fulmarlever_standins.authority.worker import RunKey, WorkerCore
 from fulmarlever_standins.tests.authority.base import SimulatedClusterTestCase
 from fulmarlever_standins.tests.authority.takeover_tests import kill_owner
-from fulmarleverd.scheduling.intake import JobStatus
 from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.scheduling.submission.intake import JobStatus
 
 # ``evacuateMs`` of these tests, in seconds. It is lower than in present deployments, so
 # that a start which takes effect late, after 3 s, breaks the bound.
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/faults_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/faults_tests.py
@@ -6,8 +6,8 @@
 from fulmarlever.outcomes import OutcomeUnknown, failed
 from fulmarlever_standins.authority.simulated_cluster import PLANS_QUEUE, job
 from fulmarlever_standins.tests.authority.base import SimulatedClusterTestCase
-from fulmarleverd.scheduling.intake import UnknownJob
 from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.scheduling.submission.intake import UnknownJob
 
 TARGET = {"X-Target-Instance": "w0"}
 LONG_RUNNING = StepSpec(count=2, cpu_m=1000, estimate_s=0.5, is_long_running=True)
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/intake_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/intake_tests.py
@@ -11,13 +11,13 @@
 from fulmarlever.tests.base import TableTestCase
 from fulmarlever_standins.authority.simulated_cluster import LABELS_QUEUE, job
 from fulmarlever_standins.authority.virtual_time import VirtualClock, run_virtual
-from fulmarleverd.scheduling.intake import Intake
 from fulmarleverd.scheduling.ports import (
     CommitResult,
     RowSet,
     StoredRow,
     Transaction,
 )
+from fulmarleverd.scheduling.submission.intake import Intake
 
 SUBMIT_TIMEOUT_S = 2.9
 CONNECTION_LOST = OutcomeUnknown("connection lost before the answer")
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/late_jobs_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/late_jobs_tests.py
@@ -12,7 +12,7 @@
     job,
 )
 from fulmarlever_standins.tests.authority.base import SimulatedClusterTestCase
-from fulmarleverd.scheduling.order import HARD_DEADLINE_FACTOR
+from fulmarleverd.scheduling.planning.order import HARD_DEADLINE_FACTOR
 from fulmarleverd.scheduling.specs import StepSpec
 
 TASK_S = 0.5
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/processor_overload_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/processor_overload_tests.py
@@ -21,8 +21,8 @@
 from fulmarlever_standins.authority.virtual_time import VirtualClock
 from fulmarlever_standins.tests.authority.base import SimulatedClusterTestCase
 from fulmarleverd.platform.store import AuthorityStore
-from fulmarleverd.scheduling.intake import Intake
 from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.scheduling.submission.intake import Intake
 
 WORKERS = 30
 TASK_S = 2.0
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/run_times_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/run_times_tests.py
@@ -13,10 +13,10 @@
     job,
 )
 from fulmarlever_standins.tests.authority.base import SimulatedClusterTestCase
-from fulmarleverd.scheduling.rows import RUN_TIMES_KEY, SUMMARY_TABLE, pack
+from fulmarleverd.scheduling.persistence.rows import RUN_TIMES_KEY, SUMMARY_TABLE, pack
 from fulmarleverd.scheduling.run_times import RunTimes
+from fulmarleverd.scheduling.run_times.publisher import PERIOD_S
 from fulmarleverd.scheduling.run_times.run_times import DATA_VERSION
-from fulmarleverd.scheduling.run_times_publisher import PERIOD_S
 from fulmarleverd.scheduling.specs import StepSpec
 
 DECLARED_S = 0.5
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/takeover_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/takeover_tests.py
@@ -6,8 +6,8 @@
 from fulmarlever_standins.authority.network import STORE_ADDRESS
 from fulmarlever_standins.authority.simulated_cluster import SimulatedCluster, job
 from fulmarlever_standins.tests.authority.base import SimulatedClusterTestCase
-from fulmarleverd.scheduling.lease import LEASE_S
 from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.scheduling.term.lease import LEASE_S
 
 LONG = StepSpec(count=4, cpu_m=1000, memory_mb=100, estimate_s=3.0)
 LATER = StepSpec(count=2, cpu_m=1000, memory_mb=100, estimate_s=0.5, after=(0,))
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/uncertain_submissions_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/uncertain_submissions_tests.py
@@ -14,9 +14,9 @@
 from fulmarlever_standins.tests.authority.base import SimulatedClusterTestCase
 from fulmarleverd.scheduling.cancellations.lone import LONE_CANCEL_KEPT_S
 from fulmarleverd.scheduling.cancellations.quota import MAX_LONE_CANCELS
-from fulmarleverd.scheduling.intake import UnknownJob
-from fulmarleverd.scheduling.rows import job_partition
+from fulmarleverd.scheduling.persistence.rows import job_partition
 from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.scheduling.submission.intake import UnknownJob
 
 LASTING = StepSpec(count=3, cpu_m=1000, is_long_running=True)
 CANCEL_TIMEOUT_S = 2.5
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/wrong_estimates_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/wrong_estimates_tests.py
@@ -15,10 +15,10 @@
 )
 from fulmarlever_standins.tests.authority.base import SimulatedClusterTestCase
 from fulmarleverd.scheduling import owner as owner_module
-from fulmarleverd.scheduling.order import HARD_DEADLINE_FACTOR
+from fulmarleverd.scheduling.jobs.tasks import Step
+from fulmarleverd.scheduling.planning.order import HARD_DEADLINE_FACTOR
 from fulmarleverd.scheduling.run_times import RunTimes
 from fulmarleverd.scheduling.specs import JobSpec, StepSpec
-from fulmarleverd.scheduling.tasks import Step
 
 WORKERS = 4
 STREAM_S = 20.0
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/simulation/invariants_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/simulation/invariants_tests.py
@@ -10,7 +10,7 @@
 from fulmarlever.tests.base import TableTestCase
 from fulmarlever_standins.simulation.plan import Plan
 from fulmarlever_standins.simulation.runner import MAX_IDLE_S, SETTLE_S, play
-from fulmarleverd.scheduling.planner import Planner
+from fulmarleverd.scheduling.planning.planner import Planner
 
 # Four jobs with more tasks than run in the time of the play, one or two on each worker.
 PLAN = """
--- a/packages/fulmarleverd/fulmarleverd/platform/callers.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/callers.py
@@ -18,11 +18,11 @@
 from fulmarleverd.connections.protocol import LimitedProtocol, LimitedServer
 from fulmarleverd.platform.formats import is_job_id, parse_job
 from fulmarleverd.scheduling.admission.refusals import AdmissionRefusal
-from fulmarleverd.scheduling.api import JobCalls, QueueNotFound
-from fulmarleverd.scheduling.config_watcher import NO_CONFIG
-from fulmarleverd.scheduling.intake import JobStatus, UnknownJob
 from fulmarleverd.scheduling.metrics import REQUEST_SECONDS, REQUESTS
+from fulmarleverd.scheduling.persistence.config_watcher import NO_CONFIG
 from fulmarleverd.scheduling.specs import SchedulingConfig
+from fulmarleverd.scheduling.submission.api import JobCalls, QueueNotFound
+from fulmarleverd.scheduling.submission.intake import JobStatus, UnknownJob
 
 READY_PATH = "/readiness"
 # The time in milliseconds for which a caller waits for the response.
--- a/packages/fulmarleverd/fulmarleverd/platform/interface.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/interface.py
@@ -22,13 +22,13 @@
     MAX_CONNECTIONS_PER_WORKER,
     AuthorityWorkers,
 )
-from fulmarleverd.scheduling.api import JobCalls
 from fulmarleverd.scheduling.ports import INTERFACES, StoredRow
 from fulmarleverd.scheduling.specs import (
     SchedulingConfig,
     SchedulingSettings,
     WorkerEntry,
 )
+from fulmarleverd.scheduling.submission.api import JobCalls
 
 MAX_BODY_BYTES = 1 << 20
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/forecast.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/forecast.py
@@ -18,8 +18,8 @@
 
 from fulmarlever.outcomes import Failure
 from fulmarleverd.scheduling.admission.times import StepRatios
-from fulmarleverd.scheduling.order import Rank
-from fulmarleverd.scheduling.rows import FORMAT_ERRORS, BadRow, unpack
+from fulmarleverd.scheduling.persistence.rows import FORMAT_ERRORS, BadRow, unpack
+from fulmarleverd.scheduling.planning.order import Rank
 
 FORMAT_VERSION = 1
 # Limits of the published row, which is read by every daemon once in 0.8 s.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/overload.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/overload.py
@@ -16,18 +16,18 @@
 from fulmarlever.clock import Clock
 from fulmarlever.outcomes import NotRun, failed
 from fulmarleverd.scheduling.decisions import record
+from fulmarleverd.scheduling.jobs.tasks import Job
 from fulmarleverd.scheduling.owner import Owner
-from fulmarleverd.scheduling.ports import ABSENT, Store, StoredRow
-from fulmarleverd.scheduling.rows import (
+from fulmarleverd.scheduling.persistence.rows import (
     FORMAT_ERRORS,
     OVERLOAD_KEY,
     SUMMARY_TABLE,
     pack,
     unpack,
 )
+from fulmarleverd.scheduling.planning.start_rate import StartRate
+from fulmarleverd.scheduling.ports import ABSENT, Store, StoredRow
 from fulmarleverd.scheduling.specs import QueueSpec
-from fulmarleverd.scheduling.start_rate import StartRate
-from fulmarleverd.scheduling.tasks import Job
 
 # Seconds between two starts of one job while it is kept at work.
 START_PERIOD_PER_JOB_S = 2.0
--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/policy.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/policy.py
@@ -18,10 +18,10 @@
 from fulmarleverd.scheduling.admission.refusals import AdmissionRefusal
 from fulmarleverd.scheduling.admission.retries import RetrySchedule, Return, RoomWindow
 from fulmarleverd.scheduling.admission.times import StepRatios
+from fulmarleverd.scheduling.fairness.size_classes import QueueSizeStats
 from fulmarleverd.scheduling.metrics import ADMISSION_EXEMPTIONS
-from fulmarleverd.scheduling.order import HARD_DEADLINE_FACTOR
+from fulmarleverd.scheduling.planning.order import HARD_DEADLINE_FACTOR
 from fulmarleverd.scheduling.ports import Store
-from fulmarleverd.scheduling.size_classes import QueueSizeStats
 from fulmarleverd.scheduling.specs import JobSpec, QueueSpec
 
 # Refusing begins once the forecast exceeds this share of the hard deadline, and ends
--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/publisher.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/publisher.py
@@ -25,15 +25,15 @@
 )
 from fulmarleverd.scheduling.admission.times import JobTimes, StepRatios
 from fulmarleverd.scheduling.decisions import record
-from fulmarleverd.scheduling.fleet import Worker
+from fulmarleverd.scheduling.jobs.runs import Run
+from fulmarleverd.scheduling.jobs.tasks import Job, JobState, Step
 from fulmarleverd.scheduling.metrics import ADMISSION_FORECAST_SECONDS
-from fulmarleverd.scheduling.obstacles import OVERCOMMIT_SHARE
-from fulmarleverd.scheduling.order import HARD_DEADLINE_FACTOR, Rank
 from fulmarleverd.scheduling.owner import Owner
+from fulmarleverd.scheduling.persistence.rows import ADMISSION_KEY, SUMMARY_TABLE, pack
+from fulmarleverd.scheduling.planning.obstacles import OVERCOMMIT_SHARE
+from fulmarleverd.scheduling.planning.order import HARD_DEADLINE_FACTOR, Rank
 from fulmarleverd.scheduling.ports import StoredRow
-from fulmarleverd.scheduling.rows import ADMISSION_KEY, SUMMARY_TABLE, pack
-from fulmarleverd.scheduling.runs import Run
-from fulmarleverd.scheduling.tasks import Job, JobState, Step
+from fulmarleverd.scheduling.workers.fleet import Worker
 
 PUBLISH_PERIOD_S = 0.8
 # Bounds of the correction of a waiting time.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/reader.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/reader.py
@@ -9,8 +9,8 @@
 from fulmarlever.clock import Clock
 from fulmarlever.outcomes import failed
 from fulmarleverd.scheduling.admission.forecast import Forecast
+from fulmarleverd.scheduling.persistence.rows import ADMISSION_KEY, SUMMARY_TABLE
 from fulmarleverd.scheduling.ports import ABSENT, Store
-from fulmarleverd.scheduling.rows import ADMISSION_KEY, SUMMARY_TABLE
 
 READ_PERIOD_S = 0.8
 READ_TIMEOUT_S = 0.5
--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/throughput.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/throughput.py
@@ -7,8 +7,8 @@
 from typing import NamedTuple
 
 from fulmarleverd.scheduling.admission.times import JobTimes
-from fulmarleverd.scheduling.runs import Run
-from fulmarleverd.scheduling.tasks import Job, Step
+from fulmarleverd.scheduling.jobs.runs import Run
+from fulmarleverd.scheduling.jobs.tasks import Job, Step
 
 # The sums decay with this time constant.
 AVERAGED_S = 8.0
--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/times.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/times.py
@@ -4,9 +4,9 @@
 
 from typing import Protocol
 
+from fulmarleverd.scheduling.jobs.tasks import Job, Step
 from fulmarleverd.scheduling.run_times.new_job_times import NewJobTimes
 from fulmarleverd.scheduling.specs import JobSpec, QueueSpec, StepSpec
-from fulmarleverd.scheduling.tasks import Job, Step
 
 
 class JobTimes(Protocol):
--- a/packages/fulmarleverd/fulmarleverd/scheduling/cancellations/lone.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/cancellations/lone.py
@@ -9,6 +9,7 @@
 
 from fulmarlever.clock import Clock
 from fulmarleverd.scheduling.metrics import LONE_CANCELS
+from fulmarleverd.scheduling.persistence.rows import CANCEL_SUFFIX, cancel_row
 from fulmarleverd.scheduling.ports import (
     Committed,
     ConditionFailed,
@@ -16,7 +17,6 @@
     StoredRow,
     Transaction,
 )
-from fulmarleverd.scheduling.rows import CANCEL_SUFFIX, cancel_row
 
 # Longer than any write without an answer may take to take effect.
 LONE_CANCEL_KEPT_S = 60.0
--- a/packages/fulmarleverd/fulmarleverd/scheduling/decisions.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/decisions.py
@@ -4,7 +4,7 @@
 
 from loguru import logger as log
 
-from fulmarleverd.scheduling.runs import Run
+from fulmarleverd.scheduling.jobs.runs import Run
 
 
 def record(event: str, outcome: str = "", **inputs: object) -> None:
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Availability zones in which no run begins."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/evacuation.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/evacuation/control.py
@@ -10,10 +10,10 @@
 from collections.abc import Iterable, Iterator
 
 from fulmarleverd.scheduling.decisions import record
-from fulmarleverd.scheduling.evacuated_zones import EvacuatedZones
+from fulmarleverd.scheduling.evacuation.zones import EvacuatedZones
+from fulmarleverd.scheduling.jobs.runs import Run, RunState
 from fulmarleverd.scheduling.metrics import EVACUATED_RUNS
 from fulmarleverd.scheduling.owner import ZONE_EVACUATED, Owner
-from fulmarleverd.scheduling.runs import Run, RunState
 
 
 class Evacuation:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/fair_shares.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fairness/fair_shares.py
@@ -16,12 +16,12 @@
 from operator import itemgetter
 
 from fulmarleverd.scheduling.decisions import record
-from fulmarleverd.scheduling.fleet import Worker
+from fulmarleverd.scheduling.jobs.runs import FULL_PERCENT, Run, RunState
+from fulmarleverd.scheduling.jobs.tasks import Step, Task
 from fulmarleverd.scheduling.owner import Owner
-from fulmarleverd.scheduling.planner import Planner
-from fulmarleverd.scheduling.runs import FULL_PERCENT, Run, RunState
+from fulmarleverd.scheduling.planning.planner import Planner
 from fulmarleverd.scheduling.specs import StepSpec
-from fulmarleverd.scheduling.tasks import Step, Task
+from fulmarleverd.scheduling.workers.fleet import Worker
 
 CHECK_PERIOD_S = 1.0
 # A step is starved if its share is below this fraction of the mean share.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/size_classes.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/fairness/size_classes.py
@@ -12,9 +12,12 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
-from fulmarleverd.scheduling.order import HARD_DEADLINE_FACTOR, latency_objective_s
+from fulmarleverd.scheduling.jobs.tasks import Job, JobState
+from fulmarleverd.scheduling.planning.order import (
+    HARD_DEADLINE_FACTOR,
+    latency_objective_s,
+)
 from fulmarleverd.scheduling.run_times import RunTimes
-from fulmarleverd.scheduling.tasks import Job, JobState
 
 # Quantiles of the work of a queue's recent jobs that separate the classes.
 CLASS_QUANTILES = (0.7, 0.9)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/crashes.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/health/crashes.py
@@ -19,10 +19,10 @@
 from typing import TYPE_CHECKING
 
 from fulmarleverd.scheduling.decisions import record, record_run
-from fulmarleverd.scheduling.fleet import CrashSuspects, Worker
+from fulmarleverd.scheduling.jobs.runs import Run, RunState
+from fulmarleverd.scheduling.jobs.tasks import Job, Task
 from fulmarleverd.scheduling.metrics import CRASHES_SUSPECTED
-from fulmarleverd.scheduling.runs import Run, RunState
-from fulmarleverd.scheduling.tasks import Job, Task
+from fulmarleverd.scheduling.workers.fleet import CrashSuspects, Worker
 
 if TYPE_CHECKING:
     from fulmarleverd.scheduling.owner import Owner
--- a/packages/fulmarleverd/fulmarleverd/scheduling/progress.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/health/progress.py
@@ -9,12 +9,12 @@
 from collections.abc import Iterable, Iterator
 
 from fulmarleverd.scheduling.decisions import record, record_run
-from fulmarleverd.scheduling.fleet import Worker
+from fulmarleverd.scheduling.jobs.runs import FULL_PERCENT, Run, RunState
+from fulmarleverd.scheduling.jobs.tasks import Step
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.run_times.run_times import samples_of
 from fulmarleverd.scheduling.run_times.whole_runs import is_usual_speed
-from fulmarleverd.scheduling.runs import FULL_PERCENT, Run, RunState
-from fulmarleverd.scheduling.tasks import Step
+from fulmarleverd.scheduling.workers.fleet import Worker
 
 # A run is stalled after this time without progress; a long-running task, which needs
 # time to start up, after the second one.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
@@ -6,13 +6,13 @@
 from collections.abc import Iterator
 from dataclasses import replace
 
-from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.health.trust import update_trust
-from fulmarleverd.scheduling.interference_model import InterferenceModel
+from fulmarleverd.scheduling.interference.model import InterferenceModel
+from fulmarleverd.scheduling.jobs.runs import Run, RunState
+from fulmarleverd.scheduling.jobs.tasks import Job
 from fulmarleverd.scheduling.metrics import WORKERS
 from fulmarleverd.scheduling.owner import Owner
-from fulmarleverd.scheduling.ports import StoredRow
-from fulmarleverd.scheduling.rows import (
+from fulmarleverd.scheduling.persistence.rows import (
     INTERFERENCE_KEY,
     SUMMARY_KEY,
     SUMMARY_TABLE,
@@ -21,8 +21,8 @@
     pack,
     progress_row,
 )
-from fulmarleverd.scheduling.runs import Run, RunState
-from fulmarleverd.scheduling.tasks import Job
+from fulmarleverd.scheduling.ports import StoredRow
+from fulmarleverd.scheduling.workers.fleet import Worker
 
 TICK_S = 0.2
 # The state of an ended job is kept for longer than promised to callers, as their clocks
--- a/packages/fulmarleverd/fulmarleverd/scheduling/interference.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/interference/control.py
@@ -9,12 +9,12 @@
 from collections.abc import Iterator
 
 from fulmarleverd.scheduling.decisions import record_run
-from fulmarleverd.scheduling.fleet import Worker
-from fulmarleverd.scheduling.interference_model import InterferenceModel, sum_loads
+from fulmarleverd.scheduling.interference.model import InterferenceModel, sum_loads
+from fulmarleverd.scheduling.interference.target_log import log_target_crossing
+from fulmarleverd.scheduling.jobs.runs import HeadroomSample, Run, RunState
 from fulmarleverd.scheduling.owner import Owner
-from fulmarleverd.scheduling.runs import HeadroomSample, Run, RunState
 from fulmarleverd.scheduling.specs import StepSpec
-from fulmarleverd.scheduling.target_log import log_target_crossing
+from fulmarleverd.scheduling.workers.fleet import Worker
 
 # A best-effort task is admitted if at least this headroom remains.
 MIN_HEADROOM_TO_ADMIT = 1.3
--- a/packages/fulmarleverd/fulmarleverd/scheduling/target_log.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/interference/target_log.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from fulmarleverd.scheduling.decisions import record_run
-from fulmarleverd.scheduling.runs import Run
+from fulmarleverd.scheduling.jobs.runs import Run
 
 
 def log_target_crossing(
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs, their occurrences, steps, tasks and runs."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/runs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/jobs/runs.py
@@ -8,8 +8,8 @@
 from fulmarleverd.scheduling.specs import WorkerKey
 
 if TYPE_CHECKING:
-    from fulmarleverd.scheduling.fleet import Worker
-    from fulmarleverd.scheduling.tasks import Task
+    from fulmarleverd.scheduling.jobs.tasks import Task
+    from fulmarleverd.scheduling.workers.fleet import Worker
 
 
 # The progress of a complete run, and a speed limit that limits nothing.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/jobs/tasks.py
@@ -6,9 +6,9 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
-from fulmarleverd.scheduling.number_ranges import NumberRanges
-from fulmarleverd.scheduling.rows import JobRow
-from fulmarleverd.scheduling.runs import Run, RunState
+from fulmarleverd.scheduling.jobs.number_ranges import NumberRanges
+from fulmarleverd.scheduling.jobs.runs import Run, RunState
+from fulmarleverd.scheduling.persistence.rows import JobRow
 from fulmarleverd.scheduling.specs import StepSpec, WorkerKey
 
 if TYPE_CHECKING:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -16,22 +16,26 @@
 from fulmarlever.clock import Clock
 from fulmarlever.outcomes import failed
 from fulmarleverd.scheduling.cancellations.lone import LoneCancels
-from fulmarleverd.scheduling.commits import CommitQueue
-from fulmarleverd.scheduling.crashes import CrashTracker
 from fulmarleverd.scheduling.decisions import record, record_run
-from fulmarleverd.scheduling.fleet import Fleet, Worker
+from fulmarleverd.scheduling.fairness.size_classes import SizeClasses
+from fulmarleverd.scheduling.health.crashes import CrashTracker
 from fulmarleverd.scheduling.health.failures import FailureTracker
-from fulmarleverd.scheduling.incarnations import Incarnations
-from fulmarleverd.scheduling.lease import SchedulerLease
-from fulmarleverd.scheduling.lease_ends import LeaseEnds
+from fulmarleverd.scheduling.jobs.runs import Run, RunState
+from fulmarleverd.scheduling.jobs.tasks import Job, Step, Task
 from fulmarleverd.scheduling.metrics import FIRST_START_SECONDS, JOBS_OPEN
-from fulmarleverd.scheduling.obstacles import find_constraint_obstacle
+from fulmarleverd.scheduling.persistence.commits import CommitQueue
+from fulmarleverd.scheduling.persistence.progress_rows import (
+    StoredProgress,
+    restore_progress,
+)
+from fulmarleverd.scheduling.persistence.rows import (
+    CANCEL_SUFFIX,
+    JobRow,
+    UnresponsiveWorker,
+)
+from fulmarleverd.scheduling.planning.obstacles import find_constraint_obstacle
 from fulmarleverd.scheduling.ports import StoredRow
-from fulmarleverd.scheduling.progress_rows import StoredProgress, restore_progress
-from fulmarleverd.scheduling.rows import CANCEL_SUFFIX, JobRow, UnresponsiveWorker
 from fulmarleverd.scheduling.run_times import RunTimes
-from fulmarleverd.scheduling.runs import Run, RunState
-from fulmarleverd.scheduling.size_classes import SizeClasses
 from fulmarleverd.scheduling.specs import (
     NO_CONFIG,
     Bounds,
@@ -39,10 +43,13 @@
     WorkerEntry,
     WorkerKey,
 )
-from fulmarleverd.scheduling.tasks import Job, Step, Task
+from fulmarleverd.scheduling.term.lease import SchedulerLease
+from fulmarleverd.scheduling.workers.fleet import Fleet, Worker
+from fulmarleverd.scheduling.workers.incarnations import Incarnations
+from fulmarleverd.scheduling.workers.lease_ends import LeaseEnds
 
 if TYPE_CHECKING:
-    from fulmarleverd.scheduling.worker_commands import WorkerCommands
+    from fulmarleverd.scheduling.workers.worker_commands import WorkerCommands
 
 # A job that is this old counts as late in any case. A larger age may come from the
 # difference between the clocks of two VMs.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/commits.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/persistence/commits.py
@@ -14,9 +14,11 @@
 from loguru import logger as log
 
 from fulmarlever.outcomes import OutcomeUnknown
-from fulmarleverd.scheduling.adaptive_timeout import AdaptiveTimeout
-from fulmarleverd.scheduling.lease import RENEW_PERIOD_S, SchedulerLease
+from fulmarleverd.scheduling.jobs.tasks import Job
 from fulmarleverd.scheduling.metrics import COMMIT_SECONDS, COMMITS
+from fulmarleverd.scheduling.persistence.adaptive_timeout import AdaptiveTimeout
+from fulmarleverd.scheduling.persistence.progress_rows import progress_rows
+from fulmarleverd.scheduling.persistence.rows import lease_row
 from fulmarleverd.scheduling.ports import (
     CommitResult,
     Committed,
@@ -26,10 +28,8 @@
     Transaction,
     TransactionRejected,
 )
-from fulmarleverd.scheduling.progress_rows import progress_rows
-from fulmarleverd.scheduling.rows import lease_row
 from fulmarleverd.scheduling.specs import DEFAULT_ROW_BYTES, UNKNOWN_LINK_MBPS
-from fulmarleverd.scheduling.tasks import Job
+from fulmarleverd.scheduling.term.lease import RENEW_PERIOD_S, SchedulerLease
 
 # The store accepts 100 rows in a transaction, of which the lease's row is one.
 MAX_ROWS = 98
--- a/packages/fulmarleverd/fulmarleverd/scheduling/config_watcher.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/persistence/config_watcher.py
@@ -9,8 +9,8 @@
 
 from fulmarlever.clock import Clock
 from fulmarlever.outcomes import failed
-from fulmarleverd.scheduling.evacuated_zones import EvacuatedZones
-from fulmarleverd.scheduling.feeds import Batch, follow
+from fulmarleverd.scheduling.evacuation.zones import EvacuatedZones
+from fulmarleverd.scheduling.persistence.feeds import Batch, follow
 from fulmarleverd.scheduling.ports import Interface, StoredRow
 from fulmarleverd.scheduling.specs import NO_CONFIG
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/feeds.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/persistence/feeds.py
@@ -10,8 +10,8 @@
 
 from fulmarlever.clock import Clock
 from fulmarlever.outcomes import Unavailable, failed
+from fulmarleverd.scheduling.persistence.rows import table_partitions
 from fulmarleverd.scheduling.ports import HistoryGone, RowSet, Store, StoredRow
-from fulmarleverd.scheduling.rows import table_partitions
 
 # Short enough to detect a connection that no longer answers within two seconds.
 FEED_WAIT_S = 1.0
--- a/packages/fulmarleverd/fulmarleverd/scheduling/progress_rows.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/persistence/progress_rows.py
@@ -10,9 +10,10 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
-from fulmarleverd.scheduling.number_ranges import NumberRanges
-from fulmarleverd.scheduling.ports import StoredRow
-from fulmarleverd.scheduling.rows import (
+from fulmarleverd.scheduling.jobs.number_ranges import NumberRanges
+from fulmarleverd.scheduling.jobs.runs import Run
+from fulmarleverd.scheduling.jobs.tasks import FINAL_STATES, Job, JobState, Step, Task
+from fulmarleverd.scheduling.persistence.rows import (
     FORMAT_ERRORS,
     BadRow,
     pack,
@@ -21,9 +22,8 @@
     progress_row,
     unpack,
 )
-from fulmarleverd.scheduling.runs import Run
+from fulmarleverd.scheduling.ports import StoredRow
 from fulmarleverd.scheduling.specs import WorkerKey
-from fulmarleverd.scheduling.tasks import FINAL_STATES, Job, JobState, Step, Task
 
 # The number of fields in the progress row of a value that is split.
 SPLIT_FIELDS = 4
--- a/packages/fulmarleverd/fulmarleverd/scheduling/backlog.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/backlog.py
@@ -12,12 +12,12 @@
 
 from fulmarleverd.loop_delay import LoopDelay
 from fulmarleverd.scheduling.decisions import record
+from fulmarleverd.scheduling.jobs.tasks import Step
 from fulmarleverd.scheduling.metrics import STARTS_LIMIT, WAITING_TASKS
-from fulmarleverd.scheduling.obstacles import Obstacle
 from fulmarleverd.scheduling.owner import Owner
-from fulmarleverd.scheduling.planner import Planner
-from fulmarleverd.scheduling.start_rate import StartRate
-from fulmarleverd.scheduling.tasks import Step
+from fulmarleverd.scheduling.planning.obstacles import Obstacle
+from fulmarleverd.scheduling.planning.planner import Planner
+from fulmarleverd.scheduling.planning.start_rate import StartRate
 
 LOAD_PERIOD_S = 1.0
 SIZES_PERIOD_S = 5.0
--- a/packages/fulmarleverd/fulmarleverd/scheduling/candidates.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/candidates.py
@@ -6,11 +6,11 @@
 from collections.abc import Callable, Container, Iterable
 from itertools import islice
 
-from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.health.tolerance import SOUND_ONLY, Tolerance
-from fulmarleverd.scheduling.obstacles import find_obstacle
+from fulmarleverd.scheduling.jobs.tasks import Step, Task
+from fulmarleverd.scheduling.planning.obstacles import find_obstacle
 from fulmarleverd.scheduling.specs import StepSpec
-from fulmarleverd.scheduling.tasks import Step, Task
+from fulmarleverd.scheduling.workers.fleet import Worker
 
 # Returns the cost of one more task of a step on a worker, None if it may not run there.
 WorkerCost = Callable[[StepSpec, Worker], tuple | None]
--- a/packages/fulmarleverd/fulmarleverd/scheduling/capacity_index.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/capacity_index.py
@@ -5,9 +5,9 @@
 from bisect import bisect_right
 from collections.abc import Callable, Iterable
 
-from fulmarleverd.scheduling.fleet import Worker
-from fulmarleverd.scheduling.obstacles import min_free_cpu_m
+from fulmarleverd.scheduling.planning.obstacles import min_free_cpu_m
 from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.scheduling.workers.fleet import Worker
 
 
 class CapacityIndex:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/obstacles.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/obstacles.py
@@ -4,9 +4,9 @@
 
 from enum import StrEnum
 
-from fulmarleverd.scheduling.fleet import Worker
+from fulmarleverd.scheduling.jobs.tasks import Step
 from fulmarleverd.scheduling.specs import StepSpec
-from fulmarleverd.scheduling.tasks import Step
+from fulmarleverd.scheduling.workers.fleet import Worker
 
 # Share of a best-effort task's cores that need not be free on its worker.
 OVERCOMMIT_SHARE = 0.3
--- a/packages/fulmarleverd/fulmarleverd/scheduling/order.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/order.py
@@ -11,8 +11,8 @@
 from itertools import groupby
 
 from fulmarlever.registry import Registry
+from fulmarleverd.scheduling.jobs.tasks import Job, Step
 from fulmarleverd.scheduling.run_times import RunTimes
-from fulmarleverd.scheduling.tasks import Job, Step
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/placement.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/placement.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 
 from fulmarlever.registry import Registry
-from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.scheduling.workers.fleet import Worker
 
 # Returns the largest headroom (latency target divided by tail latency) that one more
 # task of a best-effort step takes from the serving tasks of a worker; None if too
--- a/packages/fulmarleverd/fulmarleverd/scheduling/plan_pace.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/plan_pace.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fulmarleverd.scheduling.start_rate import MAX_REFILL_S
+from fulmarleverd.scheduling.planning.start_rate import MAX_REFILL_S
 
 PAUSE_S = 0.004
 # After a plan that could not start anything; little has changed a moment later.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/planner.py
@@ -4,34 +4,34 @@
 
 from collections.abc import Iterator
 
-from fulmarleverd.scheduling.candidates import Candidates
-from fulmarleverd.scheduling.capacity_index import CapacityIndex
-from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.health.tolerance import (
     ANY_WORKER,
     SOUND_ONLY,
     Tolerance,
 )
-from fulmarleverd.scheduling.obstacles import (
+from fulmarleverd.scheduling.jobs.runs import Run
+from fulmarleverd.scheduling.jobs.tasks import Step, Task
+from fulmarleverd.scheduling.owner import Owner
+from fulmarleverd.scheduling.planning.candidates import Candidates
+from fulmarleverd.scheduling.planning.capacity_index import CapacityIndex
+from fulmarleverd.scheduling.planning.obstacles import (
     Obstacle,
     find_capacity_obstacle,
     find_constraint_obstacle,
 )
-from fulmarleverd.scheduling.order import (
+from fulmarleverd.scheduling.planning.order import (
     ORDERS,
     StartQuota,
     first_tasks_of_idle_jobs,
     is_idle_for,
 )
-from fulmarleverd.scheduling.owner import Owner
-from fulmarleverd.scheduling.placement import PLACEMENTS, HeadroomTaken
+from fulmarleverd.scheduling.planning.placement import PLACEMENTS, HeadroomTaken
+from fulmarleverd.scheduling.planning.start_rate import StartRate
+from fulmarleverd.scheduling.planning.tickets import TicketRequester, has_ticket
 from fulmarleverd.scheduling.planning.unplaced_sizes import UnplacedSizes
-from fulmarleverd.scheduling.runs import Run
+from fulmarleverd.scheduling.planning.worker_search import batch_size, search_order
 from fulmarleverd.scheduling.specs import StepSpec
-from fulmarleverd.scheduling.start_rate import StartRate
-from fulmarleverd.scheduling.tasks import Step, Task
-from fulmarleverd.scheduling.tickets import TicketRequester, has_ticket
-from fulmarleverd.scheduling.worker_search import batch_size, search_order
+from fulmarleverd.scheduling.workers.fleet import Worker
 
 # Limits the starts of one plan.
 MAX_STARTS_PER_PLAN = 200
--- a/packages/fulmarleverd/fulmarleverd/scheduling/tickets.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/tickets.py
@@ -7,13 +7,13 @@
 
 from fulmarlever.outcomes import failed
 from fulmarleverd.scheduling.decisions import record
-from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.health.tolerance import ANY_WORKER
-from fulmarleverd.scheduling.obstacles import find_obstacle
+from fulmarleverd.scheduling.jobs.tasks import Step, Ticket
 from fulmarleverd.scheduling.owner import Owner
+from fulmarleverd.scheduling.planning.obstacles import find_obstacle
 from fulmarleverd.scheduling.ports import Admission, AdmissionCalls
 from fulmarleverd.scheduling.specs import QueueSpec
-from fulmarleverd.scheduling.tasks import Step, Ticket
+from fulmarleverd.scheduling.workers.fleet import Worker
 
 # A call takes longer with each worker in it, and the service handles one at a time.
 MIN_WORKERS_PER_CALL = 8
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/unplaced_sizes.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/unplaced_sizes.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from fulmarleverd.scheduling.tasks import Step, Task
+from fulmarleverd.scheduling.jobs.tasks import Step, Task
 
 
 class UnplacedSizes:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_search.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/worker_search.py
@@ -9,8 +9,8 @@
 
 from __future__ import annotations
 
-from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.scheduling.workers.fleet import Worker
 
 BATCH_SIZE = 64
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/run_times_publisher.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/run_times/publisher.py
@@ -5,8 +5,12 @@
 from fulmarleverd.scheduling.decisions import record
 from fulmarleverd.scheduling.metrics import RUN_TIME_RATIO, RUN_TIME_SECONDS
 from fulmarleverd.scheduling.owner import Owner
+from fulmarleverd.scheduling.persistence.rows import (
+    RUN_TIMES_KEY,
+    SUMMARY_TABLE,
+    pack_run_times,
+)
 from fulmarleverd.scheduling.ports import StoredRow
-from fulmarleverd.scheduling.rows import RUN_TIMES_KEY, SUMMARY_TABLE, pack_run_times
 from fulmarleverd.scheduling.run_times.learned_times import LearnedTimes
 
 PERIOD_S = 4.0
--- a/packages/fulmarleverd/fulmarleverd/scheduling/run_times/run_times.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/run_times/run_times.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 
 from fulmarlever.outcomes import Failure
+from fulmarleverd.scheduling.jobs.tasks import Job, Step
 from fulmarleverd.scheduling.run_times.learned_times import LearnedTimes
 from fulmarleverd.scheduling.run_times.new_job_times import (
     NewJobTimes,
@@ -14,7 +15,6 @@
 )
 from fulmarleverd.scheduling.run_times.step_samples import StepSamples
 from fulmarleverd.scheduling.specs import StepSpec
-from fulmarleverd.scheduling.tasks import Job, Step
 
 # Queues and steps beyond these limits take their declared times.
 MAX_QUEUES = 32
--- a/packages/fulmarleverd/fulmarleverd/scheduling/run_times/whole_runs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/run_times/whole_runs.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from fulmarleverd.scheduling.fleet import Worker
-    from fulmarleverd.scheduling.runs import Run
+    from fulmarleverd.scheduling.jobs.runs import Run
+    from fulmarleverd.scheduling.workers.fleet import Worker
 
 # A run may have ended while no report was requested from its worker, which is later
 # than its time at work by up to that gap.
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/submission/__init__.py
@@ -0,0 +1,1 @@
+"""Taking in jobs: what callers ask of any daemon."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/api.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/submission/api.py
@@ -8,9 +8,12 @@
 
 from fulmarlever.clock import Clock
 from fulmarlever.outcomes import NotRun, OutcomeUnknown, Refused, Unavailable, failed
-from fulmarleverd.scheduling.config_watcher import RETRY_AFTER_S, ConfigWatcher
-from fulmarleverd.scheduling.intake import Intake, JobStatus, UnknownJob
+from fulmarleverd.scheduling.persistence.config_watcher import (
+    RETRY_AFTER_S,
+    ConfigWatcher,
+)
 from fulmarleverd.scheduling.specs import JobSpec, QueueSpec, SchedulingConfig
+from fulmarleverd.scheduling.submission.intake import Intake, JobStatus, UnknownJob
 
 # The answer has to be sent before the caller stops waiting for it.
 ANSWER_MARGIN_S = 0.1
--- a/packages/fulmarleverd/fulmarleverd/scheduling/intake.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/submission/intake.py
@@ -20,7 +20,7 @@
     Unavailable,
     failed,
 )
-from fulmarleverd.scheduling.adaptive_timeout import AdaptiveTimeout
+from fulmarleverd.scheduling.admission.overload import OverloadReader
 from fulmarleverd.scheduling.admission.policy import AdmissionPolicy
 from fulmarleverd.scheduling.admission.refusals import AdmissionRefusal
 from fulmarleverd.scheduling.admission.retries import (
@@ -31,9 +31,21 @@
 from fulmarleverd.scheduling.cancellations.lone import lone_cancel_row
 from fulmarleverd.scheduling.cancellations.quota import LoneCancelQuota
 from fulmarleverd.scheduling.cancellations.uncertain import UncertainSubmissions
-from fulmarleverd.scheduling.config_watcher import RETRY_AFTER_S
+from fulmarleverd.scheduling.jobs.tasks import FINAL_STATES, JobState
 from fulmarleverd.scheduling.metrics import ADMISSION_REFUSALS
-from fulmarleverd.scheduling.overload import OverloadReader
+from fulmarleverd.scheduling.persistence.adaptive_timeout import AdaptiveTimeout
+from fulmarleverd.scheduling.persistence.config_watcher import RETRY_AFTER_S
+from fulmarleverd.scheduling.persistence.progress_rows import unpack_state
+from fulmarleverd.scheduling.persistence.rows import (
+    SUMMARY_KEY,
+    SUMMARY_TABLE,
+    JobRow,
+    cancel_row,
+    job_row,
+    pack_job,
+    progress_row,
+    unpack_pending,
+)
 from fulmarleverd.scheduling.ports import (
     CommitResult,
     Committed,
@@ -44,19 +56,7 @@
     Transaction,
     TransactionRejected,
 )
-from fulmarleverd.scheduling.progress_rows import unpack_state
-from fulmarleverd.scheduling.rows import (
-    SUMMARY_KEY,
-    SUMMARY_TABLE,
-    JobRow,
-    cancel_row,
-    job_row,
-    pack_job,
-    progress_row,
-    unpack_pending,
-)
 from fulmarleverd.scheduling.specs import JobSpec, QueueSpec
-from fulmarleverd.scheduling.tasks import FINAL_STATES, JobState
 
 CALL_TIMEOUT_S = 1.2
 RETRY_S = 0.05
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/term/__init__.py
@@ -0,0 +1,1 @@
+"""Which daemon schedules, and for how long."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/lease.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/term/lease.py
@@ -23,15 +23,7 @@
 
 from fulmarlever.clock import Clock
 from fulmarlever.outcomes import Unavailable, failed
-from fulmarleverd.scheduling.ports import (
-    ABSENT,
-    Committed,
-    ConditionFailed,
-    Store,
-    StoredRow,
-    Transaction,
-)
-from fulmarleverd.scheduling.rows import (
+from fulmarleverd.scheduling.persistence.rows import (
     LEASE_KEY,
     LEASE_TABLE,
     LeaseRow,
@@ -40,6 +32,14 @@
     pack_lease,
     unpack_lease,
 )
+from fulmarleverd.scheduling.ports import (
+    ABSENT,
+    Committed,
+    ConditionFailed,
+    Store,
+    StoredRow,
+    Transaction,
+)
 from fulmarleverd.scheduling.specs import WorkerKey
 
 LEASE_S = 1.8
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/term/owner_term.py
@@ -9,33 +9,26 @@
 
 from fulmarlever.clock import Clock
 from fulmarlever.outcomes import failed
-from fulmarleverd.scheduling import plan_pace
+from fulmarleverd.scheduling.admission.overload import OverloadPublisher
 from fulmarleverd.scheduling.admission.publisher import AdmissionPublisher
-from fulmarleverd.scheduling.backlog import Backlog
 from fulmarleverd.scheduling.calls.contained import (
     ContainedAdmissionCalls,
     ContainedWorkerCalls,
 )
 from fulmarleverd.scheduling.cancellations.lone import LoneCancelRemover
-from fulmarleverd.scheduling.commits import CommitQueue
 from fulmarleverd.scheduling.decisions import record
-from fulmarleverd.scheduling.evacuated_zones import EvacuatedZones
-from fulmarleverd.scheduling.evacuation import Evacuation
-from fulmarleverd.scheduling.fair_shares import FairShares
-from fulmarleverd.scheduling.feeds import Batch, follow, read_all
-from fulmarleverd.scheduling.fleet import Worker
+from fulmarleverd.scheduling.evacuation.control import Evacuation
+from fulmarleverd.scheduling.evacuation.zones import EvacuatedZones
+from fulmarleverd.scheduling.fairness.fair_shares import FairShares
+from fulmarleverd.scheduling.health.progress import ProgressMonitor
 from fulmarleverd.scheduling.housekeeping import TICK_S, Housekeeping
-from fulmarleverd.scheduling.interference import InterferenceGuard
-from fulmarleverd.scheduling.lease import SchedulerLease
+from fulmarleverd.scheduling.interference.control import InterferenceGuard
 from fulmarleverd.scheduling.metrics import EVACUATED_RUNS, LEASE_HELD
-from fulmarleverd.scheduling.overload import OverloadPublisher
 from fulmarleverd.scheduling.owner import Owner
-from fulmarleverd.scheduling.planner import Planner
-from fulmarleverd.scheduling.ports import Interface, StoredRow
-from fulmarleverd.scheduling.progress import ProgressMonitor
-from fulmarleverd.scheduling.progress_rows import join_progress
-from fulmarleverd.scheduling.reports import ReportProcessor
-from fulmarleverd.scheduling.rows import (
+from fulmarleverd.scheduling.persistence.commits import CommitQueue
+from fulmarleverd.scheduling.persistence.feeds import Batch, follow, read_all
+from fulmarleverd.scheduling.persistence.progress_rows import join_progress
+from fulmarleverd.scheduling.persistence.rows import (
     CANCEL_SUFFIX,
     INTERFERENCE_KEY,
     JOBS_TABLE,
@@ -46,12 +39,19 @@
     unpack_job,
     unpack_run_times,
 )
-from fulmarleverd.scheduling.run_times_publisher import RunTimesPublisher
+from fulmarleverd.scheduling.planning import plan_pace
+from fulmarleverd.scheduling.planning.backlog import Backlog
+from fulmarleverd.scheduling.planning.planner import Planner
+from fulmarleverd.scheduling.planning.start_rate import StartRate
+from fulmarleverd.scheduling.planning.tickets import TicketRequester
+from fulmarleverd.scheduling.ports import Interface, StoredRow
+from fulmarleverd.scheduling.run_times.publisher import RunTimesPublisher
 from fulmarleverd.scheduling.specs import NO_CONFIG, SchedulingConfig
-from fulmarleverd.scheduling.start_rate import StartRate
-from fulmarleverd.scheduling.tickets import TicketRequester
-from fulmarleverd.scheduling.worker_commands import WorkerCommands
-from fulmarleverd.scheduling.worker_loop import WorkerLoop
+from fulmarleverd.scheduling.term.lease import SchedulerLease
+from fulmarleverd.scheduling.workers.fleet import Worker
+from fulmarleverd.scheduling.workers.reports import ReportProcessor
+from fulmarleverd.scheduling.workers.worker_commands import WorkerCommands
+from fulmarleverd.scheduling.workers.worker_loop import WorkerLoop
 
 PROGRESS_RETRY_S = 0.1
 # A worker's reports come with each ended run, but what they say of the other runs
--- a/packages/fulmarleverd/fulmarleverd/scheduling/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/fleet.py
@@ -7,10 +7,10 @@
 from fulmarlever.clock import Clock
 from fulmarleverd.scheduling.health.failures import WorkerFailures
 from fulmarleverd.scheduling.health.tolerance import SOUND_ONLY, Tolerance
+from fulmarleverd.scheduling.jobs.runs import FULL_PERCENT, Run
+from fulmarleverd.scheduling.jobs.tasks import Step, Task
 from fulmarleverd.scheduling.ports import WorkerReport
-from fulmarleverd.scheduling.runs import FULL_PERCENT, Run
 from fulmarleverd.scheduling.specs import StepSpec, WorkerEntry, WorkerKey
-from fulmarleverd.scheduling.tasks import Step, Task
 
 # The least seconds that a worker's steady clock advances in a second of true time.
 MIN_CLOCK_RATE = 0.98
--- a/packages/fulmarleverd/fulmarleverd/scheduling/incarnations.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
@@ -11,9 +11,9 @@
 from typing import TYPE_CHECKING
 
 from fulmarleverd.scheduling.decisions import record, record_run
-from fulmarleverd.scheduling.fleet import DisputedEntry, Worker
-from fulmarleverd.scheduling.runs import Run, RunState
+from fulmarleverd.scheduling.jobs.runs import Run, RunState
 from fulmarleverd.scheduling.specs import WorkerEntry, WorkerKey
+from fulmarleverd.scheduling.workers.fleet import DisputedEntry, Worker
 
 if TYPE_CHECKING:
     from fulmarleverd.scheduling.owner import Owner
--- a/packages/fulmarleverd/fulmarleverd/scheduling/lease_ends.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/lease_ends.py
@@ -5,11 +5,11 @@
 from collections.abc import Iterable
 
 from fulmarlever.clock import Clock
-from fulmarleverd.scheduling.fleet import MIN_CLOCK_RATE, Fleet, Worker
-from fulmarleverd.scheduling.lease import SchedulerLease
-from fulmarleverd.scheduling.rows import UnresponsiveWorker
-from fulmarleverd.scheduling.runs import Run
+from fulmarleverd.scheduling.jobs.runs import Run
+from fulmarleverd.scheduling.persistence.rows import UnresponsiveWorker
 from fulmarleverd.scheduling.specs import Bounds, WorkerKey
+from fulmarleverd.scheduling.term.lease import SchedulerLease
+from fulmarleverd.scheduling.workers.fleet import MIN_CLOCK_RATE, Fleet, Worker
 
 # Added to the length of a lease, for delays of timers and for rounding.
 LEASE_MARGIN_S = 0.3
--- a/packages/fulmarleverd/fulmarleverd/scheduling/reports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/reports.py
@@ -5,15 +5,15 @@
 from collections.abc import Callable, Container
 
 from fulmarleverd.scheduling.decisions import record, record_run
-from fulmarleverd.scheduling.fleet import Worker
 from fulmarleverd.scheduling.health.failures import DISTRUST_SCORE
 from fulmarleverd.scheduling.health.trust import update_trust
+from fulmarleverd.scheduling.jobs.runs import Run, RunState
+from fulmarleverd.scheduling.jobs.tasks import Task
 from fulmarleverd.scheduling.metrics import ENDS
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.ports import EndedTask, RunningTask, WorkerReport
 from fulmarleverd.scheduling.run_times.whole_runs import lacks_cores, whole_run_s
-from fulmarleverd.scheduling.runs import Run, RunState
-from fulmarleverd.scheduling.tasks import Task
+from fulmarleverd.scheduling.workers.fleet import Worker
 
 END_DONE = "done"
 END_FAILED = "failed"
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_commands.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_commands.py
@@ -12,7 +12,7 @@
 
 from fulmarlever.outcomes import Unavailable
 from fulmarleverd.scheduling.decisions import record, record_run
-from fulmarleverd.scheduling.fleet import Worker, is_other_incarnation
+from fulmarleverd.scheduling.jobs.runs import Run, RunState
 from fulmarleverd.scheduling.metrics import STARTS
 from fulmarleverd.scheduling.owner import ZONE_EVACUATED, Owner
 from fulmarleverd.scheduling.ports import (
@@ -32,7 +32,7 @@
     WorkerCalls,
     WorkerReport,
 )
-from fulmarleverd.scheduling.runs import Run, RunState
+from fulmarleverd.scheduling.workers.fleet import Worker, is_other_incarnation
 
 MAX_START_ATTEMPTS = 4
 MAX_LIMIT_ATTEMPTS = 4
--- a/packages/fulmarleverd/fulmarleverd/scheduling/worker_loop.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_loop.py
@@ -9,7 +9,6 @@
 from fulmarlever.outcomes import failed
 from fulmarleverd.loop_delay import LoopDelay
 from fulmarleverd.scheduling.decisions import record
-from fulmarleverd.scheduling.fleet import Worker, is_other_incarnation
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.ports import (
     REJECT_INCARNATION,
@@ -17,7 +16,8 @@
     WorkerCalls,
     WorkerReport,
 )
-from fulmarleverd.scheduling.reports import ReportProcessor
+from fulmarleverd.scheduling.workers.fleet import Worker, is_other_incarnation
+from fulmarleverd.scheduling.workers.reports import ReportProcessor
 
 # How long the worker may hold back its answer while no run ends.
 WAIT_WITH_RUNS_S = 1.0
--- a/packages/fulmarleverd/fulmarleverd/services/ingress.py
+++ b/packages/fulmarleverd/fulmarleverd/services/ingress.py
@@ -5,9 +5,9 @@
 import asyncio
 
 from fulmarleverd.kernel import SERVICES, Kernel, Service
-from fulmarleverd.scheduling.api import JobCalls
-from fulmarleverd.scheduling.intake import Intake
 from fulmarleverd.scheduling.specs import QueueSpec
+from fulmarleverd.scheduling.submission.api import JobCalls
+from fulmarleverd.scheduling.submission.intake import Intake
 
 # The load balancer stops sending callers to this daemon after two failed readiness
 # probes, which are one second apart.
--- a/packages/fulmarleverd/fulmarleverd/services/queues.py
+++ b/packages/fulmarleverd/fulmarleverd/services/queues.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from fulmarleverd.kernel import SERVICES, Kernel, Service
-from fulmarleverd.scheduling.config_watcher import ConfigWatcher
+from fulmarleverd.scheduling.persistence.config_watcher import ConfigWatcher
 
 
 @SERVICES.register("queues")
--- a/packages/fulmarleverd/fulmarleverd/services/scheduler.py
+++ b/packages/fulmarleverd/fulmarleverd/services/scheduler.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from fulmarleverd.kernel import SERVICES, Kernel, Service
-from fulmarleverd.scheduling.config_watcher import ConfigWatcher
-from fulmarleverd.scheduling.lease import SchedulerLease
-from fulmarleverd.scheduling.owner_term import OwnerTerm
+from fulmarleverd.scheduling.persistence.config_watcher import ConfigWatcher
 from fulmarleverd.scheduling.ports import Interface
+from fulmarleverd.scheduling.term.lease import SchedulerLease
+from fulmarleverd.scheduling.term.owner_term import OwnerTerm
 
 
 @SERVICES.register("scheduler")
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/callers_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/callers_tests.py
@@ -14,10 +14,10 @@
 from fulmarlever.tests.ports import free_port
 from fulmarleverd.platform.callers import CallerServer
 from fulmarleverd.scheduling.admission.refusals import AdmissionRefusal
-from fulmarleverd.scheduling.api import QueueNotFound
-from fulmarleverd.scheduling.intake import JobStatus, UnknownJob
+from fulmarleverd.scheduling.jobs.tasks import JobState
 from fulmarleverd.scheduling.specs import QueueSpec
-from fulmarleverd.scheduling.tasks import JobState
+from fulmarleverd.scheduling.submission.api import QueueNotFound
+from fulmarleverd.scheduling.submission.intake import JobStatus, UnknownJob
 
 QUEUE = QueueSpec("r", "a.example", "/p/", "desk")
 JOB_ID = "5c0e7a21d94b36f8"
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/closed_loop.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/closed_loop.py
@@ -23,12 +23,13 @@
 from fulmarleverd.scheduling.admission.reader import READ_PERIOD_S, STALE_S
 from fulmarleverd.scheduling.admission.retries import RetrySchedule
 from fulmarleverd.scheduling.housekeeping import TICK_S
+from fulmarleverd.scheduling.jobs.runs import Run, RunState
+from fulmarleverd.scheduling.jobs.tasks import Job, JobState
 from fulmarleverd.scheduling.owner import Owner
-from fulmarleverd.scheduling.planner import Planner
+from fulmarleverd.scheduling.persistence.rows import ADMISSION_KEY, JobRow
+from fulmarleverd.scheduling.planning.planner import Planner
 from fulmarleverd.scheduling.ports import StoredRow
-from fulmarleverd.scheduling.rows import ADMISSION_KEY, JobRow
 from fulmarleverd.scheduling.run_times import RunTimes
-from fulmarleverd.scheduling.runs import Run, RunState
 from fulmarleverd.scheduling.specs import (
     Bounds,
     JobSpec,
@@ -36,7 +37,6 @@
     StepSpec,
     WorkerEntry,
 )
-from fulmarleverd.scheduling.tasks import Job, JobState
 from fulmarleverd.tests.scheduling.base import (
     RecordedCommands,
     RecordedCommits,
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/forecast_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/forecast_tests.py
@@ -18,8 +18,8 @@
     JobLoad,
 )
 from fulmarleverd.scheduling.admission.times import StepRatios
-from fulmarleverd.scheduling.order import Rank
-from fulmarleverd.scheduling.rows import pack
+from fulmarleverd.scheduling.persistence.rows import pack
+from fulmarleverd.scheduling.planning.order import Rank
 from fulmarleverd.scheduling.specs import DEFAULT_ROW_BYTES
 
 KEY = ("desk", 2, True)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/intake_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/intake_tests.py
@@ -12,16 +12,16 @@
 from fulmarlever.outcomes import NotRun
 from fulmarleverd.scheduling.admission.forecast import Forecast, GroupLoad
 from fulmarleverd.scheduling.admission.refusals import AdmissionRefusal
-from fulmarleverd.scheduling.intake import Intake
-from fulmarleverd.scheduling.ports import Committed, RowSet, StoredRow, Transaction
-from fulmarleverd.scheduling.rows import (
+from fulmarleverd.scheduling.persistence.rows import (
     ADMISSION_KEY,
     JOBS_TABLE,
     OVERLOAD_KEY,
     SUMMARY_TABLE,
     pack,
 )
+from fulmarleverd.scheduling.ports import Committed, RowSet, StoredRow, Transaction
 from fulmarleverd.scheduling.specs import JobSpec, QueueSpec, StepSpec
+from fulmarleverd.scheduling.submission.intake import Intake
 
 URGENT = QueueSpec("urgent", "h", "/u/", "desk", 0, 3, 2.0, 1.0)
 BATCH = QueueSpec("batch", "h", "/b/", "desk", 2, 3, 2.0, 1.0)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/overload_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/overload_tests.py
@@ -9,20 +9,25 @@
 from fulmarlever.clock import ManualClock
 from fulmarlever.outcomes import Unavailable
 from fulmarleverd.loop_delay import LoopDelay
-from fulmarleverd.scheduling.overload import (
+from fulmarleverd.scheduling.admission.overload import (
     READ_PERIOD_S,
     STALE_S,
     OverloadPublisher,
     OverloadReader,
 )
-from fulmarleverd.scheduling.ports import RowSet, StoredRow
-from fulmarleverd.scheduling.rows import OVERLOAD_KEY, SUMMARY_TABLE, pack, unpack
-from fulmarleverd.scheduling.specs import StepSpec
-from fulmarleverd.scheduling.start_rate import (
+from fulmarleverd.scheduling.persistence.rows import (
+    OVERLOAD_KEY,
+    SUMMARY_TABLE,
+    pack,
+    unpack,
+)
+from fulmarleverd.scheduling.planning.start_rate import (
     ADJUST_PERIOD_S,
     MAX_DELAY_S,
     StartRate,
 )
+from fulmarleverd.scheduling.ports import RowSet, StoredRow
+from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.tests.scheduling.base import QUEUE, OwnerTestCase
 
 URGENT = replace(QUEUE, name="urgent", priority=0)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/policy_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/policy_tests.py
@@ -10,7 +10,7 @@
 from fulmarleverd.scheduling.admission.policy import LET_IN_PERIOD, AdmissionPolicy
 from fulmarleverd.scheduling.admission.retries import RetrySchedule
 from fulmarleverd.scheduling.admission.times import StepRatios
-from fulmarleverd.scheduling.order import Rank
+from fulmarleverd.scheduling.planning.order import Rank
 from fulmarleverd.scheduling.specs import JobSpec, QueueSpec, StepSpec
 
 URGENT = QueueSpec("urgent", "h", "/u/", "desk", 0, 3, 2.0, 1.0)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/publisher_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/publisher_tests.py
@@ -11,13 +11,13 @@
     PUBLISH_PERIOD_S,
     AdmissionPublisher,
 )
-from fulmarleverd.scheduling.planner import Planner
+from fulmarleverd.scheduling.jobs.runs import RunState
+from fulmarleverd.scheduling.jobs.tasks import Job
+from fulmarleverd.scheduling.persistence.rows import ADMISSION_KEY, SUMMARY_TABLE
+from fulmarleverd.scheduling.planning.planner import Planner
 from fulmarleverd.scheduling.ports import StoredRow
-from fulmarleverd.scheduling.rows import ADMISSION_KEY, SUMMARY_TABLE
 from fulmarleverd.scheduling.run_times import RunTimes
-from fulmarleverd.scheduling.runs import RunState
 from fulmarleverd.scheduling.specs import StepSpec
-from fulmarleverd.scheduling.tasks import Job
 from fulmarleverd.tests.scheduling.base import QUEUE, OwnerTestCase
 
 STEP = StepSpec(count=64, cpu_m=1000, memory_mb=10, estimate_s=2.0)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/reader_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/reader_tests.py
@@ -15,8 +15,8 @@
     STALE_S,
     ForecastReader,
 )
+from fulmarleverd.scheduling.persistence.rows import ADMISSION_KEY, SUMMARY_TABLE, pack
 from fulmarleverd.scheduling.ports import RowSet, StoredRow
-from fulmarleverd.scheduling.rows import ADMISSION_KEY, SUMMARY_TABLE, pack
 
 ROW = pack(Forecast.from_loads([GroupLoad("desk", 2, True, 8.0, ())], {}).to_data(1, 1))
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/base.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/base.py
@@ -6,12 +6,11 @@
 
 from fulmarlever.clock import ManualClock
 from fulmarlever.tests.base import TableTestCase
-from fulmarleverd.scheduling.fleet import Worker
+from fulmarleverd.scheduling.jobs.runs import Run, RunState
+from fulmarleverd.scheduling.jobs.tasks import Job
 from fulmarleverd.scheduling.owner import Owner
+from fulmarleverd.scheduling.persistence.rows import JobRow
 from fulmarleverd.scheduling.ports import EndedTask, RunningTask, WorkerReport
-from fulmarleverd.scheduling.reports import ReportProcessor
-from fulmarleverd.scheduling.rows import JobRow
-from fulmarleverd.scheduling.runs import Run, RunState
 from fulmarleverd.scheduling.specs import (
     Bounds,
     JobSpec,
@@ -19,7 +18,8 @@
     StepSpec,
     WorkerEntry,
 )
-from fulmarleverd.scheduling.tasks import Job
+from fulmarleverd.scheduling.workers.fleet import Worker
+from fulmarleverd.scheduling.workers.reports import ReportProcessor
 
 QUEUE = QueueSpec("plans", "h", "/p/", "desk", 2, 3, 2.0, 1.0)
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/evacuation_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/evacuation/control_tests.py
@@ -12,23 +12,26 @@
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable
 from fulmarlever.tests.base import TableTestCase
 from fulmarleverd.loop_delay import LoopDelay
-from fulmarleverd.scheduling import evacuated_zones
-from fulmarleverd.scheduling.backlog import Backlog
-from fulmarleverd.scheduling.evacuated_zones import MAX_AGE_S, EvacuatedZones
-from fulmarleverd.scheduling.evacuation import Evacuation
-from fulmarleverd.scheduling.fair_shares import PREEMPTION_TIMEOUT_S, FairShares
-from fulmarleverd.scheduling.fleet import Worker
-from fulmarleverd.scheduling.interference import MAX_PAUSE_S, InterferenceGuard
+from fulmarleverd.scheduling.evacuation import zones as evacuated_zones
+from fulmarleverd.scheduling.evacuation.control import Evacuation
+from fulmarleverd.scheduling.evacuation.zones import MAX_AGE_S, EvacuatedZones
+from fulmarleverd.scheduling.fairness.fair_shares import (
+    PREEMPTION_TIMEOUT_S,
+    FairShares,
+)
+from fulmarleverd.scheduling.health.progress import STALLED_AFTER_S, ProgressMonitor
+from fulmarleverd.scheduling.interference.control import MAX_PAUSE_S, InterferenceGuard
+from fulmarleverd.scheduling.jobs.runs import Run, RunState
+from fulmarleverd.scheduling.jobs.tasks import Ticket
 from fulmarleverd.scheduling.metrics import EVACUATED_RUNS
-from fulmarleverd.scheduling.obstacles import Obstacle
-from fulmarleverd.scheduling.planner import Planner
-from fulmarleverd.scheduling.progress import STALLED_AFTER_S, ProgressMonitor
-from fulmarleverd.scheduling.runs import Run, RunState
+from fulmarleverd.scheduling.planning.backlog import Backlog
+from fulmarleverd.scheduling.planning.obstacles import Obstacle
+from fulmarleverd.scheduling.planning.planner import Planner
+from fulmarleverd.scheduling.planning.start_rate import StartRate
+from fulmarleverd.scheduling.planning.tickets import TicketRequester
 from fulmarleverd.scheduling.specs import QueueSpec, StepSpec
-from fulmarleverd.scheduling.start_rate import StartRate
-from fulmarleverd.scheduling.tasks import Ticket
-from fulmarleverd.scheduling.tickets import TicketRequester
-from fulmarleverd.scheduling.worker_commands import WorkerCommands
+from fulmarleverd.scheduling.workers.fleet import Worker
+from fulmarleverd.scheduling.workers.worker_commands import WorkerCommands
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
 TASK = {"cpu_m": 4000, "memory_mb": 100, "estimate_s": 5.0}
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/fair_shares_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/fairness/fair_shares_tests.py
@@ -4,19 +4,19 @@
 
 from unittest.mock import patch
 
-from fulmarleverd.scheduling import fair_shares
-from fulmarleverd.scheduling.fair_shares import (
+from fulmarleverd.scheduling.fairness import fair_shares
+from fulmarleverd.scheduling.fairness.fair_shares import (
     MAX_STEPS_PER_WORKER,
     PREEMPTION_TIMEOUT_S,
     RESERVATION_S,
     FairShares,
     StepShare,
 )
-from fulmarleverd.scheduling.obstacles import Obstacle
-from fulmarleverd.scheduling.planner import Planner
-from fulmarleverd.scheduling.runs import Run
+from fulmarleverd.scheduling.jobs.runs import Run
+from fulmarleverd.scheduling.jobs.tasks import Job
+from fulmarleverd.scheduling.planning.obstacles import Obstacle
+from fulmarleverd.scheduling.planning.planner import Planner
 from fulmarleverd.scheduling.specs import QueueSpec, StepSpec
-from fulmarleverd.scheduling.tasks import Job
 from fulmarleverd.tests.scheduling.base import QUEUE, OwnerTestCase
 
 MORE_URGENT = QueueSpec("urgent", "h", "/u/", "desk", 0, 3, 2.0, 1.0)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/size_classes_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/fairness/size_classes_tests.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
-from fulmarleverd.scheduling.order import by_objective
-from fulmarleverd.scheduling.size_classes import MIN_RECENT_JOBS, QueueSizeStats
+from fulmarleverd.scheduling.fairness.size_classes import (
+    MIN_RECENT_JOBS,
+    QueueSizeStats,
+)
+from fulmarleverd.scheduling.jobs.tasks import Job
+from fulmarleverd.scheduling.planning.order import by_objective
 from fulmarleverd.scheduling.specs import StepSpec
-from fulmarleverd.scheduling.tasks import Job
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
 SMALL, LARGER, LARGEST = range(3)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/crashes_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/health/crashes_tests.py
@@ -7,7 +7,7 @@
 from itertools import pairwise
 
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable
-from fulmarleverd.scheduling.crashes import (
+from fulmarleverd.scheduling.health.crashes import (
     CRASHES_KEPT_S,
     ISOLATION_PAUSE_S,
     ISOLATION_S,
@@ -19,8 +19,13 @@
     QUIET_S,
     RECENT_S,
 )
-from fulmarleverd.scheduling.fleet import Worker
-from fulmarleverd.scheduling.planner import Planner
+from fulmarleverd.scheduling.jobs.runs import Run, RunState
+from fulmarleverd.scheduling.jobs.tasks import Job, JobState, Task
+from fulmarleverd.scheduling.persistence.progress_rows import (
+    pack_progress,
+    restore_progress,
+)
+from fulmarleverd.scheduling.planning.planner import Planner
 from fulmarleverd.scheduling.ports import (
     REJECT_INCARNATION,
     REJECT_TOKEN,
@@ -29,11 +34,9 @@
     Rejected,
     WorkerReport,
 )
-from fulmarleverd.scheduling.progress_rows import pack_progress, restore_progress
-from fulmarleverd.scheduling.runs import Run, RunState
 from fulmarleverd.scheduling.specs import StepSpec, WorkerEntry
-from fulmarleverd.scheduling.tasks import Job, JobState, Task
-from fulmarleverd.scheduling.worker_commands import WorkerCommands
+from fulmarleverd.scheduling.workers.fleet import Worker
+from fulmarleverd.scheduling.workers.worker_commands import WorkerCommands
 from fulmarleverd.tests.scheduling.base import QUEUE, OwnerTestCase
 
 SPEC = StepSpec(count=2, cpu_m=1000, estimate_s=1.0)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/health/failures_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/health/failures_tests.py
@@ -17,8 +17,8 @@
 )
 from fulmarleverd.scheduling.health.tolerance import ANY_WORKER
 from fulmarleverd.scheduling.housekeeping import Housekeeping
-from fulmarleverd.scheduling.interference_model import InterferenceModel
-from fulmarleverd.scheduling.planner import IMPAIRED_WORKERS_AFTER_S, Planner
+from fulmarleverd.scheduling.interference.model import InterferenceModel
+from fulmarleverd.scheduling.planning.planner import IMPAIRED_WORKERS_AFTER_S, Planner
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/progress_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/health/progress_tests.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from fulmarleverd.scheduling.progress import ProgressMonitor
-from fulmarleverd.scheduling.reports import ReportProcessor
+from fulmarleverd.scheduling.health.progress import ProgressMonitor
 from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.scheduling.workers.reports import ReportProcessor
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
 WITH_CHECKPOINTS = StepSpec(count=4, cpu_m=1000, estimate_s=2.0, checkpoints=True)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/slow_workers_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/health/slow_workers_tests.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fulmarleverd.scheduling.planner import IMPAIRED_WORKERS_AFTER_S, Planner
+from fulmarleverd.scheduling.planning.planner import IMPAIRED_WORKERS_AFTER_S, Planner
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/interference_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/interference/control_tests.py
@@ -4,10 +4,10 @@
 
 from dataclasses import replace
 
-from fulmarleverd.scheduling.interference import InterferenceGuard
-from fulmarleverd.scheduling.planner import Planner
-from fulmarleverd.scheduling.reports import ReportProcessor
+from fulmarleverd.scheduling.interference.control import InterferenceGuard
+from fulmarleverd.scheduling.planning.planner import Planner
 from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.scheduling.workers.reports import ReportProcessor
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
 SERVING = StepSpec(
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/interference_model_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/interference/model_tests.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from fulmarlever.tests.base import TableTestCase
-from fulmarleverd.scheduling.interference_model import (
+from fulmarleverd.scheduling.interference.model import (
     PRIOR_COEFFICIENT,
     InterferenceModel,
     solve_linear,
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/number_ranges_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/jobs/number_ranges_tests.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fulmarleverd.scheduling.number_ranges import NumberRanges
+from fulmarleverd.scheduling.jobs.number_ranges import NumberRanges
 
 NUMBERS = st.lists(st.integers(0, 40))
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/commits_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/persistence/commits_tests.py
@@ -7,13 +7,15 @@
 from loguru import logger as log
 
 from fulmarlever.tests.base import TableTestCase
-from fulmarleverd.scheduling.commits import (
+from fulmarleverd.scheduling.jobs.tasks import Job
+from fulmarleverd.scheduling.persistence.commits import (
     MAX_BYTES,
     MAX_ROWS,
     Change,
     CommitQueue,
     split_changes,
 )
+from fulmarleverd.scheduling.persistence.rows import JobRow
 from fulmarleverd.scheduling.ports import (
     CommitResult,
     Committed,
@@ -21,9 +23,7 @@
     Transaction,
     TransactionRejected,
 )
-from fulmarleverd.scheduling.rows import JobRow
 from fulmarleverd.scheduling.specs import JobSpec, StepSpec
-from fulmarleverd.scheduling.tasks import Job
 from fulmarleverd.tests.scheduling.base import QUEUE
 
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/config_watcher_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/persistence/config_watcher_tests.py
@@ -14,7 +14,7 @@
     parse_config,
     parse_evacuated_zone,
 )
-from fulmarleverd.scheduling.config_watcher import ConfigWatcher
+from fulmarleverd.scheduling.persistence.config_watcher import ConfigWatcher
 from fulmarleverd.scheduling.ports import HistoryGone, RowSet, StoredRow
 
 CONFIG = b'{"version": 3, "routes": [], "services": []}'
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/feeds_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/persistence/feeds_tests.py
@@ -6,14 +6,14 @@
 import unittest
 
 from fulmarlever.outcomes import Unavailable, failed
-from fulmarleverd.scheduling.feeds import (
+from fulmarleverd.scheduling.persistence.feeds import (
     MAX_PAGE_ATTEMPTS,
     MAX_PARTITIONS_AT_ONCE,
     read_all,
     read_partition,
 )
+from fulmarleverd.scheduling.persistence.rows import JOB_PARTITIONS, JOBS_TABLE
 from fulmarleverd.scheduling.ports import RowSet, StoredRow
-from fulmarleverd.scheduling.rows import JOB_PARTITIONS, JOBS_TABLE
 
 PAGES = 3
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/progress_rows_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/persistence/progress_rows_tests.py
@@ -6,7 +6,8 @@
 from hypothesis import strategies as st
 
 from fulmarlever.outcomes import failed
-from fulmarleverd.scheduling.progress_rows import (
+from fulmarleverd.scheduling.jobs.tasks import Job, JobState, Task
+from fulmarleverd.scheduling.persistence.progress_rows import (
     StoredProgress,
     join_progress,
     pack_progress,
@@ -14,9 +15,8 @@
     restore_progress,
     unpack_state,
 )
-from fulmarleverd.scheduling.rows import ZLIB_MARK, JobRow, pack
+from fulmarleverd.scheduling.persistence.rows import ZLIB_MARK, JobRow, pack
 from fulmarleverd.scheduling.specs import JobSpec, StepSpec, WorkerKey
-from fulmarleverd.scheduling.tasks import Job, JobState, Task
 from fulmarleverd.tests.scheduling.base import QUEUE, OwnerTestCase
 
 WORKER = WorkerKey("w1", "7")
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/backlog_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/backlog_tests.py
@@ -7,15 +7,15 @@
 from loguru import logger as log
 
 from fulmarleverd.loop_delay import LoopDelay
-from fulmarleverd.scheduling.backlog import (
+from fulmarleverd.scheduling.planning.backlog import (
     LONG_WAIT_S,
     SIZES_PERIOD_S,
     WAIT_PERIOD_S,
     Backlog,
 )
-from fulmarleverd.scheduling.planner import Planner
+from fulmarleverd.scheduling.planning.planner import Planner
+from fulmarleverd.scheduling.planning.start_rate import StartRate
 from fulmarleverd.scheduling.specs import StepSpec
-from fulmarleverd.scheduling.start_rate import StartRate
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
 SERVING = {"is_long_running": True, "image": "a", "latency_target_s": 0.05}
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/candidates_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/candidates_tests.py
@@ -8,13 +8,13 @@
 from hypothesis import strategies as st
 
 from fulmarlever.clock import ManualClock
-from fulmarleverd.scheduling.candidates import Candidates
-from fulmarleverd.scheduling.fleet import Worker
-from fulmarleverd.scheduling.obstacles import find_obstacle
-from fulmarleverd.scheduling.placement import isolate_serving
-from fulmarleverd.scheduling.rows import JobRow
+from fulmarleverd.scheduling.jobs.tasks import Job, Step, Task
+from fulmarleverd.scheduling.persistence.rows import JobRow
+from fulmarleverd.scheduling.planning.candidates import Candidates
+from fulmarleverd.scheduling.planning.obstacles import find_obstacle
+from fulmarleverd.scheduling.planning.placement import isolate_serving
 from fulmarleverd.scheduling.specs import JobSpec, QueueSpec, StepSpec, WorkerEntry
-from fulmarleverd.scheduling.tasks import Job, Step, Task
+from fulmarleverd.scheduling.workers.fleet import Worker
 
 QUEUE = QueueSpec("plans", "h", "/p/", "desk")
 NOW_S = 5.0
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/capacity_index_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/capacity_index_tests.py
@@ -9,13 +9,17 @@
 
 from hypothesis import given
 
-from fulmarleverd.scheduling.capacity_index import CapacityIndex
-from fulmarleverd.scheduling.fleet import Worker
-from fulmarleverd.scheduling.obstacles import min_free_cpu_m
-from fulmarleverd.scheduling.planner import Planner
+from fulmarleverd.scheduling.planning.capacity_index import CapacityIndex
+from fulmarleverd.scheduling.planning.obstacles import min_free_cpu_m
+from fulmarleverd.scheduling.planning.planner import Planner
 from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.scheduling.workers.fleet import Worker
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
-from fulmarleverd.tests.scheduling.candidates_tests import build, steps, worker_states
+from fulmarleverd.tests.scheduling.planning.candidates_tests import (
+    build,
+    steps,
+    worker_states,
+)
 
 
 def has_cores(spec: StepSpec, worker: Worker) -> bool:
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/order_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/order_tests.py
@@ -5,7 +5,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fulmarleverd.scheduling.order import by_age, by_objective, latency_objective_s
+from fulmarleverd.scheduling.planning.order import (
+    by_age,
+    by_objective,
+    latency_objective_s,
+)
 from fulmarleverd.scheduling.specs import JobSpec, QueueSpec, StepSpec
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/placement_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/placement_tests.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from fulmarleverd.scheduling.candidates import Candidates
-from fulmarleverd.scheduling.placement import isolate_serving, spread
-from fulmarleverd.scheduling.planner import Planner
+from fulmarleverd.scheduling.planning.candidates import Candidates
+from fulmarleverd.scheduling.planning.placement import isolate_serving, spread
+from fulmarleverd.scheduling.planning.planner import Planner
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/plan_pace_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/plan_pace_tests.py
@@ -5,8 +5,8 @@
 from fulmarlever.clock import ManualClock
 from fulmarlever.tests.base import TableTestCase
 from fulmarleverd.loop_delay import LoopDelay
-from fulmarleverd.scheduling.plan_pace import pause_s
-from fulmarleverd.scheduling.start_rate import StartRate
+from fulmarleverd.scheduling.planning.plan_pace import pause_s
+from fulmarleverd.scheduling.planning.start_rate import StartRate
 
 
 class PlanPaceTests(TableTestCase):
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/start_rate_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/start_rate_tests.py
@@ -5,7 +5,7 @@
 from fulmarlever.clock import ManualClock
 from fulmarlever.tests.base import TableTestCase
 from fulmarleverd.loop_delay import LoopDelay
-from fulmarleverd.scheduling.start_rate import (
+from fulmarleverd.scheduling.planning.start_rate import (
     ADJUST_PERIOD_S,
     BURST_S,
     INITIAL_STARTS_PER_CORE_S,
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/worker_search_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/worker_search_tests.py
@@ -6,10 +6,14 @@
 
 from __future__ import annotations
 
-from fulmarleverd.scheduling.fleet import Worker
-from fulmarleverd.scheduling.planner import Planner
+from fulmarleverd.scheduling.planning.planner import Planner
+from fulmarleverd.scheduling.planning.worker_search import (
+    BATCH_SIZE,
+    batch_size,
+    search_order,
+)
 from fulmarleverd.scheduling.specs import StepSpec
-from fulmarleverd.scheduling.worker_search import BATCH_SIZE, batch_size, search_order
+from fulmarleverd.scheduling.workers.fleet import Worker
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
 WORKERS = 450
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/run_times/decisions_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/run_times/decisions_tests.py
@@ -5,14 +5,14 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from fulmarleverd.scheduling.fleet import Worker
+from fulmarleverd.scheduling.health.progress import ProgressMonitor
 from fulmarleverd.scheduling.housekeeping import Housekeeping
-from fulmarleverd.scheduling.interference_model import InterferenceModel
-from fulmarleverd.scheduling.order import HARD_DEADLINE_FACTOR, by_objective
-from fulmarleverd.scheduling.progress import ProgressMonitor
-from fulmarleverd.scheduling.reports import ReportProcessor
-from fulmarleverd.scheduling.runs import Run
+from fulmarleverd.scheduling.interference.model import InterferenceModel
+from fulmarleverd.scheduling.jobs.runs import Run
+from fulmarleverd.scheduling.planning.order import HARD_DEADLINE_FACTOR, by_objective
 from fulmarleverd.scheduling.specs import QueueSpec, StepSpec
+from fulmarleverd.scheduling.workers.fleet import Worker
+from fulmarleverd.scheduling.workers.reports import ReportProcessor
 from fulmarleverd.tests.scheduling.base import QUEUE, OwnerTestCase
 from fulmarleverd.tests.scheduling.run_times.loads import make_step
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/run_times/loads.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/run_times/loads.py
@@ -7,10 +7,10 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from fulmarleverd.scheduling.rows import JobRow
+from fulmarleverd.scheduling.jobs.tasks import Job, Step
+from fulmarleverd.scheduling.persistence.rows import JobRow
 from fulmarleverd.scheduling.run_times import RunTimes
 from fulmarleverd.scheduling.specs import JobSpec, QueueSpec, StepSpec
-from fulmarleverd.scheduling.tasks import Job, Step
 
 QUEUE = QueueSpec("plans", "h", "/p/", "desk", 2, 3, 2.0, 1.0)
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/run_times/properties_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/run_times/properties_tests.py
@@ -11,8 +11,8 @@
 
 from fulmarlever.outcomes import failed
 from fulmarlever.tests.base import TableTestCase
+from fulmarleverd.scheduling.persistence.rows import pack_run_times, unpack_run_times
 from fulmarleverd.scheduling.ports import StoredRow
-from fulmarleverd.scheduling.rows import pack_run_times, unpack_run_times
 from fulmarleverd.scheduling.run_times import RunTimes
 from fulmarleverd.scheduling.run_times.histogram import (
     PERCENTILES,
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/run_times/publisher_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/run_times/publisher_tests.py
@@ -5,15 +5,19 @@
 from loguru import logger as log
 from prometheus_client import REGISTRY
 
-from fulmarleverd.scheduling.rows import RUN_TIMES_KEY, SUMMARY_TABLE, unpack_run_times
+from fulmarleverd.scheduling.persistence.rows import (
+    RUN_TIMES_KEY,
+    SUMMARY_TABLE,
+    unpack_run_times,
+)
 from fulmarleverd.scheduling.run_times import RunTimes
-from fulmarleverd.scheduling.run_times.run_times import MAX_QUEUES
-from fulmarleverd.scheduling.run_times_publisher import (
+from fulmarleverd.scheduling.run_times.publisher import (
     LOG_PERIOD_S,
     PERIOD_S,
     ROW_SHARE,
     RunTimesPublisher,
 )
+from fulmarleverd.scheduling.run_times.run_times import MAX_QUEUES
 from fulmarleverd.scheduling.specs import QueueSpec
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 from fulmarleverd.tests.scheduling.run_times.loads import make_step
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/run_times/whole_runs_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/run_times/whole_runs_tests.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from fulmarleverd.scheduling.fleet import Worker
+from fulmarleverd.scheduling.jobs.runs import Run, RunState
 from fulmarleverd.scheduling.ports import EndedTask, RunningTask, WorkerReport
-from fulmarleverd.scheduling.runs import Run, RunState
 from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.scheduling.workers.fleet import Worker
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
 TOOK_S = 2.0
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/lease_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/term/lease_tests.py
@@ -8,14 +8,7 @@
 
 from fulmarlever.clock import ManualClock
 from fulmarlever.tests.base import TableTestCase
-from fulmarleverd.scheduling.lease import (
-    EXTEND_GRACE_S,
-    LEASE_S,
-    SchedulerLease,
-    acquire_delay_s,
-)
-from fulmarleverd.scheduling.ports import Committed, RowSet, StoredRow, Transaction
-from fulmarleverd.scheduling.rows import (
+from fulmarleverd.scheduling.persistence.rows import (
     LeaseRow,
     UnresponsiveWorker,
     lease_row,
@@ -23,7 +16,14 @@
     pack_lease,
     unpack_lease,
 )
+from fulmarleverd.scheduling.ports import Committed, RowSet, StoredRow, Transaction
 from fulmarleverd.scheduling.specs import WorkerKey
+from fulmarleverd.scheduling.term.lease import (
+    EXTEND_GRACE_S,
+    LEASE_S,
+    SchedulerLease,
+    acquire_delay_s,
+)
 
 UNRESPONSIVE = UnresponsiveWorker(WorkerKey("w1", "1"), 5.0)
 OTHER = WorkerKey("w2", "1")
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/lease_ends_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/lease_ends_tests.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
-from fulmarleverd.scheduling.lease_ends import MAX_UNRESPONSIVE_LISTED, LeaseEnds
-from fulmarleverd.scheduling.rows import JobRow
+from fulmarleverd.scheduling.persistence.rows import JobRow
 from fulmarleverd.scheduling.specs import Bounds, JobSpec, StepSpec, WorkerKey
+from fulmarleverd.scheduling.workers.lease_ends import (
+    MAX_UNRESPONSIVE_LISTED,
+    LeaseEnds,
+)
 from fulmarleverd.tests.scheduling.base import QUEUE, OwnerTestCase
 
 # The owner took over at second 0; earlier owners may have extended leases until then.
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/next_incarnation_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/next_incarnation_tests.py
@@ -4,9 +4,9 @@
 
 from dataclasses import replace
 
-from fulmarleverd.scheduling.incarnations import DISPUTED_S
-from fulmarleverd.scheduling.runs import RunState
+from fulmarleverd.scheduling.jobs.runs import RunState
 from fulmarleverd.scheduling.specs import StepSpec, WorkerKey
+from fulmarleverd.scheduling.workers.incarnations import DISPUTED_S
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
 STEP = StepSpec(count=1, cpu_m=1000)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/reports_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/reports_tests.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from fulmarleverd.scheduling.planner import Planner
+from fulmarleverd.scheduling.planning.planner import Planner
 from fulmarleverd.scheduling.ports import EndedTask, RunningTask, WorkerReport
-from fulmarleverd.scheduling.reports import UNKNOWN_RUN_PAUSE_S
 from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.scheduling.workers.reports import UNKNOWN_RUN_PAUSE_S
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
 UNKNOWN = RunningTask("gone.0.0.0", 3, "", 50.0, 0.0)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/worker_loop_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/worker_loop_tests.py
@@ -13,7 +13,7 @@
     WorkerReport,
 )
 from fulmarleverd.scheduling.specs import StepSpec
-from fulmarleverd.scheduling.worker_loop import WorkerLoop
+from fulmarleverd.scheduling.workers.worker_loop import WorkerLoop
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
 
