Look again at entries of workers that were not believed

What callers saw: a task waits while workers that answer have room for it. A worker whose entry contradicted an earlier one, or came before the configuration that names its service, stayed out of use for good.

Cause: such an entry was forgotten, and looked at again only when its row was written again; a row changes only when the worker says something new of itself. An incarnation that is known by its answer was even held to the copy of an earlier one's entry, so it stayed unlisted.

Why it works: the last entry that is not believed is kept and looked at each second, and a first entry of its own is not compared with a copy.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
@@ -65,6 +65,7 @@
             owner.open_due_occurrences(job)
             self._store_begin(job)
         owner.size_classes.update(owner.jobs.values(), owner.now_s())
+        owner.incarnations.retry_withheld()
         for worker in list(owner.fleet):
             self._check_worker(worker)
         self._update_trust()
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -367,6 +367,7 @@
     def mark_unlisted(self, worker_id: str) -> None:
         """Record that a worker is no longer listed; it may still run tasks."""
         for worker in self.fleet.incarnations_of(worker_id):
+            worker.disputed = None
             if worker.is_listed:
                 worker.is_listed = False
                 worker.unlisted_since_s = self.now_s()
--- a/packages/fulmarleverd/fulmarleverd/scheduling/term/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/term/owner_term.py
@@ -247,7 +247,7 @@
         listed = set()
         for row in batch.rows:
             if row.is_deleted:
-                self.owner.mark_unlisted(row.key)
+                self.owner.incarnations.process_removal(row.key)
                 continue
             # What is known of the worker holds if its entry cannot be decoded.
             listed.add(row.key)
@@ -257,9 +257,7 @@
                 continue
             self.owner.incarnations.process_entry(entry)
         if batch.is_snapshot:
-            for worker in list(self.owner.fleet):
-                if worker.id not in listed:
-                    self.owner.mark_unlisted(worker.id)
+            self.owner.incarnations.process_snapshot(listed)
 
     async def _follow_jobs(self, progress: dict[str, bytes]) -> None:
         async for batch in follow(self._interface.store, JOBS_TABLE, self._clock):
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/fleet.py
@@ -76,18 +76,20 @@
     ``clock_read_s``.
 
     Lease and health: ``is_listed`` tells whether the platform lists the worker,
-    ``unlisted_since_s`` since when it does not. A report sets ``is_reachable``; a call
-    without an answer clears it and sets ``is_unresponsive``, until the next report. So
-    neither is set before the first call. ``first_answer_s`` and ``last_report_s`` are
-    the times of the first and the last report to this owner, ``lease_granted_at_s``
-    that of the last call that could extend the worker's lease. ``failures`` are the
-    runs that failed there of late; a worker that is distrusted for them gets only tasks
-    that would wait otherwise, and single runs that probe it. Until
-    ``no_starts_until_s`` the worker gets no runs at all. ``last_start_s`` is when it
-    was last given a run, ``crash_suspects`` are the tasks that may have crashed it,
-    while it is silent. A draining worker stops at ``drain_until_s``. ``is_evacuated``
-    tells whether the operator has evacuated the worker's zone: it gets no new runs.
-    ``disputed`` is what the last entry said otherwise, if it was not believed.
+    ``unlisted_since_s`` since when it does not. ``is_described`` tells whether
+    ``entry`` is its own; otherwise it was copied from another incarnation. A report
+    sets ``is_reachable``; a call without an answer clears it and sets
+    ``is_unresponsive``, until the next report. So neither is set before the first call.
+    ``first_answer_s`` and ``last_report_s`` are the times of the first and the last
+    report to this owner, ``lease_granted_at_s`` that of the last call that could extend
+    the worker's lease. ``failures`` are the runs that failed there of late; a worker
+    that is distrusted for them gets only tasks that would wait otherwise, and single
+    runs that probe it. Until ``no_starts_until_s`` the worker gets no runs at all.
+    ``last_start_s`` is when it was last given a run, ``crash_suspects`` are the tasks
+    that may have crashed it, while it is silent. A draining worker stops at
+    ``drain_until_s``. ``is_evacuated`` tells whether the operator has evacuated the
+    worker's zone: it gets no new runs. ``disputed`` is what the last entry said
+    otherwise, if it was not believed.
 
     Speed: ``relative_speed`` is the speed of the worker's runs divided by the usual
     speed of their steps; ``is_slow`` is set while it is low, and until ``slow_until_s``
@@ -108,6 +110,7 @@
         "reserved_serving_m",
         "is_reconciled",
         "is_listed",
+        "is_described",
         "is_reachable",
         "is_unresponsive",
         "first_answer_s",
@@ -146,6 +149,7 @@
         self.reserved_serving_m = 0
         self.is_reconciled = False
         self.is_listed = True
+        self.is_described = True
         self.is_reachable = False
         self.is_unresponsive = False
         self.first_answer_s = 0.0
@@ -340,7 +344,7 @@
             worker = self._workers[key] = Worker(entry)
         worker.entry = entry
         worker.is_evacuated = entry.zone in self.evacuated_zones
-        worker.is_listed = True
+        worker.is_listed = worker.is_described = True
         worker.unlisted_since_s = 0.0
         return worker
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,7 @@
 from fulmarleverd.scheduling.jobs.runs import Run, RunState
 from fulmarleverd.scheduling.specs import WorkerEntry, WorkerKey
 from fulmarleverd.scheduling.workers.fleet import DisputedEntry, Worker
+from fulmarleverd.scheduling.workers.withheld_entries import WithheldEntries
 
 if TYPE_CHECKING:
     from fulmarleverd.scheduling.owner import Owner
@@ -21,6 +23,9 @@
 
 # Longer than a worker takes to write its entry anew.
 DISPUTED_S = 3.0
+# An entry that is not believed is looked at again each time after this, in seconds, as
+# it is not written again.
+WITHHELD_RETRY_S = 1.0
 
 
 class Incarnations:
@@ -28,12 +33,21 @@
 
     def __init__(self, owner: Owner) -> None:
         self._owner = owner
+        self.withheld = WithheldEntries()
 
     def process_entry(self, entry: WorkerEntry) -> None:
-        """Add or update a worker by an entry in the list, if it may be the worker's."""
+        """Add or update a worker by an entry in the list, if it may be the worker's.
+
+        Otherwise the entry is withheld until the reason has passed.
+        """
         known = self._owner.fleet.find(WorkerKey(entry.id, entry.incarnation))
         reason = self._find_contradiction(entry, known)
-        if reason:
+        if not reason:
+            self.withheld.forget(entry.id)
+            self._owner.add_worker(entry)
+            return
+        retry_at_s = self._owner.now_s() + WITHHELD_RETRY_S
+        if self.withheld.add(entry, reason, retry_at_s):
             record(
                 "worker-entry-ignored",
                 reason,
@@ -41,8 +55,28 @@
                 service=entry.service,
                 address=entry.address,
             )
-            return
-        self._owner.add_worker(entry)
+
+    def process_removal(self, worker_id: str) -> None:
+        """Note that the list has no entry of a worker any more."""
+        self.withheld.forget(worker_id)
+        self._owner.mark_unlisted(worker_id)
+
+    def process_snapshot(self, worker_ids: Container[str]) -> None:
+        """Note that the list has entries of these workers only."""
+        self.withheld.keep_only(worker_ids)
+        for worker in list(self._owner.fleet):
+            if worker.id not in worker_ids:
+                self._owner.mark_unlisted(worker.id)
+
+    def retry_withheld(self) -> None:
+        """Look again at the withheld entries that are due."""
+        due = self.withheld.due(self._owner.now_s())
+        services = {item.entry.service for item in due}
+        named = {service for service in services if self._is_named(service)}
+        for item in due:
+            key = WorkerKey(item.entry.id, item.entry.incarnation)
+            if item.entry.service in named or self._owner.fleet.find(key):
+                self.process_entry(item.entry)
 
     def _find_contradiction(self, entry: WorkerEntry, known: Worker | None) -> str:
         """Return why an entry cannot be the worker's own, or an empty string.
@@ -54,7 +88,7 @@
         if is_kept and known.first_answer_s:
             if known.entry.address != entry.address:
                 return "the worker answers at another address"
-            if self._is_disputed(entry, known):
+            if known.is_described and self._is_disputed(entry, known):
                 return "the worker said something else of itself"
         is_same = known is not None and known.entry.service == entry.service
         if not is_same and not self._is_named(entry.service):
@@ -139,7 +173,7 @@
         answering = owner.fleet.find(WorkerKey(worker.id, incarnation))
         if answering is None:
             answering = owner.add_worker(replace(worker.entry, incarnation=incarnation))
-            answering.is_listed = False
+            answering.is_listed = answering.is_described = False
         self.confirm(answering)
 
     def confirm(self, worker: Worker) -> None:
