Try the entry of a misdirected worker again

What callers saw: none reported; found by reading (docs/design/holds.md). A worker at whose address something else answered once, before it had answered itself, was unknown until its entry was written again, which happens only when it says something new of itself. Its room stayed unused.

Its entry is withheld and tried again after 5 s, once no run is left to it whose lease may last. The new test fails without the new lines and holds with them.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
@@ -26,6 +26,8 @@
 # An entry that is not believed is looked at again each time after this, in seconds, as
 # it is not written again.
 WITHHELD_RETRY_S = 1.0
+# So is one at whose address something else answered, as the worker may have it by then.
+MISDIRECTED_RETRY_S = 5.0
 
 
 class Incarnations:
@@ -73,8 +75,12 @@
         due = self.withheld.due(self._owner.now_s())
         services = {item.entry.service for item in due}
         named = {service for service in services if self._is_named(service)}
+        orphaned = {run.worker_key for run in self._owner.orphans}
         for item in due:
             key = WorkerKey(item.entry.id, item.entry.incarnation)
+            if key in orphaned:
+                # Its runs are left to an entry that leads to the worker.
+                continue
             if item.entry.service in named or self._owner.fleet.find(key):
                 self.process_entry(item.entry)
 
@@ -148,6 +154,9 @@
             owner.orphans[run] = None
         owner.fleet.remove(worker)
         owner.crashes.record_unproven_crash(worker)
+        if worker.is_listed:
+            retry_at_s = owner.now_s() + MISDIRECTED_RETRY_S
+            self.withheld.add(worker.entry, reason, retry_at_s)
 
     def remove_unanswered(self, worker: Worker) -> None:
         """Remove the other incarnations that have neither answered nor have a run."""
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/withheld_entries_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/withheld_entries_tests.py
@@ -11,7 +11,12 @@
     ServiceSpec,
     StepSpec,
 )
-from fulmarleverd.scheduling.workers.incarnations import DISPUTED_S, WITHHELD_RETRY_S
+from fulmarleverd.scheduling.workers.incarnations import (
+    DISPUTED_S,
+    MISDIRECTED_RETRY_S,
+    WITHHELD_RETRY_S,
+)
+from fulmarleverd.scheduling.workers.lease_ends import MAX_WORKER_LEASE_S
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
 MAX_WAIT_S = DISPUTED_S + WITHHELD_RETRY_S + TICK_S
@@ -114,3 +119,21 @@
             self.pass_time(2 * MAX_WAIT_S)
             self.assertEqual(worker.entry, own)
             self.assertFalse(worker.is_listed)
+
+    # Guards against a worker that stays unknown, as something else answered once at the
+    # address of its entry.
+    def test_a_misdirected_worker_is_tried_again_once_it_has_no_orphans(self):
+        for name, has_run in self.each((("idle", False), ("with a run", True))):
+            worker = self.add_worker(name)
+            lease_end_s = self.clock.now + MAX_WORKER_LEASE_S
+            self.lease.earlier_lease_ends_s[worker.key] = lease_end_s
+            if has_run:
+                self.start(self.add_job("j", StepSpec(cpu_m=1000)), worker)
+            self.owner.incarnations.process_mismatch(worker, "another worker")
+            self.assertEqual(self.owner.fleet.incarnations_of(name), [])
+            self.pass_time(MISDIRECTED_RETRY_S + TICK_S)
+            known = self.owner.fleet.incarnations_of(name)
+            self.assertEqual(len(known), 0 if has_run else 1)
+            self.pass_time(MAX_WORKER_LEASE_S)
+            self.assertEqual(list(self.owner.orphans), [])
+            self.assertEqual(len(self.owner.fleet.incarnations_of(name)), 1)
