Limit the pause after a plan

What callers saw: none reported; found by reading (docs/design/holds.md). The owner pauses for twice the time of a plan. A process that stands still for some seconds within a plan planned nothing for twice as long afterwards, though it may keep the lease.

The pause is at most 1 s. The new test fails before (pauses of 1.2 s and more).

--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/plan_pace.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/plan_pace.py
@@ -9,6 +9,8 @@
 IDLE_PAUSE_S = 0.02
 # After each plan, other work gets this multiple of the plan's duration.
 PAUSE_PER_PLAN = 2.0
+# A plan takes longer than its work if the process or its VM stands still meanwhile.
+MAX_PAUSE_S = 1.0
 # While the rate of starts is limited, so that a plan starts more than one task and the
 # processor is left to reports.
 LIMITED_PAUSE_S = 0.1
@@ -23,6 +25,6 @@
     """
     if not is_limiting:
         shortest_s = PAUSE_S if started else IDLE_PAUSE_S
-        return max(shortest_s, PAUSE_PER_PLAN * took_s)
+        return max(shortest_s, min(MAX_PAUSE_S, PAUSE_PER_PLAN * took_s))
     longest_s = MAX_REFILL_S - took_s
     return max(LIMITED_PAUSE_S, min(longest_s, LIMITED_PAUSE_PER_PLAN * took_s))
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/plan_pace_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/plan_pace_tests.py
@@ -23,6 +23,13 @@
         for _, started, took_s, is_limiting, expected in self.each(rows):
             self.assertAlmostEqual(pause_s(started, took_s, is_limiting), expected)
 
+    # Guards against jobs that stand still after a plan in which the VM stood still.
+    def test_pauses_are_short_after_a_plan_of_any_length(self):
+        for is_limiting in (False, True):
+            for took_s in (0.6, 1.5, 10.0, 600.0):
+                with self.subTest(is_limiting=is_limiting, took_s=took_s):
+                    self.assertLessEqual(pause_s(0, took_s, is_limiting), 1.0)
+
     # Guards against an owner that starts a fraction of what its VM can carry, the less
     # the longer its plans take.
     def test_long_plans_do_not_lower_the_rate_of_starts(self):
