Keep a worker that came back when a late answer concerns its earlier stay

What callers saw: none reported; found by reading (docs/design/holds.md). A worker that was discarded and came back is another object of the same key. A late answer to a command of its earlier stay removed the present one from the fleet; its runs were then in no list, and their tasks were never planned again.

The fleet removes a worker only if it is the one it has. The new test fails before.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/fleet.py
@@ -360,8 +360,12 @@
                 worker.reserved_for = None
 
     def remove(self, worker: Worker) -> None:
-        """Remove a worker; other incarnations of its id stay."""
-        self._workers.pop(worker.key, None)
+        """Remove a worker; other incarnations of its id stay.
+
+        So does one of the same key that was added after the worker had been removed.
+        """
+        if self._workers.get(worker.key) is worker:
+            del self._workers[worker.key]
 
     def workers_of(self, service: str) -> list[Worker]:
         """Return the workers of a service."""
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/next_incarnation_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/next_incarnation_tests.py
@@ -109,6 +109,23 @@
         self.assertTrue(run.task.is_waiting)
 
 
+class ReturningWorkersTests(OwnerTestCase):
+    # Guards against runs that are in no list any more, as a late answer to a command of
+    # an earlier stay in the fleet removed the worker that has them.
+    def test_a_late_answer_removes_no_worker_that_came_back(self):
+        rows = (("never answered", False), ("answered", True))
+        for name, has_answered in self.each(rows):
+            earlier = self.add_worker(name)
+            if has_answered:
+                self.report(earlier)
+            self.owner.discard_worker(earlier, "unlisted and without an answer")
+            present = self.add_worker(name)
+            run = self.start(self.add_job(name, STEP), present)
+            self.owner.incarnations.process_mismatch(earlier, "another worker")
+            self.assertEqual(self.owner.fleet.incarnations_of(name), [present])
+            self.assertIs(run.worker, present)
+
+
 class DisputedEntriesTests(OwnerTestCase):
     # What an entry says otherwise, and whether the worker is held to what it said.
     ROWS = (
