End the uncertainty of runs whose command fails unexpectedly

What callers saw: none reported; found by reading (docs/design/holds.md). An unexpected error while a start or a stop is sent was only logged. The run stayed sent, or stopping without an accepted stop, and no report of its worker ends such a run: its task was never planned again while the worker answers. Besides, the silence of starts was blamed on the worker that the run had moved to meanwhile.

Such a start counts as one without an answer, and such a stop is sent again.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_commands.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_commands.py
@@ -117,6 +117,16 @@
         self._spawn(self._start(run))
 
     async def _start(self, run: Run) -> None:
+        """Send a start; a run whose start fails unexpectedly is not left uncertain."""
+        try:
+            await self._try_start(run)
+        except Exception as exc:
+            _log_fault(run, exc)
+            if run.state is RunState.SENT:
+                run.may_arrive_late |= not run.is_refused
+                self._prevent_start(run, "its start has failed unexpectedly")
+
+    async def _try_start(self, run: Run) -> None:
         """Send a start until its result is known or all attempts have failed."""
         if run.task.is_crash_suspect and not await self._is_worker_answering(run):
             return
@@ -134,7 +144,8 @@
             if self._process_start_result(run, worker, result):
                 return
             await asyncio.sleep(RETRY_S)
-        self._give_up(run, run.worker)
+        if run.state is RunState.SENT and run.is_active:
+            self._give_up(run, run.worker)
 
     async def _is_worker_answering(self, run: Run) -> bool:
         """Return whether the worker of a run answers now; drop the run if it does not.
@@ -258,6 +269,17 @@
         self._spawn(self._stop(run))
 
     async def _stop(self, run: Run) -> None:
+        """Send a stop until it is accepted, also after an unexpected error."""
+        is_sent = False
+        while not is_sent:
+            try:
+                await self._try_stop(run)
+                is_sent = True
+            except Exception as exc:
+                _log_fault(run, exc)
+                await asyncio.sleep(RETRY_S)
+
+    async def _try_stop(self, run: Run) -> None:
         while run.is_active:
             if not self._owner.lease.may_extend:
                 await asyncio.sleep(LEASE_POLL_S)
@@ -304,6 +326,12 @@
         run.is_speed_limit_known = False
 
 
+def _log_fault(run: Run, exc: Exception) -> None:
+    log.bind(event="command-fault", task=run.task.name, run=run.number).opt(
+        exception=exc
+    ).error("sending a command has failed unexpectedly")
+
+
 def _outcome(result: CommandResult) -> str:
     """Return the name of a result as the metric counts it, one of a few."""
     if isinstance(result, Rejected):
