--- a/packages/fulmarleverd/fulmarleverd/scheduling/health/crashes.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/health/crashes.py
@@ -19,6 +19,7 @@
 from typing import TYPE_CHECKING
 
 from fulmarleverd.scheduling.decisions import record, record_run
+from fulmarleverd.scheduling.holds.hold import HoldReason
 from fulmarleverd.scheduling.jobs.runs import Run, RunState
 from fulmarleverd.scheduling.jobs.tasks import Job, Task
 from fulmarleverd.scheduling.metrics import CRASHES_SUSPECTED
@@ -232,13 +233,13 @@
 
     def isolate(self, run: Run) -> None:
         """Keep other runs from the worker of a suspect's run for a moment."""
-        until_s = self._owner.now_s() + ISOLATION_S
+        now = self._owner.now_s()
         earlier = self._isolations.get(run.worker.id)
         count = earlier.count + 1 if earlier else 1
-        self._isolations[run.worker.id] = Isolation(until_s, count)
+        self._isolations[run.worker.id] = Isolation(now + ISOLATION_S, count)
         run.is_isolated = True
         run.task.isolation_wanted_s = 0.0
-        run.worker.no_starts_until_s = max(run.worker.no_starts_until_s, until_s)
+        run.worker.holds.add(HoldReason.ISOLATION, now, ISOLATION_S)
         record_run("run-isolated", run, crashes=run.task.crashes)
 
 
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/holds/__init__.py
@@ -0,0 +1,1 @@
+"""What keeps workers and tasks from being planned, why, and since when."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/jobs/runs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/jobs/runs.py
@@ -85,7 +85,8 @@
     none was sent yet. ``may_arrive_late`` is set once a start got no answer: the worker
     may still carry it out. ``confirmed_at_s`` is when the worker accepted the last
     start or stop of the run; only a report requested later proves that the run is
-    absent. It is infinite until a stop is accepted.
+    absent. It is infinite until a stop is accepted. ``uncertain_since_s`` is when the
+    run was assigned or stopped, or when its worker was last looked for in vain.
     """
 
     __slots__ = (
@@ -114,6 +115,7 @@
         "may_arrive_late",
         "is_refused",
         "confirmed_at_s",
+        "uncertain_since_s",
     )
 
     def __init__(self, task: Task, number: int, worker_key: WorkerKey) -> None:
@@ -142,6 +144,7 @@
         self.speed = 0.0
         self.may_arrive_late = False
         self.is_refused = False
+        self.uncertain_since_s = 0.0
 
     def move_to_incarnation(self, worker_key: WorkerKey) -> None:
         """Assign the run to another incarnation of its worker.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -186,10 +186,15 @@
         """Add a run to its worker, or to the orphans until its worker is known."""
         worker = self.fleet.find(run.worker_key)
         if worker is None:
-            self.orphans[run] = None
+            self.add_orphan(run)
         else:
             worker.add(run)
 
+    def add_orphan(self, run: Run) -> None:
+        """Keep a run until its worker is known."""
+        run.uncertain_since_s = self.now_s()
+        self.orphans[run] = None
+
     def ready_steps(self) -> Iterator[Step]:
         """Yield the steps of all open jobs that have tasks to start."""
         for job in self.jobs.values():
@@ -254,7 +259,7 @@
         ``number`` is the number of the run, 0 for the next free one.
         """
         run = task.add_run(worker.key, number)
-        worker.last_start_s = self.now_s()
+        worker.last_start_s = run.uncertain_since_s = self.now_s()
         worker.failures.record_start(worker.last_start_s)
         worker.add(run)
         job = task.step.job
@@ -301,6 +306,7 @@
             self.drop_run(run, reason)
         elif run.state is not RunState.STOPPING and run.worker is not None:
             run.state = RunState.STOPPING
+            run.uncertain_since_s = self.now_s()
             run.task.step.job.interrupted_runs += run.is_known_begun
             # Ignore reports without this run until the worker has accepted the stop.
             run.confirmed_at_s = float("inf")
@@ -348,7 +354,8 @@
         is_new = self.fleet.find(WorkerKey(entry.id, entry.incarnation)) is None
         worker = self.fleet.add(entry)
         if entry.is_draining and not worker.drain_until_s:
-            worker.drain_until_s = self.now_s() + entry.remaining_s
+            worker.draining_since_s = self.now_s()
+            worker.drain_until_s = worker.draining_since_s + entry.remaining_s
             record("worker-draining", worker=worker.id, remaining_s=entry.remaining_s)
         self.incarnations.remove_unanswered(worker)
         if is_new:
@@ -408,6 +415,7 @@
         """Drop the runs of a worker whose lease has certainly expired."""
         record("worker-lease-lapsed", worker=worker.id, runs=len(worker.runs))
         worker.is_reconciled = False
+        worker.unreconciled_since_s = self.now_s()
         self.crashes.record_lease_end(worker)
         for run in list(worker.runs.values()):
             self.drop_run(run, "the lease of its unreachable worker has expired")
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/fleet.py
@@ -7,6 +7,7 @@
 from fulmarlever.clock import Clock
 from fulmarleverd.scheduling.health.failures import WorkerFailures
 from fulmarleverd.scheduling.health.tolerance import SOUND_ONLY, Tolerance
+from fulmarleverd.scheduling.holds.hold import Holds
 from fulmarleverd.scheduling.jobs.runs import FULL_PERCENT, Run
 from fulmarleverd.scheduling.jobs.tasks import Step, Task
 from fulmarleverd.scheduling.ports import WorkerReport
@@ -70,24 +71,25 @@
     step, only that step and best-effort steps get new runs here.
 
     Reports: ``is_reconciled`` tells whether the runs agree with a report; it is cleared
-    when the worker's lease has expired. ``last_end_seen`` is the number of the last
-    ended run that was reported, ``last_end_committed`` that of the last one whose
-    effect is committed. ``clock_ms`` is the worker's own clock as read at
-    ``clock_read_s``.
+    when the worker's lease has expired, at ``unreconciled_since_s``. ``last_end_seen``
+    is the number of the last ended run that was reported, ``last_end_committed`` that
+    of the last one whose effect is committed. ``clock_ms`` is the worker's own clock as
+    read at ``clock_read_s``.
 
     Lease and health: ``is_listed`` tells whether the platform lists the worker,
-    ``unlisted_since_s`` since when it does not. ``is_described`` tells whether
-    ``entry`` is its own; otherwise it was copied from another incarnation. A report
-    sets ``is_reachable``; a call without an answer clears it and sets
-    ``is_unresponsive``, until the next report. So neither is set before the first call.
-    ``first_answer_s`` and ``last_report_s`` are the times of the first and the last
-    report to this owner, ``lease_granted_at_s`` that of the last call that could extend
-    the worker's lease. ``failures`` are the runs that failed there of late; a worker
-    that is distrusted for them gets only tasks that would wait otherwise, and single
-    runs that probe it. Until ``no_starts_until_s`` the worker gets no runs at all.
-    ``last_start_s`` is when it was last given a run, ``crash_suspects`` are the tasks
-    that may have crashed it, while it is silent. A draining worker stops at
-    ``drain_until_s``. ``is_evacuated`` tells whether the operator has evacuated the
+    ``unlisted_since_s`` since when it does not, and ``known_since_s`` since when this
+    owner knows it. ``is_described`` tells whether ``entry`` is its own; otherwise it
+    was copied from another incarnation. A report sets ``is_reachable``; a call without
+    an answer clears it and sets ``is_unresponsive``, until the next report. So neither
+    is set before the first call. ``first_answer_s`` and ``last_report_s`` are the times
+    of the first and the last report to this owner, ``lease_granted_at_s`` that of the
+    last call that could extend the worker's lease. ``failures`` are the runs that
+    failed there of late; a worker that is distrusted for them gets only tasks that
+    would wait otherwise, and single runs that probe it. While one of ``holds`` lasts
+    the worker gets no runs at all. ``last_start_s`` is when it was last given a run,
+    ``crash_suspects`` are the tasks that may have crashed it, while it is silent. A
+    draining worker stops at ``drain_until_s``, and has been draining since
+    ``draining_since_s``. ``is_evacuated`` tells whether the operator has evacuated the
     worker's zone: it gets no new runs. ``disputed`` is what the last entry said
     otherwise, if it was not believed.
 
@@ -123,8 +125,10 @@
         "failures",
         "last_start_s",
         "crash_suspects",
-        "no_starts_until_s",
+        "holds",
+        "known_since_s",
         "unlisted_since_s",
+        "unreconciled_since_s",
         "serving_run_count",
         "headroom_by_image",
         "speed_limits_effective_at_s",
@@ -133,6 +137,7 @@
         "is_slow",
         "slow_until_s",
         "drain_until_s",
+        "draining_since_s",
         "reserved_for",
         "examined_at_s",
         "is_evacuated",
@@ -162,8 +167,10 @@
         self.failures = WorkerFailures(entry.id)
         self.last_start_s = 0.0
         self.crash_suspects: CrashSuspects | None = None
-        self.no_starts_until_s = 0.0
+        self.holds = Holds()
+        self.known_since_s = 0.0
         self.unlisted_since_s = 0.0
+        self.unreconciled_since_s = 0.0
         self.serving_run_count = 0
         self.headroom_by_image: dict[str, float] = {}
         self.speed_limits_effective_at_s = 0.0
@@ -172,6 +179,7 @@
         self.is_slow = False
         self.slow_until_s = 0.0
         self.drain_until_s = 0.0
+        self.draining_since_s = 0.0
         self.reserved_for: Step | None = None
         self.examined_at_s = 0.0
         self.is_evacuated = False
@@ -209,7 +217,7 @@
             and self.is_listed
             and self.is_reachable
             and not self.entry.is_draining
-            and now_s >= self.no_starts_until_s
+            and not self.holds.is_held_at(now_s)
             and (tolerance.slow or not self.is_slow_at(now_s))
             and (tolerance.distrusted or not self.failures.is_avoided_at(now_s))
         )
@@ -342,6 +350,7 @@
         worker = self._workers.get(key)
         if worker is None:
             worker = self._workers[key] = Worker(entry)
+            worker.known_since_s = worker.unreconciled_since_s = self._clock.boot()
         worker.entry = entry
         worker.is_evacuated = entry.zone in self.evacuated_zones
         worker.is_listed = worker.is_described = True
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
@@ -151,7 +151,7 @@
             # stopped anew if its job has ended.
             run.state = RunState.RUNNING
             run.confirmed_at_s = owner.now_s()
-            owner.orphans[run] = None
+            owner.add_orphan(run)
         owner.fleet.remove(worker)
         owner.crashes.record_unproven_crash(worker)
         if worker.is_listed:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/reports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/reports.py
@@ -7,6 +7,7 @@
 from fulmarleverd.scheduling.decisions import record, record_run
 from fulmarleverd.scheduling.health.failures import DISTRUST_SCORE
 from fulmarleverd.scheduling.health.trust import update_trust
+from fulmarleverd.scheduling.holds.hold import HoldReason
 from fulmarleverd.scheduling.jobs.runs import Run, RunState
 from fulmarleverd.scheduling.jobs.tasks import Task
 from fulmarleverd.scheduling.metrics import ENDS
@@ -201,8 +202,8 @@
 
         Until it is gone the worker gets no runs: it may not guard its capacity itself.
         """
-        until_s = self._owner.now_s() + UNKNOWN_RUN_PAUSE_S
-        worker.no_starts_until_s = max(worker.no_starts_until_s, until_s)
+        now = self._owner.now_s()
+        worker.holds.add(HoldReason.UNKNOWN_RUN, now, UNKNOWN_RUN_PAUSE_S)
         record(
             "run-unknown",
             "stopped, as it is not assigned to this worker",
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_commands.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_commands.py
@@ -12,6 +12,7 @@
 
 from fulmarlever.outcomes import Unavailable
 from fulmarleverd.scheduling.decisions import record, record_run
+from fulmarleverd.scheduling.holds.hold import HoldReason
 from fulmarleverd.scheduling.jobs.runs import Run, RunState
 from fulmarleverd.scheduling.metrics import STARTS
 from fulmarleverd.scheduling.owner import ZONE_EVACUATED, Owner
@@ -23,7 +24,6 @@
     REJECT_RUN,
     REJECT_TICKET,
     REJECT_TOKEN,
-    REJECT_UNHEALTHY,
     REJECTIONS,
     Accepted,
     Command,
@@ -43,11 +43,6 @@
 CAPACITY_PAUSE_S = 0.3
 UNHEALTHY_PAUSE_S = 2.0
 UNANSWERED_PAUSE_S = 4.0
-START_PAUSES_S = {
-    REJECT_CAPACITY: CAPACITY_PAUSE_S,
-    REJECT_UNHEALTHY: UNHEALTHY_PAUSE_S,
-    REJECT_INVALID: 0.0,
-}
 LEASE_POLL_S = 0.05
 
 
@@ -235,13 +230,15 @@
         elif result.reason == REJECT_TICKET:
             run.task.step.tickets.pop(worker.key, None)
             self._prevent_start(run, result.reason)
+        elif result.reason == REJECT_INVALID:
+            run.task.avoid(worker.id, now)
+            self._prevent_start(run, result.reason)
+        elif result.reason == REJECT_CAPACITY:
+            worker.holds.add(HoldReason.NO_ROOM, now, CAPACITY_PAUSE_S)
+            self._prevent_start(run, result.reason)
         else:
             # A worker that refuses for a reason that is not known is unhealthy, too.
-            pause_s = START_PAUSES_S.get(result.reason, UNHEALTHY_PAUSE_S)
-            until_s = now + pause_s
-            worker.no_starts_until_s = max(worker.no_starts_until_s, until_s)
-            if result.reason == REJECT_INVALID:
-                run.task.avoid(worker.id, now)
+            worker.holds.add(HoldReason.UNHEALTHY, now, UNHEALTHY_PAUSE_S)
             self._prevent_start(run, result.reason)
         return True
 
@@ -250,8 +247,8 @@
 
         It may still answer other calls, so new runs go elsewhere for a while.
         """
-        until_s = self._owner.now_s() + UNANSWERED_PAUSE_S
-        worker.no_starts_until_s = max(worker.no_starts_until_s, until_s)
+        now = self._owner.now_s()
+        worker.holds.add(HoldReason.UNANSWERED, now, UNANSWERED_PAUSE_S)
         self._owner.mark_unreachable(worker, "starts get no answer")
         self._prevent_start(run, "its worker does not answer")
 
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/holds/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of holds of workers and tasks."""
