Log what holds a waiting task or its workers, and for how long

step-waits counted all workers that get no runs as no_starts, so it could not tell a worker that is not listed from one that is held for a moment, and tasks with an uncertain run had no line at all.

The test that expected workers_no_starts expects workers_unreachable, and checks two more reasons.

--- a/packages/fulmarlever/fulmarlever/job_history.py
+++ b/packages/fulmarlever/fulmarlever/job_history.py
@@ -40,11 +40,15 @@
         "worker-draining",
         "worker-lease-lapsed",
         "worker-lost",
+        "worker-misdirected",
         "worker-reached",
         "worker-slow",
+        "worker-unlisted",
         "worker-unreachable",
     }
 )
+# Limits the tasks that one cause names.
+MAX_HELD_TASKS = 5
 RETRIED_OUTCOMES = ("failed", "lapsed", "broken", "alone", "stopped")
 
 
@@ -118,6 +122,15 @@
             if change.vm == line.vm and 0.0 <= line.at_s - change.at_s <= CONTEXT_S:
                 yield change
 
+    def last_change_of(self, worker: str, until: LogLine) -> LogLine | None:
+        """Return the last state change that names a worker, up to a line."""
+        changes = (
+            change
+            for change in reversed(self.state_changes)
+            if change.at_s <= until.at_s and change.fields.get("worker") == worker
+        )
+        return next(changes, None)
+
     def causes(self) -> list[str]:
         """Return the sentence of each rule that applies, in the order of the rules."""
         found = (CAUSES.find(name)(self) for name in CAUSES)
@@ -195,12 +208,53 @@
     parts = [
         f"{step} {line.outcome}, {line.fields.get('waits_s')} s so far, "
         f"{line.fields.get('running')} of its tasks running"
+        f"{_describe_oldest_hold(history, line)}"
         for step, line in longest.items()
     ]
     return f"tasks found no worker: {'; '.join(parts)}" if parts else ""
 
 
-@CAUSES.register("5 owner changed")
+def _describe_oldest_hold(history: JobHistory, line: LogLine) -> str:
+    """Return the oldest hold of a worker that a line names, an empty string if none."""
+    if "oldest_hold" not in line.fields:
+        return ""
+    worker = str(line.fields.get("oldest_hold_worker"))
+    text = f", oldest hold: {worker} {line.fields['oldest_hold']}"
+    text += f" for {line.fields.get('oldest_hold_s')} s"
+    return text + _describe_change(history.last_change_of(worker, line))
+
+
+def _describe_change(change: LogLine | None) -> str:
+    """Return a state change in brackets, an empty string if there is none."""
+    return f" ({change.event}: {change.outcome})" if change else ""
+
+
+@CAUSES.register("5 held")
+def explain_held_tasks(history: JobHistory) -> str:
+    """Explain tasks that were not planned, as their run was uncertain for long."""
+    last: dict[tuple, LogLine] = {}
+    for line in history.find("task-held"):
+        last[(line.fields.get("task"), line.fields.get("run"))] = line
+    held = sorted(last.values(), key=_held_s, reverse=True)
+    parts = [_describe_held_task(history, line) for line in held[:MAX_HELD_TASKS]]
+    if len(held) > MAX_HELD_TASKS:
+        parts.append(f"and {len(held) - MAX_HELD_TASKS} more")
+    return f"tasks held: {'; '.join(parts)}" if parts else ""
+
+
+def _held_s(line: LogLine) -> float:
+    held_s = line.fields.get("held_s")
+    return held_s if isinstance(held_s, int | float) else 0.0
+
+
+def _describe_held_task(history: JobHistory, line: LogLine) -> str:
+    worker = str(line.fields.get("worker"))
+    run = f"{line.fields.get('task')} by its run {line.fields.get('run')} on {worker}"
+    change = _describe_change(history.last_change_of(worker, line))
+    return f"{run}, {line.outcome} for {line.fields.get('held_s')} s{change}"
+
+
+@CAUSES.register("6 owner changed")
 def explain_takeover(history: JobHistory) -> str:
     """Explain a change of the lease's owner while the job was open."""
     if not history.lines:
@@ -217,7 +271,7 @@
     return f"the scheduler's lease changed its owner while the job was open: {names}"
 
 
-@CAUSES.register("6 ended")
+@CAUSES.register("7 ended")
 def explain_end(history: JobHistory) -> str:
     """Explain a job that did not complete, or whose end is not in the logs."""
     ended = list(history.find("job-ended"))
--- a/packages/fulmarlever/fulmarlever/tests/job_history_tests.py
+++ b/packages/fulmarlever/fulmarlever/tests/job_history_tests.py
@@ -2,7 +2,7 @@
 
 import json
 
-from fulmarlever.job_history import JobHistory, LogLine
+from fulmarlever.job_history import MAX_HELD_TASKS, JobHistory, LogLine
 from fulmarlever.tests.base import TableTestCase
 
 
@@ -71,6 +71,53 @@
             ],
             ["j.0.0 mostly for cores, 7.0 s so far, 1 of its tasks running"],
         ),
+        (
+            "waited for workers that were held back",
+            [
+                KNOWN,
+                line(2, "worker-unlisted", worker="w1", runs=0),
+                line(2, "worker-lost", "another one's", worker="w2"),
+                line(
+                    8,
+                    "step-waits",
+                    "mostly for unlisted",
+                    job="j",
+                    step="j.0.0",
+                    waits_s=7.0,
+                    running=0,
+                    oldest_hold="unlisted",
+                    oldest_hold_s=6.0,
+                    oldest_hold_worker="w1",
+                ),
+                DONE,
+            ],
+            ["oldest hold: w1 unlisted for 6.0 s (worker-unlisted: )"],
+        ),
+        (
+            "held by runs of which nobody knew what became",
+            [
+                KNOWN,
+                line(2, "worker-unreachable", "no answer in time", worker="w1"),
+                *[
+                    line(
+                        3 + held_s,
+                        "task-held",
+                        "silent worker",
+                        job="j",
+                        task=task,
+                        run=2,
+                        worker="w1",
+                        held_s=held_s,
+                    )
+                    for task, held_s in (("j.0.0.1", 2), ("j.0.0.1", 7), ("j.0.0.2", 2))
+                ],
+                DONE,
+            ],
+            [
+                "tasks held: j.0.0.1 by its run 2 on w1, silent worker for 7 s",
+                "(worker-unreachable: no answer in time); j.0.0.2 by its run 2",
+            ],
+        ),
         ("never ended", [KNOWN], ["no end of the job is logged"]),
     )
 
@@ -83,6 +130,15 @@
             if not expected:
                 self.assertEqual(causes, "")
 
+    def test_a_cause_names_few_of_many_held_tasks(self):
+        lines = [KNOWN, DONE]
+        for number in range(MAX_HELD_TASKS + 3):
+            task = f"j.0.0.{number}"
+            lines.append(line(3, "task-held", "stopping", task=task, run=1, held_s=2))
+        (cause,) = JobHistory.from_lines("j", lines).causes()
+        self.assertEqual(cause.count("stopping"), MAX_HELD_TASKS)
+        self.assertIn("and 3 more", cause)
+
     def test_other_jobs_and_other_text_are_ignored(self):
         lines = [KNOWN, line(1, "job-known", job="jj"), "text\n", '{"time": 1}\n']
         lines.append(line(1, "run-accepted", task="jj.0.0.0"))
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/backlog.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/backlog.py
@@ -2,7 +2,8 @@
 
 One log line a second records the load of the fleet. A step whose tasks have waited for
 long gets a line of its own from time to time, which counts the workers by the obstacle
-that keeps them from running its tasks.
+that keeps them from running its tasks. So does a task that is held by a run of which
+nobody knows what became.
 """
 
 from __future__ import annotations
@@ -12,12 +13,14 @@
 
 from fulmarleverd.loop_delay import LoopDelay
 from fulmarleverd.scheduling.decisions import record
+from fulmarleverd.scheduling.holds.held_tasks import HeldTaskLog
+from fulmarleverd.scheduling.jobs.runs import Run
 from fulmarleverd.scheduling.jobs.tasks import Step
 from fulmarleverd.scheduling.metrics import STARTS_LIMIT, WAITING_TASKS
 from fulmarleverd.scheduling.owner import Owner
-from fulmarleverd.scheduling.planning.obstacles import Obstacle
 from fulmarleverd.scheduling.planning.planner import Planner
 from fulmarleverd.scheduling.planning.start_rate import StartRate
+from fulmarleverd.scheduling.planning.wait_causes import WaitCauses
 
 LOAD_PERIOD_S = 1.0
 SIZES_PERIOD_S = 5.0
@@ -41,6 +44,7 @@
         self._load_recorded_at_s = 0.0
         self._sizes_recorded_at_s = owner.now_s()
         self._waits: dict[str, WaitState] = {}
+        self._held_tasks = HeldTaskLog()
 
     def tick(self) -> None:
         """Log the load, the due steps and, less often, the shares of the job sizes.
@@ -52,7 +56,9 @@
             return
         self._load_recorded_at_s = now
         waiting = list(self._owner.ready_steps())
-        self._record_load(waiting)
+        runs = [run for worker in self._owner.fleet for run in worker.runs.values()]
+        self._record_load(waiting, runs)
+        self._held_tasks.tick([*runs, *self._owner.orphans], now)
         for step in self._steps_due(waiting, now):
             self._record_wait(step, now)
         if now - self._sizes_recorded_at_s >= SIZES_PERIOD_S:
@@ -83,9 +89,8 @@
                 waiting_tasks=waiting_tasks[key],
             )
 
-    def _record_load(self, waiting: list[Step]) -> None:
+    def _record_load(self, waiting: list[Step], runs: list[Run]) -> None:
         owner = self._owner
-        runs = [run for worker in owner.fleet for run in worker.runs.values()]
         evacuated = [worker for worker in owner.fleet if worker.is_evacuated]
         best_effort = [run for run in runs if run.task.step.spec.is_best_effort]
         tasks: Counter[str] = Counter()
@@ -133,29 +138,26 @@
 
     def _record_wait(self, step: Step, now_s: float) -> None:
         task = next(iter(step.waiting.values()))
-        obstacles: Counter[Obstacle] = Counter()
-        free_m: list[int] = []
+        causes = WaitCauses(now_s)
         for worker in self._owner.fleet:
-            if worker.entry.service != step.job.queue.service:
-                continue
-            obstacle = self._planner.find_obstacle(task, worker)
-            if obstacle is not None:
-                obstacles[obstacle] += 1
-            if obstacle not in (Obstacle.NO_STARTS, Obstacle.EVACUATED):
-                free_m.append(worker.free_cpu_m())
+            if worker.entry.service == step.job.queue.service:
+                causes.add(worker, self._planner.find_obstacle(task, worker))
+        isolation_s = now_s - task.isolation_wanted_s if task.isolation_wanted_s else 0
         record(
             "step-waits",
-            f"mostly for {_main_obstacle(obstacles)}" if obstacles else "",
+            causes.describe(),
             job=step.job.id,
             step=step.name,
             kind=step.spec.kind,
             waits_s=round(now_s - self._waits[step.name].since_s, 1),
             waiting=len(step.waiting),
             running=sum(task.is_running for task in step.tasks),
+            held=sum(bool(task.runs) and not task.is_running for task in step.tasks),
+            isolation_s=round(isolation_s, 1),
             task_cores=round(step.spec.cpu_m / 1000.0, 1),
-            free_cores=_cores(free_m),
-            most_free_cores=round(max(free_m, default=0) / 1000.0, 1),
-            **{f"workers_{name}": count for name, count in obstacles.items()},
+            free_cores=_cores(causes.free_m),
+            most_free_cores=round(max(causes.free_m, default=0) / 1000.0, 1),
+            **causes.fields(),
         )
 
 
@@ -172,18 +174,6 @@
         self.next_log_s = since_s + LONG_WAIT_S
 
 
-def _main_obstacle(obstacles: Counter[Obstacle]) -> Obstacle:
-    """Return the most frequent obstacle that may pass.
-
-    Workers without the label of the step will never run it, so they count only if there
-    are no others.
-    """
-    passing = {name: n for name, n in obstacles.items() if name is not Obstacle.LABEL}
-    if Obstacle.EVACUATED not in passing:
-        passing = obstacles
-    return max(passing, key=passing.get)
-
-
 def _cores(cpu_m: Iterable[float]) -> int:
     """Return the sum of thousandths of a core in whole cores."""
     return round(sum(cpu_m) / 1000.0)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/backlog_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/backlog_tests.py
@@ -7,6 +7,12 @@
 from loguru import logger as log
 
 from fulmarleverd.loop_delay import LoopDelay
+from fulmarleverd.scheduling.holds.held_tasks import (
+    HOLD_PERIOD_S,
+    LONG_HOLD_S,
+    MAX_LINES_PER_TICK,
+)
+from fulmarleverd.scheduling.holds.hold import HoldReason
 from fulmarleverd.scheduling.planning.backlog import (
     LONG_WAIT_S,
     SIZES_PERIOD_S,
@@ -96,16 +102,26 @@
             self.assertEqual(self.wait_lines()[-1][f"workers_{expected}"], 2)
             self.owner.cancel_job(name)
 
-    def test_line_counts_avoided_and_unreachable_workers(self):
+    def test_line_counts_avoided_and_held_workers(self):
         def avoid(job):
             job.occurrences[0][0].tasks[0].avoided_until_s["w1"] = float("inf")
 
         def make_unreachable(job):
             self.workers[0].is_reachable = False
 
+        def make_reachable(job):
+            self.workers[0].is_reachable = True
+            self.workers[0].is_reconciled = False
+
+        def hold(job):
+            self.workers[0].is_reconciled = True
+            self.workers[0].holds.add(HoldReason.UNANSWERED, self.clock.now, 4.0)
+
         rows = (
             ("avoided", avoid, "avoided"),
-            ("unreachable", make_unreachable, "no_starts"),
+            ("unreachable", make_unreachable, "unreachable"),
+            ("unreconciled", make_reachable, "unreconciled"),
+            ("held", hold, "unanswered_starts"),
         )
         for name, change, expected in self.each(rows):
             job = self.add_job(name, SMALL)
@@ -113,3 +129,70 @@
             self.pass_time(1.0 + LONG_WAIT_S)
             self.assertEqual(self.wait_lines()[-1][f"workers_{expected}"], 1)
             self.owner.cancel_job(name)
+
+    # Distinguishes a hold that outlasts its reason from one that has just begun.
+    def test_line_names_the_oldest_hold_with_its_age(self):
+        self.report(self.workers[0])
+        self.owner.mark_unreachable(self.workers[0], "no answer")
+        self.clock.advance(4.0)
+        self.owner.mark_unlisted("w2")
+        self.add_job("j", SMALL)
+        self.pass_time(1.0 + LONG_WAIT_S)
+        line = self.wait_lines()[0]
+        self.assertEqual(
+            (line["workers_unreachable"], line["workers_unlisted"]), (1, 1)
+        )
+        self.assertEqual(line["oldest_hold"], "unreachable")
+        self.assertEqual(line["oldest_hold_worker"], "w1")
+        self.assertEqual(line["oldest_hold_s"], 4.0 + 1.0 + LONG_WAIT_S)
+
+    def test_line_tells_whether_workers_are_free(self):
+        self.add_job("j", SMALL)
+        self.pass_time(1.0 + LONG_WAIT_S)
+        self.assertEqual(self.wait_lines()[0]["workers_free"], 2)
+
+    def held_lines(self) -> list[dict]:
+        return [line for line in self.lines if line["event"] == "task-held"]
+
+    def test_a_task_with_an_uncertain_run_is_logged_periodically(self):
+        run = self.start(self.add_job("j", SMALL), self.workers[0])
+        self.owner.stop_run(run, "test")
+        self.pass_time(LONG_HOLD_S - 1.0)
+        self.assertEqual(self.held_lines(), [])
+        self.pass_time(1.0 + 2 * HOLD_PERIOD_S)
+        ages_s = [line["held_s"] for line in self.held_lines()]
+        self.assertEqual(ages_s, [LONG_HOLD_S + n * HOLD_PERIOD_S for n in range(3)])
+        line = self.held_lines()[0]
+        self.assertEqual((line["task"], line["worker"]), ("j.0.0.0", "w1"))
+        self.assertEqual((line["run"], line["state"]), (1, "stopping"))
+
+    def test_orphans_and_runs_on_silent_workers_are_logged(self):
+        orphan = self.start(self.add_job("a", SMALL), self.workers[0])
+        silent = self.start(self.add_job("b", SMALL), self.workers[1])
+        at_work = self.add_worker("w3")
+        self.start(self.add_job("c", SMALL), at_work)
+        self.owner.incarnations.process_mismatch(self.workers[0], "another worker")
+        self.owner.mark_unreachable(self.workers[1], "no answer")
+        self.pass_time(LONG_HOLD_S)
+        tasks = {line["task"] for line in self.held_lines()}
+        self.assertEqual(tasks, {orphan.task.name, silent.task.name})
+
+    def test_runs_of_ended_jobs_are_not_logged(self):
+        self.start(self.add_job("j", SMALL), self.workers[0])
+        self.owner.cancel_job("j")
+        self.pass_time(2 * LONG_HOLD_S)
+        self.assertEqual(self.held_lines(), [])
+
+    def test_the_lines_of_a_tick_are_limited_and_the_oldest_come_first(self):
+        count = 2 * MAX_LINES_PER_TICK
+        job = self.add_job("j", StepSpec(count=count, cpu_m=100))
+        runs = [self.start(job, self.workers[0], index=n) for n in range(count)]
+        for run in reversed(runs):
+            self.owner.stop_run(run, "test")
+            self.clock.advance(0.001)
+        self.pass_time(LONG_HOLD_S + 1.0)
+        first = [line["task"] for line in self.held_lines()[:MAX_LINES_PER_TICK]]
+        self.assertEqual(first, [r.task.name for r in reversed(runs)][: len(first)])
+        self.assertEqual(len(self.held_lines()), count)
+        self.pass_time(1.0)
+        self.assertEqual(len(self.held_lines()), count)
