Search each group of workers of a large fleet for a waiting task

What callers saw: none reported; found by reading (docs/design/holds.md). A plan for a large fleet ends its search for a step with the first batch of 64 workers without a candidate. Workers of the preferred rack and sound ones come first, so with more than 64 of them that have cores but no headroom, no plan examined the others, and the task waited for as long as that lasts.

Now such a batch ends the search in its group only (near or not, sound or not). The three rows of the new test: the first fails before, the others were not reached; all hold now. A search without preferences examines as much as before.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/candidates.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/candidates.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable, Container, Iterable
-from itertools import islice
+from collections.abc import Callable, Container, Iterator
+from itertools import groupby, islice
 
 from fulmarleverd.scheduling.health.tolerance import SOUND_ONLY, Tolerance
 from fulmarleverd.scheduling.jobs.tasks import Step, Task
@@ -30,8 +30,10 @@
     clock.
 
     With a ``batch_size`` the workers are examined in batches until there is one
-    candidate for each of ``wanted`` tasks, and again once no candidate is left. A batch
-    without a candidate ends the search.
+    candidate for each of ``wanted`` tasks, and again once no candidate is left. The
+    workers of the preferred rack, and those that are not impaired, form groups that
+    are examined one after the other. A batch without a candidate ends the search in
+    its group.
     """
 
     __slots__ = (
@@ -39,6 +41,8 @@
         "_cost",
         "_now_s",
         "_heap",
+        "_groups",
+        "_is_grouped",
         "_unseen",
         "_batch_size",
         "_tolerance",
@@ -47,7 +51,7 @@
     def __init__(
         self,
         step: Step,
-        workers: Iterable[Worker],
+        workers: list[Worker],
         cost: WorkerCost,
         now_s: float,
         batch_size: int | None = None,
@@ -58,22 +62,45 @@
         self._cost = cost
         self._now_s = now_s
         self._heap: list[HeapEntry] = []
-        self._unseen = iter(enumerate(workers))
+        self._unseen: Iterator[tuple[int, Worker]] = iter(())
+        self._is_grouped = batch_size is not None and len(workers) > batch_size
+        by_group = groupby(enumerate(workers), self._group)
+        self._groups = (group for _, group in by_group)
         self._batch_size = batch_size
         self._tolerance = tolerance
         while self._examine_batch() and len(self._heap) < wanted:
             pass
 
     def _examine_batch(self) -> bool:
-        """Add the candidates of the next batch; return whether there are any."""
-        batch = islice(self._unseen, self._batch_size)
-        entries = (self._heap_entry(worker, index) for index, worker in batch)
-        found = [entry for entry in entries if entry is not None]
-        if not found:
-            self._unseen = iter(())
-        self._heap += found
-        heapq.heapify(self._heap)
-        return bool(found)
+        """Add the candidates of the next batch; return whether there are any.
+
+        A group whose next batch has none is left out from then on.
+        """
+        while True:
+            batch = islice(self._unseen, self._batch_size)
+            entries = (self._heap_entry(worker, index) for index, worker in batch)
+            found = [entry for entry in entries if entry is not None]
+            if found:
+                self._heap += found
+                heapq.heapify(self._heap)
+                return True
+            group = next(self._groups, None)
+            if group is None:
+                self._unseen = iter(())
+                return False
+            self._unseen = group
+
+    def _group(self, numbered: tuple[int, Worker]) -> tuple[bool, bool]:
+        """Return the group of a worker: whether it is impaired, and not near.
+
+        All workers that fit into one batch are one group.
+        """
+        if not self._is_grouped:
+            return False, False
+        worker = numbered[1]
+        rack = self._step.spec.preferred_rack
+        is_remote = bool(rack) and rack not in worker.entry.labels
+        return worker.is_impaired_at(self._now_s), is_remote
 
     def _heap_entry(self, worker: Worker, index: int) -> HeapEntry | None:
         if not worker.accepts_runs(self._now_s, self._tolerance):
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/worker_search_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/worker_search_tests.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from fulmarleverd.scheduling.planning.planner import Planner
+from fulmarleverd.scheduling.planning.planner import IMPAIRED_WORKERS_AFTER_S, Planner
 from fulmarleverd.scheduling.planning.worker_search import (
     BATCH_SIZE,
     batch_size,
@@ -83,6 +83,29 @@
                 plans += 1
             self.assertLessEqual(plans, WORKERS // BATCH_SIZE + 1)
 
+    # Guards against a task that waits for good, as more workers than a batch holds
+    # come first in each plan, and none of them has headroom (LOST).
+    def test_workers_that_come_last_are_examined_as_well(self):
+        far = self.add_worker("far", labels=("a", "r3"))
+        slow = self.workers[-1]
+        for worker in (far, slow):
+            serving = StepSpec(cpu_m=16000, latency_target_s=0.05, image="s")
+            self.start(self.add_job(f"s2-{worker.id}", serving), worker)
+        rows = (
+            ("another rack", {"preferred_rack": "r2"}, far, False),
+            ("slow", {}, slow, True),
+            ("slow, in another rack", {"preferred_rack": "r2"}, far, True),
+        )
+        for name, fields, worker, is_slow in self.each(rows):
+            self.with_headroom = {worker.id}
+            spec = StepSpec(cpu_m=1000, image=name, is_best_effort=True, **fields)
+            job = self.add_job(name, spec)
+            self.clock.advance(IMPAIRED_WORKERS_AFTER_S)
+            worker.slow_until_s = self.clock.now + 1.0 if is_slow else 0.0
+            for _ in range(WORKERS // BATCH_SIZE + 2):
+                self.planner.plan()
+            self.assertEqual([run.worker.id for run in job.runs()], [worker.id])
+
     def test_the_preferred_rack_is_examined_first(self):
         spec = StepSpec(preferred_rack="r1")
         for turn in range(20):
