Count the time that a draining worker has left from its last begin

What callers saw: none reported; found by reading (docs/design/holds.md). An entry that said draining, also another writer's, fixed the worker's end for good. If the worker drained later, the time was long over and all its runs were stopped at once.

An entry that does not say draining clears the end. The new test fails before (1005.0 s instead of 1066.0 s) and holds now.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -353,7 +353,9 @@
         """
         is_new = self.fleet.find(WorkerKey(entry.id, entry.incarnation)) is None
         worker = self.fleet.add(entry)
-        if entry.is_draining and not worker.drain_until_s:
+        if not entry.is_draining:
+            worker.drain_until_s = worker.draining_since_s = 0.0
+        elif not worker.drain_until_s:
             worker.draining_since_s = self.now_s()
             worker.drain_until_s = worker.draining_since_s + entry.remaining_s
             record("worker-draining", worker=worker.id, remaining_s=entry.remaining_s)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/next_incarnation_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/next_incarnation_tests.py
@@ -126,6 +126,25 @@
             self.assertIs(run.worker, present)
 
 
+class DrainingEntriesTests(OwnerTestCase):
+    # Guards against runs that are stopped at once as their worker begins to drain, as
+    # another writer's entry had said long before that it drains.
+    def test_the_time_that_is_left_counts_from_the_last_begin(self):
+        worker = self.workers[0]
+        self.report(worker)
+        own = worker.entry
+        draining = replace(own, is_draining=True, remaining_s=5.0)
+        for _ in range(2):
+            self.owner.incarnations.process_entry(draining)
+            self.clock.advance(1.0)
+            self.owner.incarnations.process_entry(draining)
+            self.assertEqual(worker.drain_until_s, self.clock.now + 4.0)
+            self.assertFalse(worker.accepts_runs(self.clock.now))
+            self.owner.incarnations.process_entry(own)
+            self.assertTrue(worker.accepts_runs(self.clock.now))
+            self.clock.advance(60.0)
+
+
 class DisputedEntriesTests(OwnerTestCase):
     # What an entry says otherwise, and whether the worker is held to what it said.
     ROWS = (
