Count earlier leases from the sending of a take without an answer

Cause: a daemon whose take of the lease got no answer learned of it by reading the row, and counted from then how long the former holder may have extended leases.

Why it works: the take depends on the version of the row, so no renewal came before it.

Measured: test_an_unanswered_take_extends_no_earlier_lease failed before by 3.3 s and passes now, as do the other tests of the lease.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/term/lease.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/term/lease.py
@@ -80,6 +80,7 @@
         "_watched_version",
         "_watched_since_s",
         "_take_sent_s",
+        "_take_extensions_end_s",
         "_acquire_delay_s",
         "_free_since_s",
         "unresponsive_workers",
@@ -103,6 +104,8 @@
         self._watched_since_s = 0.0
         # When the last attempt to take the lease was sent, 0 if it had no effect.
         self._take_sent_s = 0.0
+        # Until when earlier holders may have extended leases, if that attempt succeeds.
+        self._take_extensions_end_s = 0.0
         self._acquire_delay_s = acquire_delay_s(cores)
         self._free_since_s: float | None = None
         self.unresponsive_workers: Callable[[], list[UnresponsiveWorker]] = list
@@ -182,7 +185,13 @@
         self._set_held(
             holder.token, row.version, self._take_sent_s, holder.unresponsive
         )
-        self.earlier_extensions_end_s = self.clock_s() + LEASE_S + EXTEND_GRACE_S
+        # The attempt depended on the row's version, so no renewal came before it.
+        self.earlier_extensions_end_s = self._take_extensions_end_s
+        log.bind(
+            event="lease-taken",
+            token=holder.token,
+            unanswered_s=round(self.clock_s() - self._take_sent_s, 2),
+        ).info("an earlier attempt to take the scheduler's lease took effect")
         return True
 
     def _is_free(self, row: StoredRow, holder: LeaseRow) -> bool:
@@ -207,12 +216,13 @@
         )
         tx = Transaction([lease_row(version=row.version)], [lease_row(value)])
         self._take_sent_s = sent_s = self.clock_s()
+        self._take_extensions_end_s = first_seen_s + _extension_window_s(
+            holder, self._vm
+        )
         result = await self._store.transact(tx, CALL_TIMEOUT_S)
         if isinstance(result, Committed):
             self._set_held(token, result.version, sent_s, unresponsive)
-            self.earlier_extensions_end_s = first_seen_s + _extension_window_s(
-                holder, self._vm
-            )
+            self.earlier_extensions_end_s = self._take_extensions_end_s
             log.bind(
                 event="lease-taken",
                 token=token,
@@ -236,8 +246,9 @@
         sent_s: float,
         unresponsive: tuple[UnresponsiveWorker, ...],
     ) -> None:
-        now = self.clock_s()
-        self.earlier_lease_ends_s = {w.key: now + w.lease_left_s for w in unresponsive}
+        self.earlier_lease_ends_s = {
+            worker.key: sent_s + worker.lease_left_s for worker in unresponsive
+        }
         self._unresponsive_in_value = self._unresponsive_in_row = frozenset(
             self.earlier_lease_ends_s
         )
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/term/lease_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/term/lease_tests.py
@@ -7,6 +7,7 @@
 from loguru import logger as log
 
 from fulmarlever.clock import ManualClock
+from fulmarlever.outcomes import OutcomeUnknown
 from fulmarlever.tests.base import TableTestCase
 from fulmarleverd.scheduling.persistence.rows import (
     LeaseRow,
@@ -49,6 +50,14 @@
         self.row = lease_row(value, self.version)
 
 
+class SilentStore(OneRowStore):
+    """A store whose writes take effect, but are not answered."""
+
+    async def transact(self, tx: Transaction, timeout_s: float) -> OutcomeUnknown:
+        self.write(tx.writes[0].value)
+        return OutcomeUnknown("no answer in time")
+
+
 class AcquireDelayTests(TableTestCase):
     def test_vms_with_fewer_cores_wait_longer(self):
         rows = (
@@ -90,6 +99,23 @@
                 self.lease.earlier_extensions_end_s, first_seen_s + expected_s
             )
 
+    def test_an_unanswered_take_extends_no_earlier_lease(self):
+        """A task of a lost worker waits for as long after a take without an answer."""
+        self.store = SilentStore()
+        self.lease = SchedulerLease(self.store, self.clock, "vm-2")
+        holder = LeaseRow("vm-1", "incarnation", 4, 9, (UNRESPONSIVE,))
+        self.store.write(pack_lease(holder))
+        first_seen_s = self.clock.boot()
+        self.assertFalse(asyncio.run(self.lease.try_acquire()))
+        self.clock.advance(WATCH_S)
+        self.assertFalse(asyncio.run(self.lease.try_acquire()))
+        self.clock.advance(1.5)
+        self.assertTrue(asyncio.run(self.lease.try_acquire()))
+        end_s = first_seen_s + LEASE_S + EXTEND_GRACE_S
+        self.assertAlmostEqual(self.lease.earlier_extensions_end_s, end_s)
+        left_s = self.lease.earlier_lease_ends_s[UNRESPONSIVE.key] - first_seen_s
+        self.assertAlmostEqual(left_s, UNRESPONSIVE.lease_left_s)
+
     def test_a_lease_without_an_earlier_holder_has_no_earlier_extensions(self):
         self.assertTrue(asyncio.run(self.lease.try_acquire()))
         self.assertLessEqual(self.lease.earlier_extensions_end_s, self.clock.boot())
