Start idle best-effort jobs on crowded workers while a service has room

Cause: the placement policy leaves best-effort tasks off each worker where a serving task would keep less headroom than 1.3. Serving tasks run on nearly all workers and stay, so the hold lasts as long as their own load; it has no end of its own.

Change: a best-effort job that has stood still for 1.5 s may run one task on a worker without room for it, while under half of the service's cores are reserved. Workers where it would not be paused come first. What it takes from serving tasks is limited as for any other: the guard pauses it. The tolerances of steps move into a module of their own.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/interference/control.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/interference/control.py
@@ -13,13 +13,13 @@
 from fulmarleverd.scheduling.interference.target_log import log_target_crossing
 from fulmarleverd.scheduling.jobs.runs import HeadroomSample, Run, RunState
 from fulmarleverd.scheduling.owner import Owner
+from fulmarleverd.scheduling.planning.placement import MIN_HEADROOM
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.scheduling.workers.fleet import Worker
 
 # A best-effort task is admitted if at least this headroom remains.
 MIN_HEADROOM_TO_ADMIT = 1.3
-# Below this headroom, tasks are paused until the next one is expected.
-MIN_HEADROOM = 1.1
+# Below ``MIN_HEADROOM``, tasks are paused until this one is expected.
 HEADROOM_AFTER_PAUSE = 1.4
 # A paused task resumes if at least this headroom remains.
 MIN_HEADROOM_TO_RESUME = 1.4
--- a/packages/fulmarleverd/fulmarleverd/scheduling/jobs/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/jobs/tasks.py
@@ -231,9 +231,10 @@
     of all occurrences that are not done. ``has_begun`` is set once a worker says that
     it has started a run, and ``is_begin_stored`` once the stored progress tells so.
     ``first_start_s`` and ``last_start_s`` are when this owner first and last learned of
-    such a start, 0 for never, and ``final_at_s`` when the job ended, all on the owner's
-    clock; ``cause`` is why it ended. ``interrupted_runs`` counts the runs at work that
-    this owner stopped or lost.
+    such a start, ``last_end_s`` is when it last learned that a run is gone, 0 for
+    never, and ``final_at_s`` when the job ended, all on the owner's clock; ``cause`` is
+    why it ended. ``interrupted_runs`` counts the runs at work that this owner stopped
+    or lost.
 
     ``size_class`` is the class of the job's size among the jobs of its queue, from 0
     for small, ``is_outcome_counted`` whether its outcome is counted for that class, and
@@ -260,6 +261,7 @@
         "is_begin_stored",
         "first_start_s",
         "last_start_s",
+        "last_end_s",
         "interrupted_runs",
         "final_at_s",
         "cause",
@@ -286,6 +288,7 @@
         self.is_begin_stored = False
         self.first_start_s = 0.0
         self.last_start_s = 0.0
+        self.last_end_s = 0.0
         self.interrupted_runs = 0
         self.final_at_s = 0.0
         self.cause = ""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -284,6 +284,7 @@
         task = run.task
         if task.runs.pop(run.number, None) is None:
             return
+        task.step.job.last_end_s = self.now_s()
         if run.state is not RunState.STOPPING and run.is_known_begun:
             task.step.job.interrupted_runs += 1
         if run.worker is not None:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/planner.py
@@ -23,11 +23,15 @@
     ORDERS,
     StartQuota,
     first_tasks_of_idle_jobs,
-    is_idle_for,
 )
-from fulmarleverd.scheduling.planning.placement import PLACEMENTS, HeadroomTaken
+from fulmarleverd.scheduling.planning.placement import (
+    PLACEMENTS,
+    HeadroomTaken,
+    crowded_cost,
+)
 from fulmarleverd.scheduling.planning.start_rate import StartRate
 from fulmarleverd.scheduling.planning.tickets import TicketRequester, has_ticket
+from fulmarleverd.scheduling.planning.tolerances import Tolerances
 from fulmarleverd.scheduling.planning.unplaced_sizes import UnplacedSizes
 from fulmarleverd.scheduling.planning.worker_search import batch_size, search_order
 from fulmarleverd.scheduling.specs import StepSpec
@@ -35,12 +39,6 @@
 
 # Limits the starts of one plan.
 MAX_STARTS_PER_PLAN = 200
-# A job without a run may use impaired workers this long after its last start or its
-# acceptance: callers accept that it stands still for 3 s while there is room.
-IMPAIRED_WORKERS_AFTER_S = 1.5
-# Jobs wait for sound workers while at least this share of a service's cores is
-# reserved; their runs would fail on distrusted ones.
-BUSY_SHARE = 0.5
 
 
 class Planner:
@@ -67,8 +65,7 @@
         self._headroom_taken = headroom_taken
         self._tickets = tickets
         self._start_rate = start_rate
-        self._impaired = SOUND_ONLY
-        self._is_busy: dict[str, bool] = {}
+        self._tolerances = Tolerances(owner)
         self._unplaced_sizes: dict[Tolerance, UnplacedSizes] = {}
         self._indexes: dict[tuple[str, Tolerance], CapacityIndex] = {}
         self._plans = 0
@@ -92,14 +89,8 @@
         """Assign waiting tasks up to a limit, which the last gang may exceed."""
         self._plans += 1
         self._indexes = {}
-        self._is_busy = {}
         self._unplaced_sizes = {}
-        now = self._owner.now_s()
-        fleet = self._owner.fleet
-        self._impaired = Tolerance(
-            slow=any(worker.is_slow_at(now) for worker in fleet),
-            distrusted=any(worker.failures.is_distrusted for worker in fleet),
-        )
+        self._tolerances = Tolerances(self._owner)
         started = sum(1 for _ in self._start_speculative_copies())
         lacking_tickets: list[Step] = []
         for quota in self._quotas():
@@ -127,14 +118,21 @@
 
         So steps that a full fleet has no room for are not even put in order.
         """
-        return step.job.queue.needs_ticket or self._index(step).has_room(step.spec)
+        if step.job.queue.needs_ticket or self._tolerances.find(step).crowded:
+            return True
+        return self._index(step).has_room(step.spec)
 
     def _startable_workers(self, step: Step) -> list[Worker]:
         """Return the workers of the step's service that accept runs of the step."""
         return self._with_ticket(step, self._index(step).workers)
 
     def _workers_with_room(self, step: Step) -> list[Worker]:
-        """Return the startable workers with enough cores when the plan began."""
+        """Return the startable workers with enough cores when the plan began.
+
+        A step that tolerates crowded workers needs no free cores.
+        """
+        if self._tolerances.find(step).crowded:
+            return self._startable_workers(step)
         return self._with_ticket(step, self._index(step).with_room(step.spec))
 
     def _with_ticket(self, step: Step, workers: list[Worker]) -> list[Worker]:
@@ -145,7 +143,7 @@
         return [worker for worker in workers if has_ticket(step, worker, now)]
 
     def _index(self, step: Step) -> CapacityIndex:
-        key = step.job.queue.service, self._tolerance(step)
+        key = step.job.queue.service, self._tolerances.find(step)
         if key not in self._indexes:
             now = self._owner.now_s()
             workers = self._owner.fleet.workers_accepting_runs(key[0], now, key[1])
@@ -158,40 +156,22 @@
             self._unplaced_sizes[tolerance] = UnplacedSizes(reserved_for)
         return self._unplaced_sizes[tolerance]
 
-    def _tolerance(self, step: Step) -> Tolerance:
-        """Return on which impaired workers tasks of a step start rather than wait.
-
-        Long-running tasks earn as long as they run, at any speed, and may fail any
-        number of times.
-        """
-        impaired = self._impaired
-        if impaired == SOUND_ONLY or step.spec.is_long_running:
-            return impaired
-        now = self._owner.now_s()
-        if not is_idle_for(step.job, IMPAIRED_WORKERS_AFTER_S, now):
-            return SOUND_ONLY
-        is_busy = self._is_service_busy(step.job.queue.service)
-        return Tolerance(impaired.slow, impaired.distrusted and not is_busy)
-
-    def _is_service_busy(self, service: str) -> bool:
-        """Return whether half of the cores of a service's workers are reserved."""
-        if service not in self._is_busy:
-            workers = self._owner.fleet.workers_accepting_runs(
-                service, self._owner.now_s(), ANY_WORKER
-            )
-            reserved_m = sum(worker.reserved_cpu_m for worker in workers)
-            total_m = sum(worker.entry.cpu_m for worker in workers)
-            self._is_busy[service] = reserved_m >= BUSY_SHARE * total_m
-        return self._is_busy[service]
-
     def _cost(self, spec: StepSpec, worker: Worker) -> tuple | None:
         return self._placement(spec, worker, self._headroom_taken)
 
+    def _crowded_cost(self, spec: StepSpec, worker: Worker) -> tuple:
+        """Return the cost of a task that also runs on a worker without room for it."""
+        found = find_capacity_obstacle(spec, worker)
+        cost = self._cost(spec, worker) if found is None else None
+        return crowded_cost(worker) if cost is None else cost
+
     def find_obstacle(self, task: Task, worker: Worker) -> Obstacle | None:
         """Return why a worker cannot run a waiting task, None if it can."""
+        spec = task.step.spec
+        may_crowd = self._tolerances.find(task.step).crowded
         found = self.find_constraint_obstacle(task, worker)
-        found = found or find_capacity_obstacle(task.step.spec, worker)
-        if found is None and self._cost(task.step.spec, worker) is None:
+        found = found or find_capacity_obstacle(spec, worker, may_crowd)
+        if found is None and not may_crowd and self._cost(spec, worker) is None:
             return Obstacle.PLACEMENT
         return found
 
@@ -203,7 +183,7 @@
         now = self._owner.now_s()
         if not worker.accepts_runs(now, ANY_WORKER):
             return Obstacle.NO_STARTS
-        if not worker.accepts_runs(now, self._tolerance(step)):
+        if not worker.accepts_runs(now, self._tolerances.find(step)):
             return Obstacle.IMPAIRED
         if task.avoids(worker.id, self._owner.now_s()):
             return Obstacle.AVOIDED
@@ -214,8 +194,9 @@
 
     def _candidates(self, step: Step, workers: list[Worker]) -> Candidates:
         now = self._owner.now_s()
-        tolerance = self._tolerance(step)
-        return Candidates(step, workers, self._cost, now, tolerance=tolerance)
+        tolerance = self._tolerances.find(step)
+        cost = self._crowded_cost if tolerance.crowded else self._cost
+        return Candidates(step, workers, cost, now, tolerance=tolerance)
 
     def _candidates_for_some(self, step: Step, tasks: int) -> Candidates:
         """Return candidates for some tasks, in a large fleet only a part of them."""
@@ -224,11 +205,12 @@
         if size is not None and len(workers) > size:
             workers = search_order(step.spec, workers, self._plans)
         now = self._owner.now_s()
-        if self._impaired != SOUND_ONLY and size is not None:
+        if self._tolerances.has_impaired_workers and size is not None:
             # The search ends with the first batches.
             workers = sorted(workers, key=lambda worker: worker.is_impaired_at(now))
-        tolerance = self._tolerance(step)
-        return Candidates(step, workers, self._cost, now, size, tasks, tolerance)
+        tolerance = self._tolerances.find(step)
+        cost = self._crowded_cost if tolerance.crowded else self._cost
+        return Candidates(step, workers, cost, now, size, tasks, tolerance)
 
     def _start_speculative_copies(self) -> Iterator[Task]:
         """Start the requested second runs and yield their tasks.
@@ -247,15 +229,15 @@
 
     def _start_step(self, step: Step, limit: int) -> Iterator[Task]:
         """Start up to ``limit`` tasks of a step, or its whole gang, and yield them."""
-        tolerance = self._tolerance(step)
+        tolerance = self._tolerances.find(step)
         unplaced_sizes = self._unplaced_sizes_for(tolerance)
         if unplaced_sizes.excludes(step):
             return
         if step.spec.is_gang:
             yield from self._start_gang(step)
             return
-        # The other tasks of a job that may use impaired workers wait for the next plan,
-        # in which the job has a run and they may not.
+        # The other tasks of a job that tolerates more workers wait for the next plan,
+        # in which the job has a run.
         is_tolerant = tolerance != SOUND_ONLY
         is_one_at_a_time = is_tolerant and not step.spec.is_long_running and limit > 1
         limit = 1 if is_one_at_a_time else limit
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/tolerances.py
@@ -0,0 +1,76 @@
+"""Decides which workers the tasks of a step use rather than wait.
+
+Load: a job without a run finds no sound worker with room. Callers accept that it stands
+still for 3 s while under half of the capacity is in use.
+"""
+
+from __future__ import annotations
+
+from fulmarleverd.scheduling.health.tolerance import (
+    ANY_WORKER,
+    SOUND_ONLY,
+    Tolerance,
+)
+from fulmarleverd.scheduling.jobs.tasks import Step
+from fulmarleverd.scheduling.owner import Owner
+from fulmarleverd.scheduling.planning.order import is_idle_for
+
+# A job without a run may use impaired workers this long after its last start or its
+# acceptance, and crowded ones this long after its last run.
+IMPAIRED_WORKERS_AFTER_S = 1.5
+CROWDED_WORKERS_AFTER_S = 1.5
+# Jobs wait for sound workers with room while at least this share of a service's cores
+# is reserved: their runs would fail on distrusted ones, or slow others down.
+BUSY_SHARE = 0.5
+
+
+class Tolerances:
+    """The tolerances of steps during one plan of an owner."""
+
+    __slots__ = ("_owner", "_impaired", "_is_busy")
+
+    def __init__(self, owner: Owner) -> None:
+        self._owner = owner
+        now = owner.now_s()
+        self._impaired = Tolerance(
+            slow=any(worker.is_slow_at(now) for worker in owner.fleet),
+            distrusted=any(worker.failures.is_distrusted for worker in owner.fleet),
+        )
+        self._is_busy: dict[str, bool] = {}
+
+    @property
+    def has_impaired_workers(self) -> bool:
+        """Return whether any worker was impaired when the plan began."""
+        return self._impaired != SOUND_ONLY
+
+    def find(self, step: Step) -> Tolerance:
+        """Return on which workers tasks of a step start rather than wait.
+
+        Long-running tasks earn as long as they run, at any speed, and may fail any
+        number of times.
+        """
+        if step.spec.is_long_running:
+            return self._impaired
+        if not self.has_impaired_workers and not step.spec.is_best_effort:
+            return SOUND_ONLY
+        now = self._owner.now_s()
+        if not is_idle_for(step.job, IMPAIRED_WORKERS_AFTER_S, now):
+            return SOUND_ONLY
+        has_room = not self._is_service_busy(step.job.queue.service)
+        stands_still = now - step.job.last_end_s >= CROWDED_WORKERS_AFTER_S
+        return Tolerance(
+            slow=self._impaired.slow,
+            distrusted=self._impaired.distrusted and has_room,
+            crowded=step.spec.is_best_effort and has_room and stands_still,
+        )
+
+    def _is_service_busy(self, service: str) -> bool:
+        """Return whether half of the cores of a service's workers are reserved."""
+        if service not in self._is_busy:
+            workers = self._owner.fleet.workers_accepting_runs(
+                service, self._owner.now_s(), ANY_WORKER
+            )
+            reserved_m = sum(worker.reserved_cpu_m for worker in workers)
+            total_m = sum(worker.entry.cpu_m for worker in workers)
+            self._is_busy[service] = reserved_m >= BUSY_SHARE * total_m
+        return self._is_busy[service]
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/reports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/reports.py
@@ -124,6 +124,7 @@
         self._owner.record_begin(run)
         worker.remove(run)
         task.runs.pop(run.number, None)
+        task.step.job.last_end_s = self._owner.now_s()
         if ended.checkpoint:
             task.checkpoint = ended.checkpoint
         record_run("run-ended", run, ended.outcome, number=ended.number)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/health/failures_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/health/failures_tests.py
@@ -18,7 +18,8 @@
 from fulmarleverd.scheduling.health.tolerance import ANY_WORKER
 from fulmarleverd.scheduling.housekeeping import Housekeeping
 from fulmarleverd.scheduling.interference.model import InterferenceModel
-from fulmarleverd.scheduling.planning.planner import IMPAIRED_WORKERS_AFTER_S, Planner
+from fulmarleverd.scheduling.planning.planner import Planner
+from fulmarleverd.scheduling.planning.tolerances import IMPAIRED_WORKERS_AFTER_S
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/health/slow_workers_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/health/slow_workers_tests.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from fulmarleverd.scheduling.planning.planner import IMPAIRED_WORKERS_AFTER_S, Planner
+from fulmarleverd.scheduling.planning.planner import Planner
+from fulmarleverd.scheduling.planning.tolerances import IMPAIRED_WORKERS_AFTER_S
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
