Count the capacity of all listed workers in whether a service is busy

Cause: only workers that accepted runs counted. With many of them away, a service with most of its cores free was taken for busy, and its idle jobs went on waiting.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/tolerances.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/tolerances.py
@@ -6,11 +6,7 @@
 
 from __future__ import annotations
 
-from fulmarleverd.scheduling.health.tolerance import (
-    ANY_WORKER,
-    SOUND_ONLY,
-    Tolerance,
-)
+from fulmarleverd.scheduling.health.tolerance import SOUND_ONLY, Tolerance
 from fulmarleverd.scheduling.jobs.tasks import Step
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.planning.order import is_idle_for
@@ -65,11 +61,10 @@
         )
 
     def _is_service_busy(self, service: str) -> bool:
-        """Return whether half of the cores of a service's workers are reserved."""
+        """Return whether half of the cores of a service are reserved."""
         if service not in self._is_busy:
-            workers = self._owner.fleet.workers_accepting_runs(
-                service, self._owner.now_s(), ANY_WORKER
-            )
+            workers = self._owner.fleet.workers_of(service)
+            workers = [worker for worker in workers if worker.is_listed]
             reserved_m = sum(worker.reserved_cpu_m for worker in workers)
             total_m = sum(worker.entry.cpu_m for worker in workers)
             self._is_busy[service] = reserved_m >= BUSY_SHARE * total_m
