Let jobs without a run take turns, and use workers with low headroom alone

Cause: among jobs past their hard deadline those without a run go first, the oldest one at the front. A run takes a second or less, so at the next plan the oldest ones are without a run again and the others never get their turn.

Change: the job that has been idle for longest goes first.

Measured: test_jobs_past_hard_deadline_take_turns failed before and passes now, as do the tests of planning and health and the closed loop.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/health/tolerance.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/health/tolerance.py
@@ -9,14 +9,14 @@
 class Tolerance:
     """The kinds of workers that a task uses rather than wait.
 
-    ``slow`` and ``distrusted`` are the kinds of impaired workers. ``crowded`` are, for
-    a best-effort task, those on which too few cores are left or too little headroom.
-    Workers of these kinds come after all others.
+    ``slow`` and ``distrusted`` are the kinds of impaired workers. ``low_headroom`` are,
+    for a best-effort task, those on which serving tasks may miss their targets beside
+    it. Workers of these kinds come after all others.
     """
 
     slow: bool = False
     distrusted: bool = False
-    crowded: bool = False
+    low_headroom: bool = False
 
 
 SOUND_ONLY = Tolerance()
--- a/packages/fulmarleverd/fulmarleverd/scheduling/jobs/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/jobs/tasks.py
@@ -339,6 +339,14 @@
         """Return whether any task has a run."""
         return any(step.unfinished_tasks > len(step.waiting) for step in self.steps())
 
+    @property
+    def idle_since_s(self) -> float:
+        """Return since when the job has had no run, if it has none.
+
+        The result is on the owner's clock.
+        """
+        return max(self.since_s, self.last_start_s, self.last_end_s)
+
     def open_occurrence(self, occurrence: int) -> list[Step]:
         """Return the steps of an occurrence, created by the first call."""
         if occurrence not in self.occurrences:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/candidates.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/candidates.py
@@ -78,7 +78,7 @@
     def _heap_entry(self, worker: Worker, index: int) -> HeapEntry | None:
         if not worker.accepts_runs(self._now_s, self._tolerance):
             return None
-        if find_obstacle(self._step, worker, self._tolerance.crowded) is not None:
+        if find_obstacle(self._step, worker) is not None:
             return None
         cost = self._cost(self._step.spec, worker)
         if cost is None:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/obstacles.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/obstacles.py
@@ -45,35 +45,26 @@
     return spec.cpu_m * (1.0 - OVERCOMMIT_SHARE) if spec.is_best_effort else spec.cpu_m
 
 
-def find_capacity_obstacle(
-    spec: StepSpec, worker: Worker, may_crowd: bool = False
-) -> Obstacle | None:
-    """Return the resource of which a worker has too little free for one more task.
-
-    Cores do not matter to a best-effort task that ``may_crowd``: it gets a part of
-    those that others leave.
-    """
+def find_capacity_obstacle(spec: StepSpec, worker: Worker) -> Obstacle | None:
+    """Return the resource of which a worker has too little free for one more task."""
     entry = worker.entry
     if worker.reserved_memory_mb + spec.memory_mb > entry.memory_mb:
         return Obstacle.MEMORY
     if worker.reserved_gpus + spec.gpus > entry.gpus:
         return Obstacle.ACCELERATORS
     best_effort = spec.is_best_effort
-    if best_effort and may_crowd:
-        return None
     free_m = worker.free_best_effort_cpu_m() if best_effort else worker.free_cpu_m()
     return Obstacle.CORES if free_m < min_free_cpu_m(spec) else None
 
 
-def find_obstacle(
-    step: Step, worker: Worker, may_crowd: bool = False
-) -> Obstacle | None:
+def find_obstacle(step: Step, worker: Worker) -> Obstacle | None:
     """Return why one more task of a step cannot run on a worker, None if it can.
 
     Tickets, avoided workers and the placement policy are checked by the planner.
     """
-    found = find_capacity_obstacle(step.spec, worker, may_crowd)
-    return found or find_constraint_obstacle(step, worker)
+    return find_capacity_obstacle(step.spec, worker) or find_constraint_obstacle(
+        step, worker
+    )
 
 
 def find_constraint_obstacle(step: Step, worker: Worker) -> Obstacle | None:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/order.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/order.py
@@ -88,13 +88,13 @@
 def first_tasks_of_idle_jobs(
     steps: Iterable[Step], now_s: float
 ) -> Iterator[StartQuota]:
-    """Yield one task of each step whose job has long had no run, the oldest job first.
+    """Yield one task of each step whose job has been idle for long, the longest first.
 
     While the owner's processor limits the starts, the jobs at the end of any order
     would get none as long as others have tasks to start.
     """
     idle = [step for step in steps if is_idle_for(step.job, MAX_IDLE_S, now_s)]
-    for step in sorted(idle, key=lambda step: step.job.since_s):
+    for step in sorted(idle, key=lambda step: step.job.idle_since_s):
         yield StartQuota(step, 1)
 
 
@@ -162,7 +162,7 @@
 
 
 def _first_tasks(steps: Iterable[Step]) -> Iterator[StartQuota]:
-    """Yield one task of each step whose job has no run, the oldest job first."""
-    for step in sorted(steps, key=lambda step: step.job.since_s):
+    """Yield one task of each step whose job has no run, the longest idle one first."""
+    for step in sorted(steps, key=lambda step: step.job.idle_since_s):
         if not step.job.has_runs:
             yield StartQuota(step, 1)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/placement.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/placement.py
@@ -25,8 +25,8 @@
 LOW_HEADROOM_TAKEN = 0.15
 # Below this headroom of a serving task, best-effort tasks beside it are paused.
 MIN_HEADROOM = 1.1
-# The first field of the cost of a crowded worker, greater than that of any other.
-CROWDED = 2
+# The first field of the cost of a worker with low headroom, greater than of any other.
+LOW_HEADROOM = 2
 
 
 @PLACEMENTS.register("spread")
@@ -91,15 +91,15 @@
     return (_is_remote(spec, worker), group, -free_m)
 
 
-def crowded_cost(worker: Worker) -> tuple:
-    """Return the cost of one more best-effort task on a worker without room for it.
+def low_headroom_cost(worker: Worker) -> tuple:
+    """Return the cost of a best-effort task beside serving tasks with little headroom.
 
-    The task gets a part of the cores that others leave, and is paused while serving
-    tasks lack headroom. Workers where it would not be paused come first, then those
-    with the most cores left.
+    The task is paused while they lack it. Workers where it would not be paused at once
+    come first, then those with the most cores left.
     """
     headroom = min(worker.headroom_by_image.values(), default=MIN_HEADROOM)
-    return (CROWDED, headroom < MIN_HEADROOM, -worker.free_best_effort_cpu_m())
+    is_paused = headroom < MIN_HEADROOM
+    return (LOW_HEADROOM, is_paused, -worker.free_best_effort_cpu_m())
 
 
 def _is_remote(spec: StepSpec, worker: Worker) -> bool:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/planner.py
@@ -27,7 +27,7 @@
 from fulmarleverd.scheduling.planning.placement import (
     PLACEMENTS,
     HeadroomTaken,
-    crowded_cost,
+    low_headroom_cost,
 )
 from fulmarleverd.scheduling.planning.start_rate import StartRate
 from fulmarleverd.scheduling.planning.tickets import TicketRequester, has_ticket
@@ -118,21 +118,14 @@
 
         So steps that a full fleet has no room for are not even put in order.
         """
-        if step.job.queue.needs_ticket or self._tolerances.find(step).crowded:
-            return True
-        return self._index(step).has_room(step.spec)
+        return step.job.queue.needs_ticket or self._index(step).has_room(step.spec)
 
     def _startable_workers(self, step: Step) -> list[Worker]:
         """Return the workers of the step's service that accept runs of the step."""
         return self._with_ticket(step, self._index(step).workers)
 
     def _workers_with_room(self, step: Step) -> list[Worker]:
-        """Return the startable workers with enough cores when the plan began.
-
-        A step that tolerates crowded workers needs no free cores.
-        """
-        if self._tolerances.find(step).crowded:
-            return self._startable_workers(step)
+        """Return the startable workers with enough cores when the plan began."""
         return self._with_ticket(step, self._index(step).with_room(step.spec))
 
     def _with_ticket(self, step: Step, workers: list[Worker]) -> list[Worker]:
@@ -159,21 +152,19 @@
     def _cost(self, spec: StepSpec, worker: Worker) -> tuple | None:
         return self._placement(spec, worker, self._headroom_taken)
 
-    def _crowded_cost(self, spec: StepSpec, worker: Worker) -> tuple:
-        """Return the cost of a task that also runs on a worker without room for it."""
-        found = find_capacity_obstacle(spec, worker)
-        cost = self._cost(spec, worker) if found is None else None
-        return crowded_cost(worker) if cost is None else cost
+    def _cost_of_any(self, spec: StepSpec, worker: Worker) -> tuple:
+        """Return the cost of a task that also runs where headroom is low."""
+        cost = self._cost(spec, worker)
+        return low_headroom_cost(worker) if cost is None else cost
 
     def find_obstacle(self, task: Task, worker: Worker) -> Obstacle | None:
         """Return why a worker cannot run a waiting task, None if it can."""
         spec = task.step.spec
-        may_crowd = self._tolerances.find(task.step).crowded
         found = self.find_constraint_obstacle(task, worker)
-        found = found or find_capacity_obstacle(spec, worker, may_crowd)
-        if found is None and not may_crowd and self._cost(spec, worker) is None:
-            return Obstacle.PLACEMENT
-        return found
+        found = found or find_capacity_obstacle(spec, worker)
+        if found is not None or self._tolerances.find(task.step).low_headroom:
+            return found
+        return Obstacle.PLACEMENT if self._cost(spec, worker) is None else None
 
     def find_constraint_obstacle(self, task: Task, worker: Worker) -> Obstacle | None:
         """Return why a worker with enough capacity may not run a waiting task."""
@@ -195,7 +186,7 @@
     def _candidates(self, step: Step, workers: list[Worker]) -> Candidates:
         now = self._owner.now_s()
         tolerance = self._tolerances.find(step)
-        cost = self._crowded_cost if tolerance.crowded else self._cost
+        cost = self._cost_of_any if tolerance.low_headroom else self._cost
         return Candidates(step, workers, cost, now, tolerance=tolerance)
 
     def _candidates_for_some(self, step: Step, tasks: int) -> Candidates:
@@ -209,7 +200,7 @@
             # The search ends with the first batches.
             workers = sorted(workers, key=lambda worker: worker.is_impaired_at(now))
         tolerance = self._tolerances.find(step)
-        cost = self._crowded_cost if tolerance.crowded else self._cost
+        cost = self._cost_of_any if tolerance.low_headroom else self._cost
         return Candidates(step, workers, cost, now, size, tasks, tolerance)
 
     def _start_speculative_copies(self) -> Iterator[Task]:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/tolerances.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/tolerances.py
@@ -12,11 +12,11 @@
 from fulmarleverd.scheduling.planning.order import is_idle_for
 
 # A job without a run may use impaired workers this long after its last start or its
-# acceptance, and crowded ones this long after its last run.
+# acceptance, and those with low headroom this long after its last run.
 IMPAIRED_WORKERS_AFTER_S = 1.5
-CROWDED_WORKERS_AFTER_S = 1.5
-# Jobs wait for sound workers with room while at least this share of a service's cores
-# is reserved: their runs would fail on distrusted ones, or slow others down.
+LOW_HEADROOM_AFTER_S = 1.5
+# Jobs wait for trusted workers with headroom while at least this share of a service's
+# cores is reserved: their runs would fail on others, or disturb serving tasks.
 BUSY_SHARE = 0.5
 
 
@@ -53,11 +53,11 @@
         if not is_idle_for(step.job, IMPAIRED_WORKERS_AFTER_S, now):
             return SOUND_ONLY
         has_room = not self._is_service_busy(step.job.queue.service)
-        stands_still = now - step.job.last_end_s >= CROWDED_WORKERS_AFTER_S
+        stands_still = now - step.job.idle_since_s >= LOW_HEADROOM_AFTER_S
         return Tolerance(
             slow=self._impaired.slow,
             distrusted=self._impaired.distrusted and has_room,
-            crowded=step.spec.is_best_effort and has_room and stands_still,
+            low_headroom=step.spec.is_best_effort and has_room and stands_still,
         )
 
     def _is_service_busy(self, service: str) -> bool:
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/order_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/order_tests.py
@@ -6,8 +6,10 @@
 from hypothesis import strategies as st
 
 from fulmarleverd.scheduling.planning.order import (
+    MAX_IDLE_S,
     by_age,
     by_objective,
+    first_tasks_of_idle_jobs,
     latency_objective_s,
 )
 from fulmarleverd.scheduling.specs import JobSpec, QueueSpec, StepSpec
@@ -76,6 +78,21 @@
         rest = [("overdue-2", 2), ("overdue-3", 2), ("overdue-4", 4)]
         self.assertEqual(self.quotas(steps), first + rest)
 
+    # Guards against jobs that never get a turn, as older ones without a run at the moment
+    # of a plan go first again and again (LOST).
+    def test_jobs_past_hard_deadline_take_turns(self):
+        old = self.add_job("old", step(1.0, count=3))
+        young = self.add_job("young", step(1.0, count=2))
+        old.since_s -= 60.0
+        young.since_s -= 40.0
+        run = self.start(old, self.workers[0])
+        self.report(self.workers[0], ends=((run, "done"),))
+        steps = [s for job in (old, young) for s in job.ready_steps()]
+        first = [("young", 1), ("old", 1)]
+        self.assertEqual(self.quotas(steps)[:2], first)
+        idle = first_tasks_of_idle_jobs(steps, self.owner.now_s() + MAX_IDLE_S)
+        self.assertEqual([(q.step.job.id, q.limit) for q in idle], first)
+
     def quotas(self, steps: list) -> list[tuple[str, int]]:
         """Return the job id and the limit of each quota of ``by_objective``."""
         quotas = by_objective(steps, self.owner.now_s(), self.owner.run_times)
