--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/order_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/order_tests.py
@@ -78,8 +78,8 @@
         rest = [("overdue-2", 2), ("overdue-3", 2), ("overdue-4", 4)]
         self.assertEqual(self.quotas(steps), first + rest)
 
-    # Guards against jobs that never get a turn, as older ones without a run at the moment
-    # of a plan go first again and again (LOST).
+    # Guards against jobs that never get a turn, as older ones without a run at the
+    # moment of a plan go first again and again (LOST).
     def test_jobs_past_hard_deadline_take_turns(self):
         old = self.add_job("old", step(1.0, count=3))
         young = self.add_job("young", step(1.0, count=2))
