Watch each occurrence and best-effort job of the simulation for idle tasks

IdleWatch skipped best-effort steps, took the first waiting task of a job for all of its steps, and counted a job of several occurrences as at work while any of them ran. Room for best-effort tasks is now counted from the cores that nobody has declared, a lower bound of what the planner uses. A run that ended with its worker excuses its task until the worker's lease is over, recounted if the owner has changed since, instead of 12 s in any case; no longer where the worker is back under its id at once.

--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/invariants.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/invariants.py
@@ -13,8 +13,8 @@
 from fulmarlever_standins.authority.virtual_time import START_UNIX_TIME_S
 from fulmarlever_standins.authority.worker import RunKey, WorkerCore
 from fulmarlever_standins.simulation.observed import CallerJob
+from fulmarlever_standins.simulation.room import has_room, is_waiting
 from fulmarlever_standins.simulation.simulation import Simulation
-from fulmarleverd.scheduling.specs import StepSpec
 
 StartCheck = Callable[["Simulation", WorkerCore, RunKey], Iterator[str]]
 EndCheck = Callable[["Simulation", CallerJob, str], Iterator[str]]
@@ -162,53 +162,3 @@
         if worker_id is not None:
             found[name] = worker_id
     return found
-
-
-def is_waiting(sim: Simulation, job: CallerJob, task: str) -> bool:
-    """Return whether a task neither runs nor is done, and its turn has come."""
-    if sim.observed.active[task] > 0 or task in sim.observed.done:
-        return False
-    occurrence = int(task.split(".")[1])
-    earlier = [
-        name
-        for number in job.step_of(task).after
-        for name in job.step_task_names(occurrence, number)
-    ]
-    now_s = START_UNIX_TIME_S + asyncio.get_running_loop().time()
-    is_due = job.spec.due_s(occurrence) <= now_s
-    return is_due and sim.observed.done.issuperset(earlier)
-
-
-def room_for(sim: Simulation, step: StepSpec, task: str) -> int:
-    """Return how many tasks like this one fit on all workers, beside what runs."""
-    return sum(
-        _room_on(sim, worker, step)
-        for worker in sim.workers()
-        if has_room(sim, worker, step, task)
-    )
-
-
-def _room_on(sim: Simulation, worker: WorkerCore, step: StepSpec) -> int:
-    """Return how many tasks of a step a worker has cores and memory for."""
-    cpu_m, memory_mb = sim.used(worker)
-    return min(
-        (worker.cpu - cpu_m) // max(1, step.cpu_m),
-        (worker.memory_mb - memory_mb) // max(1, step.memory_mb),
-        step.max_per_worker or step.count,
-    )
-
-
-def has_room(sim: Simulation, worker: WorkerCore, step: StepSpec, task: str) -> bool:
-    """Return whether a worker may run a task and has room for it."""
-    cpu_m, memory_mb = sim.used(worker)
-    siblings = task.rpartition(".")[0] + "."
-    count = sum(other.startswith(siblings) for other, _ in worker.running)
-    return (
-        worker.state == "ready"
-        and worker.id not in sim.refusing
-        and (not step.required_label or step.required_label in worker.labels)
-        and (not step.max_per_worker or count < step.max_per_worker)
-        and cpu_m + step.cpu_m <= worker.cpu
-        and memory_mb + step.memory_mb <= worker.memory_mb
-        and sim.is_admitted(task.rpartition(".")[0], worker.id)
-    )
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/observed.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/observed.py
@@ -59,24 +59,44 @@
         return [f"{self.spec.id}.{occurrence}.{step}.{n}" for n in range(count)]
 
 
+class LostRun:
+    """A run that ended with its worker, and when the worker's lease would have ended.
+
+    Both are times of the event loop in seconds.
+    """
+
+    __slots__ = ("at_s", "lease_until_s")
+
+    def __init__(self, at_s: float, lease_until_s: float) -> None:
+        self.at_s = at_s
+        self.lease_until_s = lease_until_s
+
+
+def occurrence_of(task: str) -> str:
+    """Return the name of a task's occurrence, ``JOB.NUMBER``."""
+    return ".".join(task.split(".")[:2])
+
+
 class Observed:
     """The jobs by id, and the starts, ends and crashes of their tasks.
 
     ``done`` are the tasks with an end as done, ``active`` counts their active runs,
     ``crashes`` the workers that crashed under a run of a task, and ``failed_ends``
-    holds for each task the worker and the number of each end as failed. ``active_jobs``
-    counts the active runs of each job, ``begun_jobs`` are those with any run so far,
-    ``ended_s`` is when the last run of a task ended, and ``lost_s`` when it last ended
-    with its worker. ``trace`` has a line for each event.
+    holds for each task the worker and the number of each end as failed. ``begun_jobs``
+    are those with any run so far, ``ended_s`` is when the last run of a task ended, and
+    ``lost`` how it last ended with its worker. ``active_occurrences`` counts the active
+    runs of each occurrence, named ``JOB.NUMBER``, and ``changed_s`` is when that number
+    changed last. ``trace`` has a line for each event.
     """
 
     def __init__(self) -> None:
         self.jobs: dict[str, CallerJob] = {}
         self.done: set[str] = set()
         self.active: Counter[str] = Counter()
-        self.active_jobs: Counter[str] = Counter()
+        self.active_occurrences: Counter[str] = Counter()
+        self.changed_s: dict[str, float] = {}
         self.ended_s: dict[str, float] = {}
-        self.lost_s: dict[str, float] = {}
+        self.lost: dict[str, LostRun] = {}
         self.begun_jobs: set[str] = set()
         self.crashes: Counter[str] = Counter()
         self.failed_ends: defaultdict[str, list[tuple[WorkerCore, int]]] = defaultdict(
@@ -104,11 +124,17 @@
             self._count_failure(key[0])
         self._trace(outcome, worker, key)
 
-    def record_crash(self, worker: WorkerCore) -> None:
-        """Record that a worker crashes now, with all of its runs."""
+    def record_crash(self, worker: WorkerCore, is_proved: bool = False) -> None:
+        """Record that a worker crashes now, with all of its runs.
+
+        ``is_proved`` is set if its next incarnation answers at once under its id.
+        """
+        now_s = asyncio.get_running_loop().time()
         for key in worker.running:
             self._count_active(key[0], -1)
-            self.lost_s[key[0]] = asyncio.get_running_loop().time()
+            self.lost.pop(key[0], None)
+            if not is_proved:
+                self.lost[key[0]] = LostRun(now_s, worker.lease_until_s)
             self.crashes[key[0]] += 1
             self._trace("crash", worker, key)
 
@@ -119,9 +145,12 @@
         job.has_failed |= is_limited and len(self.failed_ends[task]) >= limit
 
     def _count_active(self, task: str, change: int) -> None:
+        now_s = asyncio.get_running_loop().time()
+        occurrence = occurrence_of(task)
         self.active[task] += change
-        self.active_jobs[task.split(".")[0]] += change
-        self.ended_s[task] = asyncio.get_running_loop().time()
+        self.active_occurrences[occurrence] += change
+        self.changed_s[occurrence] = now_s
+        self.ended_s[task] = now_s
 
     def _trace(self, event: str, worker: WorkerCore, key: RunKey) -> None:
         now_s = asyncio.get_running_loop().time()
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/runner.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/runner.py
@@ -14,6 +14,7 @@
 from fulmarlever_standins.authority.worker import RunKey, WorkerCore
 from fulmarlever_standins.simulation.apart_faults import APART_FAULTS, CALM_FAULTS
 from fulmarlever_standins.simulation.faults import FAULTS
+from fulmarlever_standins.simulation.idle_watch import MAX_IDLE_S, IdleWatch
 from fulmarlever_standins.simulation.invariants import (
     END_CHECKS,
     START_CHECKS,
@@ -22,11 +23,7 @@
 from fulmarlever_standins.simulation.plan import Plan
 from fulmarlever_standins.simulation.plan_parts import PlannedFault
 from fulmarlever_standins.simulation.simulation import Simulation
-from fulmarlever_standins.simulation.watches import (
-    MAX_IDLE_S,
-    IdleWatch,
-    PendingWatch,
-)
+from fulmarlever_standins.simulation.watches import PendingWatch
 
 # Jobs have time to end after the last fault.
 SETTLE_S = 40.0
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/simulation.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/simulation.py
@@ -195,7 +195,7 @@
     def restart(self, worker: WorkerCore, entry_delay_s: float) -> None:
         """Restart a worker under its id at once; its entry comes later."""
         if self.is_running(worker):
-            self.observed.record_crash(worker)
+            self.observed.record_crash(worker, is_proved=True)
             self._attach(self.cluster.restart_worker(worker, entry_delay_s))
 
     def _replace(self, worker: WorkerCore, cuts: set[tuple[str, str]]) -> None:
