--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
@@ -41,7 +41,12 @@
       ``LATE_EFFECT_DELAY_S`` later and unanswered.
     * ``late_jobs``: the ids of jobs whose submissions take effect late and unanswered,
       each with the seconds.
-    * ``late_starts``: the same for starts of runs.
+    * ``late_rows``: for tables, how late each of the next transactions that write to
+      them take effect, unanswered, in seconds.
+    * ``late_starts``: how many of the next starts of runs take effect late, unanswered.
+    * ``lost_answers``: pairs of a VM and a worker's address; calls between them take
+      effect and never return.
+    * ``resets``: the same; these calls end with a reset of their connection.
     * ``loss``: the probability that a request or an answer is lost once and sent again.
     * ``transaction_s``: seconds that each transaction takes; the transactions of one
       partition run one after the other.
@@ -56,7 +61,10 @@
         self.lose_answers = 0
         self.late_transactions = 0
         self.late_jobs: dict[str, float] = {}
+        self.late_rows: dict[str, list[float]] = {}
         self.late_starts = 0
+        self.lost_answers: set[tuple[str, str]] = set()
+        self.resets: set[tuple[str, str]] = set()
         self.is_store_down = False
         self.loss = 0.0
         self.transaction_s = 0.0
@@ -115,7 +123,11 @@
             return await self._call_store(vm, method, path, body, rng)
         if address == ADMISSION_ADDRESS:
             return Response(*await self.admission.handle(body))
-        return await self._call_worker(address, path, body, target, rng)
+        answer = await self._call_worker(address, path, body, target, rng)
+        if (vm, address) in self.lost_answers:
+            await asyncio.Event().wait()
+        is_reset = (vm, address) in self.resets
+        return OutcomeUnknown("connection reset") if is_reset else answer
 
     async def _transmit(self, rng: Rng) -> None:
         """Wait until a request or an answer has crossed the network."""
@@ -171,10 +183,13 @@
         return Response(status, answer)
 
     def _find_late_s(self, body: dict) -> float | None:
-        """Return how late a transaction is that stores one of the late jobs."""
+        """Return how late a transaction is that stores a late job or a late row."""
         keys = [row["key"] for row in body["setKeys"] if row["table"] == JOBS_TABLE]
         late = [key for key in keys if key in self.late_jobs]
-        return self.late_jobs[late[0]] if late else None
+        if late:
+            return self.late_jobs[late[0]]
+        delays_s = (self.late_rows.get(row["table"]) for row in body["setKeys"])
+        return next((delay_s.pop() for delay_s in delays_s if delay_s), None)
 
     def _run_later(self, work: object, late_s: float = LATE_EFFECT_DELAY_S) -> None:
         async def wait_and_run() -> None:
--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/virtual_time.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/virtual_time.py
@@ -48,13 +48,15 @@
     """The clocks of one process in a virtual-time loop.
 
     ``suspended_s`` is the total time in seconds for which the process has been
-    suspended; the monotonic clock does not count it.
+    suspended; the monotonic clock does not count it. ``stepped_s`` is how far the time
+    of day is ahead, in seconds.
     """
 
-    __slots__ = ("suspended_s",)
+    __slots__ = ("suspended_s", "stepped_s")
 
     def __init__(self) -> None:
         self.suspended_s = 0.0
+        self.stepped_s = 0.0
 
     def monotonic(self) -> float:
         """Return monotonic seconds, without suspensions."""
@@ -66,7 +68,8 @@
 
     def wall(self) -> float:
         """Return the Unix time in seconds."""
-        return START_UNIX_TIME_S + asyncio.get_running_loop().time()
+        loop_s = asyncio.get_running_loop().time()
+        return START_UNIX_TIME_S + loop_s + self.stepped_s
 
 
 def run_virtual(coroutine: Coroutine[Any, Any, Any]) -> Any:
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/plan.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/plan.py
@@ -14,6 +14,7 @@
 
 from fulmarlever.outcomes import Failure
 from fulmarlever_standins.simulation.apart_faults import APART_FAULTS, EVACUATION
+from fulmarlever_standins.simulation.disruptions import POWER_LOSS
 from fulmarlever_standins.simulation.faults import FAULTS
 from fulmarlever_standins.simulation.jobs import FEATURES, draw_features
 from fulmarlever_standins.simulation.plan_parts import (
@@ -136,6 +137,7 @@
         rng = Random(f"{seed} {kind}")
         if kind != EVACUATION and rng.random() < APART_SHARE:
             at_s = round(rng.uniform(0.0, seconds), 3)
+            at_s = seconds if kind == POWER_LOSS else at_s
             faults.append(PlannedFault(at_s, kind, rng.randrange(MAX_SEED)))
     return faults
 
