Find jobs of the soak that wait although workers have room

After the last fault the soak waited up to 30 s for each job to end, so a job that stood still for most of that time passed. Now none may be without a run for 3 s, from 4 s after the last fault, or after the last effect that a fault left behind.

--- a/packages/fulmarlever_standins/fulmarlever_standins/soak/callers.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/callers.py
@@ -18,6 +18,9 @@
 MAX_CANCEL_DELAY_S = 1.5
 ACCEPTED = 200
 REFUSED = (429, 503)
+FINAL_STATES = ("completed", "failed", "cancelled")
+# The thousandths of a core that each task reserves.
+STEP_CPU_M = 1000
 # The request may have taken effect, so it is repeated with the same id.
 UNCERTAIN = (502, 504)
 
@@ -53,7 +56,7 @@
     def body(self) -> dict:
         """Return the JSON body of the request that submits the job."""
         steps = [
-            {"count": count, "cpu": 1000, "memMb": 100, "estimateMs": 500}
+            {"count": count, "cpu": STEP_CPU_M, "memMb": 100, "estimateMs": 500}
             | ({"after": [number - 1]} if number else {})
             for number, count in enumerate(self.counts)
         ]
--- a/packages/fulmarlever_standins/fulmarlever_standins/soak/invariants.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/invariants.py
@@ -7,15 +7,20 @@
 
 from fulmarlever.job_history import JobHistory
 from fulmarlever_standins.processes import ProcessError
-from fulmarlever_standins.soak.callers import CallerJob, Callers, Outcome
+from fulmarlever_standins.soak.callers import (
+    FINAL_STATES,
+    CallerJob,
+    Callers,
+    Outcome,
+)
 from fulmarlever_standins.soak.deployment import Deployment
+from fulmarlever_standins.soak.idle import IdleWatch
 
 FINISH_TIMEOUT_S = 30.0
 READY_TIMEOUT_S = 12.0
 CANCEL_GRACE_S = 5.0
 POLL_INTERVAL_S = 0.3
 GONE = 410
-FINAL_STATES = ("completed", "failed", "cancelled")
 
 
 async def find_violations(
@@ -24,8 +29,11 @@
     """Yield one line per violated invariant; call it when all faults have ended.
 
     It waits until each job has a final state, for up to ``FINISH_TIMEOUT_S``, and then
-    for ``CANCEL_GRACE_S``, in which the runs of cancelled jobs have to stop.
+    for ``CANCEL_GRACE_S``, in which the runs of cancelled jobs have to stop. Meanwhile
+    no job may wait for long if it could run.
     """
+    idle = IdleWatch(deployment, callers)
+    watch = asyncio.create_task(idle.run())
     async for line in find_unready(deployment):
         yield line
     for line in callers.unexpected_answers:
@@ -34,6 +42,11 @@
         *(wait_for_final_state(callers, job) for job in callers.jobs)
     )
     await asyncio.sleep(CANCEL_GRACE_S)
+    if watch.done():
+        watch.result()
+    watch.cancel()
+    for line in idle.violations:
+        yield line
     for job, state in zip(callers.jobs, states, strict=True):
         for line in find_job_violations(job, state, deployment):
             yield f"job {job.id} ({job.outcome}, {state}): {line}"
