Open occurrences that can start beside tasks that cannot

What callers saw: the second occurrence of a repeated job had no run for over a minute while workers were idle. The first one's 1,284 waiting tasks were over the limit of opened occurrences, though a limit for each worker kept them off every worker.

Cause: the limit takes any waiting task for a sign that there is no room. Tasks kept off by a limit of their own step, by tickets or by an earlier step say nothing about room, as each occurrence has these for itself.

Now the next occurrence is opened if a worker has room for a new step and the waiting tasks of the same step are kept off that worker.

Evidence: each of the three rows of the new test failed without the tick of HeldOccurrences (no occurrence but 0 began within 6 s) and passes with it.

--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/large_jobs_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/large_jobs_tests.py
@@ -6,11 +6,17 @@
 import random
 
 from fulmarlever.outcomes import Refused
-from fulmarlever_standins.authority.simulated_cluster import SimulatedCluster, job
+from fulmarlever_standins.authority.simulated_cluster import (
+    LABELS_QUEUE,
+    TICKET_QUEUE,
+    SimulatedCluster,
+    job,
+)
 from fulmarlever_standins.authority.virtual_time import START_UNIX_TIME_S
 from fulmarlever_standins.tests.authority.base import SimulatedClusterTestCase
 from fulmarlever_standins.tests.authority.takeover_tests import kill_owner
 from fulmarleverd.scheduling.owner import MAX_WAITING_TASKS
+from fulmarleverd.scheduling.planning.held_occurrences import MAX_OPEN_TASKS
 from fulmarleverd.scheduling.specs import JobSpec, StepSpec
 
 TASK_S = 4.0
@@ -52,6 +58,70 @@
 
         self.run_scenario(scenario)
 
+    # Regression (LOST): an occurrence whose waiting tasks were over the limit held the
+    # next one back, though a limit of its own step kept its tasks from starting.
+    def test_occurrences_start_beside_tasks_that_cannot(self):
+        spread = StepSpec(1300, 20, memory_mb=10, estimate_s=60.0, max_per_worker=2)
+        first = StepSpec(1, 20, memory_mb=10, estimate_s=60.0)
+        dependent = StepSpec(1300, 20, memory_mb=10, estimate_s=60.0, after=(0,))
+        plain = StepSpec(1300, 40, memory_mb=10, estimate_s=60.0)
+        rows = (
+            ("at most two on a worker", (spread,), LABELS_QUEUE),
+            ("an earlier step runs", (first, dependent), LABELS_QUEUE),
+            ("tickets for one worker, which is full", (plain,), TICKET_QUEUE),
+        )
+        for _, steps, queue in self.each(rows):
+
+            async def scenario(cluster, steps=steps, queue=queue):
+                cluster.add_daemons("vm-1")
+                for worker in cluster.add_workers(3):
+                    worker.task_duration_s = lambda task: 60.0
+                cluster.network.admission.is_admitted = self.is_admitted
+                owner = await cluster.wait_for_owner()
+                start_at_s = START_UNIX_TIME_S - YEAR_S
+                repeated = JobSpec("j", "p", steps, 3, start_at_s, MINUTE_S)
+                self.assertIsNone(await owner.submit(repeated, queue))
+                await asyncio.sleep(6.0)
+                begun = {task.split(".")[1] for task in cluster.record.starts}
+                self.assertEqual(begun, {"0", "1", "2"})
+
+            self.run_scenario(scenario)
+
+    def is_admitted(self, step: str, worker: str) -> bool:
+        """Admit occurrence 0 to worker w0 alone, the others to all workers."""
+        return worker == "w0" or step.split(".")[1] != "0"
+
+    # Occurrences beyond the limit are opened only as long as their tasks start.
+    def test_few_tasks_are_open_if_most_cannot_start(self):
+        none = StepSpec(1300, 20, memory_mb=10, required_label="none")
+        spread = StepSpec(1300, 20, memory_mb=10, estimate_s=60.0, max_per_worker=1)
+        first = StepSpec(1, 20, memory_mb=10, estimate_s=0.1)
+        dependent = StepSpec(1300, 20, 10, required_label="none", after=(0,))
+        rows = (
+            ("no worker has the label", (none,), LABELS_QUEUE, 1300),
+            ("one on a worker", (spread,), LABELS_QUEUE, MAX_OPEN_TASKS + 1300),
+            ("a later step", (first, dependent), LABELS_QUEUE, MAX_OPEN_TASKS + 1301),
+            ("no tickets", (spread,), TICKET_QUEUE, MAX_OPEN_TASKS + 1300),
+        )
+        for _, steps, queue, most in self.each(rows):
+
+            async def scenario(cluster, steps=steps, queue=queue, most=most):
+                cluster.add_daemons("vm-1")
+                for worker in cluster.add_workers(3):
+                    worker.task_duration_s = lambda task: (
+                        0.1 if task.split(".")[2] == "0" and len(steps) > 1 else 60.0
+                    )
+                cluster.network.admission.is_admitted = lambda step, worker: False
+                owner = await cluster.wait_for_owner()
+                start_at_s = START_UNIX_TIME_S - YEAR_S
+                repeated = JobSpec("j", "p", steps, 1000, start_at_s, MINUTE_S)
+                self.assertIsNone(await owner.submit(repeated, queue))
+                await asyncio.sleep(20.0)
+                open_tasks = sum(1 for _ in owner.term.owner.jobs["j"].tasks())
+                self.assertLessEqual(open_tasks, most)
+
+            self.run_scenario(scenario)
+
     # Guards against occurrences that wait for tasks that never end.
     def test_long_running_occurrences_start_beside_those_before(self):
         # Tasks of an occurrence, occurrences.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/jobs/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/jobs/tasks.py
@@ -345,6 +345,15 @@
             ]
         return self.occurrences[occurrence]
 
+    def skip_known_occurrences(self) -> None:
+        """Move the next occurrence to the first that is neither open nor has ended."""
+        while self.next_occurrence < self.spec.occurrences:
+            first = self.ended_occurrences.first_missing(self.next_occurrence)
+            self.next_occurrence = first
+            if first not in self.occurrences:
+                return
+            self.next_occurrence += 1
+
     def retire_occurrences(self) -> None:
         """Forget the tasks of the occurrences that have ended."""
         ended = [number for number, steps in self.occurrences.items() if _ended(steps)]
@@ -362,6 +371,11 @@
         """Return the number of tasks that each occurrence has."""
         return sum(step.count for step in self.spec.steps)
 
+    @property
+    def open_tasks(self) -> int:
+        """Return how many tasks the occurrences so far have."""
+        return sum(len(step.tasks) for step in self.steps())
+
     @property
     def waiting_tasks(self) -> int:
         """Return how many tasks of the occurrences so far neither run nor are done."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -170,17 +170,24 @@
         if job.spec.repetitions:
             job.retire_occurrences()
         limit = max(0, MAX_WAITING_TASKS - job.tasks_per_occurrence)
-        while job.next_occurrence < job.spec.occurrences:
-            occurrence = job.ended_occurrences.first_missing(job.next_occurrence)
-            job.next_occurrence = occurrence
-            is_over = occurrence >= job.spec.occurrences
-            if is_over or job.spec.due_s(occurrence) > self.clock.wall():
-                break
+        while self.has_due_occurrence(job):
             if job.occurrences and job.waiting_tasks > limit:
                 break
-            job.open_occurrence(occurrence)
-            job.next_occurrence += 1
-            self.changed.set()
+            self.open_next_occurrence(job)
+
+    def has_due_occurrence(self, job: Job) -> bool:
+        """Return whether an occurrence of a job is due that has not been opened."""
+        job.skip_known_occurrences()
+        occurrence = job.next_occurrence
+        if occurrence >= job.spec.occurrences:
+            return False
+        return job.spec.due_s(occurrence) <= self.clock.wall()
+
+    def open_next_occurrence(self, job: Job) -> None:
+        """Create the steps of the next occurrence of a job."""
+        job.open_occurrence(job.next_occurrence)
+        job.next_occurrence += 1
+        self.changed.set()
 
     def _attach_run(self, run: Run) -> None:
         """Add a run to its worker, or to the orphans until its worker is known."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/obstacles.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/obstacles.py
@@ -72,8 +72,28 @@
     spec = step.spec
     if worker.reserved_for not in (None, step) and not spec.is_best_effort:
         return Obstacle.RESERVED
-    if spec.required_label and spec.required_label not in worker.entry.labels:
+    if _lacks_label(spec, worker):
         return Obstacle.LABEL
-    if spec.max_per_worker and worker.count_runs(step) >= spec.max_per_worker:
-        return Obstacle.ANTI_AFFINITY
-    return None
+    return Obstacle.ANTI_AFFINITY if is_kept_off(step, worker) else None
+
+
+def is_kept_off(step: Step, worker: Worker) -> bool:
+    """Return whether a worker has as many runs of a step as it may have."""
+    most = step.spec.max_per_worker
+    return bool(most) and worker.count_runs(step) >= most
+
+
+def has_room_for_new_step(spec: StepSpec, worker: Worker) -> bool:
+    """Return whether a task of a step that has no run yet can run on a worker.
+
+    Tickets and the placement policy are not checked.
+    """
+    is_reserved = worker.reserved_for is not None and not spec.is_best_effort
+    if is_reserved or _lacks_label(spec, worker):
+        return False
+    return find_capacity_obstacle(spec, worker) is None
+
+
+def _lacks_label(spec: StepSpec, worker: Worker) -> bool:
+    label = spec.required_label
+    return bool(label) and label not in worker.entry.labels
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/tickets.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/tickets.py
@@ -89,7 +89,7 @@
             for worker in accepting
             if find_obstacle(step, worker) is None
             and not has_ticket(step, worker, now)
-            and not _is_forbidden(step, worker)
+            and not is_forbidden(step, worker)
         ]
         undecided.sort(
             key=lambda worker: (
@@ -123,7 +123,7 @@
         )
 
 
-def _is_forbidden(step: Step, worker: Worker) -> bool:
+def is_forbidden(step: Step, worker: Worker) -> bool:
     """Return whether the admission service has refused a worker for a step."""
     ticket = step.tickets.get(worker.key)
     return ticket is not None and not ticket.text
--- a/packages/fulmarleverd/fulmarleverd/scheduling/term/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/term/owner_term.py
@@ -41,6 +41,7 @@
 )
 from fulmarleverd.scheduling.planning import plan_pace
 from fulmarleverd.scheduling.planning.backlog import Backlog
+from fulmarleverd.scheduling.planning.held_occurrences import HeldOccurrences
 from fulmarleverd.scheduling.planning.planner import Planner
 from fulmarleverd.scheduling.planning.start_rate import StartRate
 from fulmarleverd.scheduling.planning.tickets import TicketRequester
@@ -105,6 +106,7 @@
             start_rate=self._start_rate,
         )
         self._housekeeping = Housekeeping(self.owner, self._guard.model)
+        self._held_occurrences = HeldOccurrences(self.owner)
         self._fair_shares = FairShares(self.owner, self._planner)
         self._evacuation = Evacuation(self.owner, evacuated)
         # Nothing is planned or preempted before the evacuated zones are known.
@@ -304,6 +306,7 @@
             await asyncio.sleep(TICK_S)
             self._housekeeping.tick()
             if self._is_planning:
+                self._held_occurrences.tick()
                 self._fair_shares.tick()
                 self._evacuation.update_gauge()
             self._overload.tick()
