Keep one connection to each worker of a large fleet

Cause: the owner's client kept the second connection that a start opens beside the waiting call for a report. Two for each of 3,000 workers are over the 4,100 descriptors; starts failed with EMFILE, and their workers got no starts for 4 s.

--- a/packages/fulmarleverd/fulmarleverd/connections/limits.py
+++ b/packages/fulmarleverd/fulmarleverd/connections/limits.py
@@ -20,11 +20,17 @@
 MIN_BUFFERED_BYTES = 2 * MB
 MIN_CONNECTIONS = 16
 # The VM has these descriptors for files only. Half of the others are left to the
-# store, to workers (up to six connections each) and to the readiness address.
+# store, to workers and to the readiness address. Workers take more if they are more, a
+# connection each and another one during a command.
 FILE_DESCRIPTORS = 200
 DESCRIPTOR_SHARE = 0.5
 
 
+def worker_connections(descriptors: int) -> int:
+    """Return how many connections to workers are kept open, of a VM's descriptors."""
+    return int((descriptors - FILE_DESCRIPTORS) * (1.0 - DESCRIPTOR_SHARE))
+
+
 @dataclass(slots=True, frozen=True)
 class ConnectionLimits:
     """The limits of one connection and of all of them.
--- a/packages/fulmarleverd/fulmarleverd/platform/http.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/http.py
@@ -15,6 +15,7 @@
 
 CONNECT_TIMEOUT_S = 0.6
 KEEPALIVE_S = 20.0
+MAX_KEPT_CONNECTIONS = 1950
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 
@@ -29,23 +30,42 @@
 CallResult = Response | Unavailable | OutcomeUnknown
 
 
+class OpenConnections:
+    """How many connections of a client are open, and how many it keeps for later.
+
+    Beyond ``kept`` only the last connection to each address stays open after its call.
+    """
+
+    __slots__ = ("count", "kept")
+
+    def __init__(self, kept: int) -> None:
+        self.count = 0
+        self.kept = kept
+
+
 class HTTPClient:
     """An HTTP client with a pool of connections for each address.
 
     A pool has at most ``per_address`` connections. ``local_address`` is their source
     address, "" for any. Time limits exclude the delay of the process's own event loop,
-    which ``delay`` measures.
+    which ``delay`` measures. Over ``kept`` connections in all pools, only one to each
+    address is kept for later calls.
     """
 
-    __slots__ = ("_local_address", "_per_address", "_delay", "_pools")
+    __slots__ = ("_local_address", "_per_address", "_delay", "_pools", "_open")
 
     def __init__(
-        self, local_address: str, per_address: int, delay: LoopDelay | None = None
+        self,
+        local_address: str,
+        per_address: int,
+        delay: LoopDelay | None = None,
+        kept: int = MAX_KEPT_CONNECTIONS,
     ) -> None:
         self._local_address = local_address
         self._per_address = per_address
         self._delay = delay or LoopDelay()
         self._pools: dict[str, AddressPool] = {}
+        self._open = OpenConnections(kept)
 
     def close(self) -> None:
         """Close every connection."""
@@ -83,7 +103,7 @@
         if address not in self._pools:
             self._close_unused_pools()
             self._pools[address] = AddressPool(
-                address, self._local_address, self._per_address
+                address, self._local_address, self._per_address, self._open
             )
         return self._pools[address]
 
@@ -104,6 +124,7 @@
     __slots__ = (
         "_address",
         "_local_address",
+        "_open",
         "_idle",
         "_in_use",
         "_connection_permits",
@@ -111,9 +132,12 @@
         "_last_call_s",
     )
 
-    def __init__(self, address: str, local_address: str, limit: int) -> None:
+    def __init__(
+        self, address: str, local_address: str, limit: int, open_: OpenConnections
+    ) -> None:
         self._address = address
         self._local_address = local_address
+        self._open = open_
         self._idle: list[Connection] = []
         self._in_use: set[Connection] = set()
         self._connection_permits = asyncio.Semaphore(limit)
@@ -163,18 +187,20 @@
             conn = self._idle.pop()
             if conn.is_reusable and now - conn.idle_since_s < KEEPALIVE_S:
                 return conn
-            conn.abort()
+            self._discard(conn)
         return None
 
     async def _connect(self, deadline: Deadline) -> Connection | Unavailable:
         host, _, port = self._address.rpartition(":")
         try:
             opening = Connection.open(host, int(port), self._local_address)
-            return await deadline.sooner(CONNECT_TIMEOUT_S).wait(opening)
+            conn = await deadline.sooner(CONNECT_TIMEOUT_S).wait(opening)
         except (TimeoutError, OSError, ValueError, OverflowError) as exc:
             # The last two come from an address that is none.
             reason = f"no connection to {self._address}: {type(exc).__name__} {exc}"
             return Unavailable(reason.strip())
+        self._open.count += 1
+        return conn
 
     async def _send_on(
         self, conn: Connection, request: bytes, deadline: Deadline
@@ -187,15 +213,25 @@
             self._return_connection(conn)
 
     def _return_connection(self, conn: Connection) -> None:
-        if conn.is_reusable:
+        if conn.is_reusable and not self._is_surplus():
             conn.idle_since_s = asyncio.get_running_loop().time()
             self._idle.append(conn)
             return
-        conn.abort()
+        self._discard(conn)
         if conn.has_timed_out:
             # The server may have stopped answering on the other connections, too.
             self._close_idle()
 
+    def _is_surplus(self) -> bool:
+        """Return whether a connection that is free again need not be kept."""
+        has_others = bool(self._idle or self._in_use)
+        return has_others and self._open.count > self._open.kept
+
+    def _discard(self, conn: Connection) -> None:
+        """Close a connection that no call uses any more."""
+        self._open.count -= 1
+        conn.abort()
+
     def close(self) -> None:
         """Close every connection."""
         for conn in self._in_use:
@@ -204,7 +240,7 @@
 
     def _close_idle(self) -> None:
         for conn in self._idle:
-            conn.abort()
+            self._discard(conn)
         self._idle.clear()
 
 
--- a/packages/fulmarleverd/fulmarleverd/platform/interface.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/interface.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from fulmarlever.outcomes import Failure, failed
-from fulmarleverd.connections.limits import ConnectionLimits
+from fulmarleverd.connections.limits import ConnectionLimits, worker_connections
 from fulmarleverd.loop_delay import LoopDelay
 from fulmarleverd.platform.admission import AuthorityAdmission
 from fulmarleverd.platform.callers import CallerServer
@@ -48,7 +48,10 @@
             settings.address, MAX_CONNECTIONS, self.loop_delay
         )
         self._worker_http = HTTPClient(
-            settings.address, MAX_CONNECTIONS_PER_WORKER, self.loop_delay
+            settings.address,
+            MAX_CONNECTIONS_PER_WORKER,
+            self.loop_delay,
+            worker_connections(settings.max_fds),
         )
         self.store = AuthorityStore(settings.store_address, self._store_http)
         self.workers = AuthorityWorkers(self._worker_http)
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/http_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/http_tests.py
@@ -26,14 +26,19 @@
 
     scripts: list[bytes | None]
     connections: int
+    open_now: int
     requests: list[bytes]
     transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         type(self).connections += 1
+        type(self).open_now += 1
         self._transport = type(self).transport = transport
         self._stopped_answering = False
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        type(self).open_now -= 1
+
     def data_received(self, data: bytes) -> None:
         self.requests.append(data)
         script = self.scripts.pop(0) if self.scripts else EMPTY_OK
@@ -55,7 +60,8 @@
 
     async def serve(self, *scripts: bytes | None) -> str:
         """Start a server with the given scripts and return its address."""
-        fields = {"scripts": list(scripts), "connections": 0, "requests": []}
+        fields = {"scripts": list(scripts), "connections": 0, "open_now": 0}
+        fields["requests"] = []
         self.server = type("Server", (ScriptedServer,), fields)
         loop = asyncio.get_running_loop()
         listener = await loop.create_server(self.server, LOOPBACK, 0)
@@ -225,6 +231,38 @@
                 await self.call(await self.serve())
             self.assertEqual(len(self.client._pools), 1)
 
+    # Regression (LOST): a second connection to each of 3,000 workers, kept from their
+    # starts, left the owner no descriptors, so that it could start nothing any more.
+    async def test_many_addresses_keep_few_connections(self) -> None:
+        """Each address has a call that waits, and commands beside it."""
+        addresses = 12
+        # Connections that are kept, and those that are open in the end.
+        rows = (("one each", 4, addresses), ("all", 100, 4 * addresses))
+        for name, kept, expected in rows:
+            with self.subTest(name):
+                self.client = HTTPClient("", 6, kept=kept)
+                self.addCleanup(self.client.close)
+                servers = [await self.serve_waiting() for _ in range(addresses)]
+                waits = [
+                    asyncio.create_task(self.call(address, 5.0))
+                    for address, _ in servers
+                ]
+                await asyncio.sleep(0.05)
+                for address, _ in servers:
+                    commands = [self.call(address) for _ in range(3)]
+                    results = await asyncio.gather(*commands)
+                    self.assertEqual(results, [Response(200, None)] * 3)
+                await asyncio.sleep(0.05)
+                open_now = sum(server.open_now for _, server in servers)
+                self.assertEqual(open_now, expected)
+                for wait in waits:
+                    wait.cancel()
+
+    async def serve_waiting(self) -> tuple[str, type[ScriptedServer]]:
+        """Start a server that leaves its first request without an answer."""
+        address = await self.serve(None)
+        return address, self.server
+
     async def test_a_cancelled_call_closes_its_connection(self) -> None:
         """Cancel more calls than the pool has connections, each once it has arrived."""
         address = await self.serve(None, None, None)
