--- a/packages/fulmarleverd/fulmarleverd/scheduling/health/tolerance.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/health/tolerance.py
@@ -1,4 +1,4 @@
-"""Which impaired workers a run may be assigned to."""
+"""Which workers a run may be assigned to although others are preferred."""
 
 from __future__ import annotations
 
@@ -7,13 +7,16 @@
 
 @dataclass(slots=True, frozen=True)
 class Tolerance:
-    """The kinds of impaired workers that a task uses rather than wait.
+    """The kinds of workers that a task uses rather than wait.
 
-    Workers of these kinds come after all others.
+    ``slow`` and ``distrusted`` are the kinds of impaired workers. ``low_headroom`` are,
+    for a best-effort task, those on which serving tasks may miss their targets beside
+    it. Workers of these kinds come after all others.
     """
 
     slow: bool = False
     distrusted: bool = False
+    low_headroom: bool = False
 
 
 SOUND_ONLY = Tolerance()
--- a/packages/fulmarleverd/fulmarleverd/scheduling/jobs/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/jobs/tasks.py
@@ -231,9 +231,10 @@
     of all occurrences that are not done. ``has_begun`` is set once a worker says that
     it has started a run, and ``is_begin_stored`` once the stored progress tells so.
     ``first_start_s`` and ``last_start_s`` are when this owner first and last learned of
-    such a start, 0 for never, and ``final_at_s`` when the job ended, all on the owner's
-    clock; ``cause`` is why it ended. ``interrupted_runs`` counts the runs at work that
-    this owner stopped or lost.
+    such a start, ``last_end_s`` is when it last learned that a run is gone, 0 for
+    never, and ``final_at_s`` when the job ended, all on the owner's clock; ``cause`` is
+    why it ended. ``interrupted_runs`` counts the runs at work that this owner stopped
+    or lost.
 
     ``size_class`` is the class of the job's size among the jobs of its queue, from 0
     for small, ``is_outcome_counted`` whether its outcome is counted for that class, and
@@ -260,6 +261,7 @@
         "is_begin_stored",
         "first_start_s",
         "last_start_s",
+        "last_end_s",
         "interrupted_runs",
         "final_at_s",
         "cause",
@@ -286,6 +288,7 @@
         self.is_begin_stored = False
         self.first_start_s = 0.0
         self.last_start_s = 0.0
+        self.last_end_s = 0.0
         self.interrupted_runs = 0
         self.final_at_s = 0.0
         self.cause = ""
@@ -336,6 +339,14 @@
         """Return whether any task has a run."""
         return any(step.unfinished_tasks > len(step.waiting) for step in self.steps())
 
+    @property
+    def idle_since_s(self) -> float:
+        """Return since when the job has had no run, if it has none.
+
+        The result is on the owner's clock.
+        """
+        return max(self.since_s, self.last_start_s, self.last_end_s)
+
     def open_occurrence(self, occurrence: int) -> list[Step]:
         """Return the steps of an occurrence, created by the first call."""
         if occurrence not in self.occurrences:
@@ -345,6 +356,15 @@
             ]
         return self.occurrences[occurrence]
 
+    def skip_known_occurrences(self) -> None:
+        """Move the next occurrence to the first that is neither open nor has ended."""
+        while self.next_occurrence < self.spec.occurrences:
+            first = self.ended_occurrences.first_missing(self.next_occurrence)
+            self.next_occurrence = first
+            if first not in self.occurrences:
+                return
+            self.next_occurrence += 1
+
     def retire_occurrences(self) -> None:
         """Forget the tasks of the occurrences that have ended."""
         ended = [number for number, steps in self.occurrences.items() if _ended(steps)]
@@ -362,6 +382,11 @@
         """Return the number of tasks that each occurrence has."""
         return sum(step.count for step in self.spec.steps)
 
+    @property
+    def open_tasks(self) -> int:
+        """Return how many tasks the occurrences so far have."""
+        return sum(len(step.tasks) for step in self.steps())
+
     @property
     def waiting_tasks(self) -> int:
         """Return how many tasks of the occurrences so far neither run nor are done."""
