--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/worker_search_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/worker_search_tests.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from fulmarleverd.scheduling.planning.planner import IMPAIRED_WORKERS_AFTER_S, Planner
+from fulmarleverd.scheduling.planning.planner import Planner
+from fulmarleverd.scheduling.planning.tolerances import IMPAIRED_WORKERS_AFTER_S
 from fulmarleverd.scheduling.planning.worker_search import (
     BATCH_SIZE,
     batch_size,
