--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
@@ -73,6 +73,8 @@
     def retry_withheld(self) -> None:
         """Look again at the withheld entries that are due."""
         due = self.withheld.due(self._owner.now_s())
+        if not due:
+            return
         services = {item.entry.service for item in due}
         named = {service for service in services if self._is_named(service)}
         orphaned = {run.worker_key for run in self._owner.orphans}
