--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_commands.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_commands.py
@@ -12,6 +12,7 @@
 
 from fulmarlever.outcomes import Unavailable
 from fulmarleverd.scheduling.decisions import record, record_run
+from fulmarleverd.scheduling.holds.hold import HoldReason
 from fulmarleverd.scheduling.jobs.runs import Run, RunState
 from fulmarleverd.scheduling.metrics import STARTS
 from fulmarleverd.scheduling.owner import ZONE_EVACUATED, Owner
@@ -23,7 +24,6 @@
     REJECT_RUN,
     REJECT_TICKET,
     REJECT_TOKEN,
-    REJECT_UNHEALTHY,
     REJECTIONS,
     Accepted,
     Command,
@@ -43,11 +43,6 @@
 CAPACITY_PAUSE_S = 0.3
 UNHEALTHY_PAUSE_S = 2.0
 UNANSWERED_PAUSE_S = 4.0
-START_PAUSES_S = {
-    REJECT_CAPACITY: CAPACITY_PAUSE_S,
-    REJECT_UNHEALTHY: UNHEALTHY_PAUSE_S,
-    REJECT_INVALID: 0.0,
-}
 LEASE_POLL_S = 0.05
 
 
@@ -117,6 +112,16 @@
         self._spawn(self._start(run))
 
     async def _start(self, run: Run) -> None:
+        """Send a start; a run whose start fails unexpectedly is not left uncertain."""
+        try:
+            await self._try_start(run)
+        except Exception as exc:
+            _log_fault(run, exc)
+            if run.state is RunState.SENT:
+                run.may_arrive_late |= not run.is_refused
+                self._prevent_start(run, "its start has failed unexpectedly")
+
+    async def _try_start(self, run: Run) -> None:
         """Send a start until its result is known or all attempts have failed."""
         if run.task.is_crash_suspect and not await self._is_worker_answering(run):
             return
@@ -134,7 +139,8 @@
             if self._process_start_result(run, worker, result):
                 return
             await asyncio.sleep(RETRY_S)
-        self._give_up(run, run.worker)
+        if run.state is RunState.SENT and run.is_active:
+            self._give_up(run, run.worker)
 
     async def _is_worker_answering(self, run: Run) -> bool:
         """Return whether the worker of a run answers now; drop the run if it does not.
@@ -224,13 +230,15 @@
         elif result.reason == REJECT_TICKET:
             run.task.step.tickets.pop(worker.key, None)
             self._prevent_start(run, result.reason)
+        elif result.reason == REJECT_INVALID:
+            run.task.avoid(worker.id, now)
+            self._prevent_start(run, result.reason)
+        elif result.reason == REJECT_CAPACITY:
+            worker.holds.add(HoldReason.NO_ROOM, now, CAPACITY_PAUSE_S)
+            self._prevent_start(run, result.reason)
         else:
             # A worker that refuses for a reason that is not known is unhealthy, too.
-            pause_s = START_PAUSES_S.get(result.reason, UNHEALTHY_PAUSE_S)
-            until_s = now + pause_s
-            worker.no_starts_until_s = max(worker.no_starts_until_s, until_s)
-            if result.reason == REJECT_INVALID:
-                run.task.avoid(worker.id, now)
+            worker.holds.add(HoldReason.UNHEALTHY, now, UNHEALTHY_PAUSE_S)
             self._prevent_start(run, result.reason)
         return True
 
@@ -239,8 +247,8 @@
 
         It may still answer other calls, so new runs go elsewhere for a while.
         """
-        until_s = self._owner.now_s() + UNANSWERED_PAUSE_S
-        worker.no_starts_until_s = max(worker.no_starts_until_s, until_s)
+        now = self._owner.now_s()
+        worker.holds.add(HoldReason.UNANSWERED, now, UNANSWERED_PAUSE_S)
         self._owner.mark_unreachable(worker, "starts get no answer")
         self._prevent_start(run, "its worker does not answer")
 
@@ -258,6 +266,17 @@
         self._spawn(self._stop(run))
 
     async def _stop(self, run: Run) -> None:
+        """Send a stop until it is accepted, also after an unexpected error."""
+        is_sent = False
+        while not is_sent:
+            try:
+                await self._try_stop(run)
+                is_sent = True
+            except Exception as exc:
+                _log_fault(run, exc)
+                await asyncio.sleep(RETRY_S)
+
+    async def _try_stop(self, run: Run) -> None:
         while run.is_active:
             if not self._owner.lease.may_extend:
                 await asyncio.sleep(LEASE_POLL_S)
@@ -304,6 +323,12 @@
         run.is_speed_limit_known = False
 
 
+def _log_fault(run: Run, exc: Exception) -> None:
+    log.bind(event="command-fault", task=run.task.name, run=run.number).opt(
+        exception=exc
+    ).error("sending a command has failed unexpectedly")
+
+
 def _outcome(result: CommandResult) -> str:
     """Return the name of a result as the metric counts it, one of a few."""
     if isinstance(result, Rejected):
