--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -170,26 +170,38 @@
         if job.spec.repetitions:
             job.retire_occurrences()
         limit = max(0, MAX_WAITING_TASKS - job.tasks_per_occurrence)
-        while job.next_occurrence < job.spec.occurrences:
-            occurrence = job.ended_occurrences.first_missing(job.next_occurrence)
-            job.next_occurrence = occurrence
-            is_over = occurrence >= job.spec.occurrences
-            if is_over or job.spec.due_s(occurrence) > self.clock.wall():
-                break
+        while self.has_due_occurrence(job):
             if job.occurrences and job.waiting_tasks > limit:
                 break
-            job.open_occurrence(occurrence)
-            job.next_occurrence += 1
-            self.changed.set()
+            self.open_next_occurrence(job)
+
+    def has_due_occurrence(self, job: Job) -> bool:
+        """Return whether an occurrence of a job is due that has not been opened."""
+        job.skip_known_occurrences()
+        occurrence = job.next_occurrence
+        if occurrence >= job.spec.occurrences:
+            return False
+        return job.spec.due_s(occurrence) <= self.clock.wall()
+
+    def open_next_occurrence(self, job: Job) -> None:
+        """Create the steps of the next occurrence of a job."""
+        job.open_occurrence(job.next_occurrence)
+        job.next_occurrence += 1
+        self.changed.set()
 
     def _attach_run(self, run: Run) -> None:
         """Add a run to its worker, or to the orphans until its worker is known."""
         worker = self.fleet.find(run.worker_key)
         if worker is None:
-            self.orphans[run] = None
+            self.add_orphan(run)
         else:
             worker.add(run)
 
+    def add_orphan(self, run: Run) -> None:
+        """Keep a run until its worker is known."""
+        run.uncertain_since_s = self.now_s()
+        self.orphans[run] = None
+
     def ready_steps(self) -> Iterator[Step]:
         """Yield the steps of all open jobs that have tasks to start."""
         for job in self.jobs.values():
@@ -254,7 +266,7 @@
         ``number`` is the number of the run, 0 for the next free one.
         """
         run = task.add_run(worker.key, number)
-        worker.last_start_s = self.now_s()
+        worker.last_start_s = run.uncertain_since_s = self.now_s()
         worker.failures.record_start(worker.last_start_s)
         worker.add(run)
         job = task.step.job
@@ -284,6 +296,7 @@
         task = run.task
         if task.runs.pop(run.number, None) is None:
             return
+        task.step.job.last_end_s = self.now_s()
         if run.state is not RunState.STOPPING and run.is_known_begun:
             task.step.job.interrupted_runs += 1
         if run.worker is not None:
@@ -301,6 +314,7 @@
             self.drop_run(run, reason)
         elif run.state is not RunState.STOPPING and run.worker is not None:
             run.state = RunState.STOPPING
+            run.uncertain_since_s = self.now_s()
             run.task.step.job.interrupted_runs += run.is_known_begun
             # Ignore reports without this run until the worker has accepted the stop.
             run.confirmed_at_s = float("inf")
@@ -348,7 +362,8 @@
         is_new = self.fleet.find(WorkerKey(entry.id, entry.incarnation)) is None
         worker = self.fleet.add(entry)
         if entry.is_draining and not worker.drain_until_s:
-            worker.drain_until_s = self.now_s() + entry.remaining_s
+            worker.draining_since_s = self.now_s()
+            worker.drain_until_s = worker.draining_since_s + entry.remaining_s
             record("worker-draining", worker=worker.id, remaining_s=entry.remaining_s)
         self.incarnations.remove_unanswered(worker)
         if is_new:
@@ -367,6 +382,7 @@
     def mark_unlisted(self, worker_id: str) -> None:
         """Record that a worker is no longer listed; it may still run tasks."""
         for worker in self.fleet.incarnations_of(worker_id):
+            worker.disputed = None
             if worker.is_listed:
                 worker.is_listed = False
                 worker.unlisted_since_s = self.now_s()
@@ -407,6 +423,7 @@
         """Drop the runs of a worker whose lease has certainly expired."""
         record("worker-lease-lapsed", worker=worker.id, runs=len(worker.runs))
         worker.is_reconciled = False
+        worker.unreconciled_since_s = self.now_s()
         self.crashes.record_lease_end(worker)
         for run in list(worker.runs.values()):
             self.drop_run(run, "the lease of its unreachable worker has expired")
