--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/disruptions.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/disruptions.py
@@ -85,7 +85,9 @@
 @APART_FAULTS.register("answers of workers lost")
 async def lose_worker_answers(sim: Simulation, rng: Random) -> None:
     """Reset a daemon's connections to workers, or let no answer come back on them."""
-    vm = rng.choice(sorted(sim.cluster.daemons) or [""])
+    if not sim.cluster.daemons:
+        return
+    vm = rng.choice(sorted(sim.cluster.daemons))
     workers = rng.sample(sim.workers(), rng.randint(1, len(sim.workers())))
     pairs = {(vm, worker.address) for worker in workers}
     network = sim.cluster.network
@@ -98,9 +100,9 @@
 @APART_FAULTS.register("clock stepped")
 async def step_clock(sim: Simulation, rng: Random) -> None:
     """Step the time of day of a daemon, and back after a while."""
-    daemon = sim.daemon(rng) if sim.cluster.daemons else None
-    if daemon is None:
+    if not sim.cluster.daemons:
         return
+    daemon = sim.daemon(rng)
     sim.has_clock_steps = True
     daemon.clock.stepped_s = rng.choice((-5.0, -1.0, 0.4, 5.0))
     await asyncio.sleep(rng.choice((0.5, 3.0, 8.0)))
