Start long-running tasks that have waited first while starts are limited

Cause: while the owner's processor limits the starts, jobs without a run and jobs that meet their objective come first in each plan. A long-running job with other runs is not idle, so its task came after all of them in every plan.

Now steps that have waited for a second get one task each in turn, at most half of a plan's starts.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/planner.py
@@ -14,6 +14,7 @@
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.planning.candidates import Candidates
 from fulmarleverd.scheduling.planning.capacity_index import CapacityIndex
+from fulmarleverd.scheduling.planning.long_waits import LongWaits
 from fulmarleverd.scheduling.planning.obstacles import (
     Obstacle,
     find_capacity_obstacle,
@@ -71,6 +72,7 @@
         self._is_busy: dict[str, bool] = {}
         self._unplaced_sizes: dict[Tolerance, UnplacedSizes] = {}
         self._indexes: dict[tuple[str, Tolerance], CapacityIndex] = {}
+        self._long_waits = LongWaits()
         self._plans = 0
 
     def plan(self) -> int:
@@ -102,7 +104,7 @@
         )
         started = sum(1 for _ in self._start_speculative_copies())
         lacking_tickets: list[Step] = []
-        for quota in self._quotas():
+        for quota in self._quotas(limit):
             step = quota.step
             most = min(quota.limit, limit - started)
             started += sum(1 for _ in self._start_step(step, most))
@@ -114,11 +116,14 @@
             self._tickets.request(dict.fromkeys(lacking_tickets))
         return started
 
-    def _quotas(self) -> Iterator[StartQuota]:
+    def _quotas(self, limit: int) -> Iterator[StartQuota]:
         """Yield the steps to start tasks of, the most urgent first."""
         now = self._owner.now_s()
-        steps = [step for step in self._owner.ready_steps() if self._may_start(step)]
+        ready = list(self._owner.ready_steps())
+        self._long_waits.update(ready, now)
+        steps = [step for step in ready if self._may_start(step)]
         if self._start_rate is not None and self._start_rate.is_limiting:
+            yield from self._long_waits.quotas(steps, limit, now)
             yield from first_tasks_of_idle_jobs(steps, now)
         yield from self._order(steps, now, self._owner.run_times)
 
