--- a/packages/fulmarleverd/fulmarleverd/tests/platform/http_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/http_tests.py
@@ -14,6 +14,7 @@
 from fulmarleverd.platform.http import HTTPClient, Response
 
 LOOPBACK = "127.0.0.1"
+POLL_S = 0.01
 EMPTY_OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 TOO_LONG = MAX_RESPONSE_BYTES + 1
 
@@ -252,6 +253,7 @@
         rows = (("one each", 4, addresses), ("all", 100, 4 * addresses))
         for name, kept, expected in rows:
             with self.subTest(name):
+                waits_s = 1.0
                 self.client = HTTPClient("", 6, kept=kept)
                 self.addCleanup(self.client.close)
                 servers = [await self.serve_waiting() for _ in range(addresses)]
@@ -259,13 +261,18 @@
                     asyncio.create_task(self.call(address, 5.0))
                     for address, _ in servers
                 ]
-                await asyncio.sleep(0.05)
+                while not all(server.requests for _, server in servers):
+                    await asyncio.sleep(POLL_S)
                 for address, _ in servers:
-                    commands = [self.call(address) for _ in range(3)]
+                    commands = [self.call(address, 5.0) for _ in range(3)]
                     results = await asyncio.gather(*commands)
                     self.assertEqual(results, [Response(200, None)] * 3)
-                await asyncio.sleep(0.05)
+                # Each server sees a closed connection a moment later.
                 open_now = sum(server.open_now for _, server in servers)
+                while open_now > expected and waits_s > 0.0:
+                    await asyncio.sleep(POLL_S)
+                    waits_s -= POLL_S
+                    open_now = sum(server.open_now for _, server in servers)
                 self.assertEqual(open_now, expected)
                 for wait in waits:
                     wait.cancel()
