--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_commands.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_commands.py
@@ -10,7 +10,7 @@
 
 from loguru import logger as log
 
-from fulmarlever.outcomes import Unavailable
+from fulmarlever.outcomes import LocalShortage, Unavailable
 from fulmarleverd.scheduling.decisions import record, record_run
 from fulmarleverd.scheduling.holds.hold import HoldReason
 from fulmarleverd.scheduling.jobs.runs import Run, RunState
@@ -139,7 +139,11 @@
             if self._process_start_result(run, worker, result):
                 return
             await asyncio.sleep(RETRY_S)
-        if run.state is RunState.SENT and run.is_active:
+        if run.state is not RunState.SENT or not run.is_active:
+            return
+        if isinstance(result, LocalShortage):
+            self._prevent_start(run, result.reason)
+        else:
             self._give_up(run, run.worker)
 
     async def _is_worker_answering(self, run: Run) -> bool:
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/http_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/http_tests.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import time
 import unittest
 from unittest import mock
 
-from fulmarlever.outcomes import OutcomeUnknown, Unavailable
+from fulmarlever.outcomes import LocalShortage, OutcomeUnknown, Unavailable
 from fulmarleverd.loop_delay import LoopDelay
 from fulmarleverd.platform.connection import MAX_RESPONSE_BYTES
 from fulmarleverd.platform.http import HTTPClient, Response
 
 LOOPBACK = "127.0.0.1"
+POLL_S = 0.01
 EMPTY_OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 TOO_LONG = MAX_RESPONSE_BYTES + 1
 
@@ -117,6 +119,17 @@
         for address in (f"{LOOPBACK}:1", f"{LOOPBACK}:70000", f"{LOOPBACK}:x", ""):
             self.assertIsInstance(await self.call(address), Unavailable)
 
+    async def test_a_call_without_a_descriptor_blames_no_one(self) -> None:
+        opened = "fulmarleverd.platform.http.Connection.open"
+        rows = (
+            (errno.EMFILE, LocalShortage),
+            (errno.ENFILE, LocalShortage),
+            (errno.ECONNREFUSED, Unavailable),
+        )
+        for number, expected in rows:
+            with mock.patch(opened, side_effect=OSError(number, "")):
+                self.assertIs(type(await self.call(f"{LOOPBACK}:1")), expected)
+
     async def test_the_request_is_encoded(self) -> None:
         address = await self.serve()
         headers = {"X-Target-Instance": "w1"}
@@ -240,6 +253,7 @@
         rows = (("one each", 4, addresses), ("all", 100, 4 * addresses))
         for name, kept, expected in rows:
             with self.subTest(name):
+                waits_s = 1.0
                 self.client = HTTPClient("", 6, kept=kept)
                 self.addCleanup(self.client.close)
                 servers = [await self.serve_waiting() for _ in range(addresses)]
@@ -247,13 +261,18 @@
                     asyncio.create_task(self.call(address, 5.0))
                     for address, _ in servers
                 ]
-                await asyncio.sleep(0.05)
+                while not all(server.requests for _, server in servers):
+                    await asyncio.sleep(POLL_S)
                 for address, _ in servers:
-                    commands = [self.call(address) for _ in range(3)]
+                    commands = [self.call(address, 5.0) for _ in range(3)]
                     results = await asyncio.gather(*commands)
                     self.assertEqual(results, [Response(200, None)] * 3)
-                await asyncio.sleep(0.05)
+                # Each server sees a closed connection a moment later.
                 open_now = sum(server.open_now for _, server in servers)
+                while open_now > expected and waits_s > 0.0:
+                    await asyncio.sleep(POLL_S)
+                    waits_s -= POLL_S
+                    open_now = sum(server.open_now for _, server in servers)
                 self.assertEqual(open_now, expected)
                 for wait in waits:
                     wait.cancel()
