Tell the attempts to take the lease apart

What callers could see: two holders of the lease, and a task in two places, after an attempt without an answer.

Cause: a daemon took any row of its own for the effect of its last attempt. So it adopted its own old row after a fault had ended its term; of two attempts the later one's time counted, though the first had taken effect; and if the second failed for that reason, the first was forgotten and the lease taken anew, with earlier leases counted from then.

Change: each attempt writes a value of its own and is remembered with its times until another version of the row is seen. It is adopted if the row holds its value.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/term/lease.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/term/lease.py
@@ -56,6 +56,20 @@
 ACQUIRE_DELAYS = ((1.0, 0.6), (2.0, 0.1))
 
 
+class LeaseTake:
+    """An attempt to take the lease whose outcome is not known yet.
+
+    It was sent at ``sent_s``. If it takes effect, earlier holders may have extended
+    leases until ``extensions_end_s``. Both are seconds on the lease's clock.
+    """
+
+    __slots__ = ("sent_s", "extensions_end_s")
+
+    def __init__(self, sent_s: float, extensions_end_s: float) -> None:
+        self.sent_s = sent_s
+        self.extensions_end_s = extensions_end_s
+
+
 class SchedulerLease:
     """The scheduler's lease as seen by one daemon.
 
@@ -79,8 +93,8 @@
         "_sequence",
         "_watched_version",
         "_watched_since_s",
-        "_take_sent_s",
-        "_take_extensions_end_s",
+        "_takes",
+        "_takes_version",
         "_acquire_delay_s",
         "_free_since_s",
         "unresponsive_workers",
@@ -102,10 +116,10 @@
         self._sequence = 0
         self._watched_version = -1
         self._watched_since_s = 0.0
-        # When the last attempt to take the lease was sent, 0 if it had no effect.
-        self._take_sent_s = 0.0
-        # Until when earlier holders may have extended leases, if that attempt succeeds.
-        self._take_extensions_end_s = 0.0
+        # By the value that they write, which is unique: the attempts to take the lease
+        # that may still take effect, all on the same version of the row.
+        self._takes: dict[bytes, LeaseTake] = {}
+        self._takes_version = ABSENT
         self._acquire_delay_s = acquire_delay_s(cores)
         self._free_since_s: float | None = None
         self.unresponsive_workers: Callable[[], list[UnresponsiveWorker]] = list
@@ -176,21 +190,15 @@
 
     def _adopt_unconfirmed_take(self, row: StoredRow, holder: LeaseRow) -> bool:
         """Hold the lease if an earlier attempt without an answer took effect."""
-        if (
-            holder.incarnation != self._incarnation
-            or not holder.vm
-            or self._take_sent_s == 0.0
-        ):
+        take = self._takes.get(row.value)
+        if take is None:
             return False
-        self._set_held(
-            holder.token, row.version, self._take_sent_s, holder.unresponsive
-        )
-        # The attempt depended on the row's version, so no renewal came before it.
-        self.earlier_extensions_end_s = self._take_extensions_end_s
+        self._set_held(holder.token, row.version, take.sent_s, holder.unresponsive)
+        self.earlier_extensions_end_s = take.extensions_end_s
         log.bind(
             event="lease-taken",
             token=holder.token,
-            unanswered_s=round(self.clock_s() - self._take_sent_s, 2),
+            unanswered_s=round(self.clock_s() - take.sent_s, 2),
         ).info("an earlier attempt to take the scheduler's lease took effect")
         return True
 
@@ -211,18 +219,18 @@
         unresponsive = _subtract_elapsed(
             holder.unresponsive, self.clock_s() - first_seen_s
         )
+        self._sequence += 1
         value = pack_lease(
-            LeaseRow(self._vm, self._incarnation, token, 0, unresponsive)
+            LeaseRow(self._vm, self._incarnation, token, self._sequence, unresponsive)
         )
         tx = Transaction([lease_row(version=row.version)], [lease_row(value)])
-        self._take_sent_s = sent_s = self.clock_s()
-        self._take_extensions_end_s = first_seen_s + _extension_window_s(
-            holder, self._vm
-        )
+        sent_s = self.clock_s()
+        extensions_end_s = first_seen_s + _extension_window_s(holder, self._vm)
+        self._record_take(row.version, value, LeaseTake(sent_s, extensions_end_s))
         result = await self._store.transact(tx, CALL_TIMEOUT_S)
         if isinstance(result, Committed):
             self._set_held(token, result.version, sent_s, unresponsive)
-            self.earlier_extensions_end_s = self._take_extensions_end_s
+            self.earlier_extensions_end_s = extensions_end_s
             log.bind(
                 event="lease-taken",
                 token=token,
@@ -231,9 +239,17 @@
             ).info("took the scheduler's lease")
             return True
         if isinstance(result, Unavailable | ConditionFailed):
-            self._take_sent_s = 0.0
+            # An earlier attempt on the same version may still have taken effect.
+            self._takes.pop(value, None)
         return False
 
+    def _record_take(self, version: int, value: bytes, take: LeaseTake) -> None:
+        """Remember an attempt; those on other versions of the row cannot succeed."""
+        if version != self._takes_version:
+            self._takes = {}
+        self._takes_version = version
+        self._takes[value] = take
+
     def _first_seen_s(self, row: StoredRow) -> float:
         """Return when this version of the row was first seen, after it was written."""
         is_watched = row.version == self._watched_version
@@ -257,6 +273,7 @@
         self.valid_until_s = sent_s + LEASE_S
         self.is_held = True
         self._free_since_s = None
+        self._takes = {}
 
     def next_row_value(self) -> bytes:
         """Return the value of the lease's row for the next commit, unlike any other."""
@@ -282,7 +299,7 @@
         """Stop holding the lease, without a change of its row."""
         self.is_held = False
         self._watched_version = -1
-        self._take_sent_s = 0.0
+        self._takes = {}
 
     async def release(self) -> None:
         """Release the lease so that another daemon may take it at once."""
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/term/lease_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/term/lease_tests.py
@@ -17,7 +17,13 @@
     pack_lease,
     unpack_lease,
 )
-from fulmarleverd.scheduling.ports import Committed, RowSet, StoredRow, Transaction
+from fulmarleverd.scheduling.ports import (
+    Committed,
+    ConditionFailed,
+    RowSet,
+    StoredRow,
+    Transaction,
+)
 from fulmarleverd.scheduling.specs import WorkerKey
 from fulmarleverd.scheduling.term.lease import (
     EXTEND_GRACE_S,
@@ -58,6 +64,26 @@
         return OutcomeUnknown("no answer in time")
 
 
+class LateStore(OneRowStore):
+    """A store that carries out the first of two writes only as the second arrives.
+
+    ``answers`` are the answers to the writes; ``None`` stands for the failure of the
+    condition.
+    """
+
+    def __init__(self, *answers: OutcomeUnknown | None) -> None:
+        super().__init__()
+        self._answers = list(answers)
+        self._late: bytes | None = None
+
+    async def transact(self, tx: Transaction, timeout_s: float) -> object:
+        if self._late is None:
+            self._late = tx.writes[0].value
+        else:
+            self.write(self._late)
+        return self._answers.pop(0) or ConditionFailed([self.row])
+
+
 class AcquireDelayTests(TableTestCase):
     def test_vms_with_fewer_cores_wait_longer(self):
         rows = (
@@ -116,6 +142,43 @@
         left_s = self.lease.earlier_lease_ends_s[UNRESPONSIVE.key] - first_seen_s
         self.assertAlmostEqual(left_s, UNRESPONSIVE.lease_left_s)
 
+    # Guards against a lease that is held longer, or counted from later, than the
+    # attempt that took effect allows.
+    def test_the_attempt_that_took_effect_counts(self):
+        rows = (
+            ("the first of two", OutcomeUnknown("none"), OutcomeUnknown("none")),
+            ("the first, which fails the second", OutcomeUnknown("none"), None),
+        )
+        for _, first, second in self.each(rows):
+            self.setUp()
+            self.store = store = LateStore(first, second)
+            self.lease = SchedulerLease(store, self.clock, "vm-2")
+            store.write(pack_lease(LeaseRow("vm-1", "incarnation", 4, 9)))
+            first_seen_s = self.clock.boot()
+            self.assertFalse(asyncio.run(self.lease.try_acquire()))
+            self.clock.advance(WATCH_S)
+            sent_s = self.clock.boot()
+            self.assertFalse(asyncio.run(self.lease.try_acquire()))
+            self.clock.advance(1.0)
+            self.assertFalse(asyncio.run(self.lease.try_acquire()))
+            self.clock.advance(0.2)
+            self.assertTrue(asyncio.run(self.lease.try_acquire()))
+            self.assertAlmostEqual(self.lease.valid_until_s, sent_s + LEASE_S)
+            end_s = first_seen_s + LEASE_S + EXTEND_GRACE_S
+            self.assertAlmostEqual(self.lease.earlier_extensions_end_s, end_s)
+
+    def test_an_own_row_from_before_a_loss_is_not_adopted(self):
+        self.store.write(pack_lease(LeaseRow("", "incarnation", 4, 9)))
+        self.assertTrue(asyncio.run(self.lease.try_acquire()))
+        self.lease.mark_lost()
+        silent = SilentStore()
+        silent.row, silent.version = self.store.row, self.store.version
+        silent.write = lambda value: None
+        self.lease._store = silent
+        for _ in range(3):
+            self.assertFalse(asyncio.run(self.lease.try_acquire()))
+        self.assertFalse(self.lease.is_held)
+
     def test_a_lease_without_an_earlier_holder_has_no_earlier_extensions(self):
         self.assertTrue(asyncio.run(self.lease.try_acquire()))
         self.assertLessEqual(self.lease.earlier_extensions_end_s, self.clock.boot())
