Bound the starts of idle best-effort jobs where headroom is low

What callers could see: a wave of idle jobs took the headroom of serving tasks at once.

Cause: nothing limited how many of them started on one worker before its reports showed the effect, a gang started all of its tasks, and workers with low headroom ended the search of a large fleet though others had enough. The wait of a job counted from a refused start, and from the end of the lease of a silent worker.

Change: one such start on a worker until its use of cores is reported, none beside a serving task that misses its target, none for gangs, and only once the ordinary search has found no worker. Only runs that have begun end a wait, at the worker's last report. Whether a job is idle is worked out once a plan.

Measured: four new tests of low_headroom_tests failed before and pass now; the test of jobs that spread over the workers is replaced by one that also bounds their number.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -296,7 +296,8 @@
         task = run.task
         if task.runs.pop(run.number, None) is None:
             return
-        task.step.job.last_end_s = self.now_s()
+        if run.is_known_begun:
+            task.step.job.last_end_s = self._last_seen_s(run)
         if run.state is not RunState.STOPPING and run.is_known_begun:
             task.step.job.interrupted_runs += 1
         if run.worker is not None:
@@ -308,6 +309,13 @@
             self.commits.stage(task.step.job)
         self.changed.set()
 
+    def _last_seen_s(self, run: Run) -> float:
+        """Return when a run that is gone may last have been at work."""
+        worker = run.worker
+        if worker is None or worker.is_reachable:
+            return self.now_s()
+        return worker.last_report_s
+
     def stop_run(self, run: Run, reason: str) -> None:
         """Stop a run; its resources stay reserved until the worker reports the end."""
         if run.state is RunState.PLANNED:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/candidates.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/candidates.py
@@ -71,6 +71,11 @@
         while self._examine_batch() and len(self._heap) < wanted:
             pass
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no worker that was examined can run a task."""
+        return not self._heap
+
     def _examine_batch(self) -> bool:
         """Add the candidates of the next batch; return whether there are any.
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/placement.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/placement.py
@@ -91,17 +91,28 @@
     return (_is_remote(spec, worker), group, -free_m)
 
 
-def low_headroom_cost(worker: Worker) -> tuple:
+def low_headroom_cost(worker: Worker) -> tuple | None:
     """Return the cost of a best-effort task beside serving tasks with little headroom.
 
     The task is paused while they lack it. Workers where it would not be paused at once
-    come first, then those with the most cores left.
+    come first, then those with the most cores left. None forbids it where a serving
+    task misses its target, or where the effect of an earlier start is not known yet.
     """
     headroom = min(worker.headroom_by_image.values(), default=MIN_HEADROOM)
+    if headroom < 1.0 or _has_idle_best_effort_run(worker):
+        return None
     is_paused = headroom < MIN_HEADROOM
     return (LOW_HEADROOM, is_paused, -worker.free_best_effort_cpu_m())
 
 
+def _has_idle_best_effort_run(worker: Worker) -> bool:
+    """Return whether a best-effort run is paused, or has no reported use of cores."""
+    return any(
+        run.task.step.spec.is_best_effort and not run.latency_ms_or_cpu_m
+        for run in worker.runs.values()
+    )
+
+
 def _is_remote(spec: StepSpec, worker: Worker) -> bool:
     """Return whether a step prefers a rack that the worker is not in."""
     return bool(spec.preferred_rack) and (
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/planner.py
@@ -157,7 +157,7 @@
     def _cost(self, spec: StepSpec, worker: Worker) -> tuple | None:
         return self._placement(spec, worker, self._headroom_taken)
 
-    def _cost_of_any(self, spec: StepSpec, worker: Worker) -> tuple:
+    def _cost_of_any(self, spec: StepSpec, worker: Worker) -> tuple | None:
         """Return the cost of a task that also runs where headroom is low."""
         cost = self._cost(spec, worker)
         return low_headroom_cost(worker) if cost is None else cost
@@ -205,8 +205,11 @@
             # The search ends with the first batches.
             workers = sorted(workers, key=lambda worker: worker.is_impaired_at(now))
         tolerance = self._tolerances.find(step)
-        cost = self._cost_of_any if tolerance.low_headroom else self._cost
-        return Candidates(step, workers, cost, now, size, tasks, tolerance)
+        found = Candidates(step, workers, self._cost, now, size, tasks, tolerance)
+        if tolerance.low_headroom and found.is_empty:
+            cost = self._cost_of_any
+            return Candidates(step, workers, cost, now, size, tasks, tolerance)
+        return found
 
     def _start_speculative_copies(self) -> Iterator[Task]:
         """Start the requested second runs and yield their tasks.
@@ -254,6 +257,7 @@
                 unplaced_sizes.record_size(task)
                 return
             if not task.is_waiting:
+                self._tolerances.record_start(step.job)
                 yield task
 
     def _place_suspect(self, task: Task, candidates: Candidates) -> Worker | None:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/tolerances.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/tolerances.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from fulmarleverd.scheduling.health.tolerance import SOUND_ONLY, Tolerance
-from fulmarleverd.scheduling.jobs.tasks import Step
+from fulmarleverd.scheduling.jobs.tasks import Job, Step
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.planning.order import is_idle_for
 
@@ -23,7 +23,7 @@
 class Tolerances:
     """The tolerances of steps during one plan of an owner."""
 
-    __slots__ = ("_owner", "_impaired", "_is_busy")
+    __slots__ = ("_owner", "_impaired", "_is_busy", "_idle")
 
     def __init__(self, owner: Owner) -> None:
         self._owner = owner
@@ -33,6 +33,8 @@
             distrusted=any(worker.failures.is_distrusted for worker in owner.fleet),
         )
         self._is_busy: dict[str, bool] = {}
+        # Whether a job is idle takes a look at all of its steps.
+        self._idle: dict[str, bool] = {}
 
     @property
     def has_impaired_workers(self) -> bool:
@@ -49,17 +51,35 @@
             return self._impaired
         if not self.has_impaired_workers and not step.spec.is_best_effort:
             return SOUND_ONLY
-        now = self._owner.now_s()
-        if not is_idle_for(step.job, IMPAIRED_WORKERS_AFTER_S, now):
+        if not self._is_idle(step.job):
             return SOUND_ONLY
         has_room = not self._is_service_busy(step.job.queue.service)
-        stands_still = now - step.job.idle_since_s >= LOW_HEADROOM_AFTER_S
         return Tolerance(
             slow=self._impaired.slow,
             distrusted=self._impaired.distrusted and has_room,
-            low_headroom=step.spec.is_best_effort and has_room and stands_still,
+            low_headroom=has_room and self._may_lower_headroom(step),
         )
 
+    def record_start(self, job: Job) -> None:
+        """Note that a task of a job has been started in this plan."""
+        self._idle[job.id] = False
+
+    def _is_idle(self, job: Job) -> bool:
+        if job.id not in self._idle:
+            now = self._owner.now_s()
+            self._idle[job.id] = is_idle_for(job, IMPAIRED_WORKERS_AFTER_S, now)
+        return self._idle[job.id]
+
+    def _may_lower_headroom(self, step: Step) -> bool:
+        """Return whether one task of a step may start where headroom is low.
+
+        A gang would start all of its tasks there.
+        """
+        if not step.spec.is_best_effort or step.spec.is_gang:
+            return False
+        idle_s = self._owner.now_s() - step.job.idle_since_s
+        return idle_s >= LOW_HEADROOM_AFTER_S
+
     def _is_service_busy(self, service: str) -> bool:
         """Return whether half of the cores of a service are reserved."""
         if service not in self._is_busy:
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/low_headroom_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/low_headroom_tests.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from fulmarleverd.scheduling.jobs.runs import Run
+from fulmarleverd.scheduling.jobs.runs import Run, RunState
 from fulmarleverd.scheduling.planning.obstacles import Obstacle
 from fulmarleverd.scheduling.planning.planner import Planner
 from fulmarleverd.scheduling.planning.tolerances import LOW_HEADROOM_AFTER_S
@@ -53,7 +53,7 @@
         return workers
 
     # Guards against a best-effort job that stands still for good, as the headroom of
-    # all serving tasks is low, though most cores are free (LOST).
+    # all serving tasks is low, though most cores are free.
     def test_a_job_that_stands_still_starts_one_task(self):
         self.serve()
         long_s = LOW_HEADROOM_AFTER_S
@@ -89,13 +89,41 @@
             found = self.plan(BEST_EFFORT, LOW_HEADROOM_AFTER_S)
             self.assertEqual(found, [expected])
 
-    def test_jobs_spread_over_the_workers(self):
-        self.serve()
+    # Guards against a wave of idle jobs that takes the headroom of serving tasks.
+    def test_a_worker_gets_one_task_until_its_effect_is_known(self):
+        serving, _ = self.serve()
         jobs = [self.add(BEST_EFFORT) for _ in range(4)]
         self.clock.advance(LOW_HEADROOM_AFTER_S)
         self.planner.plan()
-        workers = [run.worker.id for job in jobs for run in job.runs()]
-        self.assertEqual(sorted(workers), ["w1", "w1", "w2", "w2"])
+        self.planner.plan()
+        runs = [run for job in jobs for run in job.runs()]
+        self.assertEqual(sorted(run.worker.id for run in runs), ["w1", "w2"])
+        first = next(run for run in runs if run.worker is self.workers[0])
+        first.state = RunState.RUNNING
+        self.report(self.workers[0], (serving, 100.0, 10.0), (first, 10.0, 900.0))
+        self.planner.plan()
+        self.assertEqual(sum(job.has_runs for job in jobs), 3)
+
+    def test_nothing_starts_beside_a_task_that_misses_its_target(self):
+        self.serve()
+        for worker in self.workers:
+            worker.headroom_by_image = {"s": 0.95}
+        self.assertEqual(self.plan(BEST_EFFORT, LOW_HEADROOM_AFTER_S), [])
+
+    def test_a_gang_waits_for_headroom(self):
+        self.serve()
+        gang = StepSpec(count=3, cpu_m=1000, is_best_effort=True, is_gang=True)
+        self.assertEqual(self.plan(gang, LOW_HEADROOM_AFTER_S), [])
+
+    def test_refused_starts_are_no_runs(self):
+        self.serve()
+        job = self.add(BEST_EFFORT)
+        self.clock.advance(LOW_HEADROOM_AFTER_S)
+        self.planner.plan()
+        (run,) = job.runs()
+        self.owner.drop_run(run, "refused")
+        self.planner.plan()
+        self.assertTrue(job.has_runs)
 
     def test_the_wait_counts_from_the_last_run(self):
         serving, _ = self.serve()
