Believe a disputed entry only if the list of workers has been read since

What callers could see: a worker given more than it can hold, as an entry by another writer was believed while the worker's correction could not be read; a worker unknown for good, as the entry of an earlier incarnation replaced its withheld one.

Change: the age of a dispute counts up to the last answer of the store. The entry of a misdirected incarnation is withheld only if none is for its id.

Measured: both new tests failed before and pass now, as do the others of workers.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/term/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/term/owner_term.py
@@ -242,6 +242,7 @@
         store = self._interface.store
         table = self._interface.workers_table
         async for batch in follow(store, table, self._clock):
+            self.owner.incarnations.list_read_s = batch.requested_at_s
             self._apply_worker_rows(batch)
             self._has_workers.set()
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
@@ -36,6 +36,8 @@
     def __init__(self, owner: Owner) -> None:
         self._owner = owner
         self.withheld = WithheldEntries()
+        # When the list of workers was last read, on the owner's clock.
+        self.list_read_s = float("inf")
 
     def process_entry(self, entry: WorkerEntry) -> None:
         """Add or update a worker by an entry in the list, if it may be the worker's.
@@ -72,7 +74,7 @@
 
     def retry_withheld(self) -> None:
         """Look again at the withheld entries that are due."""
-        due = self.withheld.due(self._owner.now_s())
+        due = self.withheld.due(self._known_until_s())
         if not due:
             return
         services = {item.entry.service for item in due}
@@ -108,7 +110,7 @@
 
         If nobody contradicts it for a while, the earlier entry was the wrong one.
         """
-        now = self._owner.now_s()
+        now = self._known_until_s()
         traits = entry.lasting_traits
         if traits == known.entry.lasting_traits:
             known.disputed = None
@@ -117,6 +119,10 @@
             known.disputed = DisputedEntry(traits, now)
         return now - known.disputed.since_s < DISPUTED_S
 
+    def _known_until_s(self) -> float:
+        """Return until when a newer entry would have been read."""
+        return min(self._owner.now_s(), self.list_read_s)
+
     def _is_named(self, service: str) -> bool:
         """Return whether the configuration, or an open job, names a service."""
         cfg = self._owner.find_config()
@@ -156,7 +162,7 @@
             owner.add_orphan(run)
         owner.fleet.remove(worker)
         owner.crashes.record_unproven_crash(worker)
-        if worker.is_listed:
+        if worker.is_listed and worker.id not in self.withheld:
             retry_at_s = owner.now_s() + MISDIRECTED_RETRY_S
             self.withheld.add(worker.entry, reason, retry_at_s)
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/withheld_entries.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/withheld_entries.py
@@ -36,6 +36,9 @@
     def __len__(self) -> int:
         return len(self._by_id)
 
+    def __contains__(self, worker_id: str) -> bool:
+        return worker_id in self._by_id
+
     def __iter__(self) -> Iterator[WithheldEntry]:
         return iter(self._by_id.values())
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/withheld_entries_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/withheld_entries_tests.py
@@ -105,6 +105,32 @@
         self.pass_time(WITHHELD_RETRY_S + TICK_S)
         self.assertEqual(worker.entry, other)
 
+    # Guards against a worker that stays unknown, as its entry is replaced by that of an
+    # earlier incarnation, which is no longer at its address.
+    def test_an_earlier_incarnation_does_not_replace_a_withheld_entry(self):
+        earlier = self.add_worker("w3")
+        entry = replace(earlier.entry, incarnation="2", service="new-desk")
+        self.owner.incarnations.process_entry(entry)
+        self.owner.incarnations.process_mismatch(earlier, "another worker answers")
+        self.named.append(ServiceSpec("new-desk"))
+        self.pass_time(MISDIRECTED_RETRY_S + TICK_S)
+        incarnations = self.owner.fleet.incarnations_of("w3")
+        self.assertIn("2", [worker.entry.incarnation for worker in incarnations])
+
+    # Guards against a larger capacity by another writer, while the worker's own entry
+    # cannot be read.
+    def test_a_disputed_entry_is_not_believed_while_the_list_cannot_be_read(self):
+        worker = self.workers[0]
+        self.report(worker)
+        self.owner.incarnations.list_read_s = self.clock.now
+        other = replace(worker.entry, cpu_m=64_000)
+        self.owner.incarnations.process_entry(other)
+        self.pass_time(2 * DISPUTED_S)
+        self.assertNotEqual(worker.entry, other)
+        self.owner.incarnations.list_read_s = self.clock.now
+        self.pass_time(WITHHELD_RETRY_S + TICK_S)
+        self.assertEqual(worker.entry, other)
+
     def test_a_removed_entry_is_not_believed_later(self):
         worker = self.workers[0]
         self.report(worker)
