Blame no worker for a lease call that lacked a descriptor

What callers could see: workers out of use for seconds, as the owner had no descriptor to call them. Found by a review.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_commands.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_commands.py
@@ -169,7 +169,7 @@
             owner.incarnations.add_answering(worker, report.incarnation)
             return False
         self._prevent_start(run, report.reason)
-        if not isinstance(report, Rejected):
+        if not isinstance(report, Rejected | LocalShortage):
             owner.mark_unreachable(worker, report.reason)
         elif report.reason == REJECT_INCARNATION:
             owner.incarnations.process_mismatch(worker, report.reason)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_loop.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_loop.py
@@ -6,7 +6,7 @@
 
 from loguru import logger as log
 
-from fulmarlever.outcomes import failed
+from fulmarlever.outcomes import LocalShortage, failed
 from fulmarleverd.loop_delay import LoopDelay
 from fulmarleverd.scheduling.decisions import record
 from fulmarleverd.scheduling.owner import Owner
@@ -167,6 +167,7 @@
         if isinstance(failure, Rejected) and failure.reason == REJECT_INCARNATION:
             self._owner.incarnations.process_mismatch(worker, failure.reason)
             return
-        self._failures += 1
-        self._owner.mark_unreachable(worker, failure.reason)
+        if not isinstance(failure, LocalShortage):
+            self._failures += 1
+            self._owner.mark_unreachable(worker, failure.reason)
         await asyncio.sleep(RETRY_S)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/worker_loop_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/worker_loop_tests.py
@@ -1,10 +1,11 @@
-"""Calls to a worker that leaves the fleet before its answer comes."""
+"""Calls to a worker that are not answered, or whose worker leaves the fleet before."""
 
 from __future__ import annotations
 
 import asyncio
+from unittest import mock
 
-from fulmarlever.outcomes import OutcomeUnknown
+from fulmarlever.outcomes import LocalShortage, OutcomeUnknown, Unavailable
 from fulmarleverd.loop_delay import LoopDelay
 from fulmarleverd.scheduling.ports import (
     REJECT_INCARNATION,
@@ -13,6 +14,7 @@
     WorkerReport,
 )
 from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.scheduling.workers import worker_loop
 from fulmarleverd.scheduling.workers.worker_loop import WorkerLoop
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
@@ -50,3 +52,30 @@
             self.assertEqual(self.owner.fleet.incarnations_of(name), [other])
             self.assertIs(run.worker, other)
             self.assertEqual(self.commands.stops_of_unknown, [])
+
+
+class SameAnswer:
+    """Fake calls that all fail in the same way."""
+
+    def __init__(self, answer: object) -> None:
+        self._answer = answer
+
+    async def extend_lease(self, *args: object) -> object:
+        return self._answer
+
+
+class FailedCallsTests(OwnerTestCase):
+    # Guards against workers that get no runs, as the owner has no descriptors for them.
+    def test_a_worker_is_blamed_only_for_its_own_silence(self):
+        self.lease.may_extend = True
+        rows = (
+            ("no connection", Unavailable("refused"), True),
+            ("no descriptor", LocalShortage("too many open files"), False),
+        )
+        for name, answer, is_blamed in self.each(rows):
+            worker = self.add_worker(name)
+            calls = SameAnswer(answer)
+            loop = WorkerLoop(self.owner, worker, calls, self.reports, LoopDelay())
+            with mock.patch.object(worker_loop, "RETRY_S", 0.0):
+                asyncio.run(loop._call())
+            self.assertEqual(worker.is_unresponsive, is_blamed)
