Log the waits that are longest overdue first

What operators saw: with more than 50 waiting steps the younger ones were never logged, as the oldest ones were due again first.

Measured: the tests of the backlog and of held tasks pass.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/holds/held_tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/holds/held_tasks.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Iterable, Iterator
 from heapq import nsmallest
-from operator import attrgetter
 
 from fulmarleverd.scheduling.decisions import record_run
 from fulmarleverd.scheduling.holds.held import HeldTask, hold_of_run
@@ -32,7 +31,7 @@
             item.run: self._next_line_s.get(item.run, now_s) for item in held
         }
         due = (item for item in held if self._next_line_s[item.run] <= now_s)
-        for item in nsmallest(MAX_LINES_PER_TICK, due, key=attrgetter("since_s")):
+        for item in nsmallest(MAX_LINES_PER_TICK, due, key=self._urgency):
             self._next_line_s[item.run] = now_s + HOLD_PERIOD_S
             record_run(
                 "task-held",
@@ -42,6 +41,10 @@
                 state=str(item.run.state),
             )
 
+    def _urgency(self, item: HeldTask) -> tuple[float, float]:
+        """Return the sort key of the tasks to log, the longest overdue first."""
+        return self._next_line_s[item.run], item.since_s
+
 
 def _long_held(runs: Iterable[Run], now_s: float) -> Iterator[HeldTask]:
     for run in runs:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/backlog.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/backlog.py
@@ -123,16 +123,16 @@
         )
 
     def _steps_due(self, waiting: Iterable[Step], now_s: float) -> Iterator[Step]:
-        """Yield the steps to log now, those with the longest wait first."""
+        """Yield the steps to log now, the longest overdue first."""
         waits: dict[str, WaitState] = {}
-        due: list[tuple[float, Step]] = []
+        due: list[tuple[float, float, Step]] = []
         for step in waiting:
             wait = waits[step.name] = self._waits.get(step.name) or WaitState(now_s)
             if wait.next_log_s <= now_s:
-                due.append((wait.since_s, step))
+                due.append((wait.next_log_s, wait.since_s, step))
         self._waits = waits
-        due.sort(key=lambda pair: pair[0])
-        for _, step in due[:MAX_STEPS_PER_TICK]:
+        due.sort(key=lambda item: item[:2])
+        for _, _, step in due[:MAX_STEPS_PER_TICK]:
             waits[step.name].next_log_s = now_s + WAIT_PERIOD_S
             yield step
 
