Bound the calls to workers that run nothing

Cause: each idle worker is called every two seconds. 3,000 of them take the owner's processor, in bursts, and each burst cuts the rate of starts, down to ten a second; with slower calls the owner loses its lease.

A new run ends a pause.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/term/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/term/owner_term.py
@@ -170,6 +170,7 @@
             self._worker_calls,
             self._reports,
             self._interface.loop_delay,
+            is_one_of_many=not self._has_workers.is_set(),
         )
         self._spawn(loop.run())
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Iterator
 
 from fulmarlever.clock import Clock
@@ -88,6 +89,7 @@
     while it is silent. A draining worker stops at ``drain_until_s``. ``is_evacuated``
     tells whether the operator has evacuated the worker's zone: it gets no new runs.
     ``disputed`` is what the last entry said otherwise, if it was not believed.
+    ``got_run`` is set with each new run.
 
     Speed: ``relative_speed`` is the speed of the worker's runs divided by the usual
     speed of their steps; ``is_slow`` is set while it is low, and until ``slow_until_s``
@@ -134,6 +136,7 @@
         "examined_at_s",
         "is_evacuated",
         "disputed",
+        "got_run",
     )
 
     def __init__(self, entry: WorkerEntry) -> None:
@@ -172,6 +175,7 @@
         self.examined_at_s = 0.0
         self.is_evacuated = False
         self.disputed: DisputedEntry | None = None
+        self.got_run = asyncio.Event()
 
     @property
     def id(self) -> str:
@@ -239,6 +243,7 @@
         key = (run.task.name, run.number)
         if key not in self.runs:
             self.runs[key] = run
+            self.got_run.set()
             self._reserve(run.task.step.spec, 1)
             self._count_best_effort(run, run.speed_limit_percent)
             if self.reserved_for is run.task.step:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_loop.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_loop.py
@@ -17,13 +17,17 @@
     WorkerReport,
 )
 from fulmarleverd.scheduling.workers.fleet import Worker, is_other_incarnation
+from fulmarleverd.scheduling.workers.report_pace import (
+    WAIT_IDLE_S,
+    first_pause_s,
+    idle_pause_s,
+)
 from fulmarleverd.scheduling.workers.reports import ReportProcessor
 
 # How long the worker may hold back its answer while no run ends.
 WAIT_WITH_RUNS_S = 1.0
 # While other tasks may disturb serving tasks.
 WAIT_WITH_SERVING_S = 0.5
-WAIT_IDLE_S = 2.0
 MAX_COMMIT_WAIT_S = 0.4
 RETRY_S = 0.2
 LEASE_POLL_S = 0.05
@@ -36,9 +40,20 @@
 
 
 class WorkerLoop:
-    """Keeps extending the lease of one worker and processing its reports."""
+    """Keeps extending the lease of one worker and processing its reports.
+
+    ``is_one_of_many`` is set for the workers that a new owner finds all at once.
+    """
 
-    __slots__ = ("_owner", "_worker", "_calls", "_reports", "_delay", "_failures")
+    __slots__ = (
+        "_owner",
+        "_worker",
+        "_calls",
+        "_reports",
+        "_delay",
+        "_is_one_of_many",
+        "_failures",
+    )
 
     def __init__(
         self,
@@ -47,16 +62,21 @@
         calls: WorkerCalls,
         reports: ReportProcessor,
         delay: LoopDelay,
+        is_one_of_many: bool = False,
     ) -> None:
         self._owner = owner
         self._worker = worker
         self._calls = calls
         self._reports = reports
         self._delay = delay
+        self._is_one_of_many = is_one_of_many
         self._failures = 0
 
     async def run(self) -> None:
         """Call the worker until it is removed from the fleet, or until cancelled."""
+        fleet = self._owner.fleet
+        if self._is_one_of_many and not self._may_replace_others():
+            await self._pause_while_idle(first_pause_s(self._worker.id, len(fleet)))
         while self._is_known():
             if not self._may_call():
                 await asyncio.sleep(LEASE_POLL_S)
@@ -65,6 +85,25 @@
                 await self._call()
             except Exception as exc:
                 await self._process_fault(exc)
+            if self._worker.is_reachable:
+                await self._pause_while_idle(idle_pause_s(len(fleet)))
+
+    def _may_replace_others(self) -> bool:
+        """Return whether runs of other incarnations wait for this worker's answer."""
+        orphans = self._owner.orphans
+        return any(run.worker_key.id == self._worker.id for run in orphans)
+
+    async def _pause_while_idle(self, seconds: float) -> None:
+        """Wait until the worker gets a run, at most for some seconds."""
+        worker = self._worker
+        if worker.runs or not seconds:
+            return
+        worker.got_run.clear()
+        try:
+            async with asyncio.timeout(seconds):
+                await worker.got_run.wait()
+        except TimeoutError:
+            return
 
     async def _process_fault(self, exc: Exception) -> None:
         """Treat a worker whose answer cannot be processed like one without an answer.
