Let late calls reach whoever lives at a worker's address, in the stand-ins

Simulation and tests could not show it, as their stand-ins were kinder than the platform.

- Calls of all kinds to workers can be left unanswered and carried out late, for drawn or set times; the worker that lives at the address when a call arrives carries it out.
Late starts went to the incarnation that they had been sent to, and no other call could be late.
- Ends up to the acknowledged number are forgotten also if they come after the acknowledgement.
They count as taken note of unless the lease lapsed between.
They were reported before.
- A call without a time for the lease leaves the lease as it is: it ended a lease that a new incarnation had not been granted.

--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections import defaultdict
+from collections.abc import Container, Iterable
 from types import ModuleType
 
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable, failed
@@ -21,6 +22,10 @@
 STORE_ADDRESS = "store:1"
 ONE_WAY_LATENCY_S = 0.001
 LATE_EFFECT_DELAY_S = 3.0
+START_PATH = "/run-start"
+LEASE_PATH = "/hold"
+# The paths of all calls to workers.
+WORKER_PATHS = (START_PATH, "/run-stop", LEASE_PATH, "/pace")
 # TCP sends a lost packet again after this time, then after twice as long each time.
 RETRANSMISSION_S = 0.2
 
@@ -28,6 +33,33 @@
 Rng = random.Random | ModuleType
 
 
+class LateCalls:
+    """Calls to workers that are left unanswered and carried out late.
+
+    ``delays_s`` holds, for each of the next calls on one of the ``paths``, after how
+    many seconds it arrives. Without ``addresses``, calls to all workers are meant.
+    """
+
+    __slots__ = ("delays_s", "paths", "addresses")
+
+    def __init__(
+        self,
+        delays_s: Iterable[float],
+        paths: Container[str] = WORKER_PATHS,
+        addresses: Container[str] = (),
+    ) -> None:
+        self.delays_s = list(delays_s)
+        self.paths = paths
+        self.addresses = addresses
+
+    def take_delay_s(self, address: str, path: str) -> float | None:
+        """Return how late a call arrives, ``None`` if it is not one of the calls."""
+        is_meant = not self.addresses or address in self.addresses
+        if not (is_meant and path in self.paths and self.delays_s):
+            return None
+        return self.delays_s.pop(0)
+
+
 class Network:
     """The connections of VMs to the store, the admission service and the workers.
 
@@ -43,7 +75,10 @@
       each with the seconds.
     * ``late_rows``: for tables, how late each of the next transactions that write to
       them take effect, unanswered, in seconds.
-    * ``late_starts``: how many of the next starts of runs take effect late, unanswered.
+    * ``late_calls``: calls to workers that take effect late, unanswered. Each is
+      carried out by the worker that lives at its address when it arrives, if any.
+    * ``late_starts``: how many of the next starts of runs are such calls,
+      ``LATE_EFFECT_DELAY_S`` late.
     * ``lost_answers``: pairs of a VM and a worker's address; calls between them take
       effect and never return.
     * ``resets``: the same; these calls end with a reset of their connection.
@@ -62,6 +97,7 @@
         self.late_transactions = 0
         self.late_jobs: dict[str, float] = {}
         self.late_rows: dict[str, list[float]] = {}
+        self.late_calls: list[LateCalls] = []
         self.late_starts = 0
         self.lost_answers: set[tuple[str, str]] = set()
         self.resets: set[tuple[str, str]] = set()
@@ -124,7 +160,7 @@
         if address == ADMISSION_ADDRESS:
             return Response(*await self.admission.handle(body))
         answer = await self._call_worker(address, path, body, target, rng)
-        if (vm, address) in self.lost_answers:
+        if (vm, address) in self.lost_answers | self.cuts:
             await asyncio.Event().wait()
         is_reset = (vm, address) in self.resets
         return OutcomeUnknown("connection reset") if is_reset else answer
@@ -172,9 +208,8 @@
         worker = self.workers.get(address)
         if worker is None:
             return Unavailable("connection refused")
-        if path == "/run-start" and self.late_starts > 0:
-            self.late_starts -= 1
-            self._run_later(worker.handle(path, body, target))
+        if (late_s := self._take_late_s(address, path)) is not None:
+            self._run_later(self._deliver(address, path, body, target), late_s)
             await asyncio.Event().wait()
         status, answer = await worker.handle(path, body, target)
         if self.workers.get(address) is not worker:
@@ -182,6 +217,20 @@
         await self._transmit(rng)
         return Response(status, answer)
 
+    def _take_late_s(self, address: str, path: str) -> float | None:
+        """Return how late a call to a worker arrives, ``None`` if it is not late."""
+        if path == START_PATH and self.late_starts > 0:
+            self.late_starts -= 1
+            return LATE_EFFECT_DELAY_S
+        delays_s = (calls.take_delay_s(address, path) for calls in self.late_calls)
+        return next((delay_s for delay_s in delays_s if delay_s is not None), None)
+
+    async def _deliver(self, address: str, path: str, body: dict, target: str) -> None:
+        """Let the worker that lives at an address now carry out a late call."""
+        worker = self.workers.get(address)
+        if worker is not None:
+            await worker.handle(path, body, target)
+
     def _find_late_s(self, body: dict) -> float | None:
         """Return how late a transaction is that stores a late job or a late row."""
         keys = [row["key"] for row in body["setKeys"] if row["table"] == JOBS_TABLE]
--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/record.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/record.py
@@ -66,4 +66,4 @@
         self._active[task] -= 1
         if outcome == "done":
             self.done[task] += 1
-            self._ends[task].append((worker, worker.ends[-1][0]))
+            self._ends[task].append((worker, worker.last_end_number))
--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/worker.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/worker.py
@@ -49,8 +49,10 @@
     are called at the start and at the end of each run.
 
     ``running`` holds the active runs, ``ends`` the ends that are not acknowledged, as
-    ``[number, task, run, outcome, checkpoint]``. ``lease_until_s`` is a time of the
-    event loop. ``report_calls`` counts the calls for a report.
+    ``[number, task, run, outcome, checkpoint]``. Ends up to ``last_seen`` are
+    forgotten, also those that occur after it was raised. ``last_end_number`` is the
+    number of the latest end. ``lease_until_s`` is a time of the event loop.
+    ``report_calls`` counts the calls for a report.
     """
 
     def __init__(self, id: str, address: str, zone: str, born: int = 1) -> None:
@@ -76,14 +78,17 @@
         self.token = 0
         self.lease_until_s = 0.0
         self.last_seen = 0
-        # Ends whose acknowledgement came before the next expiry of the lease.
+        self.last_end_number = 0
+        # Ends with no expiry of the lease between them and their acknowledgement.
         self.known_ends: set[int] = set()
         self._lease_lapses = 0
         # Per unacknowledged end, how often the lease had expired before it.
         self._lapses_before_end: dict[int, int] = {}
         self.report_calls = 0
         self._last_ended_runs: dict[str, int] = {}
-        self._last_end_number = 0
+        # Per acknowledgement of ends still to come: up to which number, and how often
+        # the lease had expired before it.
+        self._early_acknowledgements: list[tuple[int, int]] = []
         self._changed = asyncio.Event()
         self._lease_timer: asyncio.TimerHandle | None = None
         self._loop = asyncio.get_running_loop()
@@ -177,6 +182,8 @@
     def _extend_lease(self, deadline_ms: int) -> None:
         """Extend the lease, never shortening it, up to ``MAX_LEASE_S`` from now."""
         remaining_s = min((deadline_ms - self.clock_ms()) / 1000.0, MAX_LEASE_S)
+        if remaining_s <= 0.0:
+            return
         until_s = self._loop.time() + remaining_s
         if until_s > self.lease_until_s:
             self.lease_until_s = until_s
@@ -197,13 +204,30 @@
             run.timer.cancel()
         task, number = key
         self._last_ended_runs[task] = max(number, self._last_ended_runs.get(task, 0))
-        self._last_end_number += 1
-        self.ends.append([self._last_end_number, task, number, outcome, run.checkpoint])
-        self._lapses_before_end[self._last_end_number] = self._lease_lapses
+        self.last_end_number += 1
+        if self.last_end_number <= self.last_seen:
+            self._forget_end(self.last_end_number)
+            self.on_end(self, key, outcome)
+            return
+        self.ends.append([self.last_end_number, task, number, outcome, run.checkpoint])
+        self._lapses_before_end[self.last_end_number] = self._lease_lapses
         self.on_end(self, key, outcome)
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
+    def _forget_end(self, end_number: int) -> None:
+        """Note an end that was acknowledged before it occurred; it is never reported.
+
+        The first acknowledgement that reached it counts.
+        """
+        lapses = next(
+            lapses
+            for last_seen, lapses in self._early_acknowledgements
+            if last_seen >= end_number
+        )
+        if lapses == self._lease_lapses:
+            self.known_ends.add(end_number)
+
     async def _extend_and_report(self, body: dict) -> tuple:
         self.report_calls += 1
         self._extend_lease(body.get("deadlineMs", 0))
@@ -226,7 +250,10 @@
         }
 
     def _acknowledge(self, last_seen: int) -> None:
-        for number in range(self.last_seen + 1, last_seen + 1):
+        if last_seen > max(self.last_seen, self.last_end_number):
+            self._early_acknowledgements.append((last_seen, self._lease_lapses))
+        occurred = min(last_seen, self.last_end_number)
+        for number in range(self.last_seen + 1, occurred + 1):
             if self._lapses_before_end.pop(number, -1) == self._lease_lapses:
                 self.known_ends.add(number)
         self.last_seen = max(self.last_seen, last_seen)
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/observed.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/observed.py
@@ -123,7 +123,7 @@
         if outcome == "done":
             self.done.add(key[0])
         elif outcome == "failed":
-            self.failed_ends[key[0]].append((worker, worker.ends[-1][0]))
+            self.failed_ends[key[0]].append((worker, worker.last_end_number))
             self._count_failure(key[0])
         self._trace(outcome, worker, key)
 
