Send calls to a worker only to the incarnation that they are meant for

Cause: a call goes to whoever has the worker's address when it arrives, and the header names the id, which all incarnations share. The call that found the next incarnation acknowledged the former one's ends, so the next one never reported its own ends up to that number; or it carried the end of a lease by the former one's clock, for which the next one granted its longest lease, while the owner counted a shorter one.

Change: a connection ends with the process that accepted it. So the first call on each connection to a worker asks for a report that changes nothing and tells the incarnation; the call follows only if it is the expected one. A connection to another incarnation is not used.

--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 from collections import defaultdict
 from collections.abc import Container, Iterable
@@ -16,7 +17,14 @@
 from fulmarlever_standins.authority.processor import Processor, SimulatedLoopDelay
 from fulmarlever_standins.authority.store import StoreCore
 from fulmarlever_standins.authority.worker import WorkerCore
-from fulmarleverd.platform.http import CallResult, Response, encode_request
+from fulmarleverd.platform.connection import RawResponse
+from fulmarleverd.platform.http import (
+    CallResult,
+    OtherPeer,
+    PeerCheck,
+    Response,
+    encode_request,
+)
 from fulmarleverd.scheduling.persistence.rows import JOBS_TABLE
 
 STORE_ADDRESS = "store:1"
@@ -144,11 +152,14 @@
         body: dict | None,
         target: str,
         rng: Rng = random,
+        peer: WorkerCore | None = None,
     ) -> CallResult:
         """Make one call and return its result.
 
         ``target`` is the id of the worker that the caller means. A call that is blocked
-        or whose answer is lost never returns. Losses are drawn from ``rng``.
+        or whose answer is lost never returns. Losses are drawn from ``rng``. ``peer``
+        is the worker that the call's connection leads to, if it is not a new one; the
+        connection ends with it.
         """
         await self._transmit(rng)
         if (vm, address) in self.cuts or (
@@ -159,6 +170,8 @@
             return await self._call_store(vm, method, path, body, rng)
         if address == ADMISSION_ADDRESS:
             return Response(*await self.admission.handle(body))
+        if peer is not None and self.workers.get(address) is not peer:
+            return OutcomeUnknown("connection lost before the answer")
         answer = await self._call_worker(address, path, body, target, rng)
         if (vm, address) in self.lost_answers | self.cuts:
             await asyncio.Event().wait()
@@ -257,7 +270,7 @@
     limits exclude the wait for it if the delay of the event loop is measured.
     """
 
-    __slots__ = ("_network", "_vm", "_delay", "_rng")
+    __slots__ = ("_network", "_vm", "_delay", "_rng", "_peers")
 
     def __init__(
         self, network: Network, vm: str, delay: SimulatedLoopDelay, rng: Rng = random
@@ -266,6 +279,8 @@
         self._vm = vm
         self._delay = delay
         self._rng = rng
+        # The workers that the connections lead to, by address.
+        self._peers: dict[str, WorkerCore] = {}
 
     async def call(
         self,
@@ -275,10 +290,12 @@
         timeout_s: float,
         body: dict | None = None,
         headers: dict[str, str] | None = None,
+        check: PeerCheck | None = None,
     ) -> CallResult:
         """Make one call and return its result.
 
-        Return ``OutcomeUnknown`` if no answer arrives within ``timeout_s`` seconds.
+        Return ``OutcomeUnknown`` if no answer arrives within ``timeout_s`` seconds. See
+        ``HTTPClient.call`` for ``check``.
         """
         request = encode_request(method, address, path, body, headers or {})
         if failed(request):
@@ -291,8 +308,13 @@
                 await processor.work()
                 if excludes_delay:
                     limit.reschedule(asyncio.get_running_loop().time() + timeout_s)
+                if check is not None:
+                    result = await self._check_peer(address, target, check)
+                    if result is not None:
+                        return result
                 answer = await self._network.call(
-                    self._vm, method, address, path, body, target, self._rng
+                    *(self._vm, method, address, path, body, target, self._rng),
+                    peer=self._peers[address] if check is not None else None,
                 )
                 if excludes_delay:
                     limit.reschedule(None)
@@ -300,3 +322,31 @@
                 return answer
         except TimeoutError:
             return OutcomeUnknown("no answer")
+
+    async def _check_peer(
+        self, address: str, target: str, check: PeerCheck
+    ) -> CallResult | None:
+        """Return None if the connection leads to the expected worker.
+
+        Otherwise return the result of the call. A connection ends with its worker, so
+        another one is opened to the next worker at the address.
+        """
+        worker = self._network.workers.get(address)
+        if worker is not None and self._peers.get(address) is worker:
+            is_expected = str(worker.born) == check.expected
+            return None if is_expected else OtherPeer(str(worker.born))
+        self._peers.pop(address, None)
+        response = await self._network.call(
+            self._vm, "POST", address, check.path, check.body, target, self._rng
+        )
+        if failed(response):
+            return Unavailable(f"no answer to a check: {response.reason}")
+        raw = RawResponse(response.status, json.dumps(response.body).encode())
+        peer = check.find_peer(raw)
+        if not peer:
+            return response
+        if worker is not None and str(worker.born) == peer:
+            self._peers[address] = worker
+        if peer != check.expected:
+            return OtherPeer(peer)
+        return None if address in self._peers else Unavailable("connection lost")
--- a/packages/fulmarleverd/fulmarleverd/deadline.py
+++ b/packages/fulmarleverd/fulmarleverd/deadline.py
@@ -14,10 +14,11 @@
 class Deadline:
     """A time limit in seconds from its creation, without the delay of the own loop."""
 
-    __slots__ = ("_delay", "_until_s")
+    __slots__ = ("_delay", "_timeout_s", "_until_s")
 
     def __init__(self, timeout_s: float, delay: LoopDelay) -> None:
         self._delay = delay
+        self._timeout_s = timeout_s
         self._until_s = delay.punctual_time() + timeout_s
 
     def left_s(self) -> float:
@@ -28,6 +29,10 @@
         """Return the time limit of a step that may take at most ``timeout_s``."""
         return Deadline(min(timeout_s, self.left_s()), self._delay)
 
+    def restarted(self) -> Deadline:
+        """Return a time limit of the same length that counts from now."""
+        return Deadline(self._timeout_s, self._delay)
+
     async def wait(self, awaitable: Awaitable[Result]) -> Result:
         """Return the result of an awaitable; raise ``TimeoutError`` after the limit.
 
--- a/packages/fulmarleverd/fulmarleverd/platform/connection.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/connection.py
@@ -32,11 +32,13 @@
     """A connection of a pool, which implements the event loop's protocol callbacks.
 
     ``idle_since_s`` is the time of the last response in seconds on the event loop's
-    clock. ``has_timed_out`` is set once a response did not arrive in time.
+    clock. ``has_timed_out`` is set once a response did not arrive in time. ``peer``
+    names the process at the other end, "" while it is not known.
     """
 
     __slots__ = (
         "idle_since_s",
+        "peer",
         "has_timed_out",
         "_loop",
         "_transport",
@@ -55,6 +57,7 @@
 
     def __init__(self) -> None:
         self.idle_since_s = 0.0
+        self.peer = ""
         self.has_timed_out = False
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
--- a/packages/fulmarleverd/fulmarleverd/platform/http.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/http.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -12,7 +13,7 @@
 from fulmarleverd.deadline import Deadline
 from fulmarleverd.loop_delay import LoopDelay
 from fulmarleverd.platform.connection import Connection, RawResponse
-from fulmarleverd.platform.json_values import decode_json
+from fulmarleverd.platform.json_values import FORMAT_ERRORS, decode_json
 
 CONNECT_TIMEOUT_S = 0.6
 KEEPALIVE_S = 20.0
@@ -33,6 +34,46 @@
 CallResult = Response | Unavailable | OutcomeUnknown
 
 
+class OtherPeer(Unavailable):
+    """Another process than the expected one answers at the address.
+
+    ``peer`` names it. The request was not sent.
+    """
+
+    __slots__ = ("peer",)
+
+    def __init__(self, peer: str) -> None:
+        super().__init__(f"another process answers: {peer}")
+        self.peer = peer
+
+
+@dataclass(slots=True, frozen=True)
+class PeerCheck:
+    """Which process a request is meant for, and how to find out which one answers.
+
+    A connection ends with the process that accepted it. So the check is sent once on
+    each connection, before anything else, and the request follows only if the process
+    is the expected one. ``body`` is posted to ``path``; it must do no harm to any
+    process. ``identify`` returns the name of the process from the body of a response
+    with status 200, and raises one of ``FORMAT_ERRORS`` if there is none.
+    """
+
+    expected: str
+    path: str
+    body: object
+    headers: dict[str, str]
+    identify: Callable[[Any], str]
+
+    def find_peer(self, response: RawResponse) -> str:
+        """Return the name of the process that gave a response, "" if there is none."""
+        if response.status != 200:
+            return ""
+        try:
+            return self.identify(decode_json(response.body or "null"))
+        except FORMAT_ERRORS:
+            return ""
+
+
 class OpenConnections:
     """How many connections of a client are open, and how many it keeps for later.
 
@@ -83,18 +124,22 @@
         timeout_s: float,
         body: object = None,
         headers: dict[str, str] | None = None,
+        check: PeerCheck | None = None,
     ) -> CallResult:
         """Send one request and return the whole response.
 
         ``address`` is ``host:port`` and ``timeout_s`` limits the whole call, in
-        seconds. ``Unavailable`` means that the request was certainly not sent,
-        ``OutcomeUnknown`` that it may have been carried out.
+        seconds; a check on a new connection has as much time for itself.
+        ``Unavailable`` means that the request was certainly not sent,
+        ``OutcomeUnknown`` that it may have been carried out. With a ``check`` the
+        request is sent only to the expected process, ``OtherPeer`` is returned for
+        another one; if the check itself is rejected, its response is returned.
         """
         deadline = Deadline(timeout_s, self._delay)
         request = encode_request(method, address, path, body, headers or {})
         if failed(request):
             return request
-        response = await self._pool(address).send(request, deadline)
+        response = await self._pool(address).send(request, deadline, check)
         if failed(response):
             return response
         try:
@@ -148,12 +193,15 @@
         self._last_call_s = 0.0
 
     async def send(
-        self, request: bytes, deadline: Deadline
+        self, request: bytes, deadline: Deadline, check: PeerCheck | None = None
     ) -> RawResponse | Unavailable | OutcomeUnknown:
-        """Send a request on a free connection and return its response."""
+        """Send a request on a free connection and return its response.
+
+        With a check, the request is sent only if the expected process answers.
+        """
         self._calls_in_progress += 1
         try:
-            return await self._send(request, deadline)
+            return await self._send(request, deadline, check)
         finally:
             self._calls_in_progress -= 1
             self._last_call_s = asyncio.get_running_loop().time()
@@ -164,17 +212,18 @@
         return self._calls_in_progress == 0 and now - self._last_call_s > KEEPALIVE_S
 
     async def _send(
-        self, request: bytes, deadline: Deadline
+        self, request: bytes, deadline: Deadline, check: PeerCheck | None
     ) -> RawResponse | Unavailable | OutcomeUnknown:
         try:
             await self._acquire_permit(deadline)
         except TimeoutError:
             return Unavailable(f"every connection to {self._address} is in use")
         try:
-            conn = self._pop_idle() or await self._connect(deadline)
+            peer = check.expected if check is not None else ""
+            conn = self._pop_idle(peer) or await self._connect(deadline)
             if failed(conn):
                 return conn
-            return await self._send_on(conn, request, deadline)
+            return await self._send_on(conn, request, deadline, check)
         finally:
             self._connection_permits.release()
 
@@ -184,11 +233,14 @@
         else:
             await self._connection_permits.acquire()
 
-    def _pop_idle(self) -> Connection | None:
+    def _pop_idle(self, peer: str) -> Connection | None:
+        """Return a free connection, none that is known to lead to another process."""
         now = asyncio.get_running_loop().time()
         while self._idle:
             conn = self._idle.pop()
-            if conn.is_reusable and now - conn.idle_since_s < KEEPALIVE_S:
+            is_recent = now - conn.idle_since_s < KEEPALIVE_S
+            leads_elsewhere = peer and conn.peer not in ("", peer)
+            if conn.is_reusable and is_recent and not leads_elsewhere:
                 return conn
             self._discard(conn)
         return None
@@ -208,15 +260,50 @@
         return conn
 
     async def _send_on(
-        self, conn: Connection, request: bytes, deadline: Deadline
-    ) -> RawResponse | OutcomeUnknown:
+        self,
+        conn: Connection,
+        request: bytes,
+        deadline: Deadline,
+        check: PeerCheck | None,
+    ) -> RawResponse | Unavailable | OutcomeUnknown:
         self._in_use.add(conn)
         try:
+            if check is not None:
+                is_new = not conn.peer
+                response = await self._check_peer(conn, deadline, check)
+                if response is not None:
+                    return response
+                if is_new:
+                    deadline = deadline.restarted()
             return await conn.send(request, deadline.left_s)
         finally:
             self._in_use.discard(conn)
             self._return_connection(conn)
 
+    async def _check_peer(
+        self, conn: Connection, deadline: Deadline, check: PeerCheck
+    ) -> RawResponse | Unavailable | None:
+        """Return None if a connection leads to the expected process.
+
+        Otherwise return what the call returns in place of a response.
+        """
+        if not conn.peer:
+            request = encode_request(
+                "POST", self._address, check.path, check.body, check.headers
+            )
+            if failed(request):
+                return request
+            response = await conn.send(request, deadline.left_s)
+            if failed(response):
+                return Unavailable(f"no answer to a check: {response.reason}")
+            conn.peer = check.find_peer(response)
+            if not conn.peer:
+                is_rejected = response.status != 200
+                return response if is_rejected else Unavailable("peer without a name")
+            if not conn.is_reusable:
+                return Unavailable("the connection ended after a check")
+        return None if conn.peer == check.expected else OtherPeer(conn.peer)
+
     def _return_connection(self, conn: Connection) -> None:
         if conn.is_reusable and not self._is_surplus():
             conn.idle_since_s = asyncio.get_running_loop().time()
--- a/packages/fulmarleverd/fulmarleverd/platform/workers.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/workers.py
@@ -1,9 +1,20 @@
-"""Calls to workers: start, stop or throttle a run, extend the lease and read runs."""
+"""Calls to workers: start, stop or throttle a run, extend the lease and read runs.
+
+All incarnations of a worker share its id and its address, so neither tells which one a
+call reaches. A report does. So the first call on each connection asks for one that
+changes nothing, and the others follow only if the incarnation is the one meant. A call
+that such a report can replace needs no check.
+"""
 
 from __future__ import annotations
 
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable, failed
-from fulmarleverd.platform.http import CallResult, HTTPClient
+from fulmarleverd.platform.http import (
+    CallResult,
+    HTTPClient,
+    OtherPeer,
+    PeerCheck,
+)
 from fulmarleverd.platform.json_values import (
     FORMAT_ERRORS,
     require_count,
@@ -23,6 +34,7 @@
     Command,
     CommandResult,
     EndedTask,
+    OtherIncarnation,
     Rejected,
     RunningTask,
     WorkerReport,
@@ -36,7 +48,8 @@
 REPORT_MARGIN_S = 0.6
 # A worker reports at most this many ends at a time, the earliest ones.
 MAX_ENDS_PER_REPORT = 500
-# Carries the id of the worker that a call is meant for.
+REPORT_PATH = "/hold"
+# Carries the id of the worker that a call is meant for, which incarnations share.
 INCARNATION_HEADER = "X-Target-Instance"
 
 REASONS = {
@@ -100,7 +113,9 @@
         if wait_s:
             body["waitMs"] = int(wait_s * 1000)
         timeout_s = wait_s + REPORT_MARGIN_S
-        response = await self._post(worker, "/hold", body, timeout_s)
+        changes_nothing = not lease_until_ms and not last_end_committed
+        check = None if changes_nothing else _check(worker, token)
+        response = await self._post(worker, REPORT_PATH, body, timeout_s, check)
         if failed(response):
             return response
         if response.status != 200:
@@ -113,7 +128,8 @@
     async def _send_command(
         self, worker: WorkerEntry, path: str, body: dict
     ) -> CommandResult:
-        response = await self._post(worker, path, body, COMMAND_TIMEOUT_S)
+        check = _check(worker, body["fencingToken"])
+        response = await self._post(worker, path, body, COMMAND_TIMEOUT_S, check)
         if failed(response):
             return response
         if response.status == 200:
@@ -121,12 +137,31 @@
         return _rejected(response.status, response.body)
 
     async def _post(
-        self, worker: WorkerEntry, path: str, body: dict, timeout_s: float
-    ) -> CallResult:
-        headers = {INCARNATION_HEADER: worker.id}
-        return await self._http.call(
-            "POST", worker.address, path, timeout_s, body, headers
+        self,
+        worker: WorkerEntry,
+        path: str,
+        body: dict,
+        timeout_s: float,
+        check: PeerCheck | None,
+    ) -> CallResult | OtherIncarnation:
+        response = await self._http.call(
+            "POST", worker.address, path, timeout_s, body, _headers(worker), check
         )
+        if isinstance(response, OtherPeer):
+            return OtherIncarnation(response.peer)
+        return response
+
+
+def _headers(worker: WorkerEntry) -> dict[str, str]:
+    return {INCARNATION_HEADER: worker.id}
+
+
+def _check(worker: WorkerEntry, token: int) -> PeerCheck:
+    """Return the check whether the incarnation of an entry answers a call."""
+    body = {"fencingToken": token, "lastSeen": 0}
+    return PeerCheck(
+        worker.incarnation, REPORT_PATH, body, _headers(worker), _incarnation
+    )
 
 
 def _command_body(command: Command) -> dict:
@@ -151,15 +186,20 @@
         return 0
 
 
+def _incarnation(body: dict) -> str:
+    """Return what identifies an incarnation, the Unix time at which it started."""
+    return str(require_count(body["born"]))
+
+
 def _report(body: dict) -> WorkerReport:
     ended = tuple(_ended(row) for row in body.get("finished") or ())
     return WorkerReport(
         require_count(body["clockMs"]),
-        # The Unix time at which this incarnation of the worker started identifies it.
-        str(require_count(body["born"])),
+        _incarnation(body),
         tuple(_running(row) for row in body.get("running") or ()),
         ended,
         has_more_ends=len(ended) >= MAX_ENDS_PER_REPORT,
+        born_s=require_count(body["born"]) / 1000.0,
     )
 
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/ports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/ports.py
@@ -191,7 +191,8 @@
 class WorkerReport:
     """A worker's answer to the extension of its lease.
 
-    ``clock_ms`` is the time of the worker's clock in milliseconds. With
+    ``clock_ms`` is the time of the worker's clock in milliseconds, ``born_s`` the Unix
+    time at which this incarnation started, 0 if it is not known. With
     ``has_more_ends`` the worker has ended further runs, which it reports once those in
     ``ended`` are acknowledged.
     """
@@ -201,6 +202,7 @@
     running: tuple[RunningTask, ...] = ()
     ended: tuple[EndedTask, ...] = ()
     has_more_ends: bool = False
+    born_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -236,6 +238,20 @@
 REJECT_UNHEALTHY = "worker unhealthy"
 REJECT_INVALID = "order not understood"
 
+
+class OtherIncarnation(Rejected):
+    """Another incarnation of the worker answers; the call was not sent to it.
+
+    ``incarnation`` identifies it.
+    """
+
+    __slots__ = ("incarnation",)
+
+    def __init__(self, incarnation: str) -> None:
+        super().__init__(REJECT_INCARNATION)
+        self.incarnation = incarnation
+
+
 REJECTIONS = frozenset(
     {
         REJECT_TOKEN,
@@ -255,7 +271,9 @@
 class WorkerCalls(Protocol):
     """Commands to workers.
 
-    Each call carries the worker's id, and goes to its address.
+    Each call goes to the address of an entry, and only to its incarnation there; it
+    returns ``OtherIncarnation`` if another one answers. A report that changes nothing
+    on the worker may come from any of its incarnations.
     """
 
     async def start(self, worker: WorkerEntry, command: Command) -> CommandResult:
@@ -281,8 +299,9 @@
 
         ``lease_until_ms`` is the new end of the lease in milliseconds of the worker's
         clock, 0 to leave the lease as it is. ``last_end_committed`` is the number of
-        the last end that is committed; the worker reports later ones. Without such an
-        end, the worker answers after at most ``wait_s`` seconds.
+        the last end that is committed, 0 for none; the worker forgets the ends up to it
+        and reports all others. Without such an end, the worker answers after at most
+        ``wait_s`` seconds.
         """
 
 
