Let calls to workers that come late do nothing after a later call

Cause: all calls of an owner had the same fencing token, so a worker could not tell a late call from a later one. A start that was carried out late by an incarnation that was cut off before its first report ran on beyond the time at which the owner started the task elsewhere.

Change: the token of a worker's id rises after each call without an answer and as another incarnation becomes known; a worker does nothing for a lower one. Each holder of the scheduler's lease has 65,536 tokens, all higher than those of earlier holders, also of earlier versions. What a call may have done before the first report of the next incarnation is counted in: its lease may be the longest that a worker grants, and a run whose start got no answer is kept until the next incarnation reports, at most 15 s and the longest lease after the start was sent. OutstandingCalls remembers by id what got no answer. New log events call-unanswered, worker-first-report, run-kept.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
@@ -89,7 +89,7 @@
         if is_unreachable and now >= owner.lease_ends.end_s(worker):
             if worker.runs:
                 owner.expire_worker_lease(worker)
-            if not worker.is_listed:
+            if not worker.is_listed and not owner.incarnations.is_awaited(worker):
                 owner.discard_worker(worker, "unlisted and without an answer")
             return
         if worker.entry.is_draining:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/jobs/runs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/jobs/runs.py
@@ -64,11 +64,13 @@
     100 once it has started up. ``last_progress_percent`` is the value at its last
     increase, at ``last_progress_at_s``. ``speed`` is the share of the run's work done
     per second, 0 while it is not known. ``sent_s`` is when this owner sent the start, 0
-    for a run of an earlier owner; ``accepted_clock_ms`` is the worker's own clock when
-    it accepted the start, 0 if this owner does not know it. An ``is_isolated`` run was
-    started apart from others, as its task may crash workers. ``speed_limit_percent`` is
-    the share of its full speed that the run may use, 0 to pause it;
-    ``is_speed_limit_known`` is false for a run that an earlier owner may have limited.
+    for a run of an earlier owner, and ``last_sent_s`` when it sent it for the last
+    time; ``accepted_clock_ms`` is the worker's own clock when it accepted the start, 0
+    if this owner does not know it. An ``is_isolated`` run was
+    started apart from others, as its task may crash workers.
+    ``speed_limit_percent`` is the share of its full speed that the run may use, 0 to
+    pause it; ``is_speed_limit_known`` is false for a run that an earlier owner may have
+    limited, or whose limits may have arrived in another order.
     ``was_limited`` tells whether the run ever had a lower limit than its full speed or,
     if it is best-effort, was reported without all its cores.
 
@@ -83,7 +85,8 @@
 
     ``is_refused`` tells whether the last start certainly did not reach the worker, or
     none was sent yet. ``may_arrive_late`` is set once a start got no answer: the worker
-    may still carry it out. ``confirmed_at_s`` is when the worker accepted the last
+    may still carry it out. ``is_kept`` is set once the run has been kept beyond the
+    lease of its worker. ``confirmed_at_s`` is when the worker accepted the last
     start or stop of the run; only a report requested later proves that the run is
     absent. It is infinite until a stop is accepted. ``uncertain_since_s`` is when the
     run was assigned or stopped, or when its worker was last looked for in vain.
@@ -96,6 +99,7 @@
         "worker_key",
         "state",
         "sent_s",
+        "last_sent_s",
         "started_s",
         "accepted_clock_ms",
         "is_isolated",
@@ -113,6 +117,7 @@
         "last_progress_at_s",
         "speed",
         "may_arrive_late",
+        "is_kept",
         "is_refused",
         "confirmed_at_s",
         "uncertain_since_s",
@@ -125,6 +130,7 @@
         self.worker: Worker | None = None
         self.state = RunState.PLANNED
         self.sent_s = 0.0
+        self.last_sent_s = 0.0
         self.started_s = 0.0
         self.accepted_clock_ms = 0
         self.is_isolated = False
@@ -143,6 +149,7 @@
         self.last_progress_at_s = 0.0
         self.speed = 0.0
         self.may_arrive_late = False
+        self.is_kept = False
         self.is_refused = False
         self.uncertain_since_s = 0.0
 
@@ -164,5 +171,10 @@
         """Return whether the run has neither ended nor been dropped."""
         return self.task.runs.get(self.number) is self
 
+    @property
+    def is_own(self) -> bool:
+        """Return whether this owner has planned the run, not an earlier one."""
+        return self.sent_s > 0.0 or self.state is RunState.PLANNED
+
     def __repr__(self) -> str:
         return f"Run({self.task.name}, {self.number}, {self.state})"
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -15,6 +15,8 @@
 
 from fulmarlever.clock import Clock
 from fulmarlever.outcomes import failed
+from fulmarleverd.scheduling.calls.outstanding import OutstandingCalls
+from fulmarleverd.scheduling.calls.tokens import CallTokens
 from fulmarleverd.scheduling.cancellations.lone import LoneCancels
 from fulmarleverd.scheduling.decisions import record, record_run
 from fulmarleverd.scheduling.fairness.size_classes import SizeClasses
@@ -69,7 +71,9 @@
     end's time in seconds on the clock of the leases. ``lone_cancels`` are cancellations
     of jobs that are not stored. ``orphans`` are runs whose worker
     is not known yet, in the order in which they were found. ``requested_copies`` holds
-    the tasks that need a second run, in the order of the requests. ``run_times`` are
+    the tasks that need a second run, in the order of the requests. ``call_tokens`` are
+    the fencing tokens of calls to workers, ``outstanding_calls`` those that may still
+    be carried out. ``run_times`` are
     the expected run times of tasks. ``failures`` decides which workers are distrusted
     for failed runs. ``changed`` is set when the planner has to run again, and
     ``on_worker_added`` is called with each new incarnation of a worker. ``find_config``
@@ -93,6 +97,8 @@
         self.requested_copies: dict[Task, None] = {}
         self.run_times = RunTimes()
         self.size_classes = SizeClasses(self.run_times)
+        self.call_tokens = CallTokens(lease)
+        self.outstanding_calls = OutstandingCalls(clock)
         self.commands: WorkerCommands | None = None
         self.changed = asyncio.Event()
         self.on_worker_added: Callable[[Worker], None] = lambda worker: None
@@ -377,12 +383,13 @@
             record("worker-draining", worker=worker.id, remaining_s=entry.remaining_s)
         self.incarnations.remove_unanswered(worker)
         if is_new:
+            self.call_tokens.rise(worker.id)
             self.incarnations.adopt_orphans(worker)
             self.on_worker_added(worker)
             record(
                 "worker-known",
                 worker=worker.id,
-                life=entry.incarnation,
+                incarnation=entry.incarnation,
                 zone=entry.zone,
                 address=entry.address,
             )
@@ -430,17 +437,45 @@
         self.fleet.remove(worker)
 
     def expire_worker_lease(self, worker: Worker) -> None:
-        """Drop the runs of a worker whose lease has certainly expired."""
-        record("worker-lease-lapsed", worker=worker.id, runs=len(worker.runs))
+        """Drop the runs of a worker whose lease has certainly expired.
+
+        Those that a next incarnation may have are kept for longer.
+        """
+        runs = list(worker.runs.values())
+        ended = [run for run in runs if not self._is_kept(run)]
+        if runs and not ended:
+            return
+        now = self.now_s()
+        record(
+            "worker-lease-lapsed",
+            worker=worker.id,
+            incarnation=worker.entry.incarnation,
+            runs=len(ended),
+            first_answer_age_s=round(now - worker.first_answer_s, 3),
+            granted_age_s=round(now - worker.lease_granted_at_s, 3),
+            may_have_former_calls=worker.may_have_former_calls,
+        )
         worker.is_reconciled = False
         worker.unreconciled_since_s = self.now_s()
         self.crashes.record_lease_end(worker)
-        for run in list(worker.runs.values()):
+        for run in ended:
             self.drop_run(run, "the lease of its unreachable worker has expired")
 
+    def _is_kept(self, run: Run) -> bool:
+        """Return whether a run whose lease is over may be on a next incarnation."""
+        if not self.incarnations.may_be_on_next(run):
+            return False
+        if not run.is_kept:
+            run.is_kept = True
+            left_s = self.lease_ends.late_start_end_s(run) - self.now_s()
+            reason = "a next incarnation of its worker may have it"
+            record_run("run-kept", run, reason, left_s=round(left_s, 3))
+        return True
+
     def expire_orphans(self) -> None:
         """Drop the orphans whose lease has expired before their worker was known."""
         now = self.now_s()
         for run in list(self.orphans):
-            if now >= self.lease_ends.earlier_end_s(run.worker_key):
+            end_s = self.lease_ends.earlier_end_s(run.worker_key)
+            if now >= end_s and not self._is_kept(run):
                 self.drop_run(run, "its worker did not appear before its lease expired")
--- a/packages/fulmarleverd/fulmarleverd/scheduling/term/lease.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/term/lease.py
@@ -43,6 +43,8 @@
 from fulmarleverd.scheduling.specs import WorkerKey
 
 LEASE_S = 1.8
+# Each holder has as many fencing tokens, as the token of a worker's calls rises.
+TOKENS_PER_TERM = 1 << 16
 RENEW_PERIOD_S = 0.5
 ACQUIRE_POLL_S = 0.4
 CALL_TIMEOUT_S = 1.0
@@ -73,8 +75,9 @@
 class SchedulerLease:
     """The scheduler's lease as seen by one daemon.
 
-    ``token`` is the fencing token, which grows with each holder, and ``version`` the
-    row's newest known version. ``unresponsive_workers`` returns the workers to list in
+    ``token`` is the highest fencing token of the holder: it has ``TOKENS_PER_TERM`` of
+    them, all higher than those of earlier holders. ``version`` is the row's newest
+    known version. ``unresponsive_workers`` returns the workers to list in
     the row. ``earlier_extensions_end_s`` is the time until which earlier holders may
     have extended the leases of running tasks, ``earlier_lease_ends_s`` the end of the
     lease of each worker that the previous holder listed as unresponsive. All times are
@@ -139,6 +142,17 @@
         """Return whether the leases of running tasks may be extended now."""
         return self.is_held and self.clock_s() < self.valid_until_s + EXTEND_GRACE_S
 
+    def may_have_earlier_calls(self, born_s: float, late_s: float) -> bool:
+        """Return whether calls of earlier holders may have reached a young worker.
+
+        They may have been meant for a former incarnation of it. The worker started at
+        ``born_s``; a call may arrive ``late_s`` seconds after it was sent. One that had
+        started long before was known to the earlier holders.
+        """
+        if self.token <= TOKENS_PER_TERM:
+            return False
+        return abs(born_s - self.earlier_extensions_end_s) < late_s
+
     def may_grant_lease(self, key: WorkerKey) -> bool:
         """Return whether the lease of a worker's tasks may be granted or extended.
 
@@ -214,7 +228,7 @@
         return now - self._watched_since_s >= LEASE_S
 
     async def _take(self, row: StoredRow, holder: LeaseRow) -> bool:
-        token = holder.token + 1
+        token = holder.token + TOKENS_PER_TERM
         first_seen_s = self._first_seen_s(row)
         unresponsive = _subtract_elapsed(
             holder.unresponsive, self.clock_s() - first_seen_s
@@ -321,11 +335,12 @@
     """Return the holder to assume for a row that cannot be decoded.
 
     The row may come from another version of this program that is running, so the lease
-    is taken only once the row has stopped changing. Each token was committed with a
-    version of its own, so no token is greater than the row's version.
+    is taken only once the row has stopped changing. Each holder's tokens were committed
+    with a version of their own, so there were no more holders than versions.
     """
+    token = row.version * TOKENS_PER_TERM
     return LeaseRow(
-        vm=UNKNOWN_HOLDER, incarnation=UNKNOWN_HOLDER, token=row.version, sequence=0
+        vm=UNKNOWN_HOLDER, incarnation=UNKNOWN_HOLDER, token=token, sequence=0
     )
 
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/term/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/term/owner_term.py
@@ -15,6 +15,7 @@
     ContainedAdmissionCalls,
     ContainedWorkerCalls,
 )
+from fulmarleverd.scheduling.calls.fenced import FencedWorkerCalls
 from fulmarleverd.scheduling.cancellations.lone import LoneCancelRemover
 from fulmarleverd.scheduling.decisions import record
 from fulmarleverd.scheduling.evacuation.control import Evacuation
@@ -88,7 +89,11 @@
         self._start_rate = StartRate(
             interface.loop_delay, clock, interface.settings.cores
         )
-        self._worker_calls = ContainedWorkerCalls(interface.workers)
+        self._worker_calls = FencedWorkerCalls(
+            ContainedWorkerCalls(interface.workers),
+            self.owner.call_tokens,
+            self.owner.outstanding_calls,
+        )
         self.owner.commands = WorkerCommands(
             self.owner, self._worker_calls, self._start_rate.record_answer
         )
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/fleet.py
@@ -74,8 +74,16 @@
     Reports: ``is_reconciled`` tells whether the runs agree with a report; it is cleared
     when the worker's lease has expired, at ``unreconciled_since_s``. ``last_end_seen``
     is the number of the last ended run that was reported, ``last_end_committed`` that
-    of the last one whose effect is committed. ``clock_ms`` is the worker's own clock as
-    read at ``clock_read_s``.
+    of the last one whose effect is committed, ``last_end_acknowledged`` that of the
+    last one that the worker was told to forget. ``may_hide_ends`` tells that it may
+    have forgotten its first ends before they occur, by an acknowledgement that was
+    meant for a former incarnation. Until it reports an end it gets a few runs at a
+    time, ``probe_limit``, which are stopped at once. ``may_have_former_calls`` tells
+    that it may have carried out other calls of that kind before its first answer.
+    ``knows_all_ends`` tells that this owner has heard of all ends up to
+    ``last_end_seen``.
+    ``clock_ms`` is the worker's
+    own clock as read at ``clock_read_s``.
 
     Lease and health: ``is_listed`` tells whether the platform lists the worker,
     ``unlisted_since_s`` since when it does not, and ``known_since_s`` since when this
@@ -124,6 +132,7 @@
         "lease_granted_at_s",
         "last_end_seen",
         "last_end_committed",
+        "may_have_former_calls",
         "failures",
         "last_start_s",
         "crash_suspects",
@@ -167,6 +176,7 @@
         self.lease_granted_at_s = 0.0
         self.last_end_seen = 0
         self.last_end_committed = 0
+        self.may_have_former_calls = False
         self.failures = WorkerFailures(entry.id)
         self.last_start_s = 0.0
         self.crash_suspects: CrashSuspects | None = None
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
@@ -11,8 +11,10 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from fulmarleverd.scheduling.calls.outstanding import MAX_LATE_S
 from fulmarleverd.scheduling.decisions import record, record_run
 from fulmarleverd.scheduling.jobs.runs import Run, RunState
+from fulmarleverd.scheduling.ports import OtherIncarnation, Rejected, WorkerReport
 from fulmarleverd.scheduling.specs import WorkerEntry, WorkerKey
 from fulmarleverd.scheduling.workers.fleet import DisputedEntry, Worker
 from fulmarleverd.scheduling.workers.withheld_entries import WithheldEntries
@@ -23,6 +25,8 @@
 
 # Longer than a worker takes to write its entry anew.
 DISPUTED_S = 3.0
+# How long a worker that is not listed has for its first report.
+FIRST_REPORT_S = 3.0
 # An entry that is not believed is looked at again each time after this, in seconds, as
 # it is not written again.
 WITHHELD_RETRY_S = 1.0
@@ -133,6 +137,16 @@
             or any(job.queue.service == service for job in jobs)
         )
 
+    def process_rejection(self, worker: Worker, rejection: Rejected) -> None:
+        """Process an answer that says that it is not from the worker of a call."""
+        if self._owner.fleet.find(worker.key) is not worker:
+            # Another call has found out before.
+            return
+        if isinstance(rejection, OtherIncarnation):
+            self.add_answering(worker, rejection.incarnation)
+        else:
+            self.process_mismatch(worker, rejection.reason)
+
     def process_mismatch(self, worker: Worker, reason: str) -> None:
         """Note that at a worker's address another worker or incarnation answers.
 
@@ -201,7 +215,19 @@
         owner = self._owner
         for other in owner.fleet.incarnations_of(worker.id):
             if other is not worker:
-                record("worker-lost", "another life answers", worker=worker.id)
+                record(
+                    "worker-lost",
+                    "another life answers",
+                    worker=worker.id,
+                    incarnation=other.entry.incarnation,
+                    number=other.last_end_seen,
+                    runs=len(other.runs),
+                )
+                worker.may_have_former_calls = True
+                # Its runs are kept as long as the lease of the former incarnation.
+                worker.lease_granted_at_s = max(
+                    worker.lease_granted_at_s, other.lease_granted_at_s
+                )
                 owner.crashes.record_crash(other)
                 for run in list(other.runs.values()):
                     other.remove(run)
@@ -210,8 +236,68 @@
         for run in list(owner.orphans):
             if run.worker_key.id == worker.id and run.worker_key != worker.key:
                 del owner.orphans[run]
+                worker.may_have_former_calls = True
                 self._move(run, worker)
 
+    def record_first_report(self, worker: Worker, report: WorkerReport) -> None:
+        """Note what calls a worker may have carried out before its first report.
+
+        Calls that got no answer may have been meant for a former incarnation. Since
+        this report the worker refuses their tokens.
+        """
+        owner = self._owner
+        age_s = min(
+            report.clock_ms / 1000.0, max(0.0, owner.clock.wall() - report.born_s)
+        )
+        born_s = owner.now_s() - age_s
+        calls = owner.outstanding_calls
+        may_be_earlier = owner.lease.may_have_earlier_calls(born_s, MAX_LATE_S)
+        worker.may_have_former_calls |= may_be_earlier or calls.any_call.may_reach(
+            worker.id, born_s
+        )
+        record(
+            "worker-first-report",
+            worker=worker.id,
+            incarnation=worker.entry.incarnation,
+            age_s=round(age_s, 3),
+            runs=len(report.running),
+            ends=len(report.ended),
+            may_have_former_calls=worker.may_have_former_calls,
+        )
+
+    def may_be_on_next(self, run: Run) -> bool:
+        """Return whether a next incarnation that has not answered may have a run.
+
+        Its start got no answer, so the next one may have carried it out, and may be
+        cut off from this owner since.
+        """
+        if run.is_own and not run.may_arrive_late:
+            return False
+        owner = self._owner
+        others = owner.fleet.incarnations_of(run.worker_key.id)
+        is_silent = any(
+            not other.first_answer_s and not _is_sole(other, others, run)
+            for other in others
+        )
+        return is_silent and owner.now_s() < owner.lease_ends.late_start_end_s(run)
+
+    def is_awaited(self, worker: Worker) -> bool:
+        """Return whether runs depend on what a silent worker will say.
+
+        One that has just been found is not given up before its first report.
+        """
+        owner = self._owner
+        if worker.runs:
+            return True
+        if worker.first_answer_s:
+            return False
+        if owner.now_s() - worker.known_since_s < FIRST_REPORT_S:
+            return True
+        others = owner.fleet.incarnations_of(worker.id)
+        runs = [run for other in others for run in other.runs.values()]
+        runs += [run for run in owner.orphans if run.worker_key.id == worker.id]
+        return any(self.may_be_on_next(run) for run in runs)
+
     def _move(self, run: Run, worker: Worker) -> None:
         """Keep a run until the first report of its worker's next incarnation.
 
@@ -233,3 +319,10 @@
         owner.commits.stage(job)
         if run.state is RunState.SENT:
             owner.stop_run(run, "its worker has restarted")
+
+
+def _is_sole(worker: Worker, others: list[Worker], run: Run) -> bool:
+    """Return whether a worker is the only known incarnation, and the one of a run."""
+    return (
+        len(others) == 1 and run.worker is worker and not worker.may_have_former_calls
+    )
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/lease_ends.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/lease_ends.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 from fulmarlever.clock import Clock
+from fulmarleverd.scheduling.calls.outstanding import MAX_LATE_S
 from fulmarleverd.scheduling.jobs.runs import Run
 from fulmarleverd.scheduling.persistence.rows import UnresponsiveWorker
 from fulmarleverd.scheduling.specs import Bounds, WorkerKey
@@ -32,6 +33,7 @@
         "_lease",
         "_clock",
         "_max_lease_s",
+        "_longest_lease_s",
         "_earlier_leases_end_s",
     )
 
@@ -41,20 +43,32 @@
         self._clock = clock
         # A lease on a worker whose clock is slow lasts longer by the owner's clock.
         self._max_lease_s = self.worker_lease_s / MIN_CLOCK_RATE + LEASE_MARGIN_S
+        # A call that was meant for a former incarnation of a worker states the end of a
+        # lease by that one's clock, which may be any time for the next one.
+        self._longest_lease_s = bounds.worker_lease_s / MIN_CLOCK_RATE + LEASE_MARGIN_S
         # By then the runs of earlier owners have ended, but for those that workers
         # report to this owner.
         self._earlier_leases_end_s = lease.earlier_extensions_end_s + self._max_lease_s
 
     def end_s(self, worker: Worker) -> float:
         """Return when nothing runs any more on a worker that stays unresponsive."""
-        if worker.first_answer_s:
-            # Since that answer the worker has refused the tokens of earlier owners.
-            return (
-                max(worker.first_answer_s, worker.lease_granted_at_s)
-                + self._max_lease_s
-            )
         own_s = worker.lease_granted_at_s + self._max_lease_s
-        return max(self.earlier_end_s(worker.key), own_s)
+        if not worker.first_answer_s:
+            return max(self.earlier_end_s(worker.key), own_s)
+        # Since that answer the worker has refused the tokens of earlier calls.
+        is_certain = not worker.may_have_former_calls
+        longest_s = self._max_lease_s if is_certain else self._longest_lease_s
+        return max(worker.first_answer_s + longest_s, own_s)
+
+    def late_start_end_s(self, run: Run) -> float:
+        """Return when a run has ended whose start may arrive at a next incarnation.
+
+        The start got no answer, or was sent by an earlier owner. It is carried out by
+        whichever incarnation has the address when it arrives, unless that one has
+        already seen a higher token.
+        """
+        sent_s = run.last_sent_s or self._lease.earlier_extensions_end_s
+        return sent_s + MAX_LATE_S + self._longest_lease_s
 
     def earlier_end_s(self, key: WorkerKey) -> float:
         """Return when the leases that earlier owners granted to a worker expire."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/reports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/reports.py
@@ -48,6 +48,7 @@
         now = self._owner.now_s()
         if not worker.first_answer_s:
             self._owner.incarnations.confirm(worker)
+            self._owner.incarnations.record_first_report(worker, report)
         worker.record_clock(report.clock_ms, now)
         worker.is_reachable = True
         worker.is_unresponsive = False
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_commands.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_commands.py
@@ -85,7 +85,7 @@
         return Command(
             task=run.task.name,
             run=run.number,
-            token=owner.lease.token,
+            token=owner.call_tokens.current(worker.id),
             lease_until_ms=until_ms,
             payload=run.task.step.job.spec.payload,
             checkpoint=run.task.checkpoint,
@@ -131,6 +131,7 @@
             worker = run.worker
             sent_s = self._owner.now_s()
             run.sent_s = run.sent_s or sent_s
+            run.last_sent_s = sent_s
             worker.lease_granted_at_s = max(worker.lease_granted_at_s, sent_s)
             run.is_refused = False
             result = await self._calls.start(worker.entry, self._command(run, worker))
@@ -156,9 +157,8 @@
             return False
         owner = self._owner
         worker = run.worker
-        report = await self._calls.extend_lease(
-            worker.entry, owner.lease.token, 0, worker.last_end_committed, 0.0
-        )
+        token = owner.call_tokens.current(worker.id)
+        report = await self._calls.extend_lease(worker.entry, token, 0, 0, 0.0)
         if run.state is not RunState.SENT or not run.is_active:
             return False
         if isinstance(report, WorkerReport):
@@ -172,7 +172,7 @@
         if not isinstance(report, Rejected | LocalShortage):
             owner.mark_unreachable(worker, report.reason)
         elif report.reason == REJECT_INCARNATION:
-            owner.incarnations.process_mismatch(worker, report.reason)
+            owner.incarnations.process_rejection(worker, report)
         return False
 
     async def _may_start(self, run: Run) -> bool:
@@ -223,13 +223,14 @@
         if result.reason == REJECT_LEASE_OVER:
             return False
         if result.reason == REJECT_INCARNATION:
-            owner.incarnations.process_mismatch(worker, result.reason)
+            owner.incarnations.process_rejection(worker, result)
         elif result.reason == REJECT_RUN:
             # The run has already started and ended there, as the next report shows.
             run.state = RunState.RUNNING
             run.confirmed_at_s = now
         elif result.reason == REJECT_TOKEN:
-            record("token-refused", worker=worker.id, token=owner.lease.token)
+            token = owner.call_tokens.current(worker.id)
+            record("token-refused", worker=worker.id, token=token)
             self._prevent_start(run, result.reason)
         elif result.reason == REJECT_TICKET:
             run.task.step.tickets.pop(worker.key, None)
@@ -295,13 +296,13 @@
                 return
             record_run("run-stop-unanswered", run, result.reason)
             if isinstance(result, Rejected) and result.reason == REJECT_INCARNATION:
-                self._owner.incarnations.process_mismatch(worker, result.reason)
+                self._owner.incarnations.process_rejection(worker, result)
                 return
             await asyncio.sleep(RETRY_S)
 
     def send_stop_unknown(self, worker: Worker, task: str, run: int) -> None:
         """Send one stop for a run that belongs to no job of this owner."""
-        command = Command(task, run, self._owner.lease.token)
+        command = Command(task, run, self._owner.call_tokens.current(worker.id))
         self._spawn(self._calls.stop(worker.entry, command))
 
     def send_speed_limit(self, run: Run, percent: int) -> None:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_loop.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_loop.py
@@ -149,14 +149,14 @@
         until_ms = 0
         # A call to an unreachable worker grants no lease: a lease extended by a call
         # without an answer would delay the time at which its tasks may run elsewhere.
-        if worker.is_reachable:
+        if worker.is_reachable and worker.runs:
             worker.lease_granted_at_s = requested_at_s
             until_ms = worker.lease_until_ms(
                 requested_at_s, owner.lease_ends.worker_lease_s
             )
         report = await self._calls.extend_lease(
             worker.entry,
-            owner.lease.token,
+            owner.call_tokens.current(worker.id),
             until_ms,
             worker.last_end_committed,
             self._max_wait_s(),
@@ -204,7 +204,7 @@
     async def _process_failure(self, failure: object) -> None:
         worker = self._worker
         if isinstance(failure, Rejected) and failure.reason == REJECT_INCARNATION:
-            self._owner.incarnations.process_mismatch(worker, failure.reason)
+            self._owner.incarnations.process_rejection(worker, failure)
             return
         if not isinstance(failure, LocalShortage):
             self._failures += 1
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/base.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/base.py
@@ -57,6 +57,9 @@
     def may_grant_lease(self, key: object) -> bool:
         return True
 
+    def may_have_earlier_calls(self, born_s: float, late_s: float) -> bool:
+        return False
+
 
 class RecordedCommands:
     """Fake commands that are only recorded."""
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the calls to workers."""
--- /dev/null
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/former_calls_tests.py
@@ -0,0 +1,156 @@
+"""Calls without an answer that were meant for a former incarnation of a worker."""
+
+from __future__ import annotations
+
+from fulmarleverd.scheduling.housekeeping import Housekeeping
+from fulmarleverd.scheduling.interference.model import InterferenceModel
+from fulmarleverd.scheduling.jobs.runs import Run, RunState
+from fulmarleverd.scheduling.ports import (
+    OtherIncarnation,
+    WorkerReport,
+)
+from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.scheduling.workers.fleet import Worker
+from fulmarleverd.tests.scheduling.base import OwnerTestCase
+
+STEP = StepSpec(count=1, cpu_m=1000)
+
+
+class FormerCallsTestCase(OwnerTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock.advance(100.0)
+
+    def tick(self) -> None:
+        Housekeeping(self.owner, InterferenceModel()).tick()
+
+    def send_unanswered(self, worker: Worker) -> Run:
+        """Return a run whose start was sent and got no answer."""
+        run = self.start(self.add_job("j", STEP), worker)
+        run.state = RunState.SENT
+        run.has_begun = False
+        run.may_arrive_late = True
+        run.sent_s = run.last_sent_s = worker.lease_granted_at_s = self.clock.now
+        with self.owner.outstanding_calls.sending(worker.id, False):
+            pass
+        return run
+
+    def add_silent(self, name: str, incarnation: str) -> Worker:
+        worker = self.add_worker(name, incarnation=incarnation)
+        worker.is_reachable = worker.is_reconciled = False
+        return worker
+
+    def report_first(self, worker: Worker, age_s: float) -> None:
+        """Process the first report of a worker that started some seconds ago."""
+        incarnation = worker.entry.incarnation
+        report = WorkerReport(int(1000 * age_s), incarnation)
+        self.reports.process(worker, report, self.clock.now)
+
+
+class TokenTests(FormerCallsTestCase):
+    # Guards against calls for a former incarnation that act in the next one (TWICE).
+    def test_the_token_rises_as_another_incarnation_becomes_known(self):
+        def find_by_answer(worker: Worker) -> None:
+            rejection = OtherIncarnation("2")
+            self.owner.incarnations.process_rejection(worker, rejection)
+
+        def find_by_entry(worker: Worker) -> None:
+            self.add_silent(worker.id, "2")
+
+        for name, find in self.each(
+            (("answer", find_by_answer), ("entry", find_by_entry))
+        ):
+            worker = self.add_worker(name)
+            self.report(worker)
+            before = self.owner.call_tokens.current(worker.id)
+            find(worker)
+            self.assertGreater(self.owner.call_tokens.current(worker.id), before)
+
+
+class LateStartTests(FormerCallsTestCase):
+    # Guards against two runs of a task, one of them on an incarnation that carried out
+    # a start for the former one and is cut off before its first report (TWICE).
+    def test_the_run_is_kept_until_the_next_incarnation_reports(self):
+        def found_by_answer(worker: Worker) -> None:
+            self.clock.advance(0.7)
+            self.owner.incarnations.add_answering(worker, "2")
+            self.clock.advance(0.2)
+
+        def listed(worker: Worker) -> None:
+            self.owner.mark_unreachable(worker, "no answer")
+            self.add_silent(worker.id, "2")
+            self.clock.advance(9.0)
+
+        def listed_for_a_while(worker: Worker) -> None:
+            listed(worker)
+            self.owner.mark_unlisted(worker.id)
+            self.tick()
+            self.clock.advance(5.0)
+
+        def after_the_next(worker: Worker) -> None:
+            following = self.add_worker(worker.id, incarnation="2")
+            self.report(following)
+            self.owner.mark_unreachable(following, "no answer")
+            self.add_silent(worker.id, "3")
+            self.clock.advance(11.0)
+
+        rows = (
+            ("found by its answer", found_by_answer),
+            ("listed", listed),
+            ("listed for a while", listed_for_a_while),
+            ("the one after the next", after_the_next),
+        )
+        for _, restart in self.each(rows):
+            self.setUp()
+            worker = self.workers[0]
+            self.report(worker)
+            run = self.send_unanswered(worker)
+            restart(worker)
+            self.tick()
+            self.assertTrue(run.is_active)
+            self.clock.advance(30.0)
+            self.tick()
+            self.assertFalse(run.is_active)
+
+    def test_an_accepted_run_is_not_kept_for_longer_than_its_lease(self):
+        worker = self.workers[0]
+        self.report(worker)
+        run = self.start(self.add_job("j", STEP), worker)
+        run.sent_s = run.last_sent_s = worker.lease_granted_at_s = self.clock.now
+        self.owner.mark_unreachable(worker, "no answer")
+        self.add_silent("w1", "2")
+        self.clock.advance(8.0)
+        self.tick()
+        self.assertFalse(run.is_active)
+
+
+class LeaseTests(FormerCallsTestCase):
+    # Guards against two runs of a task, as a lease on the next incarnation of a worker
+    # was longer than the one that the owner had granted (TWICE).
+    def test_a_lease_by_the_clock_of_a_former_incarnation_may_be_the_longest(self):
+        def known(worker: Worker) -> None:
+            pass
+
+        def discarded(worker: Worker) -> None:
+            self.clock.advance(8.0)
+            self.owner.discard_worker(worker, "unlisted and without an answer")
+
+        for _, restart in self.each((("known", known), ("discarded", discarded))):
+            self.setUp()
+            worker = self.workers[0]
+            self.report(worker)
+            with self.owner.outstanding_calls.sending("w1", False):
+                pass
+            restart(worker)
+            following = self.add_worker("w1", incarnation="2")
+            self.report_first(following, 0.5)
+            end_s = self.owner.lease_ends.end_s(following)
+            longest_s = self.owner.bounds.worker_lease_s
+            self.assertGreater(end_s, self.clock.now + longest_s)
+
+    def test_a_lease_ends_early_if_no_call_can_have_come_late(self):
+        worker = self.workers[0]
+        self.report_first(worker, 0.5)
+        end_s = self.owner.lease_ends.end_s(worker)
+        longest_s = self.owner.bounds.worker_lease_s
+        self.assertLess(end_s, self.clock.now + longest_s)
