Probe workers that may have forgotten their first ends

Cause, what the commits before leave: an acknowledgement without an answer may be carried out by the next incarnation before it has seen a higher token. Nothing tells the owner whether it was; the incarnation then never reports its first ends.

Change: an acknowledgement is sent until it is answered, and not again with each later call, so few get no answer. If one may have reached a worker since it started, the worker gets one run, which is stopped at once: if its end is reported, no later one is hidden. The number of such runs grows as long as their ends are hidden. An end that was left out is logged.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/health/crashes.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/health/crashes.py
@@ -256,8 +256,11 @@
 
 
 def _is_at_work(run: Run) -> bool:
-    """Return whether the worker said that it runs a run, which nobody stops."""
-    return run.has_begun and run.state is RunState.RUNNING
+    """Return whether the worker said that it runs a run, which nobody stops.
+
+    A probe is stopped in any case, so its stop does not show that it is over.
+    """
+    return run.has_begun and (run.state is RunState.RUNNING or run.is_probe)
 
 
 def _is_unanswered(run: Run) -> bool:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/holds/held.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/holds/held.py
@@ -15,12 +15,14 @@
     """Why a worker gets no runs until an event.
 
     ``UNLISTED`` waits for its entry in the list of workers, ``UNREACHABLE`` for an
-    answer, ``UNRECONCILED`` for a report of all its runs, and ``DRAINING`` for its end.
+    answer, ``UNRECONCILED`` for a report of all its runs, ``PROBED`` for a report of
+    the end of a run that was started there to see it, and ``DRAINING`` for its end.
     """
 
     UNLISTED = "unlisted"
     UNREACHABLE = "unreachable"
     UNRECONCILED = "unreconciled"
+    PROBED = "probed"
     DRAINING = "draining"
 
 
@@ -79,6 +81,8 @@
     elif not worker.is_reconciled:
         since_s = worker.unreconciled_since_s
         yield HeldWorker(worker, WorkerState.UNRECONCILED, since_s)
+    if worker.may_hide_ends and not worker.accepts_probes():
+        yield HeldWorker(worker, WorkerState.PROBED, worker.first_answer_s)
     if worker.entry.is_draining:
         yield HeldWorker(worker, WorkerState.DRAINING, worker.draining_since_s)
     for hold in worker.holds.at(now_s):
--- a/packages/fulmarleverd/fulmarleverd/scheduling/jobs/runs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/jobs/runs.py
@@ -67,7 +67,8 @@
     for a run of an earlier owner, and ``last_sent_s`` when it sent it for the last
     time; ``accepted_clock_ms`` is the worker's own clock when it accepted the start, 0
     if this owner does not know it. An ``is_isolated`` run was
-    started apart from others, as its task may crash workers.
+    started apart from others, as its task may crash workers. An ``is_probe`` run was
+    stopped once it had begun, to see whether its worker reports the end.
     ``speed_limit_percent`` is the share of its full speed that the run may use, 0 to
     pause it; ``is_speed_limit_known`` is false for a run that an earlier owner may have
     limited, or whose limits may have arrived in another order.
@@ -103,6 +104,7 @@
         "started_s",
         "accepted_clock_ms",
         "is_isolated",
+        "is_probe",
         "has_begun",
         "is_known_begun",
         "progress_percent",
@@ -134,6 +136,7 @@
         self.started_s = 0.0
         self.accepted_clock_ms = 0
         self.is_isolated = False
+        self.is_probe = False
         self.has_begun = False
         self.is_known_begun = False
         self.confirmed_at_s = 0.0
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -335,6 +335,12 @@
             record_run("run-stop", run, reason)
             self.commands.send_stop(run)
 
+    def stop_probe(self, run: Run) -> None:
+        """Stop a run that has begun where ends may be hidden; its end shows if so."""
+        if run.worker is not None and run.worker.may_hide_ends and run.is_own:
+            run.is_probe = True
+            self.stop_run(run, "shows whether its worker reports ends")
+
     def may_move(self, run: Run) -> bool:
         """Return whether a run may be stopped so that its task starts again elsewhere.
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/candidates.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/candidates.py
@@ -26,7 +26,8 @@
     only. So the cost of each worker is computed once for the step and once more for
     each task assigned to it. Workers that accept no runs or face an obstacle are left
     out. Of workers with equal cost, those that are cold come last. Impaired workers
-    come after all others, if ``tolerance`` allows them. ``now_s`` is on the owner's
+    come after all others, if ``tolerance`` allows them, and so do those that stop each
+    run at once. ``now_s`` is on the owner's
     clock.
 
     With a ``batch_size`` the workers are examined in batches until there is one
@@ -115,7 +116,7 @@
         cost = self._cost(self._step.spec, worker)
         if cost is None:
             return None
-        is_impaired = worker.is_impaired_at(self._now_s)
+        is_impaired = worker.may_hide_ends or worker.is_impaired_at(self._now_s)
         return ((is_impaired, *cost), worker.is_cold, index, worker)
 
     def place(
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/fleet.py
@@ -132,6 +132,10 @@
         "lease_granted_at_s",
         "last_end_seen",
         "last_end_committed",
+        "last_end_acknowledged",
+        "may_hide_ends",
+        "probe_limit",
+        "knows_all_ends",
         "may_have_former_calls",
         "failures",
         "last_start_s",
@@ -176,6 +180,10 @@
         self.lease_granted_at_s = 0.0
         self.last_end_seen = 0
         self.last_end_committed = 0
+        self.last_end_acknowledged = 0
+        self.may_hide_ends = False
+        self.probe_limit = 1
+        self.knows_all_ends = False
         self.may_have_former_calls = False
         self.failures = WorkerFailures(entry.id)
         self.last_start_s = 0.0
@@ -232,10 +240,22 @@
             and self.is_reachable
             and not self.entry.is_draining
             and not self.holds.is_held_at(now_s)
+            and (not self.may_hide_ends or self.accepts_probes())
             and (tolerance.slow or not self.is_slow_at(now_s))
             and (tolerance.distrusted or not self.failures.is_avoided_at(now_s))
         )
 
+    def accepts_probes(self) -> bool:
+        """Return whether one more run may show whether the worker reports its ends."""
+        return sum(run.is_own for run in self.runs.values()) < self.probe_limit
+
+    def record_hidden_end(self) -> None:
+        """Note that the worker has not reported the end of a run that was to show it.
+
+        It may have forgotten many ends to come, so more runs at a time follow.
+        """
+        self.probe_limit += 1
+
     def is_slow_at(self, now_s: float) -> bool:
         """Return whether the worker was found slow shortly before a time."""
         return now_s < self.slow_until_s
@@ -244,6 +264,19 @@
         """Return whether the worker is slow at a time, or distrusted."""
         return self.failures.is_distrusted or self.is_slow_at(now_s)
 
+    def end_to_acknowledge(self) -> int:
+        """Return the number of the last committed end if it is not acknowledged, or 0.
+
+        The worker has forgotten the ends that were acknowledged, so no call has to
+        repeat their number.
+        """
+        is_new = self.last_end_committed > self.last_end_acknowledged
+        return self.last_end_committed if is_new else 0
+
+    def record_acknowledged(self, number: int) -> None:
+        """Note that the worker has answered a call that acknowledged an end."""
+        self.last_end_acknowledged = max(self.last_end_acknowledged, number)
+
     def free_cpu_m(self) -> int:
         """Return the thousandths of a core that are not reserved."""
         return self.entry.cpu_m - self.reserved_cpu_m
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
@@ -255,6 +255,10 @@
         worker.may_have_former_calls |= may_be_earlier or calls.any_call.may_reach(
             worker.id, born_s
         )
+        worker.may_hide_ends = may_be_earlier or calls.acknowledgements.may_reach(
+            worker.id, born_s
+        )
+        worker.knows_all_ends = not may_be_earlier and age_s < MAX_LATE_S
         record(
             "worker-first-report",
             worker=worker.id,
@@ -263,6 +267,7 @@
             runs=len(report.running),
             ends=len(report.ended),
             may_have_former_calls=worker.may_have_former_calls,
+            may_hide_ends=worker.may_hide_ends,
         )
 
     def may_be_on_next(self, run: Run) -> bool:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/reports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/reports.py
@@ -85,6 +85,8 @@
 
     def _handle_missing_run(self, run: Run) -> None:
         """Drop a run that its worker lacks, or stop it if it may still start there."""
+        if run.worker.may_hide_ends and run.is_own:
+            run.worker.record_hidden_end()
         if run.may_arrive_late and run.state is RunState.RUNNING:
             # A worker rejects the start of a run that was stopped there.
             self._owner.stop_run(run, "its worker no longer has it")
@@ -99,6 +101,7 @@
         if worker.last_report_s and report.clock_ms:
             gap_s = requested_at_s - worker.last_report_s
         previous = worker.last_end_seen
+        self._check_numbers(worker, report.ended)
         for ended in report.ended:
             if ended.number > worker.last_end_seen:
                 worker.last_end_seen = ended.number
@@ -110,6 +113,24 @@
             )
             self._owner.changed.set()
 
+    def _check_numbers(self, worker: Worker, ends: tuple[EndedTask, ...]) -> None:
+        """Note that a worker reports its ends, and log those that it has left out."""
+        if not ends:
+            return
+        if worker.may_hide_ends:
+            worker.may_hide_ends = False
+            record("worker-reports-ends", worker=worker.id, number=ends[0].number)
+        left_out = ends[0].number - worker.last_end_seen - 1
+        if worker.knows_all_ends and left_out > 0:
+            record(
+                "ends-left-out",
+                "the worker has forgotten them before it reported them",
+                worker=worker.id,
+                ends=left_out,
+                number=ends[0].number,
+            )
+        worker.knows_all_ends = True
+
     def _process_end(self, worker: Worker, ended: EndedTask, gap_s: float) -> None:
         """Process the end of a run.
 
@@ -191,6 +212,7 @@
         if run.state is RunState.SENT:
             run.state = RunState.RUNNING
             run.started_s = run.started_s or self._owner.now_s()
+            self._owner.stop_probe(run)
         run.has_begun = True
         self._owner.record_begin(run)
         run.progress_percent = item.progress_percent
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_commands.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_commands.py
@@ -207,6 +207,7 @@
                 run.state = RunState.RUNNING
                 run.confirmed_at_s = now
             record_run("run-accepted", run, "accepted", checkpoint=run.task.checkpoint)
+            owner.stop_probe(run)
             return True
         record_run("run-not-started", run, result.reason)
         if isinstance(result, Rejected):
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_loop.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_loop.py
@@ -154,13 +154,16 @@
             until_ms = worker.lease_until_ms(
                 requested_at_s, owner.lease_ends.worker_lease_s
             )
+        number = worker.end_to_acknowledge() if worker.is_reachable else 0
         report = await self._calls.extend_lease(
             worker.entry,
             owner.call_tokens.current(worker.id),
             until_ms,
-            worker.last_end_committed,
+            number,
             self._max_wait_s(),
         )
+        if isinstance(report, WorkerReport):
+            worker.record_acknowledged(number)
         if not self._is_known():
             # Removed during the call; its answer tells nothing about the fleet.
             return
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/holds/held_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/holds/held_tests.py
@@ -35,7 +35,13 @@
         def hold(worker: Worker) -> None:
             worker.holds.add(HoldReason.UNANSWERED, self.clock.now, 4.0)
 
+        def probe(worker: Worker) -> None:
+            worker.may_hide_ends = True
+            worker.first_answer_s = self.clock.now
+            self.start(self.add_job(f"{worker.id}-probe", STEP), worker).sent_s = 1.0
+
         rows = (
+            ("probed", probe, WorkerState.PROBED),
             ("unlisted", unlist, WorkerState.UNLISTED),
             ("unreachable", silence, WorkerState.UNREACHABLE),
             ("unreconciled", expire, WorkerState.UNRECONCILED),
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/former_calls_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/former_calls_tests.py
@@ -6,6 +6,7 @@
 from fulmarleverd.scheduling.interference.model import InterferenceModel
 from fulmarleverd.scheduling.jobs.runs import Run, RunState
 from fulmarleverd.scheduling.ports import (
+    EndedTask,
     OtherIncarnation,
     WorkerReport,
 )
@@ -154,3 +155,78 @@
         end_s = self.owner.lease_ends.end_s(worker)
         longest_s = self.owner.bounds.worker_lease_s
         self.assertLess(end_s, self.clock.now + longest_s)
+
+
+class HiddenEndsTests(FormerCallsTestCase):
+    def restart_after_acknowledgement(self, silent_s: float = 0.0) -> Worker:
+        """Return the next incarnation of a worker with an unanswered acknowledgement.
+
+        It reports after some seconds.
+        """
+        self.report(self.workers[0])
+        with self.owner.outstanding_calls.sending("w1", True):
+            pass
+        self.clock.advance(0.6)
+        worker = self.add_worker("w1", incarnation="2")
+        self.clock.advance(silent_s)
+        self.report_first(worker, silent_s)
+        return worker
+
+    # Guards against ends that are never reported, as an acknowledgement for the former
+    # incarnation had covered their numbers (TWICE).
+    def test_a_worker_that_may_hide_ends_is_probed_first(self):
+        for (silent_s,) in self.each(((0.0,), (5.0,), (19.0,))):
+            self.setUp()
+            worker = self.restart_after_acknowledgement(silent_s)
+            self.assertTrue(worker.may_hide_ends)
+            run = self.start(self.add_job("j", STEP), worker)
+            run.sent_s = self.clock.now
+            self.assertFalse(worker.accepts_runs(self.clock.now))
+            self.owner.stop_probe(run)
+            self.assertEqual(self.commands.stops, [run])
+            self.report(worker, ends=((run, "stopped"),))
+            self.assertTrue(worker.accepts_runs(self.clock.now))
+            other = self.start(self.add_job("k", STEP), worker)
+            self.owner.stop_probe(other)
+            self.assertEqual(self.commands.stops, [run])
+
+    def test_a_probe_that_a_report_shows_first_is_stopped(self):
+        worker = self.restart_after_acknowledgement()
+        run = self.send_unanswered(worker)
+        self.report(worker, (run, 1.0, 0.0))
+        self.assertEqual(self.commands.stops, [run])
+
+    # Guards against workers that get no runs for as long as they hide ends (LOST).
+    def test_probes_double_while_their_ends_are_hidden(self):
+        worker = self.restart_after_acknowledgement()
+        for number in range(4):
+            job = self.add_job(f"j{number}", StepSpec(count=2**number, cpu_m=100))
+            for index in range(2**number):
+                self.assertTrue(worker.accepts_runs(self.clock.now))
+                run = self.start(job, worker, index=index)
+                run.sent_s = self.clock.now
+            self.assertFalse(worker.accepts_runs(self.clock.now))
+            self.clock.advance(0.1)
+            self.report(worker)
+
+    def test_runs_of_an_earlier_owner_are_neither_stopped_nor_counted(self):
+        worker = self.restart_after_acknowledgement()
+        run = self.start(self.add_job("j", STEP), worker)
+        self.owner.stop_probe(run)
+        self.assertEqual(self.commands.stops, [])
+        self.assertTrue(worker.accepts_runs(self.clock.now))
+
+    def test_each_end_is_acknowledged_until_a_call_has_been_answered(self):
+        worker = self.workers[0]
+        self.assertEqual(worker.end_to_acknowledge(), 0)
+        worker.last_end_committed = 3
+        self.assertEqual(worker.end_to_acknowledge(), 3)
+        worker.record_acknowledged(3)
+        self.assertEqual(worker.end_to_acknowledge(), 0)
+
+    def test_a_report_with_a_later_number_is_an_end_too(self):
+        worker = self.restart_after_acknowledgement()
+        ended = EndedTask(14, "gone.0.0.0", 1, "done")
+        report = WorkerReport(1000, "2", (), (ended,))
+        self.reports.process(worker, report, self.clock.now)
+        self.assertFalse(worker.may_hide_ends)
