Keep the entry of an incarnation that is removed before it has answered

What callers could see: a worker that is alive gets no runs (LOST), until it writes another entry.

Cause: a report of the former incarnation, on its way as the worker restarted, removed the next one, whose entry had come before. As the entry is not written again, the next one counted as unlisted once it answered.

Change: the entry is withheld and looked at again after a second, like others that are not believed.

Evidence: former_calls_tests.OverlookedEntryTests failed before.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
@@ -228,6 +228,7 @@
                 worker.lease_granted_at_s = max(
                     worker.lease_granted_at_s, other.lease_granted_at_s
                 )
+                self._withhold_unanswered(other)
                 owner.crashes.record_crash(other)
                 for run in list(other.runs.values()):
                     other.remove(run)
@@ -303,6 +304,16 @@
         runs += [run for run in owner.orphans if run.worker_key.id == worker.id]
         return any(self.may_be_on_next(run) for run in runs)
 
+    def _withhold_unanswered(self, worker: Worker) -> None:
+        """Keep the entry of an incarnation that is removed before it has answered.
+
+        It may be the next one of the worker whose answer was on its way before.
+        """
+        if worker.is_listed and worker.is_described and not worker.first_answer_s:
+            retry_at_s = self._owner.now_s() + WITHHELD_RETRY_S
+            reason = "another incarnation has answered"
+            self.withheld.add(worker.entry, reason, retry_at_s)
+
     def _move(self, run: Run, worker: Worker) -> None:
         """Keep a run until the first report of its worker's next incarnation.
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/former_calls_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/former_calls_tests.py
@@ -230,3 +230,20 @@
         report = WorkerReport(1000, "2", (), (ended,))
         self.reports.process(worker, report, self.clock.now)
         self.assertFalse(worker.may_hide_ends)
+
+
+class OverlookedEntryTests(FormerCallsTestCase):
+    # Guards against workers that get no runs for good, as an answer that was on its way
+    # when they restarted removed the entry of their next incarnation (LOST).
+    def test_an_answer_of_the_former_incarnation_removes_no_entry_for_good(self):
+        former = self.add_silent("w9", "1")
+        self.start(self.add_job("j", STEP), former)
+        self.add_silent("w9", "2")
+        self.report(former)
+        self.owner.incarnations.add_answering(former, "2")
+        (worker,) = self.owner.fleet.incarnations_of("w9")
+        self.report(worker)
+        self.clock.advance(2.0)
+        self.owner.incarnations.list_read_s = self.clock.now
+        self.tick()
+        self.assertTrue(worker.accepts_runs(self.clock.now))
