Do not rely on a speed limit that another may have overtaken

What callers could see: a run that stays paused, or works on at full speed beside a serving task.

Cause: two limits of one run on two connections may be carried out in the other order; both are accepted, and the owner relied on the one that it had sent last.

Evidence: former_calls_tests.SpeedLimitTests (2 tests) failed before. Found by reading; no play showed it.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/jobs/runs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/jobs/runs.py
@@ -166,6 +166,7 @@
         self.accepted_clock_ms = 0
         self.progress_percent = self.latency_ms_or_cpu_m = 0.0
         self.speed_limit_percent = 100
+        self.is_speed_limit_known = False
         self.headroom_sample = None
         self.last_progress_percent = self.last_progress_at_s = self.speed = 0.0
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_commands.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_commands.py
@@ -322,6 +322,8 @@
                 worker.entry, self._command(run, worker), percent
             )
             if isinstance(result, Accepted):
+                # A later limit may have arrived before this one.
+                run.is_speed_limit_known &= run.speed_limit_percent == percent
                 return
             record_run("pace-not-set", run, result.reason, percent=percent)
             await asyncio.sleep(RETRY_S)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/former_calls_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/former_calls_tests.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from fulmarleverd.scheduling.housekeeping import Housekeeping
 from fulmarleverd.scheduling.interference.model import InterferenceModel
 from fulmarleverd.scheduling.jobs.runs import Run, RunState
 from fulmarleverd.scheduling.ports import (
+    Accepted,
+    Command,
     EndedTask,
     OtherIncarnation,
     WorkerReport,
 )
-from fulmarleverd.scheduling.specs import StepSpec
+from fulmarleverd.scheduling.specs import StepSpec, WorkerEntry
 from fulmarleverd.scheduling.workers.fleet import Worker
+from fulmarleverd.scheduling.workers.worker_commands import WorkerCommands
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
 
 STEP = StepSpec(count=1, cpu_m=1000)
@@ -247,3 +252,33 @@
         self.owner.incarnations.list_read_s = self.clock.now
         self.tick()
         self.assertTrue(worker.accepts_runs(self.clock.now))
+
+
+class SpeedLimitTests(FormerCallsTestCase):
+    # Guards against runs that stay paused, as two limits overtook one another (LOST).
+    def test_a_limit_that_a_later_one_overtook_is_not_known(self):
+        class Calls:
+            async def set_speed_limit(
+                self, worker: WorkerEntry, command: Command, percent: int
+            ) -> Accepted:
+                await asyncio.sleep(0.02 if percent == 0 else 0.0)
+                return Accepted(1000)
+
+        run = self.start(self.add_job("j", STEP), self.workers[0])
+
+        async def send() -> None:
+            commands = WorkerCommands(self.owner, Calls())
+            commands.send_speed_limit(run, 0)
+            await asyncio.sleep(0.0)
+            commands.send_speed_limit(run, 100)
+            await asyncio.sleep(0.05)
+
+        asyncio.run(send())
+        self.assertFalse(run.is_speed_limit_known)
+
+    def test_the_limit_on_a_next_incarnation_is_not_known(self):
+        run = self.start(self.add_job("j", STEP), self.workers[0])
+        self.workers[0].set_speed_limit(run, 0)
+        following = self.add_worker("w1", incarnation="2")
+        self.report(following, (run, 1.0, 0.0))
+        self.assertFalse(run.is_speed_limit_known)
