Count only calls that were meant for another incarnation

What callers could see: a task that is stopped and started again without need, or one whose end is hidden though the worker was taken to report all ends.

Change: calls are kept by the incarnation that they were meant for, the age comes from the worker's own clock, which starts with it, and each own run that such a worker reports is stopped. The log of a call without an answer names the lease that it asked for.

Evidence: fenced_tests and former_calls_tests.test_a_run_that_moved_there_is_stopped failed before.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/calls/fenced.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/calls/fenced.py
@@ -18,7 +18,7 @@
     WorkerCalls,
     WorkerReport,
 )
-from fulmarleverd.scheduling.specs import WorkerEntry
+from fulmarleverd.scheduling.specs import WorkerEntry, WorkerKey
 
 Result = TypeVar("Result")
 # A call is overtaken by one with a higher token only if others got no answer meanwhile.
@@ -47,7 +47,8 @@
         def call(token: int) -> Awaitable[CommandResult]:
             return self._calls.start(worker, replace(command, token=token))
 
-        return await self._send("start", worker, command.token, call)
+        until_ms = command.lease_until_ms
+        return await self._send("start", worker, command.token, call, 0, until_ms)
 
     async def stop(self, worker: WorkerEntry, command: Command) -> CommandResult:
         """Stop a run."""
@@ -85,7 +86,8 @@
                 worker, token, lease_until_ms, last_end_committed, wait_s
             )
 
-        return await self._send("report", worker, token, call, last_end_committed)
+        number = last_end_committed
+        return await self._send("report", worker, token, call, number, lease_until_ms)
 
     async def _send(
         self,
@@ -94,10 +96,15 @@
         token: int,
         call: Callable[[int], Awaitable[Result]],
         number: int = 0,
+        lease_until_ms: int = 0,
     ) -> Result:
-        """Make a call that acknowledges the ends up to a number, 0 for none."""
+        """Make a call that acknowledges the ends up to a number, 0 for none.
+
+        ``lease_until_ms`` is the end of the lease that it asks for, 0 for none.
+        """
+        key = WorkerKey(worker.id, worker.incarnation)
         for _ in range(MAX_ATTEMPTS):
-            with self._outstanding.sending(worker.id, number > 0) as sent:
+            with self._outstanding.sending(key, number > 0) as sent:
                 result = await call(token)
                 sent.is_answered = not isinstance(result, OutcomeUnknown)
             current = self._tokens.current(worker.id)
@@ -110,6 +117,7 @@
                     incarnation=worker.incarnation,
                     token=token,
                     number=number,
+                    lease_until_ms=lease_until_ms,
                 )
                 # The first of several calls without an answer makes all of them older.
                 if token == current:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/calls/outstanding.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/calls/outstanding.py
@@ -13,6 +13,7 @@
 from contextlib import contextmanager
 
 from fulmarlever.clock import Clock
+from fulmarleverd.scheduling.specs import WorkerKey
 
 # How long after it was sent a call without an answer may be carried out.
 MAX_LATE_S = 15.0
@@ -28,33 +29,40 @@
 
 
 class Arrivals:
-    """Until when the calls of one kind may arrive, by the id of the worker."""
+    """Until when the calls of one kind may arrive, by incarnation of a worker id."""
 
     __slots__ = ("_clock", "_in_flight", "_until_s")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._in_flight: Counter[str] = Counter()
-        self._until_s: dict[str, float] = {}
+        self._in_flight: Counter[WorkerKey] = Counter()
+        self._until_s: dict[str, dict[WorkerKey, float]] = {}
 
-    def begin(self, worker_id: str) -> None:
+    def begin(self, key: WorkerKey) -> None:
         """Note that a call is sent."""
-        self._in_flight[worker_id] += 1
+        self._in_flight[key] += 1
+        self._until_s.setdefault(key.id, {}).setdefault(key, float("-inf"))
 
-    def end(self, worker_id: str, is_answered: bool) -> None:
+    def end(self, key: WorkerKey, is_answered: bool) -> None:
         """Note that the wait for an answer has ended."""
-        self._in_flight[worker_id] -= 1
+        self._in_flight[key] -= 1
         if not is_answered:
-            self._until_s[worker_id] = self._clock.boot() + MAX_LATE_S
+            self._until_s[key.id][key] = self._clock.boot() + MAX_LATE_S
 
-    def may_reach(self, worker_id: str, since_s: float) -> bool:
-        """Return whether a call may have arrived after a time, or may do so yet."""
-        latest_s = self._until_s.get(worker_id, float("-inf"))
-        return self._in_flight[worker_id] > 0 or latest_s > since_s
+    def may_reach(self, key: WorkerKey, since_s: float) -> bool:
+        """Return whether a call for another incarnation may reach this one.
+
+        It may have arrived after a time, or may do so yet.
+        """
+        return any(
+            self._in_flight[other] > 0 or until_s > since_s
+            for other, until_s in self._until_s.get(key.id, {}).items()
+            if other != key
+        )
 
 
 class OutstandingCalls:
-    """The calls of an owner that may still arrive, by the id of the worker.
+    """The calls of an owner that may still arrive.
 
     ``any_call`` holds all of them, ``acknowledgements`` those that acknowledge ends.
     Times are in seconds on the owner's clock.
@@ -67,16 +75,16 @@
         self.acknowledgements = Arrivals(clock)
 
     @contextmanager
-    def sending(self, worker_id: str, is_acknowledgement: bool) -> Iterator[SentCall]:
-        """Send a call within the context."""
+    def sending(self, key: WorkerKey, is_acknowledgement: bool) -> Iterator[SentCall]:
+        """Send a call to an incarnation of a worker within the context."""
         kinds = [self.any_call]
         if is_acknowledgement:
             kinds.append(self.acknowledgements)
         for kind in kinds:
-            kind.begin(worker_id)
+            kind.begin(key)
         sent = SentCall()
         try:
             yield sent
         finally:
             for kind in kinds:
-                kind.end(worker_id, sent.is_answered)
+                kind.end(key, sent.is_answered)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/candidates.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/candidates.py
@@ -106,7 +106,7 @@
         worker = numbered[1]
         rack = self._step.spec.preferred_rack
         is_remote = bool(rack) and rack not in worker.entry.labels
-        return worker.is_impaired_at(self._now_s), is_remote
+        return worker.comes_last_at(self._now_s), is_remote
 
     def _heap_entry(self, worker: Worker, index: int) -> HeapEntry | None:
         if not worker.accepts_runs(self._now_s, self._tolerance):
@@ -116,8 +116,8 @@
         cost = self._cost(self._step.spec, worker)
         if cost is None:
             return None
-        is_impaired = worker.may_hide_ends or worker.is_impaired_at(self._now_s)
-        return ((is_impaired, *cost), worker.is_cold, index, worker)
+        comes_last = worker.comes_last_at(self._now_s)
+        return ((comes_last, *cost), worker.is_cold, index, worker)
 
     def place(
         self,
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/fleet.py
@@ -277,6 +277,10 @@
         """Note that the worker has answered a call that acknowledged an end."""
         self.last_end_acknowledged = max(self.last_end_acknowledged, number)
 
+    def comes_last_at(self, now_s: float) -> bool:
+        """Return whether others are preferred: it is impaired, or stops each run."""
+        return self.may_hide_ends or self.is_impaired_at(now_s)
+
     def free_cpu_m(self) -> int:
         """Return the thousandths of a core that are not reserved."""
         return self.entry.cpu_m - self.reserved_cpu_m
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
@@ -16,7 +16,11 @@
 from fulmarleverd.scheduling.jobs.runs import Run, RunState
 from fulmarleverd.scheduling.ports import OtherIncarnation, Rejected, WorkerReport
 from fulmarleverd.scheduling.specs import WorkerEntry, WorkerKey
-from fulmarleverd.scheduling.workers.fleet import DisputedEntry, Worker
+from fulmarleverd.scheduling.workers.fleet import (
+    MIN_CLOCK_RATE,
+    DisputedEntry,
+    Worker,
+)
 from fulmarleverd.scheduling.workers.withheld_entries import WithheldEntries
 
 if TYPE_CHECKING:
@@ -247,17 +251,16 @@
         this report the worker refuses their tokens.
         """
         owner = self._owner
-        age_s = min(
-            report.clock_ms / 1000.0, max(0.0, owner.clock.wall() - report.born_s)
-        )
+        # Its clock starts with it, and may be slow.
+        age_s = report.clock_ms / 1000.0 / MIN_CLOCK_RATE
         born_s = owner.now_s() - age_s
         calls = owner.outstanding_calls
         may_be_earlier = owner.lease.may_have_earlier_calls(born_s, MAX_LATE_S)
         worker.may_have_former_calls |= may_be_earlier or calls.any_call.may_reach(
-            worker.id, born_s
+            worker.key, born_s
         )
         worker.may_hide_ends = may_be_earlier or calls.acknowledgements.may_reach(
-            worker.id, born_s
+            worker.key, born_s
         )
         worker.knows_all_ends = not may_be_earlier and age_s < MAX_LATE_S
         record(
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/reports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/reports.py
@@ -212,8 +212,8 @@
         if run.state is RunState.SENT:
             run.state = RunState.RUNNING
             run.started_s = run.started_s or self._owner.now_s()
-            self._owner.stop_probe(run)
         run.has_begun = True
+        self._owner.stop_probe(run)
         self._owner.record_begin(run)
         run.progress_percent = item.progress_percent
         run.latency_ms_or_cpu_m = item.latency_ms_or_cpu_m
@@ -234,5 +234,6 @@
             task=item.task,
             run=item.run,
             worker=worker.id,
+            incarnation=worker.entry.incarnation,
         )
         self._owner.commands.send_stop_unknown(worker, item.task, item.run)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/calls/fenced_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/calls/fenced_tests.py
@@ -19,10 +19,13 @@
     Rejected,
     WorkerReport,
 )
-from fulmarleverd.scheduling.specs import WorkerEntry
+from fulmarleverd.scheduling.specs import WorkerEntry, WorkerKey
 from fulmarleverd.scheduling.term.lease import TOKENS_PER_TERM
 
 ENTRY = WorkerEntry("w1", "7", "desk", "w1:1", "z", 32000, 128000)
+SAME = WorkerKey("w1", "7")
+NEXT = WorkerKey("w1", "8")
+OTHER = WorkerKey("w2", "8")
 
 
 class Lease:
@@ -118,6 +121,7 @@
             )
             for kind, expected in kinds:
                 now = self.clock.now
-                self.assertEqual(kind.may_reach("w1", now), expected)
-                self.assertFalse(kind.may_reach("w1", now + MAX_LATE_S + 0.1))
-                self.assertFalse(kind.may_reach("w2", now))
+                self.assertEqual(kind.may_reach(NEXT, now), expected)
+                self.assertFalse(kind.may_reach(NEXT, now + MAX_LATE_S + 0.1))
+                self.assertFalse(kind.may_reach(OTHER, now))
+                self.assertFalse(kind.may_reach(SAME, now))
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/former_calls_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/former_calls_tests.py
@@ -14,7 +14,7 @@
     OtherIncarnation,
     WorkerReport,
 )
-from fulmarleverd.scheduling.specs import StepSpec, WorkerEntry
+from fulmarleverd.scheduling.specs import StepSpec, WorkerEntry, WorkerKey
 from fulmarleverd.scheduling.workers.fleet import Worker
 from fulmarleverd.scheduling.workers.worker_commands import WorkerCommands
 from fulmarleverd.tests.scheduling.base import OwnerTestCase
@@ -37,7 +37,7 @@
         run.has_begun = False
         run.may_arrive_late = True
         run.sent_s = run.last_sent_s = worker.lease_granted_at_s = self.clock.now
-        with self.owner.outstanding_calls.sending(worker.id, False):
+        with self.owner.outstanding_calls.sending(worker.key, False):
             pass
         return run
 
@@ -145,7 +145,7 @@
             self.setUp()
             worker = self.workers[0]
             self.report(worker)
-            with self.owner.outstanding_calls.sending("w1", False):
+            with self.owner.outstanding_calls.sending(WorkerKey("w1", "1"), False):
                 pass
             restart(worker)
             following = self.add_worker("w1", incarnation="2")
@@ -169,7 +169,7 @@
         It reports after some seconds.
         """
         self.report(self.workers[0])
-        with self.owner.outstanding_calls.sending("w1", True):
+        with self.owner.outstanding_calls.sending(WorkerKey("w1", "1"), True):
             pass
         self.clock.advance(0.6)
         worker = self.add_worker("w1", incarnation="2")
@@ -201,6 +201,18 @@
         self.report(worker, (run, 1.0, 0.0))
         self.assertEqual(self.commands.stops, [run])
 
+    def test_a_run_that_moved_there_is_stopped(self):
+        former = self.workers[0]
+        self.report(former)
+        run = self.send_unanswered(former)
+        run.state = RunState.RUNNING
+        with self.owner.outstanding_calls.sending(former.key, True):
+            pass
+        worker = self.add_worker("w1", incarnation="2")
+        self.report(worker, (run, 1.0, 0.0))
+        self.assertIs(run.worker, worker)
+        self.assertEqual(self.commands.stops, [run])
+
     # Guards against workers that get no runs for as long as they hide ends (LOST).
     def test_probes_double_while_their_ends_are_hidden(self):
         worker = self.restart_after_acknowledgement()
