Give the workers of two tests of the soak the number of their last end

Cause: the record of runs takes the number of an end from the worker's count instead of its list of reported ends, as an end that was acknowledged before it occurs is not in the list. They now fill both; what they check is the same.

Evidence: tests.soak.invariants_tests and idle_tests pass (5 tests).

--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/soak/idle_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/soak/idle_tests.py
@@ -37,6 +37,7 @@
 
     def end(self, task: str, outcome: str = "done") -> None:
         del self.worker.running[(task, 1)]
+        self.worker.last_end_number = 1
         self.worker.ends.append([1, task, 1, outcome, ""])
         self.worker.on_end(self.worker, (task, 1), outcome)
 
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/soak/invariants_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/soak/invariants_tests.py
@@ -22,7 +22,8 @@
         if event == "start":
             worker.on_start(worker, (task, 1))
         else:
-            worker.ends.append([len(worker.ends) + 1, task, 1, event, ""])
+            worker.last_end_number += 1
+            worker.ends.append([worker.last_end_number, task, 1, event, ""])
             worker.on_end(worker, (task, 1), event)
 
 
