Draw calls for a worker's former life in the simulation

A start that arrives late in an evacuated zone counts from when it would have arrived, as nobody can recall it; starts that late_starts delays by 3 s count as before.

--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
@@ -85,6 +85,9 @@
     * ``loss``: the probability that a request or an answer is lost once and sent again.
     * ``transaction_s``: seconds that each transaction takes; the transactions of one
       partition run one after the other.
+
+    ``start_delay_s`` is how late the start is that a worker carries out at this moment,
+    0 if it is not among the ``late_calls``.
     """
 
     def __init__(self) -> None:
@@ -104,6 +107,7 @@
         self.is_store_down = False
         self.loss = 0.0
         self.transaction_s = 0.0
+        self.start_delay_s = 0.0
         self._partition_locks: defaultdict[str, asyncio.Lock] = defaultdict(
             asyncio.Lock
         )
@@ -208,8 +212,13 @@
         worker = self.workers.get(address)
         if worker is None:
             return Unavailable("connection refused")
+        if path == START_PATH and self.late_starts > 0:
+            self.late_starts -= 1
+            self._run_later(self._deliver(address, path, body, target))
+            await asyncio.Event().wait()
         if (late_s := self._take_late_s(address, path)) is not None:
-            self._run_later(self._deliver(address, path, body, target), late_s)
+            work = self._deliver(address, path, body, target, late_s)
+            self._run_later(work, late_s)
             await asyncio.Event().wait()
         status, answer = await worker.handle(path, body, target)
         if self.workers.get(address) is not worker:
@@ -218,18 +227,23 @@
         return Response(status, answer)
 
     def _take_late_s(self, address: str, path: str) -> float | None:
-        """Return how late a call to a worker arrives, ``None`` if it is not late."""
-        if path == START_PATH and self.late_starts > 0:
-            self.late_starts -= 1
-            return LATE_EFFECT_DELAY_S
+        """Return how late a call arrives, ``None`` if no ``late_calls`` name it."""
         delays_s = (calls.take_delay_s(address, path) for calls in self.late_calls)
         return next((delay_s for delay_s in delays_s if delay_s is not None), None)
 
-    async def _deliver(self, address: str, path: str, body: dict, target: str) -> None:
+    async def _deliver(
+        self, address: str, path: str, body: dict, target: str, late_s: float = 0.0
+    ) -> None:
         """Let the worker that lives at an address now carry out a late call."""
         worker = self.workers.get(address)
-        if worker is not None:
+        if worker is None:
+            return
+        # Starts are carried out without a wait, so no other call is mistaken for one.
+        self.start_delay_s = late_s if path == START_PATH else 0.0
+        try:
             await worker.handle(path, body, target)
+        finally:
+            self.start_delay_s = 0.0
 
     def _find_late_s(self, body: dict) -> float | None:
         """Return how late a transaction is that stores a late job or a late row."""
--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/server.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/server.py
@@ -25,6 +25,7 @@
     def __init__(self, network: Network) -> None:
         self.network = network
         self._runners: list[web.ServerRunner] = []
+        self._worker_servers: dict[str, web.Server] = {}
 
     async def close(self) -> None:
         """Close every server and its connections."""
@@ -49,7 +50,14 @@
                 "", request.method, address, request.path, body, target
             )
 
-        return await self._listen(call)
+        listening = await self._listen(call)
+        self._worker_servers[address] = self._runners[-1].server
+        return listening
+
+    def reset_worker(self, address: str) -> None:
+        """Abort the connections of a worker, as the end of its process does."""
+        for handler in self._worker_servers[address].connections:
+            handler.force_close()
 
     async def _listen(self, call: Call) -> str:
         async def handle(request: web.BaseRequest) -> web.StreamResponse:
--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/simulated_cluster.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/simulated_cluster.py
@@ -194,6 +194,10 @@
         runs then.
         """
         self.crash_worker(old)
+        return self.return_worker(old, entry_delay_s)
+
+    def return_worker(self, old: WorkerCore, entry_delay_s: float) -> WorkerCore:
+        """Begin another incarnation of a crashed worker under its id and address."""
         worker = WorkerCore(old.id, old.address, old.zone, old.born + 1)
         worker.task_duration_s = old.task_duration_s
         self.record.attach(worker)
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/simulation.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/simulation.py
@@ -203,6 +203,15 @@
             self.observed.record_crash(worker, is_proved=True)
             self._attach(self.cluster.restart_worker(worker, entry_delay_s))
 
+    async def crash_and_return(
+        self, worker: WorkerCore, down_s: float, entry_delay_s: float
+    ) -> None:
+        """Crash a worker, which returns under its id after ``down_s`` seconds."""
+        self.observed.record_crash(worker)
+        self.cluster.crash_worker(worker)
+        await asyncio.sleep(down_s)
+        self._attach(self.cluster.return_worker(worker, entry_delay_s))
+
     def _replace(self, worker: WorkerCore, cuts: set[tuple[str, str]]) -> None:
         self.cluster.network.cuts -= cuts
         self.cluster.network.store.remove("servers", worker.id)
