Let workers of the soak return while late calls for them are on their way

The end of a worker's process now closes its connections, and a late call is carried out by whoever lives at its address then.

The new fault has a generator of its own and an option, --no-returns, so that the seeds of before draw the same. It crashes workers that return within a second, leaves calls of all kinds to them unanswered and carries them out 2 to 12 s late, cuts the workers off from all daemons at times, for longer than their leases, and kills the owner meanwhile at times.

--- a/packages/fulmarlever_standins/fulmarlever_standins/commands/soak.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/commands/soak.py
@@ -25,6 +25,7 @@
             arguments.logs,
             starves=not arguments.no_starvation,
             evacuates=not arguments.no_evacuation,
+            returns=not arguments.no_returns,
         )
         print(result.summary(), flush=True)
         for line in result.violations:
--- a/packages/fulmarlever_standins/fulmarlever_standins/soak/deployment.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/deployment.py
@@ -10,6 +10,7 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
+from fulmarlever.outcomes import failed
 from fulmarlever_standins.authority.evacuations import (
     EvacuationObserver,
     is_store_disturbed,
@@ -23,6 +24,12 @@
 from fulmarlever_standins.topology import reserve_loopback_prefix
 from fulmarleverd.platform.formats import CONFIG_KEY, OPERATOR_TABLE, WORKERS_TABLE
 from fulmarleverd.platform.settings import SETTINGS_VARIABLE
+from fulmarleverd.scheduling.persistence.rows import (
+    LEASE_KEY,
+    LEASE_TABLE,
+    lease_row,
+    unpack_lease,
+)
 
 DAEMON = [sys.executable, "-m", "fulmarleverd", "--interface", "authority"]
 CALLER_PORT = 7100
@@ -192,7 +199,8 @@
 
         def on_start(worker: WorkerCore, key: RunKey) -> None:
             record_start(worker, key)
-            late_s = self.evacuations.late_s(worker)
+            # A start that arrives late counts from when it would have arrived.
+            late_s = self.evacuations.late_s(worker) - self.network.start_delay_s
             if late_s > 0.0:
                 self.late_starts.append(
                     f"{key[0]} run {key[1]} began on {worker.id} of the evacuated zone "
@@ -203,10 +211,14 @@
         self.network.add_worker(worker)
 
     def crash_worker(self, name: str) -> None:
-        """End an incarnation of a worker and its runs, without a report of the ends."""
+        """End an incarnation of a worker, its runs and its connections.
+
+        The ends of the runs are never reported.
+        """
         worker = self.workers[name]
         self.record.detach(worker)
         del self.network.workers[worker.address]
+        self._server.reset_worker(worker.address)
 
     def remove_worker_entry(self, name: str) -> None:
         """Remove the entry of a worker that has sent no heartbeat for too long."""
@@ -217,6 +229,13 @@
         old = self.workers[name]
         self._begin_incarnation(WorkerCore(old.id, old.address, old.zone, old.born + 1))
 
+    def find_owner(self) -> SoakDaemon | None:
+        """Return the daemon that the row of the scheduler's lease names, if any."""
+        value = self.network.store.value(LEASE_TABLE, LEASE_KEY)
+        row = unpack_lease(lease_row(value or b""))
+        vm = "" if failed(row) else row.vm
+        return next((daemon for daemon in self.daemons if daemon.name == vm), None)
+
     async def wait_until_ready(
         self, daemon: SoakDaemon, limit_s: float = READY_TIMEOUT_S
     ) -> None:
--- a/packages/fulmarlever_standins/fulmarlever_standins/soak/runner.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/runner.py
@@ -16,6 +16,7 @@
     evacuate,
     starve,
 )
+from fulmarlever_standins.soak.incarnation_faults import return_workers
 from fulmarlever_standins.soak.invariants import find_violations
 
 MIN_PAUSE_S = 0.1
@@ -53,7 +54,8 @@
 
     It applies faults for ``seconds``. The daemons write their logs to ``directory``.
     With ``starves``, one daemon after the other gets too little processor time; with
-    ``evacuates``, the operator evacuates zones.
+    ``evacuates``, the operator evacuates zones; with ``returns``, workers return under
+    their ids while calls for their former lives arrive late.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         *,
         starves: bool = False,
         evacuates: bool = False,
+        returns: bool = False,
     ) -> None:
         self.result = SoakResult(seed)
         self._seconds = seconds
@@ -77,6 +80,8 @@
         self._evacuation_rng = Random(seed + 3)
         self._starves = starves
         self._evacuates = evacuates
+        self._return_rng = Random(seed + 4)
+        self._returns = returns
 
     async def run(self) -> SoakResult:
         """Start the deployment, inject faults and check the invariants."""
@@ -91,6 +96,7 @@
                 self._inject_faults(),
                 self._starve_daemons(),
                 self._evacuate_zones(),
+                self._return_workers(),
             )
             watch.cancel()
             self._record_ended_processes()
@@ -147,6 +153,17 @@
         where = await evacuate(self._deployment, rng)
         self.result.faults.append(f"{at_s:6.2f} s evacuate: {where}")
 
+    async def _return_workers(self) -> None:
+        """Let workers return under their ids, again and again."""
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        rng = self._return_rng
+        await asyncio.sleep(FAULT_FREE_S)
+        while self._returns and loop.time() - started_s < self._seconds:
+            at_s = loop.time() - started_s
+            where = await return_workers(self._deployment, rng)
+            self.result.faults.append(f"{at_s:6.2f} s return: {where}")
+
     async def _watch_store(self) -> None:
         """Record while the store is disturbed, until cancelled."""
         while True:
@@ -176,6 +193,7 @@
     *,
     starves: bool = False,
     evacuates: bool = False,
+    returns: bool = False,
 ) -> SoakResult:
     """Run the soak test of one seed; see ``Soak``.
 
@@ -191,6 +209,7 @@
             Path(directory),
             starves=starves,
             evacuates=evacuates,
+            returns=returns,
         )
         result = await soak.run()
         if result.violations and logs is not None:
