--- /dev/null
+++ b/packages/fulmarlever/fulmarlever/tests/history/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ``fulmarlever.history``."""
--- a/packages/fulmarlever/fulmarlever/tests/job_history_tests.py
+++ b/packages/fulmarlever/fulmarlever/tests/history/job_history_tests.py
@@ -2,7 +2,9 @@
 
 import json
 
-from fulmarlever.job_history import MAX_HELD_TASKS, JobHistory, LogLine
+from fulmarlever.history import JobHistory
+from fulmarlever.history.causes import MAX_HELD_TASKS
+from fulmarlever.history.log_lines import LogLine
 from fulmarlever.tests.base import TableTestCase
 
 
--- a/packages/fulmarlever_cli/fulmarlever_cli/commands/explain.py
+++ b/packages/fulmarlever_cli/fulmarlever_cli/commands/explain.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from fulmarlever.job_history import JobHistory
+from fulmarlever.history import JobHistory
 from fulmarlever.outcomes import Refused
 from fulmarlever_cli.arguments import Explain
 from fulmarlever_cli.context import Context
--- a/packages/fulmarlever_standins/fulmarlever_standins/soak/invariants.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/invariants.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Iterator
 
-from fulmarlever.job_history import JobHistory
+from fulmarlever.history import JobHistory
 from fulmarlever_standins.processes import ProcessError
 from fulmarlever_standins.soak.callers import (
     FINAL_STATES,
