--- a/packages/fulmarlever/fulmarlever/history/causes.py
+++ b/packages/fulmarlever/fulmarlever/history/causes.py
@@ -56,7 +56,7 @@
     return f"runs repeated on {', '.join(workers)}: {'; '.join(parts)}"
 
 
-@CAUSES.register("3 not started")
+@CAUSES.register("4 not started")
 def explain_rejected_starts(history: JobHistory) -> str:
     """Explain runs that workers did not start."""
     counts = Counter(line.outcome for line in history.find("run-not-started"))
@@ -66,7 +66,7 @@
     return f"runs not started: {'; '.join(parts)}"
 
 
-@CAUSES.register("4 waited")
+@CAUSES.register("5 waited")
 def explain_waits(history: JobHistory) -> str:
     """Explain steps whose tasks waited long for a worker."""
     longest: dict[str, LogLine] = {}
@@ -96,7 +96,7 @@
     return f" ({change.event}: {change.outcome})" if change else ""
 
 
-@CAUSES.register("5 held")
+@CAUSES.register("6 held")
 def explain_held_tasks(history: JobHistory) -> str:
     """Explain tasks that were not planned, as their run was uncertain for long."""
     last: dict[tuple, LogLine] = {}
@@ -121,7 +121,7 @@
     return f"{run}, {line.outcome} for {line.fields.get('held_s')} s{change}"
 
 
-@CAUSES.register("6 owner changed")
+@CAUSES.register("8 owner changed")
 def explain_takeover(history: JobHistory) -> str:
     """Explain a change of the lease's owner while the job was open."""
     if not history.lines:
@@ -138,7 +138,7 @@
     return f"the scheduler's lease changed its owner while the job was open: {names}"
 
 
-@CAUSES.register("7 ended")
+@CAUSES.register("9 ended")
 def explain_end(history: JobHistory) -> str:
     """Explain a job that did not complete, or whose end is not in the logs."""
     ended = list(history.find("job-ended"))
--- a/packages/fulmarlever/fulmarlever/history/job_history.py
+++ b/packages/fulmarlever/fulmarlever/history/job_history.py
@@ -23,6 +23,7 @@
     {
         "commit-retry",
         "config-in-force",
+        "ends-left-out",
         "feed-history-gone",
         "feed-lost",
         "feed-regained",
@@ -37,8 +38,10 @@
         "worker-draining",
         "worker-lease-lapsed",
         "worker-lost",
+        "worker-may-hide-ends",
         "worker-misdirected",
         "worker-reached",
+        "worker-reports-ends",
         "worker-slow",
         "worker-unlisted",
         "worker-unreachable",
@@ -73,14 +76,14 @@
             if change.vm == line.vm and 0.0 <= line.at_s - change.at_s <= CONTEXT_S:
                 yield change
 
+    def changes_of(self, worker: str) -> Iterator[LogLine]:
+        """Yield the state changes that name a worker, in the order of time."""
+        return (c for c in self.state_changes if c.fields.get("worker") == worker)
+
     def last_change_of(self, worker: str, until: LogLine) -> LogLine | None:
         """Return the last state change that names a worker, up to a line."""
-        changes = (
-            change
-            for change in reversed(self.state_changes)
-            if change.at_s <= until.at_s and change.fields.get("worker") == worker
-        )
-        return next(changes, None)
+        changes = [c for c in self.changes_of(worker) if c.at_s <= until.at_s]
+        return changes[-1] if changes else None
 
     def causes(self) -> list[str]:
         """Return the sentence of each rule that applies, in the order of the rules."""
--- a/packages/fulmarlever/fulmarlever/tests/history/job_history_tests.py
+++ b/packages/fulmarlever/fulmarlever/tests/history/job_history_tests.py
@@ -1,23 +1,10 @@
 from __future__ import annotations
 
-import json
-
 from fulmarlever.history import JobHistory
 from fulmarlever.history.causes import MAX_HELD_TASKS
 from fulmarlever.history.log_lines import LogLine
 from fulmarlever.tests.base import TableTestCase
-
-
-def line(at_s: float, event: str, outcome: str = "", **fields: object) -> str:
-    """Return a log line in the format of the daemons."""
-    minutes, seconds = divmod(at_s, 60.0)
-    time = f"2026-01-01T00:{int(minutes):02}:{seconds:06.3f}+00:00"
-    data = {"time": time, "level": "INFO", "vm": "vm-1", "event": event, **fields}
-    return json.dumps({**data, "outcome": outcome}) + "\n"
-
-
-KNOWN = line(1, "job-known", job="j")
-DONE = line(9, "job-ended", "all tasks done", job="j", state="completed", age_s=8)
+from fulmarlever.tests.history.base import DONE, KNOWN, line
 
 
 class JobHistoryTests(TableTestCase):
