Name the incarnation of a worker in all lines about runs

An id names all incarnations of a worker, so a line about a run did not tell whether the former or the next one had it.

Test: decisions_tests, which fails without the field.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/decisions.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/decisions.py
@@ -21,5 +21,6 @@
         task=run.task.name,
         run=run.number,
         worker=run.worker_key.id,
+        incarnation=run.worker_key.incarnation,
         **inputs,
     ).info(outcome)
