Read both published rows of the owner in one way

OverloadReader and ForecastReader each read a row of the summary table now and then, remembered its version and treated it as stale after 3 s. PublishedRow does that for both; each names its key, its log event and how to decode it. One difference: a malformed overload row is logged once for each version, no longer at each read.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/overload.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/overload.py
@@ -8,13 +8,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections import defaultdict
 
-from loguru import logger as log
-
 from fulmarlever.clock import Clock
-from fulmarlever.outcomes import NotRun, failed
+from fulmarlever.outcomes import NotRun
+from fulmarleverd.scheduling.admission.published_row import PublishedRow
 from fulmarleverd.scheduling.decisions import record
 from fulmarleverd.scheduling.jobs.tasks import Job
 from fulmarleverd.scheduling.owner import Owner
@@ -22,11 +20,12 @@
     FORMAT_ERRORS,
     OVERLOAD_KEY,
     SUMMARY_TABLE,
+    BadRow,
     pack,
     unpack,
 )
 from fulmarleverd.scheduling.planning.start_rate import StartRate
-from fulmarleverd.scheduling.ports import ABSENT, Store, StoredRow
+from fulmarleverd.scheduling.ports import Store, StoredRow
 from fulmarleverd.scheduling.specs import QueueSpec
 
 # Seconds between two starts of one job while it is kept at work.
@@ -34,10 +33,6 @@
 # The overload ends once the work is less than this share of what can be started.
 END_SHARE = 0.8
 PUBLISH_PERIOD_S = 0.8
-# A row that is not written again for this long is left by an owner that is gone.
-STALE_S = 3.0
-READ_PERIOD_S = 0.8
-READ_TIMEOUT_S = 0.5
 RETRY_AFTER_S = 2.0
 STATUS_TOO_MANY_REQUESTS = 429
 
@@ -94,48 +89,26 @@
 class OverloadReader:
     """Tells a daemon whether new jobs of a queue are to be refused.
 
-    While jobs come in, the published row is read every ``READ_PERIOD_S`` seconds. No
-    job waits for that.
+    While jobs come in, the published row is read. No job waits for that.
     """
 
     def __init__(self, store: Store, clock: Clock) -> None:
-        self._store = store
-        self._clock = clock
-        self._read_at_s = float("-inf")
-        self._refused_from: int | None = None
-        self._version = ABSENT
-        self._changed_at_s = 0.0
-        self._reading: asyncio.Task | None = None
+        self._row = PublishedRow(
+            store, clock, OVERLOAD_KEY, "overload-unread", _unpack_priority
+        )
 
     def find_refusal(self, queue: QueueSpec) -> NotRun | None:
         """Return why a new job of a queue is refused now, None if it is accepted."""
-        now = self._clock.monotonic()
-        if now - self._read_at_s >= READ_PERIOD_S:
-            self._read_at_s = now
-            self._reading = asyncio.get_running_loop().create_task(self._read(now))
-        if self._refused_from is None or queue.priority < self._refused_from:
-            return None
-        if now - self._changed_at_s > STALE_S:
+        refused_from = self._row.current()
+        if refused_from is None or queue.priority < refused_from:
             return None
         reason = "the scheduler has more work than it can start in time"
         return NotRun(reason, RETRY_AFTER_S, STATUS_TOO_MANY_REQUESTS)
 
-    async def _read(self, now_s: float) -> None:
-        rows = await self._store.read(
-            SUMMARY_TABLE, OVERLOAD_KEY, OVERLOAD_KEY + "\0", READ_TIMEOUT_S
-        )
-        if failed(rows):
-            log.bind(event="overload-unread").info(rows.reason)
-            return
-        if not rows.rows:
-            self._refused_from = None
-            return
-        row = rows.rows[0]
-        if row.version != self._version:
-            self._version = row.version
-            self._changed_at_s = now_s
-        try:
-            self._refused_from = int(unpack(row.value)[0])
-        except FORMAT_ERRORS as exc:
-            log.bind(event="overload-unread").error(f"malformed row: {exc!r}")
-            self._refused_from = None
+
+def _unpack_priority(value: bytes) -> int | BadRow:
+    """Decode the row: the first priority whose jobs are refused."""
+    try:
+        return int(unpack(value)[0])
+    except FORMAT_ERRORS as exc:
+        return BadRow(f"malformed row: {exc!r}")
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/closed_loop.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/closed_loop.py
@@ -19,8 +19,8 @@
 from fulmarlever.outcomes import failed
 from fulmarleverd.scheduling.admission.forecast import Forecast
 from fulmarleverd.scheduling.admission.policy import AdmissionPolicy
+from fulmarleverd.scheduling.admission.published_row import READ_PERIOD_S, STALE_S
 from fulmarleverd.scheduling.admission.publisher import AdmissionPublisher
-from fulmarleverd.scheduling.admission.reader import READ_PERIOD_S, STALE_S
 from fulmarleverd.scheduling.admission.retries import RetrySchedule
 from fulmarleverd.scheduling.housekeeping import TICK_S
 from fulmarleverd.scheduling.jobs.runs import Run, RunState
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/overload_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/overload_tests.py
@@ -10,11 +10,10 @@
 from fulmarlever.outcomes import Unavailable
 from fulmarleverd.loop_delay import LoopDelay
 from fulmarleverd.scheduling.admission.overload import (
-    READ_PERIOD_S,
-    STALE_S,
     OverloadPublisher,
     OverloadReader,
 )
+from fulmarleverd.scheduling.admission.published_row import READ_PERIOD_S, STALE_S
 from fulmarleverd.scheduling.persistence.rows import (
     OVERLOAD_KEY,
     SUMMARY_TABLE,
@@ -111,7 +110,10 @@
         self.reads = 0
 
     def put(self, priority: int, version: int) -> None:
-        row = StoredRow(SUMMARY_TABLE, OVERLOAD_KEY, pack([priority]), version)
+        self.put_value(pack([priority]), version)
+
+    def put_value(self, value: bytes, version: int) -> None:
+        row = StoredRow(SUMMARY_TABLE, OVERLOAD_KEY, value, version)
         self.result = RowSet((row,), version)
 
     async def read(self, *args: object) -> object:
@@ -147,6 +149,17 @@
         self.store.put(2, 6)
         self.assertTrue(await self.is_refused())
 
+    async def test_missing_and_malformed_rows_refuse_nothing(self) -> None:
+        for version, value in enumerate((b"", b"\xc1", pack([]), pack(["x"])), start=1):
+            self.store.put(2, 2 * version)
+            self.assertTrue(await self.is_refused())
+            self.store.put_value(value, 2 * version + 1)
+            self.assertFalse(await self.is_refused(), value)
+        self.store.put(2, 100)
+        self.assertTrue(await self.is_refused())
+        self.store.result = RowSet((), 101)
+        self.assertFalse(await self.is_refused())
+
     async def test_without_an_answer_of_the_store_jobs_are_accepted_again(self) -> None:
         self.store.put(2, 5)
         self.assertTrue(await self.is_refused())
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/reader_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/reader_tests.py
@@ -10,11 +10,8 @@
 from fulmarlever.clock import ManualClock
 from fulmarlever.outcomes import Unavailable
 from fulmarleverd.scheduling.admission.forecast import Forecast, GroupLoad
-from fulmarleverd.scheduling.admission.reader import (
-    READ_PERIOD_S,
-    STALE_S,
-    ForecastReader,
-)
+from fulmarleverd.scheduling.admission.published_row import READ_PERIOD_S, STALE_S
+from fulmarleverd.scheduling.admission.reader import ForecastReader
 from fulmarleverd.scheduling.persistence.rows import ADMISSION_KEY, SUMMARY_TABLE, pack
 from fulmarleverd.scheduling.ports import RowSet, StoredRow
 
