--- a/packages/fulmarleverd/fulmarleverd/scheduling/run_times/learned_times.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/run_times/learned_times.py
@@ -51,6 +51,15 @@
 # No sum of samples is larger.
 MAX_SUM = 1e6
 ROUND_DIGITS = 4
+# The sums and mean errors, in the order in which they are stored.
+SUMS = (
+    "right",
+    "declared",
+    "declared_s",
+    "scaled_error",
+    "median_error",
+    "own_error",
+)
 
 
 class LearnedTimes:
@@ -69,12 +78,7 @@
 
     __slots__ = (
         "samples",
-        "right",
-        "declared",
-        "declared_s",
-        "scaled_error",
-        "median_error",
-        "own_error",
+        *SUMS,
         "ratios",
         "times_ms",
         "version",
@@ -280,16 +284,6 @@
         return learned
 
 
-SUMS = (
-    "right",
-    "declared",
-    "declared_s",
-    "scaled_error",
-    "median_error",
-    "own_error",
-)
-
-
 def is_right(declared_s: float, seconds: float) -> bool:
     """Return whether a run took its declared time, within the tolerance."""
     return abs(seconds - declared_s) <= max(TOLERANCE * declared_s, TOLERANCE_S)
