--- a/packages/fulmarlever/fulmarlever/history/incarnation_causes.py
+++ b/packages/fulmarlever/fulmarlever/history/incarnation_causes.py
@@ -16,6 +16,9 @@
 # A worker that has forgotten ends shows this by the number of the next end that it
 # reports, in the report that lacks a run or up to this long after it.
 NEXT_END_S = 30.0
+# A worker's first report tells whether it may have forgotten ends. It has not once it
+# reports an end, and its next incarnation says so anew.
+HIDING_CHANGES = ("worker-first-report", "worker-reports-ends", "worker-lost")
 # Limits the runs that one cause names.
 MAX_RUNS = 5
 
@@ -39,17 +42,15 @@
 
 def _find_evidence(history: JobHistory, dropped: LogLine) -> str:
     """Return why the worker of a dropped run may have forgotten its end, or ``""``."""
-    may_hide = ""
+    hides_ends = False
     for change in history.changes_of(str(dropped.fields.get("worker"))):
         delay_s = change.at_s - dropped.at_s
         if change.event == "ends-left-out" and abs(delay_s) <= NEXT_END_S:
             ends, number = change.fields.get("ends"), change.fields.get("number")
             return f"and {ends} ends before number {number} were never reported"
-        if delay_s <= 0.0 and change.event == "worker-may-hide-ends":
-            may_hide = f"when its worker had not reported an end: {change.outcome}"
-        elif delay_s <= 0.0 and change.event in ("worker-reports-ends", "worker-lost"):
-            may_hide = ""
-    return may_hide
+        if delay_s <= 0.0 and change.event in HIDING_CHANGES:
+            hides_ends = bool(change.fields.get("may_hide_ends"))
+    return "when its worker might not have reported an end" if hides_ends else ""
 
 
 @CAUSES.register("7 kept for the next incarnation")
--- a/packages/fulmarlever/fulmarlever/tests/history/incarnation_causes_tests.py
+++ b/packages/fulmarlever/fulmarlever/tests/history/incarnation_causes_tests.py
@@ -5,7 +5,8 @@
 from fulmarlever.tests.base import TableTestCase
 from fulmarlever.tests.history.base import DONE, KNOWN, line
 
-MAY_HIDE = line(3, "worker-may-hide-ends", "an acknowledgement", worker="w1")
+MAY_HIDE = line(3, "worker-first-report", worker="w1", may_hide_ends=True)
+HIDES_NONE = line(3, "worker-first-report", worker="w1", may_hide_ends=False)
 
 
 def dropped(at_s: float, outcome: str = MISSING, task: str = "j.0.0.1") -> str:
@@ -42,6 +43,7 @@
             f"{RUN}, when its",
         ),
         ("one may have come later", [dropped(2), MAY_HIDE], ""),
+        ("none may have come", [HIDES_NONE, dropped(5)], ""),
         (
             "the worker reports its ends",
             [MAY_HIDE, line(4, "worker-reports-ends", worker="w1"), dropped(5)],
