Split the handling of jobs from the scheduler's owner

OpenJobs in jobs/open_jobs.py has the open jobs, their occurrences, cancellations and ends. It does not know the owner, which it tells by two callbacks of runs that it found and jobs that ended. Renamed at the callers, in tests too: owner.cancel_job is owner.open_jobs.cancel, and so on. No change of behaviour.

--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/large_jobs_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/large_jobs_tests.py
@@ -15,7 +15,7 @@
 from fulmarlever_standins.authority.virtual_time import START_UNIX_TIME_S
 from fulmarlever_standins.tests.authority.base import SimulatedClusterTestCase
 from fulmarlever_standins.tests.authority.takeover_tests import kill_owner
-from fulmarleverd.scheduling.owner import MAX_WAITING_TASKS
+from fulmarleverd.scheduling.jobs.open_jobs import MAX_WAITING_TASKS
 from fulmarleverd.scheduling.planning.held_occurrences import MAX_OPEN_TASKS
 from fulmarleverd.scheduling.specs import JobSpec, StepSpec
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/publisher.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/publisher.py
@@ -123,7 +123,7 @@
             by_kind[job_kind(job)].append(job)
             if job.is_size_underserved:
                 self._underserved_at_s[job_key(job)] = now_s
-        for step in self._owner.ready_steps():
+        for step in self._owner.open_jobs.ready_steps():
             if not step.spec.is_long_running:
                 waiting[kind_of(step)].append(step)
         work_done = self._work_in_progress(runs, now_s) if waiting else {}
--- a/packages/fulmarleverd/fulmarleverd/scheduling/health/crashes.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/health/crashes.py
@@ -174,7 +174,7 @@
         crashes = task.crashes + task.unproven_crashes
         if task.crashes >= limit or crashes >= MAX_CRASHES:
             cause = f"{crashes} workers crashed after a start of task {task.name}"
-            self._owner.fail_job(job, cause)
+            self._owner.open_jobs.fail(job, cause)
 
     def must_wait(self, task: Task) -> bool:
         """Return whether a task may be started in isolation only for now.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
@@ -62,7 +62,7 @@
         """Do all periodic work that is due now."""
         owner = self._owner
         for job in list(owner.jobs.values()):
-            owner.open_due_occurrences(job)
+            owner.open_jobs.open_due_occurrences(job)
             self._store_begin(job)
         owner.size_classes.update(owner.jobs.values(), owner.now_s())
         owner.incarnations.retry_withheld()
@@ -152,11 +152,10 @@
         owner = self._owner
         kept_s = owner.bounds.status_kept_s + STATUS_MARGIN_S
         limit_s = owner.now_s() - kept_s
-        expired = [
-            job_id for job_id, ended_s in owner.ended_jobs.items() if ended_s < limit_s
-        ]
+        ended_at_s = owner.open_jobs.ended_at_s
+        expired = [job_id for job_id, at_s in ended_at_s.items() if at_s < limit_s]
         for job_id in expired:
-            del owner.ended_jobs[job_id]
+            del ended_at_s[job_id]
             for row in (job_row(job_id), progress_row(job_id), cancel_row(job_id)):
                 owner.commits.stage_row(replace(row, value=b""))
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -1,4 +1,4 @@
-"""The scheduler's state in the daemon that holds the lease: jobs, runs and workers.
+"""The scheduler's state in the daemon that holds the lease: runs and workers.
 
 The methods are called for changes in the store, for workers' reports and by the
 periodic housekeeping. Changes that must outlive the daemon are staged in the commit
@@ -8,35 +8,25 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from loguru import logger as log
-
 from fulmarlever.clock import Clock
-from fulmarlever.outcomes import failed
 from fulmarleverd.scheduling.calls.outstanding import OutstandingCalls
 from fulmarleverd.scheduling.calls.tokens import CallTokens
-from fulmarleverd.scheduling.cancellations.lone import LoneCancels
 from fulmarleverd.scheduling.decisions import record, record_run
 from fulmarleverd.scheduling.fairness.size_classes import SizeClasses
 from fulmarleverd.scheduling.health.crashes import CrashTracker
 from fulmarleverd.scheduling.health.failures import FailureTracker
+from fulmarleverd.scheduling.jobs.open_jobs import OpenJobs
 from fulmarleverd.scheduling.jobs.runs import Run, RunState
-from fulmarleverd.scheduling.jobs.tasks import Job, Step, Task
-from fulmarleverd.scheduling.metrics import FIRST_START_SECONDS, JOBS_OPEN
+from fulmarleverd.scheduling.jobs.tasks import Job, Task
+from fulmarleverd.scheduling.metrics import FIRST_START_SECONDS
 from fulmarleverd.scheduling.persistence.commits import CommitQueue
-from fulmarleverd.scheduling.persistence.progress_rows import (
-    StoredProgress,
-    restore_progress,
-)
 from fulmarleverd.scheduling.persistence.rows import (
-    CANCEL_SUFFIX,
-    JobRow,
     UnresponsiveWorker,
 )
 from fulmarleverd.scheduling.planning.obstacles import find_constraint_obstacle
-from fulmarleverd.scheduling.ports import StoredRow
 from fulmarleverd.scheduling.run_times import RunTimes
 from fulmarleverd.scheduling.specs import (
     NO_CONFIG,
@@ -53,29 +43,20 @@
 if TYPE_CHECKING:
     from fulmarleverd.scheduling.workers.worker_commands import WorkerCommands
 
-# A job that is this old counts as late in any case. A larger age may come from the
-# difference between the clocks of two VMs.
-MAX_RESTORED_AGE_S = 60.0
-NO_PROGRESS = StoredProgress()
 # Why a run is withdrawn from a worker.
 ZONE_EVACUATED = "its zone is evacuated"
-# A job whose occurrences have been due for long opens more of them only as its waiting
-# tasks get runs, so that its memory and the time of a plan are bounded.
-MAX_WAITING_TASKS = 1000
 
 
 class Owner:
     """The state of the scheduler during one term of the lease owner.
 
-    ``jobs`` are the open jobs by id. ``ended_jobs`` maps the ids of ended jobs to the
-    end's time in seconds on the clock of the leases. ``lone_cancels`` are cancellations
-    of jobs that are not stored. ``orphans`` are runs whose worker
-    is not known yet, in the order in which they were found. ``requested_copies`` holds
-    the tasks that need a second run, in the order of the requests. ``call_tokens`` are
-    the fencing tokens of calls to workers, ``outstanding_calls`` those that may still
-    be carried out. ``run_times`` are
-    the expected run times of tasks. ``failures`` decides which workers are distrusted
-    for failed runs. ``changed`` is set when the planner has to run again, and
+    ``open_jobs`` are the jobs that have not ended, ``jobs`` the same by id. ``orphans``
+    are runs whose worker is not known yet, in the order in which they were found.
+    ``requested_copies`` holds the tasks that need a second run, in the order of the
+    requests. ``call_tokens`` are the fencing tokens of calls to workers,
+    ``outstanding_calls`` those that may still be carried out. ``run_times`` are the
+    expected run times of tasks. ``failures`` decides which workers are distrusted for
+    failed runs. ``changed`` is set when the planner has to run again, and
     ``on_worker_added`` is called with each new incarnation of a worker. ``find_config``
     returns the operator's configuration.
     """
@@ -88,26 +69,26 @@
         self.clock = clock
         self.bounds = bounds
         self.fleet = Fleet(clock)
-        self.jobs: dict[str, Job] = {}
-        self.ended_jobs: dict[str, float] = {}
-        self.lone_cancels = LoneCancels()
         # Not a set, whose order would depend on memory addresses: the order decides
         # which of their tasks is started first.
         self.orphans: dict[Run, None] = {}
         self.requested_copies: dict[Task, None] = {}
         self.run_times = RunTimes()
         self.size_classes = SizeClasses(self.run_times)
+        self.changed = asyncio.Event()
+        self.open_jobs = OpenJobs(clock, commits, self.size_classes, self.changed)
+        self.open_jobs.on_run_found = self._attach_run
+        self.open_jobs.on_end = self._stop_runs
+        self.jobs = self.open_jobs.by_id
         self.call_tokens = CallTokens(lease)
         self.outstanding_calls = OutstandingCalls(clock)
         self.commands: WorkerCommands | None = None
-        self.changed = asyncio.Event()
         self.on_worker_added: Callable[[Worker], None] = lambda worker: None
         self.find_config: Callable[[], SchedulingConfig] = lambda: NO_CONFIG
         self.lease_ends = LeaseEnds(lease, clock, bounds)
         self.crashes = CrashTracker(self)
         self.failures = FailureTracker()
         self.incarnations = Incarnations(self)
-        commits.on_rejected = self.give_up_unstorable_job
 
     def now_s(self) -> float:
         """Return the time in seconds on the clock of the leases."""
@@ -117,83 +98,7 @@
         """Return the workers that do not answer but may still run tasks."""
         return self.lease_ends.unresponsive_workers(self.fleet, self.orphans)
 
-    # Jobs
-
-    def add_job(
-        self,
-        row: JobRow,
-        progress: StoredProgress = NO_PROGRESS,
-        is_new: bool = True,
-    ) -> None:
-        """Add a job with its committed progress, unless it is known already.
-
-        If the progress cannot be decoded, the job is logged and left out. A job read
-        from a snapshot is not new; its age is known only from the Unix times of two
-        VMs.
-        """
-        if row.spec.id in self.jobs or row.spec.id in self.ended_jobs:
-            return
-        is_cancelled = self.lone_cancels.take(row.spec.id)
-        job = Job(row)
-        job.progress_parts = progress.parts
-        error = restore_progress(job, progress.value) if progress.value else None
-        if failed(error):
-            log.bind(event="progress-unreadable", job=job.id).error(error.reason)
-            return
-        if job.is_final:
-            self.ended_jobs[job.id] = self.now_s()
-            return
-        age_s = 0.0 if is_new else self.clock.wall() - job.accepted_s
-        job.since_s = self.now_s() - min(max(0.0, age_s), MAX_RESTORED_AGE_S)
-        self.jobs[job.id] = job
-        JOBS_OPEN.set(len(self.jobs))
-        self.size_classes.classify_job(job)
-        self.open_due_occurrences(job)
-        job.sort_occurrences()
-        for run in job.runs():
-            run.state = RunState.RUNNING
-            run.is_speed_limit_known = False
-            self._attach_run(run)
-        record(
-            "job-known",
-            job=job.id,
-            queue=job.queue.name,
-            state=str(job.state),
-            kind=job.spec.steps[0].kind,
-            steps=len(job.spec.steps),
-            tasks=sum(step.count for step in job.spec.steps),
-            widest_cores=round(job.spec.widest_cpu_m / 1000.0, 1),
-            size_class=job.size_class,
-            age_s=round(self.now_s() - job.since_s, 3),
-            max_unavailable=job.spec.steps[0].max_unavailable,
-        )
-        self.changed.set()
-        if is_cancelled:
-            self.cancel_job(job.id)
-
-    def open_due_occurrences(self, job: Job) -> None:
-        """Create the steps of the occurrences that are due, and forget ended ones."""
-        if job.spec.repetitions:
-            job.retire_occurrences()
-        limit = max(0, MAX_WAITING_TASKS - job.tasks_per_occurrence)
-        while self.has_due_occurrence(job):
-            if job.occurrences and job.waiting_tasks > limit:
-                break
-            self.open_next_occurrence(job)
-
-    def has_due_occurrence(self, job: Job) -> bool:
-        """Return whether an occurrence of a job is due that has not been opened."""
-        job.skip_known_occurrences()
-        occurrence = job.next_occurrence
-        if occurrence >= job.spec.occurrences:
-            return False
-        return job.spec.due_s(occurrence) <= self.clock.wall()
-
-    def open_next_occurrence(self, job: Job) -> None:
-        """Create the steps of the next occurrence of a job."""
-        job.open_occurrence(job.next_occurrence)
-        job.next_occurrence += 1
-        self.changed.set()
+    # Runs
 
     def _attach_run(self, run: Run) -> None:
         """Add a run to its worker, or to the orphans until its worker is known."""
@@ -208,64 +113,6 @@
         run.uncertain_since_s = self.now_s()
         self.orphans[run] = None
 
-    def ready_steps(self) -> Iterator[Step]:
-        """Yield the steps of all open jobs that have tasks to start."""
-        for job in self.jobs.values():
-            yield from job.ready_steps()
-
-    def process_cancellation(self, row: StoredRow) -> None:
-        """Cancel the job of a cancellation's row, at once or once it is known."""
-        job_id = row.key.removesuffix(CANCEL_SUFFIX)
-        if job_id in self.jobs:
-            self.cancel_job(job_id)
-        elif job_id not in self.ended_jobs:
-            self.lone_cancels.add(row, self.now_s())
-
-    def cancel_job(self, job_id: str) -> None:
-        """Cancel a job and stop its runs."""
-        job = self.jobs.get(job_id)
-        if job is not None and not job.is_final:
-            job.is_cancelled = True
-            self.finish_job(job, "cancelled by its caller")
-
-    def fail_job(self, job: Job, cause: str) -> None:
-        """End a job as failed and stop its runs."""
-        if not job.is_final:
-            job.has_failed = True
-            self.finish_job(job, cause)
-
-    def give_up_unstorable_job(self, job: Job) -> None:
-        """End a job whose progress the store rejects, so that others go on."""
-        self.fail_job(job, "its progress is too large for the store")
-
-    def finish_job(self, job: Job, cause: str) -> None:
-        """Record the end of a job and stop its remaining runs."""
-        job.cause = cause
-        job.final_at_s = self.now_s()
-        self.ended_jobs[job.id] = job.final_at_s
-        del self.jobs[job.id]
-        JOBS_OPEN.set(len(self.jobs))
-        self.commits.stage(job)
-        age_s = round(job.final_at_s - job.since_s, 3)
-        self.size_classes.record_end(job, age_s)
-        began_s = job.first_start_s - job.since_s if job.first_start_s else None
-        record(
-            "job-ended",
-            cause,
-            job=job.id,
-            queue=job.queue.name,
-            state=str(job.state),
-            age_s=age_s,
-            hard_deadline_s=round(job.hard_deadline_s, 3),
-            size_class=job.size_class,
-            first_start_age_s=None if began_s is None else round(began_s, 3),
-            interrupted_runs=job.interrupted_runs,
-        )
-        for run in list(job.runs()):
-            self.stop_run(run, "job ended")
-
-    # Runs
-
     def assign(self, task: Task, worker: Worker, number: int = 0) -> Run:
         """Assign a task to a worker and send the start once this is committed.
 
@@ -341,6 +188,11 @@
             run.is_probe = True
             self.stop_run(run, "shows whether its worker reports ends")
 
+    def _stop_runs(self, job: Job) -> None:
+        """Stop all runs of a job that has ended."""
+        for run in list(job.runs()):
+            self.stop_run(run, "job ended")
+
     def may_move(self, run: Run) -> bool:
         """Return whether a run may be stopped so that its task starts again elsewhere.
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/backlog.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/backlog.py
@@ -55,7 +55,7 @@
         if now - self._load_recorded_at_s < LOAD_PERIOD_S:
             return
         self._load_recorded_at_s = now
-        waiting = list(self._owner.ready_steps())
+        waiting = list(self._owner.open_jobs.ready_steps())
         runs = [run for worker in self._owner.fleet for run in worker.runs.values()]
         self._record_load(waiting, runs)
         self._held_tasks.tick([*runs, *self._owner.orphans], now)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/held_occurrences.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/held_occurrences.py
@@ -35,8 +35,8 @@
         """Open the next occurrence of each job for which it is of use."""
         self._indexes = {}
         for job in self._owner.jobs.values():
-            if self._owner.has_due_occurrence(job) and self._is_of_use(job):
-                self._owner.open_next_occurrence(job)
+            if self._owner.open_jobs.has_due_occurrence(job) and self._is_of_use(job):
+                self._owner.open_jobs.open_next_occurrence(job)
 
     def _is_of_use(self, job: Job) -> bool:
         """Return whether a task of the next occurrence could start now."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/planner.py
@@ -110,7 +110,7 @@
     def _quotas(self, limit: int) -> Iterator[StartQuota]:
         """Yield the steps to start tasks of, the most urgent first."""
         now = self._owner.now_s()
-        ready = list(self._owner.ready_steps())
+        ready = list(self._owner.open_jobs.ready_steps())
         self._long_waits.update(ready, now)
         steps = [step for step in ready if self._may_start(step)]
         if self._start_rate is not None and self._start_rate.is_limiting:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/term/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/term/owner_term.py
@@ -123,7 +123,7 @@
             self.owner, self._planner, self._start_rate, interface.loop_delay
         )
         self._lone_cancels = LoneCancelRemover(
-            interface.store, self.owner.lone_cancels, clock
+            interface.store, self.owner.open_jobs.lone_cancels, clock
         )
         self._tasks: set[asyncio.Task] = set()
         self._has_jobs = asyncio.Event()
@@ -278,11 +278,11 @@
         cancels = [row for row in batch.rows if row.key.endswith(CANCEL_SUFFIX)]
         for row in cancels:
             if row.is_deleted:
-                self.owner.lone_cancels.forget_removed(row)
+                self.owner.open_jobs.lone_cancels.forget_removed(row)
             else:
-                self.owner.process_cancellation(row)
+                self.owner.open_jobs.process_cancellation(row)
         if batch.is_snapshot:
-            self.owner.lone_cancels.keep_only({row.key for row in cancels})
+            self.owner.open_jobs.lone_cancels.keep_only({row.key for row in cancels})
         for row in batch.rows:
             if not row.is_deleted and not row.key.endswith(CANCEL_SUFFIX):
                 self._add_job(row, progress, not batch.is_snapshot)
@@ -294,7 +294,7 @@
         if failed(job):
             log.bind(event="job-unreadable", job=row.key).error(job.reason)
             return
-        self.owner.add_job(job, join_progress(row.key, progress), is_new)
+        self.owner.open_jobs.add(job, join_progress(row.key, progress), is_new)
 
     async def _run_planner(self) -> None:
         while True:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/reports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/reports.py
@@ -188,7 +188,7 @@
                 self._owner.stop_run(copy, "another copy is done")
         job = step.job
         if job.id in self._owner.jobs and job.is_complete:
-            self._owner.finish_job(job, "all tasks done")
+            self._owner.open_jobs.finish(job, "all tasks done")
 
     def _handle_failed(self, worker: Worker, task: Task) -> None:
         """Count a failure of a task; the last attempt fails its job."""
@@ -202,7 +202,8 @@
         job = task.step.job
         is_limited = not task.step.spec.is_long_running
         if is_limited and task.failures >= job.queue.max_attempts:
-            owner.fail_job(job, f"task {task.name} has failed {task.failures} times")
+            cause = f"task {task.name} has failed {task.failures} times"
+            owner.open_jobs.fail(job, cause)
 
     def _update_running(self, worker: Worker, key: RunKey, item: RunningTask) -> None:
         run = worker.runs.get(key)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/closed_loop.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/closed_loop.py
@@ -275,7 +275,7 @@
         self._add(JobSpec(f"u{next(self._numbers)}", "", (step,)), URGENT)
 
     def _add(self, spec: JobSpec, queue: QueueSpec) -> None:
-        self.owner.add_job(JobRow(spec, queue, self.clock.now))
+        self.owner.open_jobs.add(JobRow(spec, queue, self.clock.now))
         job = self.jobs[spec.id] = self.owner.jobs[spec.id]
         if spec.id in self.outcomes:
             self.outcomes[spec.id].deadline_s = job.hard_deadline_s
@@ -304,7 +304,7 @@
         task.step.complete(task)
         job = task.step.job
         if job.is_complete and job.id in self.owner.jobs:
-            self.owner.finish_job(job, "")
+            self.owner.open_jobs.finish(job, "")
             self._record_end(job)
 
     def _record_end(self, job: Job) -> None:
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/publisher_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/publisher_tests.py
@@ -189,7 +189,7 @@
         for name, age_factor, bound in self.each(rows):
             self.publisher = AdmissionPublisher(self.owner, RunTimes())
             self.owner.jobs.clear()
-            self.owner.ended_jobs.clear()
+            self.owner.open_jobs.ended_at_s.clear()
             self.add_jobs(20)
             self.tick()
             wait_s = self.publisher.forecast.find(*KEY).wait_s(
@@ -201,7 +201,7 @@
                 for task in job.tasks():
                     task.step.complete(task)
                 job.since_s = self.clock.now - 2.0 - age_factor * wait_s
-                self.owner.finish_job(job, "")
+                self.owner.open_jobs.finish(job, "")
             self.tick()
             factor = self.tick().find(*KEY).factor
             self.assertAlmostEqual(factor, bound, 1)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/base.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/base.py
@@ -111,7 +111,7 @@
         return worker
 
     def add_job(self, job_id: str, *steps: StepSpec, queue: QueueSpec = QUEUE) -> Job:
-        self.owner.add_job(JobRow(JobSpec(job_id, "", steps), queue, 0.0))
+        self.owner.open_jobs.add(JobRow(JobSpec(job_id, "", steps), queue, 0.0))
         return self.owner.jobs[job_id]
 
     def start(self, job: Job, worker: Worker, step: int = 0, index: int = 0) -> Run:
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/fairness/fair_shares_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/fairness/fair_shares_tests.py
@@ -213,7 +213,7 @@
         best_effort = self.add_job("fill", StepSpec(cpu_m=1000, is_best_effort=True))
         task = best_effort.occurrences[0][0].tasks[0]
         self.assertIsNone(self.planner.find_obstacle(task, worker))
-        self.owner.cancel_job(job.id)
+        self.owner.open_jobs.cancel(job.id)
         self.clock.advance(RESERVATION_S)
         self.shares.tick()
         self.assertIsNone(worker.reserved_for)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/fairness/size_classes_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/fairness/size_classes_tests.py
@@ -71,7 +71,7 @@
                 self.miss_deadline(job)
             else:
                 job.unfinished_steps = 0
-                self.owner.finish_job(job, "done")
+                self.owner.open_jobs.finish(job, "done")
         small = self.add_job("small", step(1))
         self.owner.size_classes.update([large, small], self.owner.now_s())
         self.assertEqual(
@@ -92,7 +92,7 @@
         self.assertGreater(after, before)
         self.assertEqual(sum(stats._total), after)
         cancelled = self.add_job("cancelled", step(1))
-        self.owner.cancel_job(cancelled.id)
+        self.owner.open_jobs.cancel(cancelled.id)
         self.assertFalse(cancelled.is_outcome_counted)
 
     def test_long_running_jobs_are_not_counted(self):
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/health/failures_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/health/failures_tests.py
@@ -116,11 +116,11 @@
     def fail(self, jobs: int) -> None:
         """Let runs of some jobs fail on the first worker."""
         for _ in range(jobs):
-            name = f"failed{len(self.owner.ended_jobs)}"
+            name = f"failed{len(self.owner.open_jobs.ended_at_s)}"
             job = self.add_job(name, StepSpec(count=1, cpu_m=1))
             run = self.start(job, self.workers[0])
             self.report(self.workers[0], ends=((run, "failed"),))
-            self.owner.cancel_job(job.id)
+            self.owner.open_jobs.cancel(job.id)
 
     def test_a_worker_with_failures_of_several_jobs_gets_probes_alone(self):
         worker = self.workers[0]
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/persistence/progress_rows_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/persistence/progress_rows_tests.py
@@ -111,14 +111,14 @@
         self.setUp()
         spec = JobSpec("j", "payload", STEPS, self.REPETITIONS, 0.0, 1.0)
         row = JobRow(spec, QUEUE, 0.0)
-        self.owner.add_job(row)
+        self.owner.open_jobs.add(row)
         job = self.owner.jobs.pop("j")
         for occurrence, state in enumerate(states):
             task = job.occurrences[occurrence][0].tasks[0]
             OCCURRENCE_STATES[state](task)
             task.step.refresh(task)
             job.has_begun |= state != "waiting"
-        self.owner.add_job(row, StoredProgress(pack_progress(job)), is_new=False)
+        self.owner.open_jobs.add(row, StoredProgress(pack_progress(job)), is_new=False)
         self.assertEqual(facts(self.owner.jobs["j"]), facts(job))
 
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/backlog_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/backlog_tests.py
@@ -100,7 +100,7 @@
                     self.start(job, worker, index=index)
             self.pass_time(1.0 + LONG_WAIT_S)
             self.assertEqual(self.wait_lines()[-1][f"workers_{expected}"], 2)
-            self.owner.cancel_job(name)
+            self.owner.open_jobs.cancel(name)
 
     def test_line_counts_avoided_and_held_workers(self):
         def avoid(job):
@@ -128,7 +128,7 @@
             change(job)
             self.pass_time(1.0 + LONG_WAIT_S)
             self.assertEqual(self.wait_lines()[-1][f"workers_{expected}"], 1)
-            self.owner.cancel_job(name)
+            self.owner.open_jobs.cancel(name)
 
     # Distinguishes a hold that outlasts its reason from one that has just begun.
     def test_line_names_the_oldest_hold_with_its_age(self):
@@ -179,7 +179,7 @@
 
     def test_runs_of_ended_jobs_are_not_logged(self):
         self.start(self.add_job("j", SMALL), self.workers[0])
-        self.owner.cancel_job("j")
+        self.owner.open_jobs.cancel("j")
         self.pass_time(2 * LONG_HOLD_S)
         self.assertEqual(self.held_lines(), [])
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/low_headroom_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/low_headroom_tests.py
@@ -49,7 +49,7 @@
         self.clock.advance(waited_s)
         self.planner.plan()
         workers = [run.worker.id for run in job.runs()]
-        self.owner.cancel_job(job.id)
+        self.owner.open_jobs.cancel(job.id)
         return workers
 
     # Guards against a best-effort job that stands still for good, as the headroom of
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/placement_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/planning/placement_tests.py
@@ -119,7 +119,7 @@
             self.planner.plan()
             self.assertEqual(len(self.worker_ids(job)), expected)
             self.assertLessEqual({run.number for run in job.runs()}, {1})
-            self.owner.cancel_job(name)
+            self.owner.open_jobs.cancel(name)
 
     def test_step_waits_for_the_steps_that_it_depends_on(self):
         steps = (StepSpec(count=2, cpu_m=1), StepSpec(count=1, cpu_m=1, after=(0,)))
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/lease_ends_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/lease_ends_tests.py
@@ -80,7 +80,7 @@
         for number in range(MAX_UNRESPONSIVE_LISTED + 20):
             worker = self.add_worker(f"s{number}")
             row = JobRow(JobSpec(f"j{number}", "", (STEP,)), QUEUE, 0.0)
-            self.owner.add_job(row)
+            self.owner.open_jobs.add(row)
             self.start(self.owner.jobs[f"j{number}"], worker)
             worker.is_unresponsive = True
         self.assertEqual(len(self.seconds_left()), MAX_UNRESPONSIVE_LISTED)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/next_incarnation_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/next_incarnation_tests.py
@@ -45,7 +45,7 @@
         worker.remove(run)
         run.worker = None
         self.owner.orphans[run] = None
-        self.owner.cancel_job("j")
+        self.owner.open_jobs.cancel("j")
         self.assertEqual(self.commands.stops, [])
         next_incarnation = self.add_worker("w3", incarnation="2")
         self.assertEqual(self.commands.stops, [])
