Build the tracker of crashes without the owner

CrashTracker needs the fleet, the open jobs, the commits and a clock, and is given these. So health/crashes no longer imports the owner, which imports it. No change of behaviour.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/health/crashes.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/health/crashes.py
@@ -16,17 +16,16 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import TYPE_CHECKING
 
+from fulmarlever.clock import Clock
 from fulmarleverd.scheduling.decisions import record, record_run
 from fulmarleverd.scheduling.holds.hold import HoldReason
+from fulmarleverd.scheduling.jobs.open_jobs import OpenJobs
 from fulmarleverd.scheduling.jobs.runs import Run, RunState
 from fulmarleverd.scheduling.jobs.tasks import Job, Task
 from fulmarleverd.scheduling.metrics import CRASHES_SUSPECTED
-from fulmarleverd.scheduling.workers.fleet import CrashSuspects, Worker
-
-if TYPE_CHECKING:
-    from fulmarleverd.scheduling.owner import Owner
+from fulmarleverd.scheduling.persistence.commits import CommitQueue
+from fulmarleverd.scheduling.workers.fleet import CrashSuspects, Fleet, Worker
 
 # A run was started shortly before its worker fell silent if it was at most this long
 # before the worker's last answer.
@@ -72,8 +71,13 @@
 class CrashTracker:
     """Counts the crashes that tasks are suspected of, and isolates their next runs."""
 
-    def __init__(self, owner: Owner) -> None:
-        self._owner = owner
+    def __init__(
+        self, fleet: Fleet, open_jobs: OpenJobs, commits: CommitQueue, clock: Clock
+    ) -> None:
+        self._fleet = fleet
+        self._open_jobs = open_jobs
+        self._commits = commits
+        self._clock = clock
         # The recent isolations, by the id of the worker.
         self._isolations: dict[str, Isolation] = {}
         # By the worker's id: the job of the task that was last started there without
@@ -91,11 +95,11 @@
     def record_answer(self, worker: Worker) -> None:
         """Drop the suspects of a worker, and the suspicion of tasks long at work."""
         worker.crash_suspects = None
-        now = self._owner.now_s()
+        now = self._clock.boot()
         for run in worker.runs.values():
             if run.task.is_crash_suspect and _is_long_at_work(run, now):
                 run.task.crashes = run.task.unproven_crashes = 0
-                self._owner.commits.stage(run.task.step.job)
+                self._commits.stage(run.task.step.job)
 
     def _find_suspects(self, worker: Worker) -> CrashSuspects:
         """Return the tasks that were started last on a worker.
@@ -170,11 +174,11 @@
             suspects=suspects.count,
             recent=suspects.are_recent,
         )
-        self._owner.commits.stage(job)
+        self._commits.stage(job)
         crashes = task.crashes + task.unproven_crashes
         if task.crashes >= limit or crashes >= MAX_CRASHES:
             cause = f"{crashes} workers crashed after a start of task {task.name}"
-            self._owner.open_jobs.fail(job, cause)
+            self._open_jobs.fail(job, cause)
 
     def must_wait(self, task: Task) -> bool:
         """Return whether a task may be started in isolation only for now.
@@ -183,7 +187,7 @@
         """
         if task.crashes < MIN_CRASHES_TO_WAIT:
             return False
-        now = self._owner.now_s()
+        now = self._clock.boot()
         task.isolation_wanted_s = task.isolation_wanted_s or now
         return now - task.isolation_wanted_s < MAX_ISOLATION_WAIT_S
 
@@ -193,7 +197,7 @@
         Such a task of another job was started there shortly before. So if the worker
         crashes, the suspects belong to one job, and a job is given up as a whole.
         """
-        now = self._owner.now_s()
+        now = self._clock.boot()
         return {
             worker_id
             for worker_id, (other, started_s) in self._unisolated.items()
@@ -204,17 +208,17 @@
         """Note the start of a task that has waited for isolation in vain."""
         run.task.isolation_wanted_s = 0.0
         job = run.task.step.job
-        self._unisolated[run.worker.id] = job, self._owner.now_s()
+        self._unisolated[run.worker.id] = job, self._clock.boot()
 
     def may_isolate(self) -> bool:
         """Return whether one more worker may be isolated."""
-        now = self._owner.now_s()
+        now = self._clock.boot()
         self._isolations = {
             worker_id: isolation
             for worker_id, isolation in self._isolations.items()
             if now < isolation.until_s + ISOLATION_PAUSE_S
         }
-        most = max(1.0, MAX_ISOLATED_SHARE * len(self._owner.fleet))
+        most = max(1.0, MAX_ISOLATED_SHARE * len(self._fleet))
         return sum(item.until_s > now for item in self._isolations.values()) < most
 
     def recently_started_ids(self, workers: Iterable[Worker]) -> set[str]:
@@ -222,7 +226,7 @@
 
         Ask ``may_isolate`` first, which forgets the isolations that are long over.
         """
-        now = self._owner.now_s()
+        now = self._clock.boot()
         paused = {
             worker_id
             for worker_id, isolation in self._isolations.items()
@@ -233,7 +237,7 @@
 
     def isolate(self, run: Run) -> None:
         """Keep other runs from the worker of a suspect's run for a moment."""
-        now = self._owner.now_s()
+        now = self._clock.boot()
         earlier = self._isolations.get(run.worker.id)
         count = earlier.count + 1 if earlier else 1
         self._isolations[run.worker.id] = Isolation(now + ISOLATION_S, count)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -86,7 +86,7 @@
         self.on_worker_added: Callable[[Worker], None] = lambda worker: None
         self.find_config: Callable[[], SchedulingConfig] = lambda: NO_CONFIG
         self.lease_ends = LeaseEnds(lease, clock, bounds)
-        self.crashes = CrashTracker(self)
+        self.crashes = CrashTracker(self.fleet, self.open_jobs, commits, clock)
         self.failures = FailureTracker()
         self.incarnations = Incarnations(self)
 
