Describe the commands of the owner by a protocol

The owner knows what commands it gives, workers/worker_commands how to send them. So the owner no longer imports that module, which imports it. No change of behaviour.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -9,10 +9,10 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from fulmarlever.clock import Clock
 from fulmarleverd.scheduling.calls.outstanding import OutstandingCalls
+from fulmarleverd.scheduling.calls.run_commands import RunCommands
 from fulmarleverd.scheduling.calls.tokens import CallTokens
 from fulmarleverd.scheduling.decisions import record, record_run
 from fulmarleverd.scheduling.fairness.size_classes import SizeClasses
@@ -40,9 +40,6 @@
 from fulmarleverd.scheduling.workers.incarnations import Incarnations
 from fulmarleverd.scheduling.workers.lease_ends import LeaseEnds
 
-if TYPE_CHECKING:
-    from fulmarleverd.scheduling.workers.worker_commands import WorkerCommands
-
 # Why a run is withdrawn from a worker.
 ZONE_EVACUATED = "its zone is evacuated"
 
@@ -82,7 +79,7 @@
         self.jobs = self.open_jobs.by_id
         self.call_tokens = CallTokens(lease)
         self.outstanding_calls = OutstandingCalls(clock)
-        self.commands: WorkerCommands | None = None
+        self.commands: RunCommands | None = None
         self.on_worker_added: Callable[[Worker], None] = lambda worker: None
         self.find_config: Callable[[], SchedulingConfig] = lambda: NO_CONFIG
         self.lease_ends = LeaseEnds(lease, clock, bounds)
