Repeat a stop at the incarnation to which its run has moved

What callers could see (LOST): tasks that wait for good, and workers that get no runs.

A start that found another incarnation counted as one that may arrive late. And the clock of a worker does not begin at 0, so that the age taken from it was far too large and all such workers were probed.

Change: the next attempt of a stop goes to the worker that has the run then; a start that was not sent leaves nothing to stop; runs that were stopped before are no probes; the age comes from the time at which the incarnation started, as its report says.

Evidence: former_calls_tests.StopTests (2 tests) failed before.

--- a/packages/fulmarleverd/fulmarleverd/platform/workers.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/workers.py
@@ -199,6 +199,7 @@
         tuple(_running(row) for row in body.get("running") or ()),
         ended,
         has_more_ends=len(ended) >= MAX_ENDS_PER_REPORT,
+        born_s=require_count(body["born"]) / 1000.0,
     )
 
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/jobs/runs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/jobs/runs.py
@@ -180,5 +180,10 @@
         """Return whether this owner has planned the run, not an earlier one."""
         return self.sent_s > 0.0 or self.state is RunState.PLANNED
 
+    @property
+    def may_be_probe(self) -> bool:
+        """Return whether the run shows, or is about to, whether its end is reported."""
+        return self.is_probe or (self.is_own and self.state is not RunState.STOPPING)
+
     def __repr__(self) -> str:
         return f"Run({self.task.name}, {self.number}, {self.state})"
--- a/packages/fulmarleverd/fulmarleverd/scheduling/ports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/ports.py
@@ -191,8 +191,8 @@
 class WorkerReport:
     """A worker's answer to the extension of its lease.
 
-    ``clock_ms`` is the time of the worker's clock in milliseconds, which starts with
-    the incarnation. With
+    ``clock_ms`` is the time of the worker's clock in milliseconds, ``born_s`` the Unix
+    time at which this incarnation started. With
     ``has_more_ends`` the worker has ended further runs, which it reports once those in
     ``ended`` are acknowledged.
     """
@@ -202,6 +202,7 @@
     running: tuple[RunningTask, ...] = ()
     ended: tuple[EndedTask, ...] = ()
     has_more_ends: bool = False
+    born_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/fleet.py
@@ -247,7 +247,8 @@
 
     def accepts_probes(self) -> bool:
         """Return whether one more run may show whether the worker reports its ends."""
-        return sum(run.is_own for run in self.runs.values()) < self.probe_limit
+        probes = sum(run.may_be_probe for run in self.runs.values())
+        return probes < self.probe_limit
 
     def record_hidden_end(self) -> None:
         """Note that the worker has not reported the end of a run that was to show it.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
@@ -16,11 +16,7 @@
 from fulmarleverd.scheduling.jobs.runs import Run, RunState
 from fulmarleverd.scheduling.ports import OtherIncarnation, Rejected, WorkerReport
 from fulmarleverd.scheduling.specs import WorkerEntry, WorkerKey
-from fulmarleverd.scheduling.workers.fleet import (
-    MIN_CLOCK_RATE,
-    DisputedEntry,
-    Worker,
-)
+from fulmarleverd.scheduling.workers.fleet import DisputedEntry, Worker
 from fulmarleverd.scheduling.workers.withheld_entries import WithheldEntries
 
 if TYPE_CHECKING:
@@ -29,6 +25,8 @@
 
 # Longer than a worker takes to write its entry anew.
 DISPUTED_S = 3.0
+# How far the times of day of two VMs may usually be apart.
+WALL_TOLERANCE_S = 1.0
 # How long a worker that is not listed has for its first report.
 FIRST_REPORT_S = 3.0
 # An entry that is not believed is looked at again each time after this, in seconds, as
@@ -251,8 +249,7 @@
         this report the worker refuses their tokens.
         """
         owner = self._owner
-        # Its clock starts with it, and may be slow.
-        age_s = report.clock_ms / 1000.0 / MIN_CLOCK_RATE
+        age_s = max(0.0, owner.clock.wall() - report.born_s) + WALL_TOLERANCE_S
         born_s = owner.now_s() - age_s
         calls = owner.outstanding_calls
         may_be_earlier = owner.lease.may_have_earlier_calls(born_s, MAX_LATE_S)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_commands.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_commands.py
@@ -224,6 +224,8 @@
         if result.reason == REJECT_LEASE_OVER:
             return False
         if result.reason == REJECT_INCARNATION:
+            # This attempt has certainly not started the run.
+            self._prevent_start(run, result.reason)
             owner.incarnations.process_rejection(worker, result)
         elif result.reason == REJECT_RUN:
             # The run has already started and ended there, as the next report shows.
@@ -297,8 +299,8 @@
                 return
             record_run("run-stop-unanswered", run, result.reason)
             if isinstance(result, Rejected) and result.reason == REJECT_INCARNATION:
+                # The next attempt goes to the incarnation to which the run has moved.
                 self._owner.incarnations.process_rejection(worker, result)
-                return
             await asyncio.sleep(RETRY_S)
 
     def send_stop_unknown(self, worker: Worker, task: str, run: int) -> None:
--- a/packages/fulmarleverd/fulmarleverd/tests/platform/peer_check_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/platform/peer_check_tests.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 from fulmarlever.outcomes import OutcomeUnknown, Unavailable
+from fulmarleverd.platform import http
 from fulmarleverd.platform.http import HTTPClient, OtherPeer, PeerCheck, Response
 from fulmarleverd.platform.workers import AuthorityWorkers
 from fulmarleverd.scheduling.ports import Accepted, Command, OtherIncarnation
@@ -32,6 +33,10 @@
     async def asyncSetUp(self) -> None:
         self.client = HTTPClient("", 2)
         self.addCleanup(self.client.close)
+        # No test here is about the time that a connection takes.
+        patch = mock.patch.object(http, "CONNECT_TIMEOUT_S", 5.0)
+        patch.start()
+        self.addCleanup(patch.stop)
 
     async def serve(self, *scripts: bytes | None) -> str:
         """Start a server with the given scripts and return its address."""
@@ -112,8 +117,8 @@
     ) -> None:
         entry = WorkerEntry("w1", "7", "desk", "w1:1", "z", 32000, 128000)
         report = Response(200, {"clockMs": 5, "born": 7})
-        http = mock.Mock(call=mock.AsyncMock(return_value=report))
-        workers = AuthorityWorkers(http)
+        client = mock.Mock(call=mock.AsyncMock(return_value=report))
+        workers = AuthorityWorkers(client)
         command = Command("t", 1, 3)
         table = [
             ("start", lambda: workers.start(entry, command), True),
@@ -126,7 +131,7 @@
         for name, call, is_checked in table:
             with self.subTest(name):
                 await call()
-                check = http.call.await_args.args[-1]
+                check = client.call.await_args.args[-1]
                 self.assertEqual(check is not None, is_checked)
                 if check is not None:
                     self.assertEqual(check.expected, "7")
@@ -134,8 +139,8 @@
 
     async def test_another_incarnation_is_named(self) -> None:
         entry = WorkerEntry("w1", "7", "desk", "w1:1", "z", 32000, 128000)
-        http = mock.Mock(call=mock.AsyncMock(return_value=OtherPeer("8")))
-        result = await AuthorityWorkers(http).start(entry, Command("t", 1, 3))
+        client = mock.Mock(call=mock.AsyncMock(return_value=OtherPeer("8")))
+        result = await AuthorityWorkers(client).start(entry, Command("t", 1, 3))
         self.assertIsInstance(result, OtherIncarnation)
         self.assertNotIsInstance(result, Accepted)
         self.assertEqual(result.incarnation, "8")
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/former_calls_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/former_calls_tests.py
@@ -49,7 +49,8 @@
     def report_first(self, worker: Worker, age_s: float) -> None:
         """Process the first report of a worker that started some seconds ago."""
         incarnation = worker.entry.incarnation
-        report = WorkerReport(int(1000 * age_s), incarnation)
+        born_s = self.clock.wall() - age_s
+        report = WorkerReport(1000, incarnation, born_s=born_s)
         self.reports.process(worker, report, self.clock.now)
 
 
@@ -266,6 +267,51 @@
         self.assertTrue(worker.accepts_runs(self.clock.now))
 
 
+class StopTests(FormerCallsTestCase):
+    # Guards against tasks that wait for the end of a stopped run for good, as its stop
+    # was not sent to the incarnation to which the run had moved (LOST).
+    def test_a_stop_follows_its_run_to_the_next_incarnation(self):
+        sent: list[str] = []
+
+        class Calls:
+            async def stop(self, worker: WorkerEntry, command: Command) -> object:
+                sent.append(worker.incarnation)
+                is_next = worker.incarnation == "2"
+                return Accepted(1000) if is_next else OtherIncarnation("2")
+
+        self.report(self.workers[0])
+        run = self.send_unanswered(self.workers[0])
+        run.state = RunState.STOPPING
+
+        async def stop() -> None:
+            commands = WorkerCommands(self.owner, Calls())
+            commands.send_stop(run)
+            await asyncio.sleep(0.4)
+
+        self.lease.may_extend = True
+        asyncio.run(stop())
+        self.assertEqual(sent, ["1", "2"])
+
+    def test_a_start_that_finds_another_incarnation_was_not_carried_out(self):
+        class Calls:
+            async def start(self, worker: WorkerEntry, command: Command) -> object:
+                return OtherIncarnation("2")
+
+        self.report(self.workers[0])
+        self.lease.may_extend = True
+        run = self.start(self.add_job("j", STEP), self.workers[0])
+        run.state = RunState.PLANNED
+
+        async def start() -> None:
+            commands = WorkerCommands(self.owner, Calls())
+            commands.send_start(run)
+            await asyncio.sleep(0.05)
+
+        asyncio.run(start())
+        self.assertFalse(run.is_active)
+        self.assertTrue(run.task.is_waiting)
+
+
 class SpeedLimitTests(FormerCallsTestCase):
     # Guards against runs that stay paused, as two limits overtook one another (LOST).
     def test_a_limit_that_a_later_one_overtook_is_not_known(self):
