--- a/packages/fulmarlever_standins/fulmarlever_standins/soak/incarnation_faults.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/incarnation_faults.py
@@ -5,7 +5,11 @@
 import asyncio
 from random import Random
 
-from fulmarlever_standins.authority.network import LateCalls
+from fulmarlever_standins.authority.network import (
+    START_PATH,
+    WORKER_PATHS,
+    LateCalls,
+)
 from fulmarlever_standins.relay import LinkMode
 from fulmarlever_standins.soak.deployment import Deployment, SoakDaemon
 from fulmarlever_standins.soak.faults import restart
@@ -16,7 +20,7 @@
 MAX_LATE_CALLS = 6
 MAX_DOWN_S = 1.0
 # The longest cut is longer than the longest lease of a worker.
-CUTS_S = (0.0, 0.0, 4.0, 12.0)
+CUTS_S = (0.0, 4.0, 12.0, 12.0)
 # So long are the tasks that a worker starts after its return; longer than a lease.
 LONG_TASK_S = 12.0
 TASK_S = 0.5
@@ -36,10 +40,7 @@
     late = LateCalls((), addresses=addresses)
     deployment.network.late_calls.append(late)
     for _ in range(rng.randint(1, 4)):
-        late.delays_s += [
-            rng.uniform(MIN_LATE_S, MAX_LATE_S)
-            for _ in range(rng.randint(0, MAX_LATE_CALLS))
-        ]
+        _delay_next_calls(late, rng)
         await asyncio.sleep(rng.uniform(0.0, 3.0))
         rngs = [Random(rng.random()) for _ in names]
         await asyncio.gather(
@@ -53,6 +54,13 @@
     return " ".join(names)
 
 
+def _delay_next_calls(late: LateCalls, rng: Random) -> None:
+    """Draw how late the next calls are: calls of all kinds, or starts alone."""
+    late.paths = rng.choice((WORKER_PATHS, (START_PATH,)))
+    count = rng.randint(0, MAX_LATE_CALLS)
+    late.delays_s = [rng.uniform(MIN_LATE_S, MAX_LATE_S) for _ in range(count)]
+
+
 async def _return(deployment: Deployment, rng: Random, name: str) -> None:
     """Crash one worker, let it return within a second, and cut it off at times."""
     worker = deployment.workers[name]
