Let best-effort jobs take turns beside serving tasks

Cause: what the serving tasks leave went to whoever found headroom first. A job with runs started one task after the other, up to 17 at a time, while 57 jobs had none. A task that ended lost its place, as its worker had less headroom than a start asks for. A job's only run was paused, seldom resumed, and stopped after 2 s.

While under half of the cores are reserved, jobs without a run go first and those with runs wait; the next task of a job starts where the last one ended; an only run resumes at the headroom that lets it start and keeps its place for 6 s. A task that no worker could run keeps nobody waiting.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/interference/control.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/interference/control.py
@@ -13,6 +13,7 @@
 from fulmarleverd.scheduling.interference.target_log import log_target_crossing
 from fulmarleverd.scheduling.jobs.runs import HeadroomSample, Run, RunState
 from fulmarleverd.scheduling.owner import Owner
+from fulmarleverd.scheduling.planning.contention import Contention
 from fulmarleverd.scheduling.planning.placement import MIN_HEADROOM
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.scheduling.workers.fleet import Worker
@@ -38,6 +39,11 @@
 PAUSED_SPEED_PERCENT = 0
 FULL_SPEED_PERCENT = 100
 MAX_PAUSE_S = 2.0
+# While other jobs wait, the only run of a job keeps its place for longer: it would
+# hardly find another one.
+MAX_PAUSE_OF_ONLY_RUN_S = 6.0
+# How often the jobs that wait are counted.
+CONTENTION_PERIOD_S = 1.0
 # Tasks that take less headroom than this do not cause a lack of it.
 MIN_HEADROOM_TAKEN = 0.03
 
@@ -51,6 +57,8 @@
     def __init__(self, owner: Owner, model: InterferenceModel | None = None) -> None:
         self._owner = owner
         self.model = model or InterferenceModel()
+        self._contention = Contention(owner)
+        self._contention_at_s = owner.now_s()
 
     def process_report(self, worker: Worker) -> None:
         """Learn from the last report of a worker and set its speed limits."""
@@ -162,7 +170,9 @@
         for run in best_effort_runs(worker):
             if run.speed_limit_percent != FULL_SPEED_PERCENT:
                 spec = run.task.step.spec
-                taken = self._max_taken(spec, worker, MIN_HEADROOM_TO_RESUME)
+                has_turn = self._has_turn(run)
+                least = MIN_HEADROOM if has_turn else MIN_HEADROOM_TO_RESUME
+                taken = self._max_taken(spec, worker, least)
                 if taken is not None:
                     self._limit_speed(run, FULL_SPEED_PERCENT, worker, taken)
                     return
@@ -176,10 +186,23 @@
         """Stop tasks that have been paused for too long, to run them elsewhere."""
         for run in list(best_effort_runs(worker)):
             is_paused = run.speed_limit_percent == PAUSED_SPEED_PERCENT
-            is_long_paused = is_paused and now_s - run.paused_at_s > MAX_PAUSE_S
+            if not is_paused:
+                continue
+            most_s = MAX_PAUSE_OF_ONLY_RUN_S if self._has_turn(run) else MAX_PAUSE_S
+            is_long_paused = now_s - run.paused_at_s > most_s
             if is_long_paused and self._owner.may_move(run):
                 self._owner.stop_run(run, "paused for too long")
 
+    def _has_turn(self, run: Run) -> bool:
+        """Return whether a run is its job's only one, while other jobs have none."""
+        now = self._owner.now_s()
+        if now - self._contention_at_s >= CONTENTION_PERIOD_S:
+            self._contention_at_s = now
+            self._contention = Contention(self._owner)
+        job = run.task.step.job
+        waiting = self._contention.waiting_jobs(job.queue.service)
+        return job.run_count == 1 and waiting > 0
+
     def _limit_speed(
         self, run: Run, percent: int, worker: Worker, taken: float
     ) -> None:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/jobs/tasks.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/jobs/tasks.py
@@ -233,8 +233,8 @@
     ``first_start_s`` and ``last_start_s`` are when this owner first and last learned of
     such a start, ``last_end_s`` is when it last learned that a run is gone, 0 for
     never, and ``final_at_s`` when the job ended, all on the owner's clock; ``cause`` is
-    why it ended. ``interrupted_runs`` counts the runs at work that this owner stopped
-    or lost.
+    why it ended. ``last_run`` is the run that this owner assigned last.
+    ``interrupted_runs`` counts the runs at work that this owner stopped or lost.
 
     ``size_class`` is the class of the job's size among the jobs of its queue, from 0
     for small, ``is_outcome_counted`` whether its outcome is counted for that class, and
@@ -262,6 +262,7 @@
         "first_start_s",
         "last_start_s",
         "last_end_s",
+        "last_run",
         "interrupted_runs",
         "final_at_s",
         "cause",
@@ -289,6 +290,7 @@
         self.first_start_s = 0.0
         self.last_start_s = 0.0
         self.last_end_s = 0.0
+        self.last_run: Run | None = None
         self.interrupted_runs = 0
         self.final_at_s = 0.0
         self.cause = ""
@@ -339,6 +341,11 @@
         """Return whether any task has a run."""
         return any(step.unfinished_tasks > len(step.waiting) for step in self.steps())
 
+    @property
+    def run_count(self) -> int:
+        """Return how many tasks have a run."""
+        return sum(step.unfinished_tasks - len(step.waiting) for step in self.steps())
+
     @property
     def idle_since_s(self) -> float:
         """Return since when the job has had no run, if it has none.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -270,6 +270,7 @@
         worker.failures.record_start(worker.last_start_s)
         worker.add(run)
         job = task.step.job
+        job.last_run = run
         task.step.refresh(task)
         self.commits.stage(job)
         self.commits.after_commit(lambda: self.commands.send_start(run))
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/placement.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/placement.py
@@ -99,16 +99,31 @@
     task misses its target, or where the effect of an earlier start is not known yet.
     """
     headroom = min(worker.headroom_by_image.values(), default=MIN_HEADROOM)
-    if headroom < 1.0 or _has_idle_best_effort_run(worker):
+    if headroom < 1.0 or _has_unreported_best_effort_run(worker):
         return None
-    is_paused = headroom < MIN_HEADROOM
+    is_paused = headroom < MIN_HEADROOM or _has_paused_best_effort_run(worker)
     return (LOW_HEADROOM, is_paused, -worker.free_best_effort_cpu_m())
 
 
-def _has_idle_best_effort_run(worker: Worker) -> bool:
-    """Return whether a best-effort run is paused, or has no reported use of cores."""
+def kept_place_cost(spec: StepSpec, worker: Worker) -> tuple | None:
+    """Return the cost of a task that takes the place of an equal one that has ended."""
+    headroom = min(worker.headroom_by_image.values(), default=MIN_HEADROOM)
+    return None if headroom < MIN_HEADROOM else ()
+
+
+def _has_unreported_best_effort_run(worker: Worker) -> bool:
+    """Return whether a best-effort run at work has no reported use of cores."""
+    return any(
+        run.task.step.spec.is_best_effort
+        and run.speed_limit_percent
+        and not run.latency_ms_or_cpu_m
+        for run in worker.runs.values()
+    )
+
+
+def _has_paused_best_effort_run(worker: Worker) -> bool:
     return any(
-        run.task.step.spec.is_best_effort and not run.latency_ms_or_cpu_m
+        run.task.step.spec.is_best_effort and not run.speed_limit_percent
         for run in worker.runs.values()
     )
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/planner.py
@@ -28,11 +28,13 @@
 from fulmarleverd.scheduling.planning.placement import (
     PLACEMENTS,
     HeadroomTaken,
+    kept_place_cost,
     low_headroom_cost,
 )
 from fulmarleverd.scheduling.planning.start_rate import StartRate
 from fulmarleverd.scheduling.planning.tickets import TicketRequester, has_ticket
 from fulmarleverd.scheduling.planning.tolerances import Tolerances
+from fulmarleverd.scheduling.planning.turns import Turns
 from fulmarleverd.scheduling.planning.unplaced_sizes import UnplacedSizes
 from fulmarleverd.scheduling.planning.worker_search import batch_size, search_order
 from fulmarleverd.scheduling.specs import StepSpec
@@ -98,7 +100,10 @@
         for quota in self._quotas(limit):
             step = quota.step
             most = min(quota.limit, limit - started)
-            started += sum(1 for _ in self._start_step(step, most))
+            if self._start_in_place(step):
+                started += 1
+            else:
+                started += sum(1 for _ in self._start_step(step, most))
             if step.waiting and step.job.queue.needs_ticket:
                 lacking_tickets.append(step)
             if started >= limit:
@@ -109,8 +114,12 @@
 
     def _quotas(self, limit: int) -> Iterator[StartQuota]:
         """Yield the steps to start tasks of, the most urgent first."""
-        now = self._owner.now_s()
         ready = list(self._owner.ready_steps())
+        turns = Turns(self._owner, self._tolerances, ready)
+        yield from turns.limit(self._ordered_quotas(ready, limit))
+
+    def _ordered_quotas(self, ready: list[Step], limit: int) -> Iterator[StartQuota]:
+        now = self._owner.now_s()
         self._long_waits.update(ready, now)
         steps = [step for step in ready if self._may_start(step)]
         if self._start_rate is not None and self._start_rate.is_limiting:
@@ -260,6 +269,23 @@
                 self._tolerances.record_start(step.job)
                 yield task
 
+    def _start_in_place(self, step: Step) -> bool:
+        """Start a task where one of its job has just ended; return whether it did.
+
+        The other tasks wait for the next plan, in which the job has a run.
+        """
+        worker = self._tolerances.kept_place(step)
+        task = next(iter(step.waiting.values()), None)
+        if worker is None or task is None or task.is_crash_suspect:
+            return False
+        workers = self._with_ticket(step, [worker])
+        candidates = Candidates(step, workers, kept_place_cost, self._owner.now_s())
+        if candidates.place(task, self._owner.assign) is None:
+            return False
+        self._tolerances.record_start(step.job)
+        self._owner.changed.set()
+        return True
+
     def _place_suspect(self, task: Task, candidates: Candidates) -> Worker | None:
         """Start a task that may have crashed a worker, if possible in isolation."""
         crashes = self._owner.crashes
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/tolerances.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/tolerances.py
@@ -9,21 +9,26 @@
 from fulmarleverd.scheduling.health.tolerance import SOUND_ONLY, Tolerance
 from fulmarleverd.scheduling.jobs.tasks import Job, Step
 from fulmarleverd.scheduling.owner import Owner
+from fulmarleverd.scheduling.planning.contention import Contention
 from fulmarleverd.scheduling.planning.order import is_idle_for
+from fulmarleverd.scheduling.workers.fleet import Worker
 
 # A job without a run may use impaired workers this long after its last start or its
 # acceptance, and those with low headroom this long after its last run.
 IMPAIRED_WORKERS_AFTER_S = 1.5
 LOW_HEADROOM_AFTER_S = 1.5
-# Jobs wait for trusted workers with headroom while at least this share of a service's
-# cores is reserved: their runs would fail on others, or disturb serving tasks.
-BUSY_SHARE = 0.5
+# The next task of a job may take the place of its last one for this long, as the last
+# report shows the headroom beside that one.
+PLACE_KEPT_S = 0.5
 
 
 class Tolerances:
-    """The tolerances of steps during one plan of an owner."""
+    """The tolerances of steps during one plan of an owner.
 
-    __slots__ = ("_owner", "_impaired", "_is_busy", "_idle")
+    ``contention`` tells how busy services are, and how many best-effort jobs wait.
+    """
+
+    __slots__ = ("_owner", "_impaired", "contention", "_idle")
 
     def __init__(self, owner: Owner) -> None:
         self._owner = owner
@@ -32,7 +37,7 @@
             slow=any(worker.is_slow_at(now) for worker in owner.fleet),
             distrusted=any(worker.failures.is_distrusted for worker in owner.fleet),
         )
-        self._is_busy: dict[str, bool] = {}
+        self.contention = Contention(owner)
         # Whether a job is idle takes a look at all of its steps.
         self._idle: dict[str, bool] = {}
 
@@ -53,13 +58,32 @@
             return SOUND_ONLY
         if not self._is_idle(step.job):
             return SOUND_ONLY
-        has_room = not self._is_service_busy(step.job.queue.service)
+        has_room = not self.contention.is_busy(step.job.queue.service)
         return Tolerance(
             slow=self._impaired.slow,
             distrusted=self._impaired.distrusted and has_room,
             low_headroom=has_room and self._may_lower_headroom(step),
         )
 
+    def kept_place(self, step: Step) -> Worker | None:
+        """Return the worker where a task of a step takes the place of the job's last.
+
+        While others wait, a job whose task has just ended keeps its place: it does not
+        wait for headroom that it took itself. The image has to be the same.
+        """
+        job, spec = step.job, step.spec
+        run = job.last_run
+        if run is None or not spec.is_best_effort or spec.is_gang or job.has_runs:
+            return None
+        if self._owner.now_s() - job.last_end_s > PLACE_KEPT_S:
+            return None
+        if not run.task.is_done or run.task.step.spec.image != spec.image:
+            return None
+        # The job itself waits too.
+        if self.contention.waiting_jobs(job.queue.service) <= 1:
+            return None
+        return self._owner.fleet.find(run.worker_key)
+
     def record_start(self, job: Job) -> None:
         """Note that a task of a job has been started in this plan."""
         self._idle[job.id] = False
@@ -79,13 +103,3 @@
             return False
         idle_s = self._owner.now_s() - step.job.idle_since_s
         return idle_s >= LOW_HEADROOM_AFTER_S
-
-    def _is_service_busy(self, service: str) -> bool:
-        """Return whether half of the cores of a service are reserved."""
-        if service not in self._is_busy:
-            workers = self._owner.fleet.workers_of(service)
-            workers = [worker for worker in workers if worker.is_listed]
-            reserved_m = sum(worker.reserved_cpu_m for worker in workers)
-            total_m = sum(worker.entry.cpu_m for worker in workers)
-            self._is_busy[service] = reserved_m >= BUSY_SHARE * total_m
-        return self._is_busy[service]
