Stop moved runs anew, and bound the probes of workers that may hide ends

Change: a stop is sent again to the incarnation to which its run has moved, and an answer to a call changes only a run that is still on the worker that was called. Long-running tasks are neither probes nor stopped, only the missing end of a probe counts as hidden, probing ends after 10 s, and a probe is an unproven suspect of a crash. The token rises as another incarnation is removed, too. Large fleets sort probed workers last.

--- a/packages/fulmarleverd/fulmarleverd/scheduling/health/crashes.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/health/crashes.py
@@ -260,15 +260,17 @@
 
 
 def _is_at_work(run: Run) -> bool:
-    """Return whether the worker said that it runs a run, which nobody stops.
-
-    A probe is stopped in any case, so its stop does not show that it is over.
-    """
-    return run.has_begun and (run.state is RunState.RUNNING or run.is_probe)
+    """Return whether the worker said that it runs a run, which nobody stops."""
+    return run.has_begun and run.state is RunState.RUNNING
 
 
 def _is_unanswered(run: Run) -> bool:
-    """Return whether a start was sent that may have begun without an answer."""
+    """Return whether a run may be at work, though no answer shows it.
+
+    Its start got no answer, or it is a probe whose end may be hidden.
+    """
+    if run.is_probe:
+        return True
     if run.has_begun or run.state is RunState.PLANNED:
         return False
     return run.may_arrive_late or not run.is_refused
--- a/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from dataclasses import replace
 
+from fulmarleverd.scheduling.decisions import record
 from fulmarleverd.scheduling.health.trust import update_trust
 from fulmarleverd.scheduling.interference.model import InterferenceModel
 from fulmarleverd.scheduling.jobs.runs import Run, RunState
@@ -30,6 +31,9 @@
 STATUS_MARGIN_S = 30.0
 # Remaining runs are stopped this long before their draining worker shuts down.
 DRAIN_MARGIN_S = 1.0
+# A worker that may hide ends is used like any other after this time: runs that show
+# whether it does may never fit there.
+MAX_PROBED_S = 10.0
 SUMMARY_PERIOD_S = 0.8
 # Most jobs store another change sooner than this.
 BEGIN_STORED_AFTER_S = 0.5
@@ -92,6 +96,9 @@
             if not worker.is_listed and not owner.incarnations.is_awaited(worker):
                 owner.discard_worker(worker, "unlisted and without an answer")
             return
+        if worker.may_hide_ends and now - worker.first_answer_s >= MAX_PROBED_S:
+            worker.may_hide_ends = False
+            record("worker-probes-ended", worker=worker.id, probes=worker.probe_limit)
         if worker.entry.is_draining:
             for run in list(self._runs_to_stop(worker, now)):
                 owner.stop_run(run, "its worker is draining")
--- a/packages/fulmarleverd/fulmarleverd/scheduling/jobs/runs.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/jobs/runs.py
@@ -163,6 +163,7 @@
         """
         self.worker_key = worker_key
         self.has_begun = False
+        self.is_probe = False
         self.accepted_clock_ms = 0
         self.progress_percent = self.latency_ms_or_cpu_m = 0.0
         self.speed_limit_percent = 100
@@ -182,7 +183,9 @@
 
     @property
     def may_be_probe(self) -> bool:
-        """Return whether the run shows, or is about to, whether its end is reported."""
+        """Return whether the run is a probe, or is stopped as one once it begins."""
+        if self.task.step.spec.is_long_running:
+            return False
         return self.is_probe or (self.is_own and self.state is not RunState.STOPPING)
 
     def __repr__(self) -> str:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -181,8 +181,12 @@
             self.commands.send_stop(run)
 
     def stop_probe(self, run: Run) -> None:
-        """Stop a run that has begun where ends may be hidden; its end shows if so."""
-        if run.worker is not None and run.worker.may_hide_ends and run.is_own:
+        """Stop a run that has begun where ends may be hidden; its end shows if so.
+
+        A long-running task starts again however it ends, so its end need not show.
+        """
+        is_probed = run.worker is not None and run.worker.may_hide_ends
+        if is_probed and run.is_own and not run.task.step.spec.is_long_running:
             run.is_probe = True
             self.stop_run(run, "shows whether its worker reports ends")
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/planner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/planner.py
@@ -210,9 +210,9 @@
         if size is not None and len(workers) > size:
             workers = search_order(step.spec, workers, self._plans)
         now = self._owner.now_s()
-        if self._tolerances.has_impaired_workers and size is not None:
+        if self._tolerances.has_last_workers and size is not None:
             # The search ends with the first batches.
-            workers = sorted(workers, key=lambda worker: worker.is_impaired_at(now))
+            workers = sorted(workers, key=lambda worker: worker.comes_last_at(now))
         tolerance = self._tolerances.find(step)
         found = Candidates(step, workers, self._cost, now, size, tasks, tolerance)
         if tolerance.low_headroom and found.is_empty:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/planning/tolerances.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/planning/tolerances.py
@@ -28,7 +28,7 @@
     ``contention`` tells how busy services are, and how many best-effort jobs wait.
     """
 
-    __slots__ = ("_owner", "_impaired", "contention", "_idle")
+    __slots__ = ("_owner", "_impaired", "_has_probed_workers", "contention", "_idle")
 
     def __init__(self, owner: Owner) -> None:
         self._owner = owner
@@ -37,6 +37,7 @@
             slow=any(worker.is_slow_at(now) for worker in owner.fleet),
             distrusted=any(worker.failures.is_distrusted for worker in owner.fleet),
         )
+        self._has_probed_workers = any(worker.may_hide_ends for worker in owner.fleet)
         self.contention = Contention(owner)
         # Whether a job is idle takes a look at all of its steps.
         self._idle: dict[str, bool] = {}
@@ -46,6 +47,11 @@
         """Return whether any worker was impaired when the plan began."""
         return self._impaired != SOUND_ONLY
 
+    @property
+    def has_last_workers(self) -> bool:
+        """Return whether other workers were preferred to any when the plan began."""
+        return self._has_probed_workers or self.has_impaired_workers
+
     def find(self, step: Step) -> Tolerance:
         """Return on which workers tasks of a step start rather than wait.
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
@@ -217,6 +217,7 @@
         owner = self._owner
         for other in owner.fleet.incarnations_of(worker.id):
             if other is not worker:
+                owner.call_tokens.rise(worker.id)
                 record(
                     "worker-lost",
                     "another life answers",
@@ -335,6 +336,10 @@
         owner.commits.stage(job)
         if run.state is RunState.SENT:
             owner.stop_run(run, "its worker has restarted")
+        elif run.state is RunState.STOPPING and run.confirmed_at_s < float("inf"):
+            # The former incarnation has accepted the stop, this one has not.
+            run.confirmed_at_s = float("inf")
+            owner.commands.send_stop(run)
 
 
 def _is_sole(worker: Worker, others: list[Worker], run: Run) -> bool:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/reports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/reports.py
@@ -85,7 +85,7 @@
 
     def _handle_missing_run(self, run: Run) -> None:
         """Drop a run that its worker lacks, or stop it if it may still start there."""
-        if run.worker.may_hide_ends and run.is_own:
+        if run.is_probe:
             run.worker.record_hidden_end()
         if run.may_arrive_late and run.state is RunState.RUNNING:
             # A worker rejects the start of a run that was stopped there.
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_commands.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/worker_commands.py
@@ -10,7 +10,7 @@
 
 from loguru import logger as log
 
-from fulmarlever.outcomes import LocalShortage, Unavailable
+from fulmarlever.outcomes import LocalShortage, OutcomeUnknown, Unavailable
 from fulmarleverd.scheduling.decisions import record, record_run
 from fulmarleverd.scheduling.holds.hold import HoldReason
 from fulmarleverd.scheduling.jobs.runs import Run, RunState
@@ -196,6 +196,10 @@
         """Update a run by the result of its start; return False to send it again."""
         owner = self._owner
         now = owner.now_s()
+        if run.worker is not worker:
+            # It has moved to the next incarnation, whose report tells of it.
+            run.may_arrive_late |= isinstance(result, OutcomeUnknown)
+            return True
         if isinstance(result, Accepted):
             # Another incarnation may have answered under the worker's id.
             run.has_begun = worker.has_expected_clock(result.clock_ms, now)
@@ -294,6 +298,9 @@
                 # Sent by whoever finds its worker again.
                 return
             result = await self._calls.stop(worker.entry, self._command(run, worker))
+            if run.worker is not worker:
+                # The answer tells nothing about the next incarnation.
+                continue
             if isinstance(result, Accepted):
                 run.confirmed_at_s = self._owner.now_s()
                 return
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/former_calls_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/former_calls_tests.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from fulmarleverd.scheduling.housekeeping import Housekeeping
+from fulmarleverd.scheduling.housekeeping import MAX_PROBED_S, Housekeeping
 from fulmarleverd.scheduling.interference.model import InterferenceModel
 from fulmarleverd.scheduling.jobs.runs import Run, RunState
 from fulmarleverd.scheduling.ports import (
@@ -223,6 +223,8 @@
                 self.assertTrue(worker.accepts_runs(self.clock.now))
                 run = self.start(job, worker, index=index)
                 run.sent_s = self.clock.now
+                self.owner.stop_probe(run)
+                run.confirmed_at_s = self.clock.now
             self.assertFalse(worker.accepts_runs(self.clock.now))
             self.clock.advance(0.1)
             self.report(worker)
@@ -234,6 +236,38 @@
         self.assertEqual(self.commands.stops, [])
         self.assertTrue(worker.accepts_runs(self.clock.now))
 
+    # Guards against gangs and tasks that wait for good, as no probe fits there (LOST).
+    def test_probing_ends(self):
+        worker = self.restart_after_acknowledgement()
+        self.clock.advance(MAX_PROBED_S + 0.1)
+        self.report(worker)
+        self.tick()
+        self.assertFalse(worker.may_hide_ends)
+
+    # Guards against runs at work of long-running jobs that are stopped (AVAIL).
+    def test_long_running_tasks_are_no_probes(self):
+        worker = self.restart_after_acknowledgement()
+        job = self.add_job("j", StepSpec(count=1, cpu_m=100, is_long_running=True))
+        run = self.start(job, worker)
+        run.sent_s = self.clock.now
+        self.owner.stop_probe(run)
+        self.assertEqual(self.commands.stops, [])
+        self.assertTrue(worker.accepts_runs(self.clock.now))
+
+    # Guards against many probes at once, whose ends may be hidden as well (TWICE).
+    def test_runs_of_the_former_incarnation_are_no_hidden_ends(self):
+        former = self.workers[0]
+        self.report(former)
+        for number in range(5):
+            run = self.start(self.add_job(f"j{number}", STEP), former)
+            run.sent_s = self.clock.now
+        with self.owner.outstanding_calls.sending(former.key, True):
+            pass
+        worker = self.add_worker("w1", incarnation="2")
+        self.report(worker)
+        self.assertTrue(worker.may_hide_ends)
+        self.assertEqual(worker.probe_limit, 1)
+
     def test_each_end_is_acknowledged_until_a_call_has_been_answered(self):
         worker = self.workers[0]
         self.assertEqual(worker.end_to_acknowledge(), 0)
@@ -292,6 +326,20 @@
         asyncio.run(stop())
         self.assertEqual(sent, ["1", "2"])
 
+    # Guards against a cancelled job that works on, as the stop that the former
+    # incarnation had accepted was believed of the next one (UNASKED).
+    def test_a_stop_is_sent_again_to_the_next_incarnation(self):
+        self.report(self.workers[0])
+        run = self.send_unanswered(self.workers[0])
+        self.owner.stop_run(run, "cancelled")
+        run.confirmed_at_s = self.clock.now
+        self.assertEqual(self.commands.stops, [run])
+        following = self.add_worker("w1", incarnation="2")
+        self.report(following, (run, 1.0, 0.0))
+        self.assertEqual(self.commands.stops, [run, run])
+        self.assertTrue(run.is_active)
+        self.assertEqual(run.confirmed_at_s, float("inf"))
+
     def test_a_start_that_finds_another_incarnation_was_not_carried_out(self):
         class Calls:
             async def start(self, worker: WorkerEntry, command: Command) -> object:
