Say plainly what a read-through of the change stumbled over

No change of behaviour. Linter clean; 39 tests of the modules concerned pass, the whole script was not run again.

--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/plan.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/plan.py
@@ -13,6 +13,8 @@
 import yaml
 
 from fulmarlever.outcomes import Failure
+
+# Registers its faults.
 from fulmarlever_standins.simulation import incarnation_faults  # noqa: F401
 from fulmarlever_standins.simulation.apart_faults import APART_FAULTS, EVACUATION
 from fulmarlever_standins.simulation.disruptions import POWER_LOSS
--- a/packages/fulmarleverd/fulmarleverd/platform/workers.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/workers.py
@@ -49,8 +49,8 @@
 # A worker reports at most this many ends at a time, the earliest ones.
 MAX_ENDS_PER_REPORT = 500
 REPORT_PATH = "/hold"
-# Carries the id of the worker that a call is meant for, which incarnations share.
-INCARNATION_HEADER = "X-Target-Instance"
+# Carries the id of the worker that a call is meant for, which its incarnations share.
+WORKER_ID_HEADER = "X-Target-Instance"
 
 REASONS = {
     "fence": REJECT_TOKEN,
@@ -153,7 +153,7 @@
 
 
 def _headers(worker: WorkerEntry) -> dict[str, str]:
-    return {INCARNATION_HEADER: worker.id}
+    return {WORKER_ID_HEADER: worker.id}
 
 
 def _check(worker: WorkerEntry, token: int) -> PeerCheck:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/calls/outstanding.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/calls/outstanding.py
@@ -2,7 +2,7 @@
 
 Such a call is carried out by whichever incarnation of the worker has the address when
 it arrives, unless that one has already seen a higher token. An acknowledgement of ended
-runs is the worst of them: a worker forgets the ends up to its number, also those still
+runs does the most harm: a worker forgets the ends up to its number, also those still
 to come, and each incarnation numbers its ends from 1.
 """
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/term/lease.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/term/lease.py
@@ -43,7 +43,8 @@
 from fulmarleverd.scheduling.specs import WorkerKey
 
 LEASE_S = 1.8
-# Each holder has as many fencing tokens, as the token of a worker's calls rises.
+# How many fencing tokens each holder has: within its term, the token of the calls to a
+# worker rises.
 TOKENS_PER_TERM = 1 << 16
 RENEW_PERIOD_S = 0.5
 ACQUIRE_POLL_S = 0.4
