--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -21,6 +21,14 @@
 from fulmarlever_standins.authority.worker import WorkerCore
 from fulmarlever_standins.topology import reserve_loopback_prefix
 
+from fulmarlever.outcomes import failed
+from fulmarleverd.scheduling.persistence.rows import (
+    LEASE_KEY,
+    LEASE_TABLE,
+    lease_row,
+    unpack_lease,
+)
+
 ROOT = Path(__file__).resolve().parent.parent
 CALLER_PORT, READY_PORT, METRICS_PORT = 8161, 8167, 7720
 HOST = "nony24.example"
@@ -130,8 +138,10 @@
         self.settings = directory / f"{name}.json"
         self.log = directory / f"{name}.log"
         self.process = None
+        self.store = ""
 
-    async def start(self, store):
+    async def start(self):
+        """Start the process with settings like those of a small deployment."""
         settings = {
             "nodeName": self.name,
             "role": "entry",
@@ -151,7 +161,7 @@
             "heartbeatMs": 1100,
             "bounds": BOUNDS,
             "controlMode": "call",
-            "platform": {"address": store, "form": "table", "rowBytes": 65536},
+            "platform": {"address": self.store, "form": "table", "rowBytes": 65536},
         }
         self.settings.write_text(json.dumps(settings))
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
@@ -195,7 +205,8 @@
         self.workers = {}
         self.phases = {}
         self.accepted = {}
-        self.cancelled = set()
+        # The ids of jobs of which a task has started.
+        self.begun = set()
         self.session = None
 
     async def start(self):
@@ -209,7 +220,8 @@
             ]
             self._begin(f"w{number}", address, rack)
         for daemon in self.daemons:
-            await daemon.start(await self.server.serve_store(daemon.name))
+            daemon.store = await self.server.serve_store(daemon.name)
+            await daemon.start()
         for daemon in self.daemons:
             await self._wait_until_ready(daemon)
         self.record.add("all daemons are ready")
@@ -242,7 +254,7 @@
             if worker.phase(task).get("longRunning")
             else worker.phase(task)["estimateMs"] / 1000.0
         )
-        worker.on_start = lambda w, key: self.record.add(f"{w.id} runs {key}")
+        worker.on_start = self._record_start
         self.workers[id] = worker
         number = id[1:]
         self.network.workers[f"worker-{number}"] = worker
@@ -253,6 +265,17 @@
             self.list_worker(worker)
         self.record.add(f"{id} is up at {address}, born {worker.born}")
 
+    def _record_start(self, worker, key):
+        self.begun.add(key[0].split(".")[0])
+        self.record.add(f"{worker.id} runs {key}")
+
+    def owner(self):
+        """Return the daemon that the row of the scheduler's lease names."""
+        value = self.network.store.value(LEASE_TABLE, LEASE_KEY) or b""
+        row = unpack_lease(lease_row(value))
+        vm = "" if failed(row) else row.vm
+        return next((d for d in self.daemons if d.name == vm), self.daemons[0])
+
     def list_worker(self, worker):
         entry = {**worker.entry(), "service": SERVICE}
         del entry["clockMs"]
