--- a/review/14/case.py
+++ b/review/14/case.py
@@ -17,7 +17,7 @@
 KILLS = 3
 # How long a killed daemon is down, and when its successor is killed after it took over.
 DOWN_S = 3.5
-KILL_AFTER_S = 0.15
+KILL_AFTER_S = 0.3
 VISIBLE_S = BOUNDS["visible_ms"] / 1000.0 + 2.0
 ASKED_S = 12.0
 ASK_PERIOD_S = 0.25
