--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,15 +1,21 @@
 """Daemons in touch tell that no job waits while owners are killed one after another."""
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins_3 import BOUNDS, HAS_TROUBLE, run_case  # noqa: E402
+from standins_3 import (  # noqa: E402
+    BOUNDS,
+    HAS_TROUBLE,
+    Daemon,
+    Deployment,
+    run_case,
+)
 
 QUEUE = "label-run"
+FILLING_JOB = "00000000000000aa"
 # Takes all workers for longer than the case lasts.
 FILLING = [{"count": 8, "cpu": 32000, "memMb": 1000, "estimateMs": 90000}]
 WAITING = [{"count": 1, "cpu": 8000, "memMb": 1000, "estimateMs": 500}]
@@ -23,70 +29,86 @@
 ASK_PERIOD_S = 0.25
 
 
-async def scenario(deployment):
-    record = deployment.record
-    if not await deployment.submit(QUEUE, "00000000000000aa", FILLING):
-        raise RuntimeError("the first job was not accepted")
+class Kills:
+    """Kills the owner, its successor and the next one; each starts again later."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self.names: set[str] = set()
+        self._deployment = deployment
+        self._restarts: list[asyncio.Task] = []
+
+    def kill_owner(self) -> None:
+        """Kill the owner and let it start again."""
+        owner = self._deployment.owner()
+        self.names.add(owner.name)
+        self._restarts.append(asyncio.ensure_future(self._kill_and_restart(owner)))
+
+    async def _kill_and_restart(self, daemon: Daemon) -> None:
+        record = self._deployment.record
+        record.add(f"kill {daemon.name}, which holds the scheduler's lease")
+        await daemon.kill()
+        await asyncio.sleep(DOWN_S)
+        record.add(f"start {daemon.name} again")
+        await daemon.start()
+
+    async def kill_successors(self) -> None:
+        """Kill the next owners shortly after they have taken over."""
+        for _ in range(KILLS - 1):
+            while self._deployment.owner().name in self.names:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(KILL_AFTER_S)
+            self.kill_owner()
+        await asyncio.gather(*self._restarts)
+
+
+async def scenario(deployment: Deployment) -> list[str]:
+    """Hand in jobs that wait, and ask how many do while owners are killed."""
+    await deployment.submit(QUEUE, FILLING_JOB, FILLING)
     await asyncio.sleep(6.0)
-    killed = set()
+    kills = Kills(deployment)
     if HAS_TROUBLE:
-        owner = deployment.owner()
-        killed.add(owner.name)
-        restarts = [asyncio.ensure_future(kill_and_restart(deployment, owner))]
+        kills.kill_owner()
     await asyncio.sleep(0.1)
     accepted_s = []
+    undisturbed = next(d for d in deployment.daemons if d.name not in kills.names)
     for number in range(JOBS):
-        undisturbed = next(d for d in deployment.daemons if d.name not in killed)
-        job_id = f"{number:016x}"
-        if await deployment.submit(QUEUE, job_id, WAITING, undisturbed):
-            accepted_s.append(record.now_s())
-    asking = asyncio.ensure_future(ask(deployment, killed, accepted_s))
+        await deployment.submit(QUEUE, f"{number:016x}", WAITING, undisturbed)
+        accepted_s.append(deployment.record.now_s())
+    asking = asyncio.ensure_future(ask(deployment, kills.names, accepted_s))
     if HAS_TROUBLE:
-        for _ in range(KILLS - 1):
-            while (owner := deployment.owner()).name in killed:
-                await asyncio.sleep(0.01)
-            await asyncio.sleep(KILL_AFTER_S)
-            killed.add(owner.name)
-            restarts.append(asyncio.ensure_future(kill_and_restart(deployment, owner)))
+        await kills.kill_successors()
     answers = await asking
-    if HAS_TROUBLE:
-        await asyncio.gather(*restarts)
-    begun = [job for job in deployment.begun if job != "00000000000000aa"]
-    if begun:
-        raise RuntimeError(f"jobs began: {begun}")
+    if deployment.begun != {FILLING_JOB}:
+        raise RuntimeError(f"jobs began: {deployment.begun}")
     return [
         f"MIXED at {at_s:.3f}: {name} gives pending {pending}, and {waiting} jobs that "
         f"have not begun were accepted over {VISIBLE_S} s before"
         for name, at_s, pending, waiting in answers
-        if name not in killed and pending < waiting / 2
+        if name not in kills.names and pending < waiting / 2
     ]
 
 
-async def kill_and_restart(deployment, daemon):
-    deployment.record.add(f"kill {daemon.name}, which holds the scheduler's lease")
-    daemon.signal(signal.SIGKILL)
-    await daemon.process.wait()
-    await asyncio.sleep(DOWN_S)
-    deployment.record.add(f"start {daemon.name} again")
-    await daemon.start()
-
+async def ask(
+    deployment: Deployment, killed: set[str], accepted_s: list[float]
+) -> list[tuple[str, float, int, int]]:
+    """Ask the daemons that have not been killed how many jobs wait.
 
-async def ask(deployment, killed, accepted_s):
-    """Ask the daemons that have not been killed how many jobs wait."""
+    Return for each answer the daemon, the time of the question, the number given and
+    that of the jobs which were accepted long enough before.
+    """
     answers = []
     until_s = deployment.record.now_s() + ASKED_S
     while deployment.record.now_s() < until_s:
         for daemon in deployment.daemons:
             if daemon.name in killed:
                 continue
-            # Jobs that were accepted long enough before the answer was asked for.
             asked_s = deployment.record.now_s()
             waiting = sum(asked_s - at_s > VISIBLE_S for at_s in accepted_s)
-            status, answer = await deployment.call("GET", QUEUE, "", daemon=daemon)
+            status, answer = await deployment.call("GET", QUEUE, "", daemon)
             if status == 200:
                 answers.append((daemon.name, asked_s, answer["pending"], waiting))
         await asyncio.sleep(ASK_PERIOD_S)
     return answers
 
 
-run_case(Path(__file__).resolve().parent, scenario, daemons=6, workers=8)
+run_case(__file__, scenario, daemons=6, workers=8)
