--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -142,6 +142,10 @@
             self.record.add(f"{self.id} end {key} {outcome}")
             super()._end(key, outcome)
 
+    def fail(self, key: RunKey) -> None:
+        """Let a run end as failed."""
+        self._end(key, "failed")
+
     def percent(self, run: WorkerRun) -> int:
         """Return the progress of a run."""
         return self._progress_percent(run)
@@ -326,9 +330,22 @@
             del self.network.workers[_served_name(id)]
             self.server.reset_worker(_served_name(id))
 
-    def restart(self, id: str, entry_delay_s: float = 0.0) -> None:
-        """Start a worker again under its id and address."""
+    def cut(self, id: str) -> None:
+        """Cut a worker off from the daemons; it still reaches the store."""
+        self.record.add(f"{id} is cut off")
+        self.network.cut("", _served_name(id))
+
+    def heal(self, id: str) -> None:
+        """End the cut of a worker."""
+        self.record.add(f"{id} is reached again")
         self.network.cuts.discard(("", _served_name(id)))
+
+    def restart(
+        self, id: str, entry_delay_s: float = 0.0, stays_cut: bool = False
+    ) -> None:
+        """Start a worker again under its id and address."""
+        if not stays_cut:
+            self.network.cuts.discard(("", _served_name(id)))
         self._begin(id, self.workers[id].address, entry_delay_s)
 
     # Daemons
