--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -513,6 +513,7 @@
         record.add(f"verdict: {'broken' if broken else 'held'}")
         return broken
 
+    signal.signal(signal.SIGTERM, _end_early)
     try:
         broken = asyncio.run(play())
     except Exception as exc:
@@ -524,6 +525,11 @@
     sys.exit(EXIT_BROKEN if broken else EXIT_HELD)
 
 
+def _end_early(number: int, frame: object) -> None:
+    """End the script; the processes that it started end with it."""
+    sys.exit(EXIT_NOT_RUN)
+
+
 def _keep_logs(deployment: Deployment) -> None:
     folder = os.environ.get("KEEP_LOGS")
     if not folder:
