Published rows say who wrote them, in which term and as of when

Callers of a daemon that had been idle were refused for up to 3 s more by the row of an owner long gone (rows overload and admission). Cause: the age of a row counted from when this daemon first read its version, and it reads only while jobs come.

A published row now holds the VM and the term of its writer and the time on the store's clock (nowMs of its answers) at which the value was right. A reader compares that with the time of the answer that brings the row, so a row that was first read late, written late or by an owner that was frozen shows its age; an unknown age counts as old. A row is believed for 4 s from when it was right, in place of 3 s from when it was first read, which was up to 4.3 s from the write.

Rows of earlier versions are not decoded: nothing is refused by them.

--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/store.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/store.py
@@ -78,7 +78,7 @@
         writes = [(_row_name(row), row["value"]) for row in body["setKeys"]]
         removed = [(_row_name(row), None) for row in body["remove"]]
         self._apply([*writes, *removed])
-        return 200, {"ver": self.version}
+        return 200, self._as_of_now()
 
     def put_json(self, table: str, key: str, value: object) -> None:
         """Write a value as JSON without conditions, as the operator and workers do."""
@@ -141,7 +141,7 @@
         limit = min(PAGE_ROWS, int(query.get("limit", PAGE_ROWS)))
         rows = [self._row_to_wire(name) for name in names[:limit]]
         has_more = len(names) > limit
-        return 200, {"rows": rows, "hasMore": has_more, "ver": self.version}
+        return 200, {"rows": rows, "hasMore": has_more, **self._as_of_now()}
 
     async def feed(self, query: dict) -> tuple:
         """Return the changes of a table after a version; wait for one if need be.
@@ -164,7 +164,12 @@
                 break
         if after < self._history_start_version:
             return 410, None
-        return 200, {"rows": rows, "ver": self.version}
+        return 200, {"rows": rows, **self._as_of_now()}
+
+    def _as_of_now(self) -> dict:
+        """Return the newest version and the time of the store's steady clock."""
+        now_s = asyncio.get_running_loop().time()
+        return {"ver": self.version, "nowMs": int(1000.0 * now_s)}
 
     def _changes(self, table: str, after: int) -> list[dict]:
         return [
--- a/packages/fulmarleverd/fulmarleverd/platform/store.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/store.py
@@ -127,11 +127,22 @@
     try:
         body = response.body
         rows = tuple(filter(None, map(_decode_readable, body.get("rows") or ())))
-        return RowSet(rows, int(body["ver"]), bool(body.get("hasMore")))
+        return RowSet(
+            rows,
+            int(body["ver"]),
+            bool(body.get("hasMore")),
+            _decode_time_s(body.get("nowMs")),
+        )
     except FORMAT_ERRORS as exc:
         return Unavailable(f"malformed answer of the store: {exc!r}")
 
 
+def _decode_time_s(milliseconds: Any) -> float | None:
+    """Return the time of the store's clock in seconds, ``None`` if it is not given."""
+    is_number = isinstance(milliseconds, int | float)
+    return milliseconds / 1000.0 if is_number else None
+
+
 def _encode_key(row: StoredRow) -> dict[str, str]:
     return {"table": row.table, "part": row.partition, "key": row.key}
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/forecast.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/forecast.py
@@ -302,13 +302,11 @@
         """Return the forecast for a group, ``None`` if its jobs need not wait."""
         return self.groups.get((service, priority, is_best_effort))
 
-    def to_data(self, wall_s: float, sequence: int) -> list:
-        """Return the forecast as plain data with its time and sequence number."""
+    def to_data(self) -> list:
+        """Return the forecast as plain data."""
         ratios = sorted(self.ratios.by_step.items())[:MAX_RATIOS]
         return [
             FORMAT_VERSION,
-            round(wall_s, 3),
-            sequence,
             [group.to_data() for group in self.groups.values()],
             [[queue, number, round(ratio, 3)] for (queue, number), ratio in ratios],
             [list(item) for item in sorted(self.underserved)],
@@ -318,7 +316,7 @@
     def unpack(cls, value: bytes) -> Forecast | Failure:
         """Decode the value of the row."""
         try:
-            version, _, _, groups, ratios, underserved = unpack(value)
+            version, groups, ratios, underserved = unpack(value)
             if version != FORMAT_VERSION:
                 return BadRow(f"forecast of version {version!r}")
             decoded = [GroupForecast.from_data(group) for group in groups]
--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/overload.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/overload.py
@@ -12,20 +12,19 @@
 
 from fulmarlever.clock import Clock
 from fulmarlever.outcomes import NotRun
-from fulmarleverd.scheduling.admission.published_row import PublishedRow
 from fulmarleverd.scheduling.decisions import record
 from fulmarleverd.scheduling.jobs.tasks import Job
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.persistence.rows import (
     FORMAT_ERRORS,
     OVERLOAD_KEY,
-    SUMMARY_TABLE,
     BadRow,
     pack,
     unpack,
 )
 from fulmarleverd.scheduling.planning.start_rate import StartRate
-from fulmarleverd.scheduling.ports import Store, StoredRow
+from fulmarleverd.scheduling.ports import Store
+from fulmarleverd.scheduling.published.row import PublishedRow
 from fulmarleverd.scheduling.specs import QueueSpec
 
 # Seconds between two starts of one job while it is kept at work.
@@ -59,9 +58,10 @@
         if has_changed or is_first or (refused_from is not None and is_due):
             self._refused_from = refused_from
             self._published_at_s = now
-            value = b"" if refused_from is None else pack([refused_from])
-            row = StoredRow(SUMMARY_TABLE, OVERLOAD_KEY, value)
-            self._owner.commits.stage_row(row)
+            if refused_from is None:
+                self._owner.withdraw(OVERLOAD_KEY)
+            else:
+                self._owner.publish(OVERLOAD_KEY, pack([refused_from]))
 
     def _find_refused_priority(self) -> int | None:
         """Return the most urgent priority whose jobs are too many, None for none."""
--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/publisher.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/publisher.py
@@ -29,10 +29,9 @@
 from fulmarleverd.scheduling.jobs.tasks import Job, JobState, Step
 from fulmarleverd.scheduling.metrics import ADMISSION_FORECAST_SECONDS
 from fulmarleverd.scheduling.owner import Owner
-from fulmarleverd.scheduling.persistence.rows import ADMISSION_KEY, SUMMARY_TABLE, pack
+from fulmarleverd.scheduling.persistence.rows import ADMISSION_KEY, pack
 from fulmarleverd.scheduling.planning.obstacles import OVERCOMMIT_SHARE
 from fulmarleverd.scheduling.planning.order import HARD_DEADLINE_FACTOR, Rank
-from fulmarleverd.scheduling.ports import StoredRow
 from fulmarleverd.scheduling.workers.fleet import Worker
 
 PUBLISH_PERIOD_S = 0.8
@@ -72,7 +71,6 @@
         self._underserved_at_s: dict[GroupKey, float] = {}
         self._published_at_s = float("-inf")
         self._is_empty = False
-        self._sequence = 0
         self.forecast = Forecast({}, StepRatios())
 
     def tick(self) -> None:
@@ -93,10 +91,7 @@
         if is_empty != self._is_empty:
             record("admission-forecast", **self._log_fields())
         self._is_empty = is_empty
-        self._sequence += 1
-        value = pack(self.forecast.to_data(self._owner.clock.wall(), self._sequence))
-        row = StoredRow(SUMMARY_TABLE, ADMISSION_KEY, value)
-        self._owner.commits.stage_row(row)
+        self._owner.publish(ADMISSION_KEY, pack(self.forecast.to_data()))
 
     def _update(self, now_s: float) -> None:
         jobs = [job for job in self._owner.jobs.values() if counts_in_forecast(job)]
--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/reader.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/admission/reader.py
@@ -4,9 +4,9 @@
 
 from fulmarlever.clock import Clock
 from fulmarleverd.scheduling.admission.forecast import Forecast
-from fulmarleverd.scheduling.admission.published_row import PublishedRow
 from fulmarleverd.scheduling.persistence.rows import ADMISSION_KEY
 from fulmarleverd.scheduling.ports import Store
+from fulmarleverd.scheduling.published.row import PublishedRow
 
 
 class ForecastReader(PublishedRow[Forecast]):
--- a/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/owner.py
@@ -24,9 +24,13 @@
 from fulmarleverd.scheduling.metrics import FIRST_START_SECONDS
 from fulmarleverd.scheduling.persistence.commits import CommitQueue
 from fulmarleverd.scheduling.persistence.rows import (
+    SUMMARY_TABLE,
     UnresponsiveWorker,
 )
+from fulmarleverd.scheduling.persistence.store_clock import StoreClock
 from fulmarleverd.scheduling.planning.obstacles import find_constraint_obstacle
+from fulmarleverd.scheduling.ports import StoredRow
+from fulmarleverd.scheduling.published.publication import Publication
 from fulmarleverd.scheduling.run_times import RunTimes
 from fulmarleverd.scheduling.specs import (
     NO_CONFIG,
@@ -52,10 +56,10 @@
     ``requested_copies`` holds the tasks that need a second run, in the order of the
     requests. ``call_tokens`` are the fencing tokens of calls to workers,
     ``outstanding_calls`` those that may still be carried out. ``run_times`` are the
-    expected run times of tasks. ``failures`` decides which workers are distrusted for
-    failed runs. ``changed`` is set when the planner has to run again, and
-    ``on_worker_added`` is called with each new incarnation of a worker. ``find_config``
-    returns the operator's configuration.
+    expected run times of tasks. ``store_clock`` tells the store's time. ``failures``
+    decides which workers are distrusted for failed runs. ``changed`` is set when the
+    planner has to run again, and ``on_worker_added`` is called with each new
+    incarnation of a worker. ``find_config`` returns the operator's configuration.
     """
 
     def __init__(
@@ -77,6 +81,7 @@
         self.open_jobs.on_run_found = self._attach_run
         self.open_jobs.on_end = self._stop_runs
         self.jobs = self.open_jobs.by_id
+        self.store_clock = StoreClock(clock)
         self.call_tokens = CallTokens(lease)
         self.outstanding_calls = OutstandingCalls(clock)
         self.commands: RunCommands | None = None
@@ -95,6 +100,18 @@
         """Return the workers that do not answer but may still run tasks."""
         return self.lease_ends.unresponsive_workers(self.fleet, self.orphans)
 
+    # Rows for all daemons
+
+    def publish(self, key: str, value: bytes) -> None:
+        """Publish a value that is right now in the row of a key."""
+        as_of_s = self.store_clock.now_s()
+        publication = Publication(self.lease.vm, self.lease.token, as_of_s, value)
+        self.commits.stage_row(publication.to_row(key))
+
+    def withdraw(self, key: str) -> None:
+        """Remove the published row of a key."""
+        self.commits.stage_row(StoredRow(SUMMARY_TABLE, key))
+
     # Runs
 
     def _attach_run(self, run: Run) -> None:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/persistence/feeds.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/persistence/feeds.py
@@ -30,12 +30,16 @@
 
     Rows that are missing from a snapshot do not exist any more; in a batch of changes,
     such rows are marked as deleted. ``requested_at_s`` is when the request was sent to
-    the store, in seconds on the boot clock.
+    the store, in seconds on the boot clock. All changes up to ``version`` are known
+    with a batch of changes, at ``store_time_s`` of the store's clock; a snapshot may
+    hold some later ones.
     """
 
     rows: tuple[StoredRow, ...]
     is_snapshot: bool
     requested_at_s: float
+    version: int = 0
+    store_time_s: float | None = None
 
 
 async def follow(
@@ -43,8 +47,9 @@
 ) -> AsyncIterator[Batch]:
     """Yield a snapshot of a table, then batches of changes, until cancelled.
 
-    A batch is empty if nothing has changed for ``wait_s`` seconds. Failed calls are
-    retried. A new snapshot follows if the store no longer has the history needed.
+    A batch is empty if nothing has changed for ``wait_s`` seconds, or since a snapshot.
+    Failed calls are retried. A new snapshot follows if the store no longer has the
+    history needed.
     """
     while True:
         requested_at_s = clock.boot()
@@ -53,7 +58,7 @@
             log.bind(event="feed-unread", table=table).warning(snapshot.reason)
             await asyncio.sleep(RETRY_S)
             continue
-        yield Batch(snapshot.rows, True, requested_at_s)
+        yield Batch(snapshot.rows, True, requested_at_s, snapshot.version)
         async for batch in _follow_changes(
             store, table, snapshot.version, clock, wait_s
         ):
@@ -64,9 +69,11 @@
     store: Store, table: str, version: int, clock: Clock, wait_s: float
 ) -> AsyncIterator[Batch]:
     is_failing = False
+    # What has changed while the snapshot was read is known at once.
+    next_wait_s = 0.0
     while True:
         requested_at_s = clock.boot()
-        found = await store.changes(table, version, wait_s)
+        found = await store.changes(table, version, next_wait_s)
         if isinstance(found, HistoryGone):
             log.bind(event="feed-history-gone", table=table, version=version).info(
                 found.reason
@@ -81,8 +88,9 @@
         if is_failing:
             log.bind(event="feed-regained", table=table, version=version).info("")
         is_failing = False
+        next_wait_s = wait_s
         version = max(version, found.version)
-        yield Batch(found.rows, False, requested_at_s)
+        yield Batch(found.rows, False, requested_at_s, version, found.store_time_s)
 
 
 async def read_all(store: Store, table: str) -> RowSet | Unavailable:
@@ -115,15 +123,24 @@
     """
     rows: list[StoredRow] = []
     version = -1
-    first_key = ""
-    while True:
-        page = await _read_page(store, table, first_key, partition)
+    async for page in read_pages(store, table, partition):
         if failed(page):
             return page
         rows += page.rows
         version = page.version if version < 0 else version
-        if not page.has_more or not page.rows:
-            return RowSet(tuple(rows), version)
+    return RowSet(tuple(rows), version)
+
+
+async def read_pages(
+    store: Store, table: str, partition: str
+) -> AsyncIterator[RowSet | Unavailable]:
+    """Yield the pages of a partition in order, and end with one that cannot be read."""
+    first_key = ""
+    while True:
+        page = await _read_page(store, table, first_key, partition)
+        yield page
+        if failed(page) or not page.has_more or not page.rows:
+            return
         first_key = page.rows[-1].key + "\0"
 
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/ports.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/ports.py
@@ -63,12 +63,14 @@
 class RowSet:
     """A page of rows as of one version of the store.
 
-    ``has_more`` tells that further rows follow the last one.
+    ``has_more`` tells that further rows follow the last one. ``store_time_s`` is the
+    time of the answer in seconds on the store's steady clock, ``None`` if not known.
     """
 
     rows: tuple[StoredRow, ...]
     version: int
     has_more: bool = False
+    store_time_s: float | None = None
 
 
 class TransactionRejected(Failure):
--- a/packages/fulmarleverd/fulmarleverd/scheduling/admission/published_row.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/published/row.py
@@ -11,12 +11,14 @@
 from fulmarlever.clock import Clock
 from fulmarlever.outcomes import Failure, failed
 from fulmarleverd.scheduling.persistence.rows import SUMMARY_TABLE
-from fulmarleverd.scheduling.ports import ABSENT, Store, StoredRow
+from fulmarleverd.scheduling.ports import ABSENT, RowSet, Store
+from fulmarleverd.scheduling.published.publication import Publication
 
 READ_PERIOD_S = 0.8
 READ_TIMEOUT_S = 0.5
-# A row that is not written again for this long is left by an owner that is gone.
-STALE_S = 3.0
+# Longer than an owner takes to renew a row and a daemon to read it. An older row is
+# left by an owner that is gone.
+STALE_S = 4.0
 Value = TypeVar("Value")
 
 
@@ -24,8 +26,10 @@
     """A published row, which is read every ``READ_PERIOD_S`` while it is asked for.
 
     Nobody waits for a read. ``event`` names the log lines about a row that cannot be
-    read, and ``decode`` returns the value of a row's bytes or a failure.
-    ``changed_at_s`` is when the present version was first read, on the steady clock.
+    read, and ``decode`` returns the value of a publication or a failure. The age of a
+    value counts on the store's clock from when its owner worked it out, whenever this
+    daemon first read it. ``changed_at_s`` is when the present version was first read,
+    on the steady clock.
     """
 
     __slots__ = (
@@ -37,6 +41,7 @@
         "_decode",
         "_value",
         "_version",
+        "_right_at_s",
         "_read_at_s",
         "_reading",
     )
@@ -57,39 +62,53 @@
         self._decode = decode
         self._value: Value | None = None
         self._version = ABSENT
+        # When the value was right, at the latest.
+        self._right_at_s = float("-inf")
         self._read_at_s = float("-inf")
         self._reading: asyncio.Task | None = None
 
     @property
     def age_s(self) -> float:
-        """Return the seconds since the present version was first read."""
-        return self._clock.monotonic() - self.changed_at_s
+        """Return the age of the value in seconds, infinity if it is not known."""
+        return self._clock.boot() - self._right_at_s
 
     def current(self) -> Value | None:
         """Return the value, ``None`` if it is unknown or not renewed."""
-        now = self._clock.monotonic()
+        now = self._clock.boot()
         if now - self._read_at_s >= READ_PERIOD_S:
             self._read_at_s = now
             self._reading = asyncio.get_running_loop().create_task(self._read(now))
-        return None if now - self.changed_at_s > STALE_S else self._value
+        return None if self.age_s > STALE_S else self._value
 
     async def _read(self, now_s: float) -> None:
-        rows = await self._store.read(
+        read = await self._store.read(
             SUMMARY_TABLE, self._key, self._key + "\0", READ_TIMEOUT_S
         )
-        if failed(rows):
-            log.bind(event=self._event).info(rows.reason)
-        elif not rows.rows:
+        if failed(read):
+            log.bind(event=self._event).info(read.reason)
+        elif not read.rows:
             self._value = None
-        elif rows.rows[0].version != self._version:
-            self._apply(rows.rows[0], now_s)
+            self._version = ABSENT
+        elif read.rows[0].version != self._version:
+            self._apply(read, now_s)
 
-    def _apply(self, row: StoredRow, now_s: float) -> None:
-        self._version = row.version
-        self.changed_at_s = now_s
-        value = self._decode(row.value)
+    def _apply(self, read: RowSet, asked_s: float) -> None:
+        """Use a version that has not been read before."""
+        self._version = read.rows[0].version
+        self.changed_at_s = self._clock.monotonic()
+        self._value = None
+        found = Publication.from_row(read.rows[0])
+        value = found if failed(found) else self._decode(found.value)
         if failed(value):
             log.bind(event=self._event).error(value.reason)
-            self._value = None
-        else:
-            self._value = value
+            return
+        # The store's time is from after the question, so this age is no underestimate.
+        self._right_at_s = asked_s - found.age_s(read)
+        self._value = value
+        log.bind(
+            event="published-row-read",
+            key=self._key,
+            vm=found.vm,
+            term=found.term,
+            age_s=round(self.age_s, 3),
+        ).debug("")
--- a/packages/fulmarleverd/fulmarleverd/scheduling/term/lease.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/term/lease.py
@@ -92,7 +92,7 @@
         "is_held",
         "_store",
         "_clock",
-        "_vm",
+        "vm",
         "_incarnation",
         "_sequence",
         "_watched_version",
@@ -115,7 +115,7 @@
         self.is_held = False
         self._store = store
         self._clock = clock
-        self._vm = vm
+        self.vm = vm
         self._incarnation = uuid4().hex[:12]
         self._sequence = 0
         self._watched_version = -1
@@ -219,7 +219,7 @@
 
     def _is_free(self, row: StoredRow, holder: LeaseRow) -> bool:
         now = self.clock_s()
-        if holder.vm in ("", self._vm):
+        if holder.vm in ("", self.vm):
             # The lease was released, or its holder is an earlier process of this VM,
             # which has ended.
             return True
@@ -236,11 +236,11 @@
         )
         self._sequence += 1
         value = pack_lease(
-            LeaseRow(self._vm, self._incarnation, token, self._sequence, unresponsive)
+            LeaseRow(self.vm, self._incarnation, token, self._sequence, unresponsive)
         )
         tx = Transaction([lease_row(version=row.version)], [lease_row(value)])
         sent_s = self.clock_s()
-        extensions_end_s = first_seen_s + _extension_window_s(holder, self._vm)
+        extensions_end_s = first_seen_s + _extension_window_s(holder, self.vm)
         self._record_take(row.version, value, LeaseTake(sent_s, extensions_end_s))
         result = await self._store.transact(tx, CALL_TIMEOUT_S)
         if isinstance(result, Committed):
@@ -296,7 +296,7 @@
         unresponsive = tuple(self.unresponsive_workers())
         self._unresponsive_in_value = frozenset(worker.key for worker in unresponsive)
         row = LeaseRow(
-            self._vm, self._incarnation, self.token, self._sequence, unresponsive
+            self.vm, self._incarnation, self.token, self._sequence, unresponsive
         )
         return pack_lease(row)
 
--- a/packages/fulmarleverd/fulmarleverd/scheduling/term/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/term/owner_term.py
@@ -188,7 +188,6 @@
         # not known.
         self._spawn(self._follow_jobs(progress))
         await self._has_jobs.wait()
-        # It publishes the number of waiting jobs, which does not depend on workers.
         self._spawn(self._run_housekeeping())
         self._spawn(self._lone_cancels.run())
         self._spawn(self._follow_workers())
@@ -269,8 +268,10 @@
             self.owner.incarnations.process_snapshot(listed)
 
     async def _follow_jobs(self, progress: dict[str, bytes]) -> None:
-        async for batch in follow(self._interface.store, JOBS_TABLE, self._clock):
+        store = self._interface.store
+        async for batch in follow(store, JOBS_TABLE, self._clock):
             self._apply_job_rows(batch, progress)
+            self.owner.store_clock.record(batch.store_time_s)
             self._has_jobs.set()
 
     def _apply_job_rows(self, batch: Batch, progress: dict[str, bytes]) -> None:
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/closed_loop.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/closed_loop.py
@@ -19,7 +19,6 @@
 from fulmarlever.outcomes import failed
 from fulmarleverd.scheduling.admission.forecast import Forecast
 from fulmarleverd.scheduling.admission.policy import AdmissionPolicy
-from fulmarleverd.scheduling.admission.published_row import READ_PERIOD_S, STALE_S
 from fulmarleverd.scheduling.admission.publisher import AdmissionPublisher
 from fulmarleverd.scheduling.admission.retries import RetrySchedule
 from fulmarleverd.scheduling.housekeeping import TICK_S
@@ -29,6 +28,7 @@
 from fulmarleverd.scheduling.persistence.rows import ADMISSION_KEY, JobRow
 from fulmarleverd.scheduling.planning.planner import Planner
 from fulmarleverd.scheduling.ports import StoredRow
+from fulmarleverd.scheduling.published.row import READ_PERIOD_S, STALE_S
 from fulmarleverd.scheduling.run_times import RunTimes
 from fulmarleverd.scheduling.specs import (
     Bounds,
@@ -42,6 +42,7 @@
     RecordedCommits,
     ValidLease,
 )
+from fulmarleverd.tests.scheduling.published.values import published_value
 
 STEP_S = 0.05
 # Jobs of the last seconds of the load have not ended when it does.
@@ -73,7 +74,7 @@
             if self.row is not self._seen:
                 self._seen = self.row
                 self.changed_at_s = self._clock.now
-                forecast = Forecast.unpack(self.row.value)
+                forecast = Forecast.unpack(published_value(self.row))
                 assert not failed(forecast), forecast
                 self._forecast = forecast
         return None if self.age_s > STALE_S else self._forecast
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/forecast_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/forecast_tests.py
@@ -171,7 +171,7 @@
         )
         ratios = StepRatios({("plans", 0): 1.5})
         forecast = Forecast.from_loads([load], {KEY: 0.5}, ratios, [("plans", 2)])
-        read = Forecast.unpack(pack(forecast.to_data(1.0, 7)))
+        read = Forecast.unpack(pack(forecast.to_data()))
         self.assertEqual(read.groups, forecast.groups)
         self.assertEqual(read.ratios.by_step, ratios.by_step)
         self.assertEqual(read.underserved, forecast.underserved)
@@ -186,37 +186,37 @@
         ratios = StepRatios({(f"queue-{n}", s): 1.5 for n in range(99) for s in (0, 1)})
         sizes = [(f"queue-{n}", 2) for n in range(500)]
         forecast = Forecast.from_loads(loads, {}, ratios, sizes)
-        data = forecast.to_data(1e9, 10**6)
+        data = forecast.to_data()
         self.assertLess(len(pack(data)), DEFAULT_ROW_BYTES / 2)
         self.assertEqual(len(forecast.groups), MAX_GROUPS)
-        self.assertLessEqual(len(data[4]), MAX_RATIOS)
+        self.assertLessEqual(len(data[2]), MAX_RATIOS)
         points = [len(group.points) for group in forecast.groups.values()]
         self.assertLessEqual(max(points), MAX_POINTS)
 
     def test_malformed_rows_are_refused(self):
-        data = Forecast.from_loads([LOAD], {}).to_data(1.0, 1)
-        group = data[3][0]
+        data = Forecast.from_loads([LOAD], {}).to_data()
+        group = data[1][0]
         rows = (
             ("empty", b""),
             ("no msgpack", b"\xc1"),
             ("a number", pack(5)),
             ("another version", pack([2, *data[1:]])),
-            ("missing fields", pack(data[:4])),
+            ("missing fields", pack(data[:2])),
             ("more fields", pack([*data, 1])),
-            ("no cores", pack([*data[:3], [[*group[:3], 0.0, *group[4:]]], [], []])),
-            ("negative", pack([*data[:3], [[*group[:3], -1.0, *group[4:]]], [], []])),
+            ("no cores", pack([*data[:1], [[*group[:3], 0.0, *group[4:]]], [], []])),
+            ("negative", pack([*data[:1], [[*group[:3], -1.0, *group[4:]]], [], []])),
             (
                 "not a number",
-                pack([*data[:3], [[*group[:3], "x", *group[4:]]], [], []]),
+                pack([*data[:1], [[*group[:3], "x", *group[4:]]], [], []]),
             ),
             (
                 "infinite",
-                pack([*data[:3], [[*group[:3], float("inf"), *group[4:]]], [], []]),
+                pack([*data[:1], [[*group[:3], float("inf"), *group[4:]]], [], []]),
             ),
-            ("no points", pack([*data[:3], [[*group[:8], [], []]], [], []])),
-            ("sizes missing", pack([*data[:3], [[*group[:9], [1.0]]], [], []])),
-            ("ratios", pack([*data[:4], [["plans", 0, float("nan")]], []])),
-            ("classes", pack([*data[:5], [3]])),
+            ("no points", pack([*data[:1], [[*group[:8], [], []]], [], []])),
+            ("sizes missing", pack([*data[:1], [[*group[:9], [1.0]]], [], []])),
+            ("ratios", pack([*data[:2], [["plans", 0, float("nan")]], []])),
+            ("classes", pack([*data[:3], [3]])),
         )
         for _, value in self.each(rows):
             self.assertTrue(failed(Forecast.unpack(value)))
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/intake_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/intake_tests.py
@@ -16,10 +16,10 @@
     ADMISSION_KEY,
     JOBS_TABLE,
     OVERLOAD_KEY,
-    SUMMARY_TABLE,
     pack,
 )
 from fulmarleverd.scheduling.ports import Committed, RowSet, StoredRow, Transaction
+from fulmarleverd.scheduling.published.publication import Publication
 from fulmarleverd.scheduling.specs import JobSpec, QueueSpec, StepSpec
 from fulmarleverd.scheduling.submission.intake import Intake
 
@@ -27,6 +27,7 @@
 BATCH = QueueSpec("batch", "h", "/b/", "desk", 2, 3, 2.0, 1.0)
 STEP = StepSpec(count=10, cpu_m=1000, estimate_s=1.0)
 HOUR_S = 3600.0
+STORE_TIME_S = 500.0
 
 
 class RowStore:
@@ -40,9 +41,13 @@
         self.version += 1
         self.rows[table, key] = StoredRow(table, key, value, self.version)
 
+    def publish(self, key: str, value: bytes) -> None:
+        row = Publication("vm-1", 7, STORE_TIME_S, value).to_row(key)
+        self.put(row.table, row.key, row.value)
+
     async def read(self, table: str, first: str, *args: object) -> RowSet:
         row = self.rows.get((table, first))
-        return RowSet((row,) if row else (), self.version)
+        return RowSet((row,) if row else (), self.version, False, STORE_TIME_S)
 
     async def transact(self, tx: Transaction, timeout_s: float) -> Committed:
         for row in tx.writes:
@@ -59,8 +64,8 @@
 
     def publish(self, wait_s: float) -> None:
         load = GroupLoad("desk", 2, False, 8.0, (), urgent_work_core_s=8.0 * wait_s)
-        data = Forecast.from_loads([load], {}).to_data(1.0, 1)
-        self.store.put(SUMMARY_TABLE, ADMISSION_KEY, pack(data))
+        data = Forecast.from_loads([load], {}).to_data()
+        self.store.publish(ADMISSION_KEY, pack(data))
 
     async def submit(self, job_id: str, queue: QueueSpec = BATCH) -> object:
         until_s = self.clock.monotonic() + 2.0
@@ -101,7 +106,7 @@
 
     async def test_refusals_of_an_overloaded_owner_are_spread(self) -> None:
         # Guards against refused callers that all return at the same time.
-        self.store.put(SUMMARY_TABLE, OVERLOAD_KEY, pack([1]))
+        self.store.publish(OVERLOAD_KEY, pack([1]))
         await self.read_rows()
         told_s = []
         for number in range(90):
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/overload_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/overload_tests.py
@@ -13,7 +13,6 @@
     OverloadPublisher,
     OverloadReader,
 )
-from fulmarleverd.scheduling.admission.published_row import READ_PERIOD_S, STALE_S
 from fulmarleverd.scheduling.persistence.rows import (
     OVERLOAD_KEY,
     SUMMARY_TABLE,
@@ -26,11 +25,15 @@
     StartRate,
 )
 from fulmarleverd.scheduling.ports import RowSet, StoredRow
+from fulmarleverd.scheduling.published.publication import Publication
+from fulmarleverd.scheduling.published.row import READ_PERIOD_S, STALE_S
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.tests.scheduling.base import QUEUE, OwnerTestCase
+from fulmarleverd.tests.scheduling.published.values import published_value
 
 URGENT = replace(QUEUE, name="urgent", priority=0)
 STARTS_PER_S = 10.0
+STORE_TIME_S = 500.0
 
 
 class PublisherTests(OwnerTestCase):
@@ -86,7 +89,7 @@
             self.publish(urgent, others, tasks, is_limited)
             row = self.rows[-1]
             self.assertEqual((row.table, row.key), (SUMMARY_TABLE, OVERLOAD_KEY))
-            refused_from = unpack(row.value)[0] if row.value else None
+            refused_from = unpack(published_value(row))[0] if row.value else None
             self.assertEqual(refused_from, expected)
 
     def test_the_row_is_removed_after_the_overload(self):
@@ -112,9 +115,10 @@
     def put(self, priority: int, version: int) -> None:
         self.put_value(pack([priority]), version)
 
-    def put_value(self, value: bytes, version: int) -> None:
-        row = StoredRow(SUMMARY_TABLE, OVERLOAD_KEY, value, version)
-        self.result = RowSet((row,), version)
+    def put_value(self, value: bytes, version: int, age_s: float = 0.1) -> None:
+        published = Publication("vm-1", 7, STORE_TIME_S - age_s, value)
+        row = replace(published.to_row(OVERLOAD_KEY), version=version)
+        self.result = RowSet((row,), version, False, STORE_TIME_S)
 
     async def read(self, *args: object) -> object:
         self.reads += 1
@@ -149,6 +153,11 @@
         self.store.put(2, 6)
         self.assertTrue(await self.is_refused())
 
+    # Regression: after an idle time, the row of an owner long gone refused jobs.
+    async def test_an_old_row_that_is_first_read_now_refuses_nothing(self) -> None:
+        self.store.put_value(pack([2]), 5, age_s=STALE_S + 0.1)
+        self.assertFalse(await self.is_refused())
+
     async def test_missing_and_malformed_rows_refuse_nothing(self) -> None:
         for version, value in enumerate((b"", b"\xc1", pack([]), pack(["x"])), start=1):
             self.store.put(2, 2 * version)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/publisher_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/publisher_tests.py
@@ -19,6 +19,7 @@
 from fulmarleverd.scheduling.run_times import RunTimes
 from fulmarleverd.scheduling.specs import StepSpec
 from fulmarleverd.tests.scheduling.base import QUEUE, OwnerTestCase
+from fulmarleverd.tests.scheduling.published.values import published_value
 
 STEP = StepSpec(count=64, cpu_m=1000, memory_mb=10, estimate_s=2.0)
 BEST_EFFORT = replace(STEP, is_best_effort=True)
@@ -68,7 +69,7 @@
         self.publisher.tick()
         (row,) = self.rows
         self.assertEqual((row.table, row.key), (SUMMARY_TABLE, ADMISSION_KEY))
-        self.assertEqual(Forecast.unpack(row.value).groups, {})
+        self.assertEqual(Forecast.unpack(published_value(row)).groups, {})
 
     def test_an_idle_fleet_costs_no_writes(self):
         for _ in range(20):
@@ -88,7 +89,7 @@
         self.tick()
         self.tick()
         self.assertEqual(len(self.rows), 5)
-        self.assertEqual(Forecast.unpack(self.rows[-1].value).groups, {})
+        self.assertEqual(Forecast.unpack(published_value(self.rows[-1])).groups, {})
 
     def test_a_deployment_with_one_priority_costs_no_writes(self):
         self.add_jobs(9, queue=URGENT)
@@ -162,7 +163,7 @@
         self.publisher = AdmissionPublisher(self.owner, DoubledTimes())
         self.add_jobs(3)
         self.tick()
-        ratios = Forecast.unpack(self.rows[-1].value).ratios
+        ratios = Forecast.unpack(published_value(self.rows[-1])).ratios
         self.assertEqual(ratios.by_step, {("plans", 0): 2.0})
         spec = self.owner.jobs["plans-0"].spec
         self.assertEqual(ratios.critical_path_s(spec, QUEUE), 4.0)
@@ -180,7 +181,7 @@
         self.add_jobs(30)
         self.add_jobs(1, replace(STEP, estimate_s=0.002))
         self.tick()
-        ratios = Forecast.unpack(self.rows[-1].value).ratios
+        ratios = Forecast.unpack(published_value(self.rows[-1])).ratios
         self.assertLess(ratios.by_step.get(("plans", 0), 1.0), 1.5)
 
     def test_errors_of_the_forecast_are_corrected_within_bounds(self):
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/reader_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/admission/reader_tests.py
@@ -4,18 +4,21 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
 from loguru import logger as log
 
 from fulmarlever.clock import ManualClock
 from fulmarlever.outcomes import Unavailable
 from fulmarleverd.scheduling.admission.forecast import Forecast, GroupLoad
-from fulmarleverd.scheduling.admission.published_row import READ_PERIOD_S, STALE_S
 from fulmarleverd.scheduling.admission.reader import ForecastReader
 from fulmarleverd.scheduling.persistence.rows import ADMISSION_KEY, SUMMARY_TABLE, pack
 from fulmarleverd.scheduling.ports import RowSet, StoredRow
+from fulmarleverd.scheduling.published.publication import Publication
+from fulmarleverd.scheduling.published.row import READ_PERIOD_S, STALE_S
 
-ROW = pack(Forecast.from_loads([GroupLoad("desk", 2, True, 8.0, ())], {}).to_data(1, 1))
+STORE_TIME_S = 500.0
+ROW = pack(Forecast.from_loads([GroupLoad("desk", 2, True, 8.0, ())], {}).to_data())
 
 
 class OneRowStore:
@@ -25,9 +28,11 @@
         self.result: object = RowSet((), 1)
         self.reads = 0
 
-    def put(self, value: bytes, version: int) -> None:
-        row = StoredRow(SUMMARY_TABLE, ADMISSION_KEY, value, version)
-        self.result = RowSet((row,), version)
+    def put(self, value: bytes, version: int, age_s: float | None = 0.1) -> None:
+        as_of_s = None if age_s is None else STORE_TIME_S - age_s
+        published = Publication("vm-1", 7, as_of_s, value)
+        row = replace(published.to_row(ADMISSION_KEY), version=version)
+        self.result = RowSet((row,), version, False, STORE_TIME_S)
 
     async def read(self, *args: object) -> object:
         self.reads += 1
@@ -68,6 +73,22 @@
         self.assertTrue(await self.is_known())
         self.assertLess(self.reader.age_s, READ_PERIOD_S)
 
+    # Regression (MIXED): the age of a row counted from when this daemon first read it,
+    # so after an idle time a row of an owner long gone looked new.
+    async def test_an_old_row_that_is_first_read_now_refuses_nothing(self) -> None:
+        # Load: this daemon gets its first job for a while; the owner is gone.
+        rows = (("old", STALE_S + 0.1), ("not known", None), ("ahead", -0.1))
+        for version, (name, age_s) in enumerate(rows, start=1):
+            self.store.put(ROW, 2 * version)
+            self.assertTrue(await self.is_known())
+            self.store.put(ROW, 2 * version + 1, age_s)
+            self.assertFalse(await self.is_known(), name)
+
+    async def test_a_row_of_another_format_refuses_nothing(self) -> None:
+        row = StoredRow(SUMMARY_TABLE, ADMISSION_KEY, ROW, 5)
+        self.store.result = RowSet((row,), 5, False, STORE_TIME_S)
+        self.assertFalse(await self.is_known())
+
     async def test_without_an_answer_of_the_store_the_row_ages(self) -> None:
         # Load: the daemon's zone is cut off, or the store is down.
         self.store.put(ROW, 5)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/base.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/base.py
@@ -49,6 +49,7 @@
 
     is_valid = True
     token = 1
+    vm = "vm-1"
 
     def __init__(self):
         self.earlier_extensions_end_s = 0.0
