--- a/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/authority/network.py
@@ -95,7 +95,8 @@
       partition run one after the other.
 
     ``start_delay_s`` is how late the start is that a worker carries out at this moment,
-    0 if it is not among the ``late_calls``.
+    0 if it is not among the ``late_calls``. ``unanswered_s`` is when the store last
+    left a transaction without an answer, or carried one out late.
     """
 
     def __init__(self) -> None:
@@ -116,6 +117,7 @@
         self.loss = 0.0
         self.transaction_s = 0.0
         self.start_delay_s = 0.0
+        self.unanswered_s = 0.0
         self._partition_locks: defaultdict[str, asyncio.Lock] = defaultdict(
             asyncio.Lock
         )
@@ -199,20 +201,30 @@
         is_write = path == "/rows-tx"
         if is_write and self.late_transactions > 0:
             self.late_transactions -= 1
-            self._run_later(self.store.handle(method, path, body))
+            self._record_unanswered()
+            self._run_later(self._handle_late(method, path, body))
             await asyncio.Event().wait()
         if is_write and (late_s := self._find_late_s(body)) is not None:
-            self._run_later(self.store.handle(method, path, body), late_s)
+            self._record_unanswered()
+            self._run_later(self._handle_late(method, path, body), late_s)
             await asyncio.Event().wait()
         if is_write:
             await self._wait_for_partition(body)
         status, answer = await self.store.handle(method, path, body)
         if is_write and self.lose_answers > 0:
             self.lose_answers -= 1
+            self._record_unanswered()
             await asyncio.Event().wait()
         await self._transmit(rng)
         return Response(status, answer)
 
+    async def _handle_late(self, method: str, path: str, body: dict) -> None:
+        await self.store.handle(method, path, body)
+        self._record_unanswered()
+
+    def _record_unanswered(self) -> None:
+        self.unanswered_s = asyncio.get_running_loop().time()
+
     async def _wait_for_partition(self, body: dict) -> None:
         """Wait for earlier transactions of the partition, then ``transaction_s``."""
         if self.transaction_s:
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/disruptions.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/disruptions.py
@@ -29,8 +29,10 @@
     for worker in workers:
         sim.cluster.network.store.remove("servers", worker.id)
     await asyncio.sleep(rng.choice((0.1, 1.0, 4.0, 9.0)))
-    for worker in workers:
-        if sim.is_running(worker):
+    # A worker that has restarted meanwhile writes its entry like any other.
+    addresses = {worker.address for worker in workers}
+    for worker in sim.workers():
+        if worker.address in addresses:
             sim.cluster.network.add_worker(worker)
 
 
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/plan.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/plan.py
@@ -14,8 +14,11 @@
 
 from fulmarlever.outcomes import Failure
 
-# Registers its faults.
-from fulmarlever_standins.simulation import incarnation_faults  # noqa: F401
+# These register their faults.
+from fulmarlever_standins.simulation import (  # noqa: F401
+    incarnation_faults,
+    owner_faults,
+)
 from fulmarlever_standins.simulation.apart_faults import APART_FAULTS, EVACUATION
 from fulmarlever_standins.simulation.disruptions import POWER_LOSS
 from fulmarlever_standins.simulation.faults import FAULTS
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/runner.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/runner.py
@@ -87,6 +87,7 @@
         await sim.cluster.wait_for_owner()
         watches = [
             asyncio.create_task(self._watch_owners()),
+            asyncio.create_task(sim.contact.run()),
             asyncio.create_task(IdleWatch(sim).run()),
             asyncio.create_task(PendingWatch(sim).run()),
         ]
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/simulation.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/simulation.py
@@ -12,6 +12,7 @@
 from fulmarlever_standins.authority.simulated_cluster import Daemon, SimulatedCluster
 from fulmarlever_standins.authority.worker import RunKey, WorkerCore
 from fulmarlever_standins.simulation.calm import Calm
+from fulmarlever_standins.simulation.contact import Contact
 from fulmarlever_standins.simulation.jobs import draw_job
 from fulmarlever_standins.simulation.observed import CallerJob, Observed
 from fulmarlever_standins.simulation.plan_parts import PlannedJob
@@ -60,6 +61,7 @@
         self.stalling: set[str] = set()
         self.refusing: set[str] = set()
         self.calm = Calm()
+        self.contact = Contact(self.cluster)
         self.violations: list[str] = []
         self.idle: dict[str, str] = {}
         self.evacuations = EvacuationObserver(
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/watches.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/watches.py
@@ -1,11 +1,11 @@
-"""Checks during the calm parts of a play, in which no fault is in progress."""
+"""Checks of what single daemons tell during a play, while they are in touch."""
 
 from __future__ import annotations
 
 import asyncio
-from random import Random
 
 from fulmarlever.outcomes import failed
+from fulmarlever_standins.authority.simulated_cluster import Daemon
 from fulmarlever_standins.simulation.calm import POLL_S, SETTLED_AFTER_S
 from fulmarlever_standins.simulation.observed import CallerJob
 from fulmarlever_standins.simulation.simulation import Simulation
@@ -16,27 +16,34 @@
 
 
 class PendingWatch:
-    """Compares the number of waiting jobs that a daemon gives with what has begun."""
+    """Compares the number of waiting jobs that daemons give with what has begun.
+
+    Each daemon that has been in touch is asked, whatever happens to the others.
+    """
 
     def __init__(self, sim: Simulation) -> None:
         self._sim = sim
-        self._rng = Random(sim.seed)
 
     async def run(self) -> None:
         """Check again and again, until cancelled."""
         while True:
             await asyncio.sleep(POLL_S)
-            if (
-                self._sim.calm.seconds < SETTLED_AFTER_S
-                or not self._sim.cluster.daemons
-            ):
+            for daemon in list(self._sim.cluster.daemons.values()):
+                if self._sim.contact.seconds(daemon) >= SETTLED_AFTER_S:
+                    await self._check(daemon)
+
+    async def _check(self, daemon: Daemon) -> None:
+        for queue in sorted({job.drawn.queue.name for job in self._waiting()}):
+            pending = await daemon.intake.pending(queue)
+            if self._sim.contact.seconds(daemon) < SETTLED_AFTER_S:
+                return
+            if failed(pending):
+                self._sim.report(queue, f"{daemon.vm} does not tell: {pending.reason}")
                 continue
-            queues = {job.drawn.queue.name for job in self._waiting()}
-            for queue in sorted(queues):
-                pending = await self._sim.daemon(self._rng).intake.pending(queue)
-                waiting = [j for j in self._waiting() if j.drawn.queue.name == queue]
-                if not failed(pending) and pending < MIN_PENDING_SHARE * len(waiting):
-                    self._sim.report(queue, f"{pending} of {len(waiting)} jobs wait")
+            waiting = [j for j in self._waiting() if j.drawn.queue.name == queue]
+            if pending < MIN_PENDING_SHARE * len(waiting):
+                given = f"{daemon.vm} gives {pending}"
+                self._sim.report(queue, f"{given} for {len(waiting)} waiting jobs")
 
     def _waiting(self) -> list[CallerJob]:
         """Return the jobs that were accepted a while ago and have not begun."""
--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/intake_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/authority/intake_tests.py
@@ -4,7 +4,6 @@
 
 import asyncio
 
-import msgpack
 from loguru import logger as log
 
 from fulmarlever.outcomes import NotRun, OutcomeUnknown, Unavailable
@@ -13,8 +12,6 @@
 from fulmarlever_standins.authority.virtual_time import VirtualClock, run_virtual
 from fulmarleverd.scheduling.ports import (
     CommitResult,
-    RowSet,
-    StoredRow,
     Transaction,
 )
 from fulmarleverd.scheduling.submission.intake import Intake
@@ -74,22 +71,3 @@
             result, took_s = run_virtual(scenario())
             self.assertIsInstance(result, outcome)
             self.assertTrue(min_s <= took_s <= max_s, took_s)
-
-
-class UnreadableSummaryTests(TableTestCase):
-    # Guards against a row that gets callers a 500.
-    def test_the_number_of_waiting_jobs_is_unavailable(self):
-        rows = (
-            ("not msgpack", b"\xc1"),
-            ("a list", msgpack.packb([1])),
-            ("numbers of another type", msgpack.packb({"q": []})),
-        )
-        for _, value in self.each(rows):
-
-            class Store:
-                async def read(self, *args: object, value: bytes = value) -> RowSet:
-                    return RowSet((StoredRow("summary", "pending", value, 1),), 1)
-
-            intake = Intake(Store(), VirtualClock())
-            result = run_virtual(intake.pending("q"))
-            self.assertIsInstance(result, Unavailable)
--- a/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
@@ -15,7 +15,6 @@
 from fulmarleverd.scheduling.owner import Owner
 from fulmarleverd.scheduling.persistence.rows import (
     INTERFERENCE_KEY,
-    SUMMARY_KEY,
     SUMMARY_TABLE,
     cancel_row,
     job_row,
@@ -34,7 +33,6 @@
 # A worker that may hide ends is used like any other after this time: runs that show
 # whether it does may never fit there.
 MAX_PROBED_S = 10.0
-SUMMARY_PERIOD_S = 0.8
 # Most jobs store another change sooner than this.
 BEGIN_STORED_AFTER_S = 0.5
 INTERFERENCE_PERIOD_S = 4.0
@@ -59,8 +57,6 @@
         self._model = model
         self._interference: dict = {}
         self._interference_saved_at_s = owner.now_s()
-        self._summary: dict[str, int] = {}
-        self._summary_published_at_s = 0.0
 
     def tick(self) -> None:
         """Do all periodic work that is due now."""
@@ -74,7 +70,6 @@
             self._check_worker(worker)
         self._update_trust()
         owner.expire_orphans()
-        self._publish_summary()
         self._save_interference()
         self._remove_old_rows()
         self._count_workers()
@@ -129,20 +124,6 @@
             if spec.is_long_running or cannot_finish or left_s <= DRAIN_MARGIN_S:
                 yield run
 
-    def _publish_summary(self) -> None:
-        owner = self._owner
-        now = owner.now_s()
-        if now - self._summary_published_at_s < SUMMARY_PERIOD_S:
-            return
-        pending = Counter(
-            job.queue.name for job in owner.jobs.values() if not job.has_begun
-        )
-        if pending != self._summary or not self._summary_published_at_s:
-            self._summary = dict(pending)
-            self._summary_published_at_s = now
-            row = StoredRow(SUMMARY_TABLE, SUMMARY_KEY, pack(self._summary))
-            owner.commits.stage_row(row)
-
     def _save_interference(self) -> None:
         """Store the learned interference for the next owner."""
         now = self._owner.now_s()
--- a/packages/fulmarleverd/fulmarleverd/scheduling/metrics.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/metrics.py
@@ -26,6 +26,16 @@
     "Time of a transaction.",
     buckets=LATENCY_BUCKETS_S,
 )
+PENDING_REFRESHES = Counter(
+    "fulmarlever_pending_refreshes_total",
+    "How the number of waiting jobs for callers was found.",
+    ["source"],
+)
+PENDING_AGE_SECONDS = Histogram(
+    "fulmarlever_pending_age_seconds",
+    "Age of the number of waiting jobs when this daemon had found it.",
+    buckets=LATENCY_BUCKETS_S,
+)
 STARTS = Counter("fulmarlever_starts_total", "Orders to start a run.", ["outcome"])
 ENDS = Counter("fulmarlever_ends_total", "Runs that ended.", ["how"])
 CRASHES_SUSPECTED = Counter(
--- a/packages/fulmarleverd/fulmarleverd/scheduling/persistence/commits.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/persistence/commits.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from loguru import logger as log
 
@@ -66,7 +66,8 @@
     """The changes that wait for the next commit, and the loop that commits them.
 
     If nothing is staged, a commit follows every ``RENEW_PERIOD_S`` seconds, so that the
-    lease is renewed. ``link_mbps`` is the bandwidth of the VM's link in megabits per
+    lease is renewed. ``published_rows`` yields rows to write with the commit that is
+    about to be made. ``link_mbps`` is the bandwidth of the VM's link in megabits per
     second, ``row_bytes`` the largest value of a row. ``on_rejected`` is called with a
     job whose progress the store rejects for good.
     """
@@ -83,6 +84,7 @@
         "_row_bytes",
         "_pause_s",
         "on_rejected",
+        "published_rows",
     )
 
     def __init__(
@@ -98,6 +100,7 @@
         self._row_bytes = row_bytes
         self._pause_s = 0.0
         self.on_rejected: Callable[[Job], None] = lambda job: None
+        self.published_rows: Callable[[], Iterable[StoredRow]] = tuple
         self._staged_jobs: dict[str, Job] = {}
         self._staged_rows: dict[tuple[str, str], StoredRow] = {}
         self._actions: list[Action] = []
@@ -149,6 +152,7 @@
             for job in self._staged_jobs.values()
         ]
         changes += [Change([row]) for row in self._staged_rows.values()]
+        changes += [Change([row]) for row in self.published_rows()]
         size = sum(change.size for change in changes)
         self._pause_s = min(MAX_PAUSE_S, size / self._bytes_per_s)
         actions = self._actions
--- a/packages/fulmarleverd/fulmarleverd/scheduling/persistence/progress_rows.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/persistence/progress_rows.py
@@ -204,10 +204,19 @@
     ]
 
 
-def unpack_state(data: bytes) -> tuple[JobState, str] | BadRow:
-    """Return the job's state and its cause from a progress row."""
+@dataclass(slots=True, frozen=True)
+class StoredState:
+    """A job's state as stored, whether it has begun, and the cause of its end."""
+
+    state: JobState
+    has_begun: bool
+    cause: str
+
+
+def unpack_state(data: bytes) -> StoredState | BadRow:
+    """Return the job's state from a progress row."""
     try:
-        fields = unpack(data)
-        return JobState(fields[0]), fields[2]
+        state, has_begun, cause, *_ = unpack(data)
+        return StoredState(JobState(state), bool(has_begun), cause)
     except FORMAT_ERRORS as exc:
         return BadRow(f"progress row: {type(exc).__name__}: {exc}")
--- a/packages/fulmarleverd/fulmarleverd/scheduling/persistence/rows.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/persistence/rows.py
@@ -139,6 +139,14 @@
         return BadRow(f"job row {stored.key!r}: {type(exc).__name__}: {exc}")
 
 
+def unpack_queue_name(stored: StoredRow) -> str | BadRow:
+    """Decode only the name of a job's queue from the job's row."""
+    try:
+        return str(unpack(stored.value)[0]["name"])
+    except FORMAT_ERRORS as exc:
+        return BadRow(f"job row {stored.key!r}: {type(exc).__name__}: {exc}")
+
+
 def unpack_interference(stored: StoredRow) -> dict[str, dict[str, float]] | BadRow:
     """Decode the learned interference coefficients, by serving image, then by image.
 
@@ -155,14 +163,6 @@
         return BadRow(f"learned interference: {type(exc).__name__}: {exc}")
 
 
-def unpack_pending(stored: StoredRow) -> dict[str, int] | BadRow:
-    """Decode the number of jobs that have not begun, by queue."""
-    try:
-        return {str(queue): int(jobs) for queue, jobs in unpack(stored.value).items()}
-    except FORMAT_ERRORS as exc:
-        return BadRow(f"waiting jobs: {type(exc).__name__}: {exc}")
-
-
 def pack_run_times(data: list, max_bytes: int) -> bytes:
     """Encode learned run times, without the last entries if they exceed a size."""
     version, entries = data
--- a/packages/fulmarleverd/fulmarleverd/scheduling/submission/intake.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/submission/intake.py
@@ -37,14 +37,11 @@
 from fulmarleverd.scheduling.persistence.config_watcher import RETRY_AFTER_S
 from fulmarleverd.scheduling.persistence.progress_rows import unpack_state
 from fulmarleverd.scheduling.persistence.rows import (
-    SUMMARY_KEY,
-    SUMMARY_TABLE,
     JobRow,
     cancel_row,
     job_row,
     pack_job,
     progress_row,
-    unpack_pending,
 )
 from fulmarleverd.scheduling.ports import (
     CommitResult,
@@ -56,11 +53,11 @@
     Transaction,
     TransactionRejected,
 )
+from fulmarleverd.scheduling.published.waiting_jobs_reader import WaitingJobsReader
 from fulmarleverd.scheduling.specs import JobSpec, QueueSpec
 
 CALL_TIMEOUT_S = 1.2
 RETRY_S = 0.05
-PENDING_CACHE_S = 0.4
 MIN_CANCEL_S = 0.2
 # The store is asked at least twice a second, so after this time without an answer it is
 # unlikely to answer this daemon soon; another daemon may reach it.
@@ -103,8 +100,7 @@
         self._clock = clock
         self._store_unanswered_s = store_unanswered_s
         self._final_statuses: dict[str, JobStatus] = {}
-        self._pending_by_queue: dict[str, int] = {}
-        self._pending_read_s = -1.0
+        self._waiting_jobs = WaitingJobsReader(store, clock)
         self._timeout = AdaptiveTimeout()
         self._overload = OverloadReader(store, clock)
         self._lone_cancels = LoneCancelQuota(clock)
@@ -237,7 +233,7 @@
         if failed(state):
             log.bind(event="progress-unreadable", job=job_id).error(state.reason)
             return Unavailable(state.reason)
-        status = JobStatus(*state)
+        status = JobStatus(state.state, state.cause)
         if status.state in FINAL_STATES:
             self._cache_status(job_id, status)
         return status
@@ -313,22 +309,8 @@
             await asyncio.sleep(RETRY_S)
 
     async def pending(self, queue: str) -> int | Unavailable:
-        """Return the number of jobs of a queue that have not begun.
-
-        The owner publishes the number; with the cache it is at most a second old.
-        """
-        now = self._clock.monotonic()
-        if self._pending_read_s < 0 or now - self._pending_read_s > PENDING_CACHE_S:
-            rows = await self._read_one(StoredRow(SUMMARY_TABLE, SUMMARY_KEY))
-            if failed(rows):
-                return rows
-            found = unpack_pending(rows.rows[0]) if rows.rows else {}
-            if failed(found):
-                log.bind(event="pending-unreadable").error(found.reason)
-                return Unavailable(found.reason)
-            self._pending_by_queue = found
-            self._pending_read_s = now
-        return self._pending_by_queue.get(queue, 0)
+        """Return the number of jobs of a queue that have not begun, at most 2 s old."""
+        return await self._waiting_jobs.find(queue)
 
 
 def _find_earlier(conflict: ConditionFailed, job_id: str) -> None | Refused:
--- a/packages/fulmarleverd/fulmarleverd/scheduling/term/owner_term.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/term/owner_term.py
@@ -47,6 +47,9 @@
 from fulmarleverd.scheduling.planning.start_rate import StartRate
 from fulmarleverd.scheduling.planning.tickets import TicketRequester
 from fulmarleverd.scheduling.ports import Interface, StoredRow
+from fulmarleverd.scheduling.published.waiting_jobs_publisher import (
+    WaitingJobsPublisher,
+)
 from fulmarleverd.scheduling.run_times.publisher import RunTimesPublisher
 from fulmarleverd.scheduling.specs import NO_CONFIG, SchedulingConfig
 from fulmarleverd.scheduling.term.lease import SchedulerLease
@@ -56,6 +59,9 @@
 from fulmarleverd.scheduling.workers.worker_loop import WorkerLoop
 
 PROGRESS_RETRY_S = 0.1
+# How long the store may wait for a change of the jobs. The number of waiting jobs that
+# is published is as of its last answer.
+JOBS_WAIT_S = 0.5
 # A worker's reports come with each ended run, but what they say of the other runs
 # changes more slowly, so those are examined at most this often.
 EXAMINE_PERIOD_S = 0.3
@@ -125,6 +131,8 @@
         self._lone_cancels = LoneCancelRemover(
             interface.store, self.owner.open_jobs.lone_cancels, clock
         )
+        self._waiting_jobs = WaitingJobsPublisher(self.owner)
+        commits.published_rows = self._waiting_jobs.rows
         self._tasks: set[asyncio.Task] = set()
         self._has_jobs = asyncio.Event()
         self._has_workers = asyncio.Event()
@@ -269,9 +277,10 @@
 
     async def _follow_jobs(self, progress: dict[str, bytes]) -> None:
         store = self._interface.store
-        async for batch in follow(store, JOBS_TABLE, self._clock):
+        async for batch in follow(store, JOBS_TABLE, self._clock, JOBS_WAIT_S):
             self._apply_job_rows(batch, progress)
             self.owner.store_clock.record(batch.store_time_s)
+            self._waiting_jobs.record(batch)
             self._has_jobs.set()
 
     def _apply_job_rows(self, batch: Batch, progress: dict[str, bytes]) -> None:
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/persistence/progress_rows_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/persistence/progress_rows_tests.py
@@ -9,6 +9,7 @@
 from fulmarleverd.scheduling.jobs.tasks import Job, JobState, Task
 from fulmarleverd.scheduling.persistence.progress_rows import (
     StoredProgress,
+    StoredState,
     join_progress,
     pack_progress,
     progress_rows,
@@ -155,7 +156,9 @@
             self.assertLessEqual(max(len(row.value) for row in written), MAX_BYTES)
             rows.update((row.key, row.value) for row in written)
             rows = {key: value for key, value in rows.items() if value}
-            self.assertEqual(unpack_state(rows["j"]), (job.state, ""))
+            self.assertEqual(
+                unpack_state(rows["j"]), StoredState(job.state, job.has_begun, "")
+            )
             stored, restored = join_progress("j", rows), new_job()
             self.assertEqual(stored.parts, job.progress_parts)
             self.assertEqual(stored.parts, sum("/part-" in key for key in rows))
@@ -186,7 +189,10 @@
             job = new_job()
             advance(job)
             job.has_begun = name != "nothing has begun"
-            self.assertEqual(unpack_state(pack_progress(job)), (job.state, ""))
+            self.assertEqual(
+                unpack_state(pack_progress(job)),
+                StoredState(job.state, job.has_begun, ""),
+            )
         self.assertIs(job.state, JobState.COMPLETED)
 
     # Regression: the whole progress of a job was written with each end, which filled a
