Soak: daemons in touch are asked how many jobs wait, and owners are struck in turn

The soak never asked for the number, and its faults strike an owner by chance. Each daemon is judged by what it went through itself. Drawn apart with a generator of its own (--no-strikes leaves it out), so seeds draw the same other faults as before.

--- a/packages/fulmarlever_standins/fulmarlever_standins/arguments.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/arguments.py
@@ -106,8 +106,9 @@
     """Inject random faults into real daemons and check their invariants.
 
     Seed 0 stands for a random first seed. The logs of a seed that violates an
-    invariant are kept. Without starvation of processor time, evacuations of zones and
-    returns of workers beside late calls, the faults are those of earlier versions.
+    invariant are kept. Without starvation of processor time, evacuations of zones,
+    returns of workers beside late calls and strikes of owners that take over, the
+    faults are those of earlier versions.
     """
 
     seed: Annotated[int, Long] = 0
@@ -119,6 +120,7 @@
     no_starvation: Annotated[bool, Long] = False
     no_evacuation: Annotated[bool, Long] = False
     no_returns: Annotated[bool, Long] = False
+    no_strikes: Annotated[bool, Long] = False
 
 
 @cappa.command(name="simulate", invoke=f"{COMMANDS}.simulate.run_simulation")
--- a/packages/fulmarlever_standins/fulmarlever_standins/commands/soak.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/commands/soak.py
@@ -26,6 +26,7 @@
             starves=not arguments.no_starvation,
             evacuates=not arguments.no_evacuation,
             returns=not arguments.no_returns,
+            strikes=not arguments.no_strikes,
         )
         print(result.summary(), flush=True)
         for line in result.violations:
--- a/packages/fulmarlever_standins/fulmarlever_standins/soak/callers.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/callers.py
@@ -39,6 +39,7 @@
     """One job of a caller.
 
     ``counts`` has the number of tasks of each step; each step waits for the one before.
+    ``accepted_at_s`` is when that was acknowledged, on the event loop's clock.
     ``may_be_cancelled`` is set before the first attempt to cancel the job.
     """
 
@@ -46,6 +47,7 @@
     queue: str
     counts: tuple[int, ...]
     outcome: Outcome = Outcome.UNKNOWN
+    accepted_at_s: float = 0.0
     may_be_cancelled: bool = False
 
     @property
@@ -107,6 +109,7 @@
             status, _ = await self.call("POST", job, job.body())
             if status == ACCEPTED:
                 job.outcome = Outcome.ACCEPTED
+                job.accepted_at_s = asyncio.get_running_loop().time()
                 return
             if status in REFUSED and is_certain:
                 job.outcome = Outcome.REFUSED
--- a/packages/fulmarlever_standins/fulmarlever_standins/soak/runner.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/runner.py
@@ -18,6 +18,8 @@
 )
 from fulmarlever_standins.soak.incarnation_faults import return_workers
 from fulmarlever_standins.soak.invariants import find_violations
+from fulmarlever_standins.soak.owner_faults import strike_owners
+from fulmarlever_standins.soak.pending import PendingWatch
 
 MIN_PAUSE_S = 0.1
 MAX_PAUSE_S = 1.5
@@ -32,12 +34,14 @@
     """The result of the soak test of one seed.
 
     ``faults`` has a line per fault: start time, name and what it was applied to.
-    ``violations`` has a line per violated invariant.
+    ``violations`` has a line per violated invariant. ``pending_answers`` counts the
+    answers of daemons in touch to the question how many jobs wait.
     """
 
     seed: int
     jobs: int = 0
     tasks_done: int = 0
+    pending_answers: int = 0
     faults: list[str] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
 
@@ -45,6 +49,7 @@
         """Return the counts of the result in one line."""
         return (
             f"seed {self.seed}: {self.jobs} jobs, {self.tasks_done} tasks done, "
+            f"{self.pending_answers} numbers of waiting jobs, "
             f"{len(self.faults)} faults, {len(self.violations)} violations"
         )
 
@@ -55,7 +60,8 @@
     It applies faults for ``seconds``. The daemons write their logs to ``directory``.
     With ``starves``, one daemon after the other gets too little processor time; with
     ``evacuates``, the operator evacuates zones; with ``returns``, workers return under
-    their ids while calls for their former lives arrive late.
+    their ids while calls for their former lives arrive late; with ``strikes``, owners
+    are struck one after the other as they take over.
     """
 
     def __init__(
@@ -69,6 +75,7 @@
         starves: bool = False,
         evacuates: bool = False,
         returns: bool = False,
+        strikes: bool = False,
     ) -> None:
         self.result = SoakResult(seed)
         self._seconds = seconds
@@ -82,6 +89,8 @@
         self._evacuates = evacuates
         self._return_rng = Random(seed + 4)
         self._returns = returns
+        self._strike_rng = Random(seed + 5)
+        self._strikes = strikes
 
     async def run(self) -> SoakResult:
         """Start the deployment, inject faults and check the invariants."""
@@ -90,16 +99,26 @@
         try:
             await deployment.start()
             callers = Callers(deployment.daemons, deployment.session, self._caller_rng)
-            watch = asyncio.create_task(self._watch_store())
+            pending = PendingWatch(deployment, callers)
+            watches = [
+                asyncio.create_task(self._watch_store()),
+                asyncio.create_task(pending.run()),
+            ]
             await asyncio.gather(
                 callers.run(self._seconds),
                 self._inject_faults(),
                 self._starve_daemons(),
                 self._evacuate_zones(),
                 self._return_workers(),
+                self._strike_owners(),
             )
-            watch.cancel()
+            for watch in watches:
+                if watch.done():
+                    watch.result()
+                watch.cancel()
             self._record_ended_processes()
+            result.violations += pending.violations
+            result.pending_answers = pending.answers
             result.violations += [
                 line async for line in find_violations(deployment, callers)
             ]
@@ -164,6 +183,18 @@
             where = await return_workers(self._deployment, rng)
             self.result.faults.append(f"{at_s:6.2f} s return: {where}")
 
+    async def _strike_owners(self) -> None:
+        """Strike owners one after the other as they take over, again and again."""
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        rng = self._strike_rng
+        await asyncio.sleep(FAULT_FREE_S)
+        while self._strikes and loop.time() - started_s < self._seconds:
+            at_s = loop.time() - started_s
+            where = await strike_owners(self._deployment, rng)
+            self.result.faults.append(f"{at_s:6.2f} s strike: {where}")
+            await asyncio.sleep(rng.uniform(MIN_PAUSE_S, MAX_PAUSE_S))
+
     async def _watch_store(self) -> None:
         """Record while the store is disturbed, until cancelled."""
         while True:
@@ -194,6 +225,7 @@
     starves: bool = False,
     evacuates: bool = False,
     returns: bool = False,
+    strikes: bool = False,
 ) -> SoakResult:
     """Run the soak test of one seed; see ``Soak``.
 
@@ -210,6 +242,7 @@
             starves=starves,
             evacuates=evacuates,
             returns=returns,
+            strikes=strikes,
         )
         result = await soak.run()
         if result.violations and logs is not None:
