--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/incarnations.py
@@ -29,6 +29,8 @@
 WALL_TOLERANCE_S = 1.0
 # How long a worker that is not listed has for its first report.
 FIRST_REPORT_S = 3.0
+# A worker that is reached answers its first calls within this time.
+MAX_UNANSWERED_S = 1.0
 # An entry that is not believed is looked at again each time after this, in seconds, as
 # it is not written again.
 WITHHELD_RETRY_S = 1.0
@@ -158,7 +160,13 @@
         """
         owner = self._owner
         if worker.first_answer_s:
-            owner.replace_worker(worker, reason)
+            others = (other for other in owner.fleet if other is not worker)
+            address = worker.entry.address
+            if any(o.entry.address == address and self._was_cut_off(o) for o in others):
+                owner.crashes.record_unproven_crash(worker)
+                owner.discard_worker(worker, reason)
+            else:
+                owner.replace_worker(worker, reason)
             return
         record(
             "worker-misdirected",
@@ -232,7 +240,7 @@
                     worker.lease_granted_at_s, other.lease_granted_at_s
                 )
                 self._withhold_unanswered(other)
-                owner.crashes.record_crash(other)
+                self._record_crash(other, worker)
                 for run in list(other.runs.values()):
                     other.remove(run)
                     self._move(run, worker)
@@ -243,6 +251,24 @@
                 worker.may_have_former_calls = True
                 self._move(run, worker)
 
+    def _record_crash(self, former: Worker, worker: Worker) -> None:
+        """Count the crash of an incarnation, in whose place another one answers.
+
+        If that one did not answer for a while after it was listed, the worker was cut
+        off. So it may have been for longer, and its runs may have ended before the
+        crash.
+        """
+        if self._was_cut_off(worker):
+            self._owner.crashes.record_unproven_crash(former)
+        else:
+            self._owner.crashes.record_crash(former)
+
+    def _was_cut_off(self, worker: Worker) -> bool:
+        """Return whether a worker did not answer for a while after it was listed."""
+        answered_s = worker.first_answer_s or self._owner.now_s()
+        unanswered_s = answered_s - worker.known_since_s
+        return worker.is_described and unanswered_s > MAX_UNANSWERED_S
+
     def record_first_report(self, worker: Worker, report: WorkerReport) -> None:
         """Note what calls a worker may have carried out before its first report.
 
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/health/crashes_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/health/crashes_tests.py
@@ -233,6 +233,45 @@
         self.owner.mark_unreachable(worker, "no answer")
         self.owner.expire_worker_lease(worker)
 
+    # Regression (LOST, review/12): a task was given up after one crash and one run that
+    # had ended by itself behind a cut, where its worker crashed later.
+    def test_a_crash_behind_a_cut_is_no_proof(self):
+        rows = (
+            ("answers as it is listed", 0.0, (1, 0)),
+            ("answers to its second call", 0.9, (1, 0)),
+            ("is cut off for longer", 1.5, (0, 1)),
+        )
+        for name, unanswered_s, expected in self.each(rows):
+            worker = self.add_worker(name)
+            worker.record_clock(1000, self.clock.now)
+            job = self.add_job(name, LONG_RUNNING)
+            run = self.start(job, worker)
+            self.owner.mark_unreachable(worker, "no answer")
+            self.clock.advance(4.0)
+            following = self.add_worker(name, "2")
+            self.clock.advance(unanswered_s)
+            self.owner.incarnations.confirm(following)
+            crashes = (run.task.crashes, run.task.unproven_crashes)
+            self.assertEqual(crashes, expected)
+
+    # The same, where another worker has taken the address.
+    def test_a_crash_behind_a_cut_under_another_id_is_no_proof(self):
+        for name, unanswered_s, expected in self.each(
+            (("answers", 0.0, (1, 0)), ("is cut off", 1.5, (0, 1)))
+        ):
+            worker = self.add_worker(name)
+            worker.record_clock(1000, self.clock.now)
+            worker.first_answer_s = self.clock.now
+            run = self.start(self.add_job(name, LONG_RUNNING), worker)
+            self.owner.mark_unreachable(worker, "no answer")
+            self.clock.advance(4.0)
+            following = self.add_worker(f"{name}-next")
+            following.entry = replace(following.entry, address=worker.entry.address)
+            self.clock.advance(unanswered_s)
+            self.owner.incarnations.process_mismatch(worker, "another worker")
+            crashes = (run.task.crashes, run.task.unproven_crashes)
+            self.assertEqual(crashes, expected)
+
     def test_a_refused_start_is_no_crash(self):
         for name, may_arrive, expected in self.each((("", False, 0), ("t", True, 1))):
             worker = self.add_worker(f"x{name}")
