--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/faults.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/faults.py
@@ -157,7 +157,14 @@
 async def write_entries(sim: Simulation) -> None:
     """Write entries under the keys of workers that another writer got wrong."""
     wrong = sim.rng.choice(
-        ({"born": None}, {"born": 0}, {"state": "odd"}, {"capacity": None}, {"zone": 3})
+        (
+            {"born": None},
+            {"born": 0},
+            {"state": "odd"},
+            {"capacity": None},
+            {"zone": 3},
+            {"state": "draining", "slots": None, "version": None, "sequence": None},
+        )
     )
     workers = sim.draw_workers()
     for _ in range(4):
--- a/packages/fulmarleverd/fulmarleverd/platform/formats.py
+++ b/packages/fulmarleverd/fulmarleverd/platform/formats.py
@@ -138,6 +138,10 @@
     state = data["state"]
     if state not in WORKER_STATES:
         raise ValueError(f"unknown state {state!r}")
+    # A worker's own entry has these fields, too; one without them is of another writer.
+    require_text(data["version"])
+    require_count(data["slots"])
+    require_count(data["sequence"])
     capacity = data["capacity"]
     return WorkerEntry(
         id=require_key(key),
@@ -155,21 +159,10 @@
         machine=require_text(data.get("machine", "")),
         is_draining=state == "draining",
         remaining_s=require_number(data.get("remainingMs", 0)) / 1000.0,
-        cold_left_s=_parse_cold_left_s(data.get("coldLeftMs")),
+        cold_left_s=require_number(data["coldLeftMs"]) / 1000.0,
     )
 
 
-def _parse_cold_left_s(value: Any) -> float:
-    """Return how long a worker is slow; 0 if the field is missing or malformed.
-
-    The field only affects the order of workers, so a wrong one hides no worker.
-    """
-    try:
-        return require_number(value) / 1000.0
-    except FORMAT_ERRORS:
-        return 0.0
-
-
 def is_job_id(text: str) -> bool:
     """Return whether a text can be the id of a job: 16 hexadecimal digits."""
     return JOB_ID_PATTERN.fullmatch(text) is not None
