--- a/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/housekeeping.py
@@ -30,9 +30,9 @@
 STATUS_MARGIN_S = 30.0
 # Remaining runs are stopped this long before their draining worker shuts down.
 DRAIN_MARGIN_S = 1.0
-# A worker that may hide ends is used like any other after this time: runs that show
-# whether it does may never fit there.
-MAX_PROBED_S = 10.0
+# A worker that may hide ends is used like any other once a gang has waited for this
+# long: single runs, which would show whether it does, may never come.
+MAX_GANG_WAIT_S = 10.0
 # Most jobs store another change sooner than this.
 BEGIN_STORED_AFTER_S = 0.5
 INTERFERENCE_PERIOD_S = 4.0
@@ -68,6 +68,7 @@
         owner.incarnations.retry_withheld()
         for worker in list(owner.fleet):
             self._check_worker(worker)
+        self._end_probing([worker for worker in owner.fleet if worker.may_hide_ends])
         self._update_trust()
         owner.expire_orphans()
         self._save_interference()
@@ -91,13 +92,35 @@
             if not worker.is_listed and not owner.incarnations.is_awaited(worker):
                 owner.discard_worker(worker, "unlisted and without an answer")
             return
-        if worker.may_hide_ends and now - worker.first_answer_s >= MAX_PROBED_S:
-            worker.may_hide_ends = False
-            record("worker-probes-ended", worker=worker.id, probes=worker.probe_limit)
         if worker.entry.is_draining:
             for run in list(self._runs_to_stop(worker, now)):
                 owner.stop_run(run, "its worker is draining")
 
+    def _end_probing(self, probed: list[Worker]) -> None:
+        """Use workers that may hide ends like others if gangs wait for them for long.
+
+        A gang needs more runs at a time than such a worker gets. Any other task that
+        waits shows by its run whether ends are hidden, and without one none are.
+        """
+        if not probed:
+            return
+        now = self._owner.now_s()
+        steps = self._owner.open_jobs.ready_steps()
+        waited_for = {step.job.queue.service for step in steps if step.spec.is_gang}
+        for worker in probed:
+            if worker.entry.service not in waited_for:
+                worker.gang_waits_since_s = 0.0
+                continue
+            worker.gang_waits_since_s = worker.gang_waits_since_s or now
+            if now - worker.gang_waits_since_s >= MAX_GANG_WAIT_S:
+                worker.may_hide_ends = False
+                record(
+                    "worker-probes-ended",
+                    "a gang has waited for long",
+                    worker=worker.id,
+                    probes=worker.probe_limit,
+                )
+
     def _update_trust(self) -> None:
         """Forget old failures, and decide anew where there were some."""
         owner = self._owner
--- a/packages/fulmarleverd/fulmarleverd/scheduling/workers/fleet.py
+++ b/packages/fulmarleverd/fulmarleverd/scheduling/workers/fleet.py
@@ -78,8 +78,9 @@
     last one that the worker was told to forget. ``may_hide_ends`` tells that it may
     have forgotten its first ends before they occur, by an acknowledgement that was
     meant for a former incarnation. Until it reports an end it gets a few runs at a
-    time, ``probe_limit``, which are stopped at once. ``may_have_former_calls`` tells
-    that it may have carried out other calls of that kind before its first answer.
+    time, ``probe_limit``, which are stopped at once; ``gang_waits_since_s`` is since
+    when a gang waits, which that may keep from starting. ``may_have_former_calls``
+    tells that it may have carried out other such calls before its first answer.
     ``knows_all_ends`` tells that this owner has heard of all ends up to
     ``last_end_seen``.
     ``clock_ms`` is the worker's
@@ -135,6 +136,7 @@
         "last_end_acknowledged",
         "may_hide_ends",
         "probe_limit",
+        "gang_waits_since_s",
         "knows_all_ends",
         "may_have_former_calls",
         "failures",
@@ -183,6 +185,7 @@
         self.last_end_acknowledged = 0
         self.may_hide_ends = False
         self.probe_limit = 1
+        self.gang_waits_since_s = 0.0
         self.knows_all_ends = False
         self.may_have_former_calls = False
         self.failures = WorkerFailures(entry.id)
--- a/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/former_calls_tests.py
+++ b/packages/fulmarleverd/fulmarleverd/tests/scheduling/workers/former_calls_tests.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from fulmarleverd.scheduling.housekeeping import MAX_PROBED_S, Housekeeping
+from fulmarleverd.scheduling.housekeeping import MAX_GANG_WAIT_S, Housekeeping
 from fulmarleverd.scheduling.interference.model import InterferenceModel
 from fulmarleverd.scheduling.jobs.runs import Run, RunState
 from fulmarleverd.scheduling.ports import (
@@ -236,13 +236,43 @@
         self.assertEqual(self.commands.stops, [])
         self.assertTrue(worker.accepts_runs(self.clock.now))
 
-    # Guards against gangs and tasks that wait for good, as no probe fits there (LOST).
-    def test_probing_ends(self):
+    # Guards against gangs that wait for good, as no probe fits there (LOST), and
+    # against probing that ends by the clock, though no run has shown anything (TWICE,
+    # review/11).
+    def test_probing_ends_if_a_gang_waits(self):
+        single, gang = StepSpec(count=8), StepSpec(count=8, is_gang=True)
+        rows = (
+            ("no work", (), MAX_GANG_WAIT_S + 0.1, True),
+            ("single tasks", (single,), MAX_GANG_WAIT_S + 0.1, True),
+            ("a gang", (gang,), MAX_GANG_WAIT_S - 0.1, True),
+            ("a gang for long", (gang,), MAX_GANG_WAIT_S + 0.1, False),
+        )
+        for name, steps, seconds, expected in self.each(rows):
+            self.setUp()
+            worker = self.restart_after_acknowledgement()
+            # The time without a gang does not count.
+            self.clock.advance(3.0 * MAX_GANG_WAIT_S)
+            housekeeping = Housekeeping(self.owner, InterferenceModel())
+            housekeeping.tick()
+            if steps:
+                self.add_job(name, *steps)
+            housekeeping.tick()
+            self.clock.advance(seconds)
+            self.report(worker)
+            housekeeping.tick()
+            self.assertEqual(worker.may_hide_ends, expected)
+
+    def test_a_gang_that_no_longer_waits_counts_no_more(self):
         worker = self.restart_after_acknowledgement()
-        self.clock.advance(MAX_PROBED_S + 0.1)
-        self.report(worker)
-        self.tick()
-        self.assertFalse(worker.may_hide_ends)
+        for number in range(2):
+            job = self.add_job(f"j{number}", StepSpec(count=8, is_gang=True))
+            self.tick()
+            self.clock.advance(0.6 * MAX_GANG_WAIT_S)
+            self.report(worker)
+            self.tick()
+            self.owner.open_jobs.cancel(job.id)
+            self.tick()
+        self.assertTrue(worker.may_hide_ends)
 
     # Guards against runs at work of long-running jobs that are stopped (AVAIL).
     def test_long_running_tasks_are_no_probes(self):
