Soak: bursts of jobs that wait, so that an old number shows

With strikes of owners, callers submit bursts of 2, 6 and 18 jobs that no worker has room for, and cancel them at the end.

--- a/packages/fulmarlever_standins/fulmarlever_standins/soak/callers.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/callers.py
@@ -21,6 +21,10 @@
 FINAL_STATES = ("completed", "failed", "cancelled")
 # The thousandths of a core that each task reserves.
 STEP_CPU_M = 1000
+# More than any worker has.
+TOO_LARGE_CPU_M = 1_000_000
+# The sizes of the bursts of such jobs: an old number is under half of the next one.
+TOO_LARGE_JOBS = (2, 6, 18)
 # The request may have taken effect, so it is repeated with the same id.
 UNCERTAIN = (502, 504)
 
@@ -39,6 +43,7 @@
     """One job of a caller.
 
     ``counts`` has the number of tasks of each step; each step waits for the one before.
+    ``cpu_m`` is what each task reserves, in thousandths of a core.
     ``accepted_at_s`` is when that was acknowledged, on the event loop's clock.
     ``may_be_cancelled`` is set before the first attempt to cancel the job.
     """
@@ -49,6 +54,7 @@
     outcome: Outcome = Outcome.UNKNOWN
     accepted_at_s: float = 0.0
     may_be_cancelled: bool = False
+    cpu_m: int = STEP_CPU_M
 
     @property
     def path(self) -> str:
@@ -58,7 +64,7 @@
     def body(self) -> dict:
         """Return the JSON body of the request that submits the job."""
         steps = [
-            {"count": count, "cpu": STEP_CPU_M, "memMb": 100, "estimateMs": 500}
+            {"count": count, "cpu": self.cpu_m, "memMb": 100, "estimateMs": 500}
             | ({"after": [number - 1]} if number else {})
             for number, count in enumerate(self.counts)
         ]
@@ -92,6 +98,26 @@
             tasks.append(asyncio.create_task(self._submit_and_maybe_cancel(job)))
         await asyncio.gather(*tasks)
 
+    async def keep_waiting(self, seconds: float, rng: Random) -> None:
+        """Submit bursts of jobs that no worker has room for; cancel them at the end.
+
+        So daemons have jobs to count at any time.
+        """
+        jobs: list[CallerJob] = []
+        for count in TOO_LARGE_JOBS:
+            burst = [
+                CallerJob(f"{rng.getrandbits(64):016x}", QUEUES[0], (1,))
+                for _ in range(count)
+            ]
+            for job in burst:
+                job.cpu_m = TOO_LARGE_CPU_M
+            self.jobs += burst
+            jobs += burst
+            await asyncio.gather(*map(self._submit, burst))
+            await asyncio.sleep(seconds / len(TOO_LARGE_JOBS))
+        accepted = [job for job in jobs if job.outcome is Outcome.ACCEPTED]
+        await asyncio.gather(*map(self._cancel, accepted))
+
     def _draw_job(self) -> CallerJob:
         counts = tuple(self._rng.randint(1, 4) for _ in range(self._rng.randint(1, 3)))
         number = f"{self._rng.getrandbits(64):016x}"
--- a/packages/fulmarlever_standins/fulmarlever_standins/soak/runner.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/runner.py
@@ -109,6 +109,9 @@
                 asyncio.create_task(pending.run()),
             ]
             faults = [self._strike_owners()]
+            if self._strikes:
+                rng = Random(self._strike_rng.getrandbits(32))
+                faults.append(callers.keep_waiting(self._seconds, rng))
             if self._has_other_faults:
                 faults += [
                     self._inject_faults(),
