--- a/packages/fulmarlever_standins/fulmarlever_standins/tests/soak/seeds_tests.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/tests/soak/seeds_tests.py
@@ -38,3 +38,10 @@
                 result = asyncio.run(run_seed(*options, LOGS))
                 self.assertEqual(result.violations, [], sorted(result.faults))
                 self.assertGreater(result.tasks_done, 20)
+
+    # Regression (MIXED): daemons in touch gave the number of waiting jobs of an owner
+    # long gone, while owners were struck as they took over.
+    def test_daemons_in_touch_know_how_many_jobs_wait(self):
+        result = asyncio.run(run_seed(5608, 20.0, 7, 6, LOGS, strikes=True))
+        self.assertEqual(result.violations, [], sorted(result.faults))
+        self.assertGreater(result.pending_answers, 100)
