--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/contact.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/contact.py
@@ -18,14 +18,13 @@
 class Contact:
     """Records for how long each daemon of a cluster has been in touch."""
 
-    __slots__ = ("_cluster", "_started_s", "_disturbed_s", "_store_disturbed_s")
+    __slots__ = ("_cluster", "_since_s", "_store_since_s")
 
     def __init__(self, cluster: SimulatedCluster) -> None:
         self._cluster = cluster
-        # By daemon: when it was first seen, and when it was last seen out of touch.
-        self._started_s: dict[Daemon, float] = {}
-        self._disturbed_s: dict[Daemon, float] = {}
-        self._store_disturbed_s = 0.0
+        # By daemon: when it was first seen, or last seen out of touch.
+        self._since_s: dict[Daemon, float] = {}
+        self._store_since_s = 0.0
 
     async def run(self) -> None:
         """Look again and again, until cancelled."""
@@ -35,21 +34,15 @@
 
     def _look(self) -> None:
         now_s = asyncio.get_running_loop().time()
-        network = self._cluster.network
-        if network.is_store_down:
-            self._store_disturbed_s = now_s
-        running = set(self._cluster.daemons.values())
-        self._started_s = {
-            daemon: self._started_s.get(daemon, now_s) for daemon in running
-        }
-        self._disturbed_s = {
-            daemon: now_s if self._is_apart(daemon) else since_s
-            for daemon, since_s in self._disturbed_s_of(running).items()
+        if self._cluster.network.is_store_down:
+            self._store_since_s = now_s
+        self._since_s = {
+            daemon: now_s
+            if self._is_apart(daemon)
+            else self._since_s.get(daemon, now_s)
+            for daemon in self._cluster.daemons.values()
         }
 
-    def _disturbed_s_of(self, daemons: set[Daemon]) -> dict[Daemon, float]:
-        return {d: self._disturbed_s.get(d, self._started_s[d]) for d in daemons}
-
     def _is_apart(self, daemon: Daemon) -> bool:
         """Return whether a daemon is cut off from the store, or its clock is wrong."""
         network = self._cluster.network
@@ -61,11 +54,8 @@
 
     def seconds(self, daemon: Daemon) -> float:
         """Return for how long a daemon has been in touch, 0 if it is not."""
-        if daemon not in self._disturbed_s:
+        if daemon not in self._since_s:
             return 0.0
-        since_s = max(
-            self._disturbed_s[daemon],
-            self._store_disturbed_s,
-            self._cluster.network.unanswered_s,
-        )
+        unanswered_s = self._cluster.network.unanswered_s
+        since_s = max(self._since_s[daemon], self._store_since_s, unanswered_s)
         return asyncio.get_running_loop().time() - since_s
