--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/simulation.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/simulation.py
@@ -10,6 +10,7 @@
 from fulmarlever.outcomes import NotRun, Refused, failed
 from fulmarlever_standins.authority.evacuations import EvacuationObserver
 from fulmarlever_standins.authority.simulated_cluster import Daemon, SimulatedCluster
+from fulmarlever_standins.authority.virtual_time import START_UNIX_TIME_S
 from fulmarlever_standins.authority.worker import RunKey, WorkerCore
 from fulmarlever_standins.simulation.calm import Calm
 from fulmarlever_standins.simulation.contact import Contact
@@ -228,7 +229,12 @@
         self.cluster.network.add_worker(worker)
 
     def _attach(self, worker: WorkerCore) -> None:
-        """Decide on the runs of a worker, observe them and check their starts."""
+        """Decide on the runs of a worker, observe them and check their starts.
+
+        The worker starts now, which is what it says of itself.
+        """
+        now_s = START_UNIX_TIME_S + asyncio.get_running_loop().time()
+        worker.born = int(1000.0 * now_s)
         record_start, record_end = worker.on_start, worker.on_end
 
         def on_start(worker: WorkerCore, key: RunKey) -> None:
--- a/packages/fulmarlever_standins/fulmarlever_standins/soak/deployment.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/soak/deployment.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import sys
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -193,6 +194,8 @@
         self._begin_incarnation(WorkerCore(name, listen, zone))
 
     def _begin_incarnation(self, worker: WorkerCore) -> None:
+        # What a worker says of its start is a Unix time.
+        worker.born = int(1000.0 * time.time())
         self.workers[worker.id] = worker
         self.record.attach(worker)
         record_start = worker.on_start
