--- a/packages/fulmarlever_standins/fulmarlever_standins/measurements/waiting_jobs.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/measurements/waiting_jobs.py
@@ -16,7 +16,7 @@
 import time
 import tracemalloc
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from loguru import logger as log
 
@@ -88,9 +88,9 @@
         for number in range(0, count, 5):
             value = pack(["running", True, "", [], []])
             self._put(progress_row(f"{number:016x}", value))
-        self._as_of_s = asyncio.get_running_loop().time()
+        as_of_s = asyncio.get_running_loop().time()
         waiting = WaitingJobs({LABELS_QUEUE.name: count}, self.store.version)
-        row = Publication("vm-0", 1, self._as_of_s, waiting.pack()).to_row(SUMMARY_KEY)
+        row = Publication("vm-0", 1, as_of_s, waiting.pack()).to_row(SUMMARY_KEY)
         self._put(row)
 
     def _put(self, row: StoredRow) -> None:
@@ -98,8 +98,7 @@
 
     def accept(self) -> None:
         """Add a job."""
-        spec = job(f"{self._accepted:016x}")
-        spec = type(spec)(spec.id, PAYLOAD, spec.steps)
+        spec = replace(job(f"{self._accepted:016x}"), payload=PAYLOAD)
         self._put(job_row(spec.id, pack_job(JobRow(spec, LABELS_QUEUE, 1.0))))
         self._accepted += 1
 
--- a/packages/fulmarlever_standins/fulmarlever_standins/simulation/owner_faults.py
+++ b/packages/fulmarlever_standins/fulmarlever_standins/simulation/owner_faults.py
@@ -16,7 +16,7 @@
 # What can happen to an owner; each ends when the owner is back.
 STRIKES: Registry[Strike] = Registry("fault of an owner")
 
-# With these, some daemons are never struck.
+# With these, there are daemons enough that some are struck and others are not.
 MORE_VMS = ("more-0", "more-1", "more-2", "more-3")
 # How long an owner holds the lease before it is struck: less or more than it takes to
 # read all jobs, or to publish something.
